design: modules, state and failures; catalogue and configuration types

Cause: the repository is empty and several people build modules at once, so the interfaces, the state owners and the external dialects have to be fixed first.

--- /dev/null
+++ b/cli/src/bin/snipepond-router.rs
@@ -0,0 +1,3 @@
+//! The router daemon.
+
+fn main() {}
--- /dev/null
+++ b/cli/src/bin/snipepond.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/catalogue.rs
@@ -0,0 +1,163 @@
+//! The catalogue: who may call what, how urgently and how much.
+//!
+//! A [`Catalogue`] exists only if the whole set of entries passed the check.
+
+mod check;
+mod entry;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use sha2::{Digest, Sha256};
+
+pub use self::{
+    check::{CatalogueProblem, RejectedCatalogue},
+    entry::{
+        CentreEntry, CentreState, ClassEntry, FleetSettings, KeyEntry, KeyState, RouteEntry,
+        RouteKind, TeamEntry, UpstreamEntry, UpstreamKind, UpstreamState,
+    },
+};
+use crate::names::{CentreName, ClassName, RouteName, TeamName, UpstreamName};
+
+/// Raw entries by key; each value is JSON text.
+pub type RawEntries = BTreeMap<Arc<str>, Arc<str>>;
+
+/// SHA-256 of a caller's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Hashes a key as the caller sent it.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Parses 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+/// A checked set of entries at one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Catalogue {
+    revision: u64,
+    classes: BTreeMap<ClassName, ClassEntry>,
+    centres: BTreeMap<CentreName, CentreEntry>,
+    teams: BTreeMap<TeamName, TeamEntry>,
+    keys: HashMap<KeyHash, TeamName>,
+    routes: Vec<(RouteName, RouteEntry)>,
+    upstreams: BTreeMap<UpstreamName, UpstreamEntry>,
+    settings: FleetSettings,
+}
+
+impl Catalogue {
+    /// Parses and checks all entries; the verdict depends on nothing else.
+    pub fn parse(revision: u64, entries: &RawEntries) -> Result<Self, RejectedCatalogue> {
+        check::parse(revision, entries)
+    }
+
+    /// Returns the revision at which the entries were published.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the team that an active key belongs to.
+    pub fn team_of_key(&self, hash: &KeyHash) -> Option<&TeamName> {
+        self.keys.get(hash)
+    }
+
+    /// Returns a team's entry.
+    pub fn team(&self, name: &TeamName) -> Option<&TeamEntry> {
+        self.teams.get(name)
+    }
+
+    /// Returns all teams by name.
+    pub fn teams(&self) -> &BTreeMap<TeamName, TeamEntry> {
+        &self.teams
+    }
+
+    /// Returns all classes by name.
+    pub fn classes(&self) -> &BTreeMap<ClassName, ClassEntry> {
+        &self.classes
+    }
+
+    /// Returns all data centres by name.
+    pub fn centres(&self) -> &BTreeMap<CentreName, CentreEntry> {
+        &self.centres
+    }
+
+    /// Returns all upstreams by name.
+    pub fn upstreams(&self) -> &BTreeMap<UpstreamName, UpstreamEntry> {
+        &self.upstreams
+    }
+
+    /// Returns the number of active keys.
+    pub fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns all routes, longest path prefix first.
+    pub fn routes(&self) -> &[(RouteName, RouteEntry)] {
+        &self.routes
+    }
+
+    /// Returns the fleet's settings.
+    pub fn settings(&self) -> &FleetSettings {
+        &self.settings
+    }
+
+    /// Returns the route with the longest path prefix that matches the request.
+    ///
+    /// A prefix matches whole path segments: `/v1/tools` matches `/v1/tools/7` but not
+    /// `/v1/toolsets`.
+    pub fn route(&self, method: &str, path: &str) -> Option<(&RouteName, &RouteEntry)> {
+        self.routes
+            .iter()
+            .find(|(_, route)| {
+                matches_prefix(&route.path, path)
+                    && (route.methods.is_empty() || route.methods.iter().any(|it| it == method))
+            })
+            .map(|(name, route)| (name, route))
+    }
+
+    /// Returns whether some route has the path, with whatever method.
+    pub fn has_path(&self, path: &str) -> bool {
+        self.routes
+            .iter()
+            .any(|(_, route)| matches_prefix(&route.path, path))
+    }
+
+    /// Returns the data centres over which team limits and operation keys are split.
+    pub fn sharing_centres(&self) -> impl Iterator<Item = &CentreName> {
+        self.centres
+            .iter()
+            .filter(|(_, centre)| centre.state != CentreState::Decommissioned)
+            .map(|(name, _)| name)
+    }
+
+    /// Returns whether an upstream takes new work according to the catalogue.
+    pub fn takes_new_work(&self, upstream: &UpstreamEntry) -> bool {
+        upstream.state == UpstreamState::InService
+            && self
+                .centres
+                .get(&upstream.data_centre)
+                .is_some_and(|it| it.state == CentreState::InService)
+    }
+}
+
+fn matches_prefix(prefix: &str, path: &str) -> bool {
+    match path.strip_prefix(prefix) {
+        Some(rest) => rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'),
+        None => false,
+    }
+}
--- /dev/null
+++ b/lib/src/membership/host_list.rs
@@ -0,0 +1,53 @@
+//! The platform's list of hosts.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::names::{CentreName, HostName};
+
+/// Whether a host takes part in ownership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostState {
+    /// The host runs.
+    Live,
+    /// The host is about to stop; it owns nothing new.
+    Leaving,
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// Name of the host.
+    pub name: HostName,
+    /// Address of its peer and administration port.
+    pub address: SocketAddr,
+    /// Data centre in which it runs.
+    pub data_centre: CentreName,
+    /// Whether it takes part in ownership.
+    pub state: HostState,
+}
+
+/// The list at one version, as the platform published it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostList {
+    /// Version; it rises with every change.
+    pub version: u64,
+    /// The hosts, in no particular order.
+    pub hosts: Vec<HostRecord>,
+}
+
+impl HostList {
+    /// Returns the record of a host.
+    pub fn host(&self, name: &HostName) -> Option<&HostRecord> {
+        self.hosts.iter().find(|it| it.name == *name)
+    }
+
+    /// Returns the live hosts of a data centre.
+    pub fn live_in<'a>(&'a self, centre: &'a CentreName) -> impl Iterator<Item = &'a HostRecord> {
+        self.hosts
+            .iter()
+            .filter(move |it| it.data_centre == *centre && it.state == HostState::Live)
+    }
+}
