front: caller interface, upstream, platform and peer adapters

Cause: a request needs a bounded HTTP server, and every external protocol needs one adapter behind a trait. Conclusion: the control actor can be built on these.

--- /dev/null
+++ b/lib/src/front/request.rs
@@ -0,0 +1,146 @@
+//! A caller's request, read completely.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::refusal::Refusal;
+use crate::{
+    names::{ModelName, TeamName},
+    rendezvous::hash_parts,
+};
+
+/// Bytes of text for each token, a common estimate for English text.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens that an answer is expected to have if the caller states no limit; the mean at the
+/// target size is 2.2 M tokens/s over 5,700 requests/s.
+const DEFAULT_ANSWER_TOKENS: u64 = 386;
+
+/// A request with a bounded body; header names are in lower case.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerRequest {
+    /// HTTP method.
+    pub method: String,
+    /// Path with query.
+    pub target: String,
+    /// Headers in the order of arrival.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    #[serde(with = "body_bytes")]
+    pub body: Arc<[u8]>,
+    /// Id of the request, from the caller or drawn here.
+    pub request_id: String,
+}
+
+impl CallerRequest {
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Returns the first header of that name; `name` is in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(it, _)| it == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+mod body_bytes {
+    use std::sync::Arc;
+
+    use serde::{Deserializer, Serializer, de::Visitor};
+
+    pub(super) fn serialize<S: Serializer>(
+        body: &Arc<[u8]>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(body)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Arc<[u8]>, D::Error> {
+        struct BodyVisitor;
+        impl Visitor<'_> for BodyVisitor {
+            type Value = Arc<[u8]>;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("bytes")
+            }
+
+            fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Self::Value, E> {
+                Ok(bytes.into())
+            }
+
+            fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Self::Value, E> {
+                Ok(bytes.into())
+            }
+        }
+        deserializer.deserialize_byte_buf(BodyVisitor)
+    }
+}
+
+/// What the router reads from the body of a chat request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChatRequest {
+    /// Model that shall answer.
+    pub model: ModelName,
+    /// Identity of the chat; requests of one chat go to the same engine.
+    pub chat: String,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Estimated tokens of prompt and answer together.
+    pub work: u64,
+}
+
+impl ChatRequest {
+    /// Reads the body; `team` separates the chats of different teams.
+    pub fn parse(request: &CallerRequest, team: &TeamName) -> Result<Self, Refusal> {
+        let invalid = |message: &str| Refusal::not_run(400, "invalid_request", message);
+        let body: Value = serde_json::from_slice(&request.body)
+            .map_err(|error| invalid(&format!("body is not valid JSON: {error}")))?;
+        let model = body
+            .get("model")
+            .and_then(Value::as_str)
+            .ok_or_else(|| invalid("field \"model\" must be a string"))?;
+        let messages = body
+            .get("messages")
+            .and_then(Value::as_array)
+            .filter(|it| !it.is_empty())
+            .ok_or_else(|| invalid("field \"messages\" must be a non-empty array"))?;
+        let stream = match body.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(stream)) => *stream,
+            Some(_) => return Err(invalid("field \"stream\" must be true or false")),
+        };
+        let answer = ["max_completion_tokens", "max_tokens"]
+            .iter()
+            .find_map(|it| body.get(it))
+            .and_then(Value::as_u64)
+            .unwrap_or(DEFAULT_ANSWER_TOKENS);
+        let chat = match request.header("x-chat-id") {
+            Some(chat) => chat.to_owned(),
+            None => opening_of(messages),
+        };
+        Ok(Self {
+            model: ModelName::new(model),
+            chat: format!("{:016x}", hash_parts(&[team.as_str(), &chat])),
+            stream,
+            work: request.body.len() as u64 / BYTES_PER_TOKEN + answer,
+        })
+    }
+}
+
+/// Returns the messages up to the first one of the user, which stay the same during a chat.
+fn opening_of(messages: &[Value]) -> String {
+    let is_user = |it: &Value| it.get("role").and_then(Value::as_str) == Some("user");
+    let end = messages
+        .iter()
+        .position(is_user)
+        .map_or(messages.len(), |it| it + 1);
+    messages[..end].iter().map(Value::to_string).collect()
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,11 @@
 pub mod catalogue;
 pub mod clock;
 pub mod config;
+pub mod front;
 pub mod membership;
 pub mod names;
+pub mod peer;
+pub mod platform;
 pub mod rendezvous;
+pub mod threads;
+pub mod upstream;
--- /dev/null
+++ b/lib/src/peer/http.rs
@@ -0,0 +1,128 @@
+//! HTTP and MessagePack adapter of the calls between hosts.
+
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use serde::{Serialize, de::DeserializeOwned};
+use ureq::{Agent, Error, Timeout, config::AutoHeaderValue};
+
+use super::{PeerError, PeerTransport};
+
+/// Time for a connection to another host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest message; a whole configuration and a forwarded body fit.
+const MAX_MESSAGE_BYTES: u64 = 16 << 20;
+
+/// Age at which an idle connection is closed.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(60);
+
+/// Approximate bytes of the HTTP head of a request and of a reply, for traffic counts.
+const HEAD_BYTES: u64 = 120;
+
+/// Other hosts by HTTP.
+#[derive(Debug)]
+pub struct HttpPeer {
+    agent: Agent,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+impl HttpPeer {
+    /// Creates a client with an empty connection pool.
+    pub fn new() -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .no_delay(true)
+            .proxy(None)
+            .user_agent(AutoHeaderValue::None)
+            .accept(AutoHeaderValue::None)
+            .accept_encoding(AutoHeaderValue::None)
+            .max_idle_connections(256)
+            .max_idle_connections_per_host(4)
+            .max_idle_age(MAX_IDLE_AGE)
+            .timeout_connect(Some(CONNECT_TIMEOUT))
+            .build()
+            .new_agent();
+        Self {
+            agent,
+            sent_bytes: AtomicU64::new(0),
+            received_bytes: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the bytes sent and received, heads estimated.
+    pub fn traffic(&self) -> (u64, u64) {
+        (
+            self.sent_bytes.load(Ordering::Relaxed),
+            self.received_bytes.load(Ordering::Relaxed),
+        )
+    }
+}
+
+impl Default for HttpPeer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<Q: Serialize, R: DeserializeOwned> PeerTransport<Q, R> for HttpPeer {
+    fn call(&self, address: SocketAddr, request: &Q, timeout: Duration) -> Result<R, PeerError> {
+        let message = encode_message(request);
+        let response = self
+            .agent
+            .post(format!("http://{address}/peer"))
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .send(&message[..])
+            .map_err(classify)?;
+        self.sent_bytes
+            .fetch_add(HEAD_BYTES + message.len() as u64, Ordering::Relaxed);
+        if response.status() != 200 {
+            return Err(PeerError::Lost(format!("status {}", response.status())));
+        }
+        let mut reply = Vec::new();
+        response
+            .into_body()
+            .into_reader()
+            .take(MAX_MESSAGE_BYTES)
+            .read_to_end(&mut reply)
+            .map_err(|error| PeerError::Lost(error.to_string()))?;
+        self.received_bytes
+            .fetch_add(HEAD_BYTES + reply.len() as u64, Ordering::Relaxed);
+        rmp_serde::from_slice(&reply).map_err(|error| PeerError::Lost(error.to_string()))
+    }
+}
+
+fn classify(error: Error) -> PeerError {
+    let reason = error.to_string();
+    match error {
+        Error::Io(source) if source.kind() == io::ErrorKind::ConnectionRefused => {
+            PeerError::NotSent(reason)
+        }
+        Error::Timeout(Timeout::Connect) | Error::ConnectionFailed => PeerError::NotSent(reason),
+        _ => PeerError::Lost(reason),
+    }
+}
+
+/// Encodes a message.
+pub fn encode_message<T: Serialize>(message: &T) -> Vec<u8> {
+    // Fields are sent by position, not by name, because control traffic is bounded to 4 KB/s.
+    rmp_serde::to_vec(message).expect("peer messages are always encodable")
+}
+
+/// Reads and decodes a request of at most the largest message size.
+pub fn decode_message<T: DeserializeOwned>(reader: &mut dyn Read) -> Result<T, String> {
+    let mut message = Vec::new();
+    reader
+        .take(MAX_MESSAGE_BYTES)
+        .read_to_end(&mut message)
+        .map_err(|error| error.to_string())?;
+    rmp_serde::from_slice(&message).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/lib/src/upstream.rs
@@ -0,0 +1,110 @@
+//! Calls to engines and services.
+
+mod http;
+
+use std::{
+    fmt::{self, Debug},
+    io::Read,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+pub use self::http::HttpUpstream;
+
+/// A request as it goes to an upstream; it carries no credential.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamCall<'a> {
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path with query.
+    pub target: &'a str,
+    /// Headers, without those that describe the connection.
+    pub headers: &'a [(String, String)],
+    /// Body.
+    pub body: &'a [u8],
+    /// Id that the upstream must echo in its answer.
+    pub request_id: &'a str,
+    /// Whether the request may be sent on a connection that was used before.
+    ///
+    /// A failure on such a connection leaves open whether the request was read, so requests that
+    /// must not run twice use a new connection.
+    pub reuse_connection: bool,
+    /// Time until the head of the answer.
+    pub head_timeout: Duration,
+}
+
+/// An answer whose body is read as it arrives.
+pub struct UpstreamAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers, without those that describe the connection.
+    pub headers: Vec<(String, String)>,
+    /// Body; an error means that the answer is incomplete.
+    pub body: Box<dyn Read + Send>,
+}
+
+impl UpstreamAnswer {
+    /// Returns the value of a header; `name` is in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(it, _)| it == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+impl Debug for UpstreamAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("UpstreamAnswer")
+            .field("status", &self.status)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A call without a usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No byte of the request reached the upstream.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The upstream may have run the request.
+    #[error("no answer: {0}")]
+    Ambiguous(String),
+    /// The answer belongs to another request.
+    #[error("answer carries request id {found:?}")]
+    WrongAnswer {
+        /// Request id of the answer, if it has one.
+        found: Option<String>,
+    },
+}
+
+/// An upstream's own view of its load; it lags.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Changes with every start of the upstream.
+    pub incarnation: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside the upstream.
+    pub waiting: u32,
+    /// Requests that it runs at the same time.
+    pub capacity: u32,
+    /// Tokens still to be processed.
+    #[serde(default)]
+    pub work_tokens: u64,
+    /// Whether it is in cold start.
+    pub cold: bool,
+}
+
+/// Calls upstreams.
+pub trait UpstreamClient: Debug + Send + Sync {
+    /// Sends a request and returns the head of the answer.
+    fn call(&self, call: &UpstreamCall<'_>) -> Result<UpstreamAnswer, CallError>;
+
+    /// Reads the load report.
+    fn load(&self, address: SocketAddr) -> Result<LoadReport, CallError>;
+}
--- /dev/null
+++ b/lib/src/upstream/http.rs
@@ -0,0 +1,203 @@
+//! HTTP adapter of engines and services.
+
+use std::{io::Read, net::SocketAddr, time::Duration};
+
+use ureq::{
+    Agent, Error, Timeout,
+    config::AutoHeaderValue,
+    http::{Request, Response},
+};
+
+use super::{CallError, LoadReport, UpstreamAnswer, UpstreamCall, UpstreamClient};
+
+/// Time for a connection to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two reads of an answer after which the upstream counts as lost.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time for a load report.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest load report.
+const MAX_LOAD_BYTES: u64 = 64 << 10;
+
+/// Buffer for each direction of a connection; the library's default of 128 KiB would take
+/// 100 MB at 400 streams.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// Idle connections kept for each upstream.
+const MAX_IDLE_PER_UPSTREAM: usize = 32;
+
+/// Idle connections kept in total.
+const MAX_IDLE: usize = 512;
+
+/// Age at which an idle connection is closed.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
+
+/// Header that carries the request id in both directions.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Headers that describe one connection and are never passed on.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Engines and services by HTTP/1.1.
+#[derive(Debug)]
+pub struct HttpUpstream {
+    pooled: Agent,
+    unpooled: Agent,
+}
+
+impl HttpUpstream {
+    /// Creates a client with an empty connection pool.
+    pub fn new() -> Self {
+        Self {
+            pooled: agent(MAX_IDLE),
+            unpooled: agent(0),
+        }
+    }
+}
+
+impl Default for HttpUpstream {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn agent(max_idle: usize) -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .no_delay(true)
+        .proxy(None)
+        .user_agent(AutoHeaderValue::None)
+        .accept(AutoHeaderValue::None)
+        .accept_encoding(AutoHeaderValue::None)
+        .allow_non_standard_methods(true)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
+        .max_idle_connections(max_idle)
+        .max_idle_connections_per_host(max_idle.min(MAX_IDLE_PER_UPSTREAM))
+        .max_idle_age(MAX_IDLE_AGE)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_per_read(Some(READ_TIMEOUT))
+        .timeout_per_write(Some(READ_TIMEOUT))
+        .build()
+        .new_agent()
+}
+
+/// Returns whether a header may pass through the router.
+pub(crate) fn is_end_to_end(name: &str) -> bool {
+    !CONNECTION_HEADERS.contains(&name)
+}
+
+impl UpstreamClient for HttpUpstream {
+    fn call(&self, call: &UpstreamCall<'_>) -> Result<UpstreamAnswer, CallError> {
+        let agent = if call.reuse_connection {
+            &self.pooled
+        } else {
+            &self.unpooled
+        };
+        let mut builder = Request::builder()
+            .method(call.method)
+            .uri(format!("http://{}{}", call.address, call.target))
+            .header(REQUEST_ID, call.request_id);
+        for (name, value) in call.headers {
+            if is_end_to_end(name) && name != REQUEST_ID && name != "host" {
+                builder = builder.header(name, value);
+            }
+        }
+        let request = builder
+            .body(call.body)
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let request = agent
+            .configure_request(request)
+            .timeout_recv_response(Some(call.head_timeout))
+            .build();
+        let response = if call.body.is_empty() && !sends_length(call.method) {
+            agent.run(request.map(|_| ()))
+        } else {
+            agent.run(request)
+        };
+        let answer = into_answer(response.map_err(classify)?);
+        match answer.header(REQUEST_ID) {
+            Some(found) if found == call.request_id => Ok(answer),
+            found => Err(CallError::WrongAnswer {
+                found: found.map(str::to_owned),
+            }),
+        }
+    }
+
+    fn load(&self, address: SocketAddr) -> Result<LoadReport, CallError> {
+        let response = self
+            .pooled
+            .get(format!("http://{address}/load"))
+            .config()
+            .timeout_global(Some(LOAD_TIMEOUT))
+            .build()
+            .call()
+            .map_err(classify)?;
+        if response.status() != 200 {
+            return Err(CallError::Ambiguous(format!(
+                "status {}",
+                response.status()
+            )));
+        }
+        let mut text = Vec::new();
+        response
+            .into_body()
+            .into_reader()
+            .take(MAX_LOAD_BYTES)
+            .read_to_end(&mut text)
+            .map_err(|error| CallError::Ambiguous(error.to_string()))?;
+        serde_json::from_slice(&text).map_err(|error| CallError::Ambiguous(error.to_string()))
+    }
+}
+
+/// Returns whether a request of this method states its length even if the body is empty.
+fn sends_length(method: &str) -> bool {
+    matches!(method, "POST" | "PUT" | "PATCH")
+}
+
+fn into_answer(response: Response<ureq::Body>) -> UpstreamAnswer {
+    let (parts, body) = response.into_parts();
+    let headers = parts
+        .headers
+        .iter()
+        .filter(|(name, _)| is_end_to_end(name.as_str()))
+        .filter_map(|(name, value)| {
+            Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+        })
+        .collect();
+    UpstreamAnswer {
+        status: parts.status.as_u16(),
+        headers,
+        body: Box::new(body.into_reader()),
+    }
+}
+
+/// Decides whether a failed call can have reached the upstream.
+///
+/// Only a connection that was never established proves that it did not.
+fn classify(error: Error) -> CallError {
+    let reason = error.to_string();
+    match error {
+        Error::Io(source) if source.kind() == std::io::ErrorKind::ConnectionRefused => {
+            CallError::NotSent(reason)
+        }
+        Error::Timeout(Timeout::Connect | Timeout::Resolve)
+        | Error::ConnectionFailed
+        | Error::BadUri(_)
+        | Error::Http(_) => CallError::NotSent(reason),
+        _ => CallError::Ambiguous(reason),
+    }
+}
