--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -194,10 +194,11 @@
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(TokioIo::new(stream), service);
+    let stopped = async move { stop.wait_for(|it| *it).await.map(drop) };
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        _ = stop.wait_for(|it| *it) => {
+        _ = stopped => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
