settings: flags and environment variables with checks

Cause: a router needs its addresses, limits and time-outs from flags or the environment, and a wrong value has to be refused with a message that says what to change. Change: settings::RouterSettings, one table of settings with unit, default and limits from which parsing and the help text are derived.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod membership;
 pub mod names;
 pub mod rendezvous;
+pub mod settings;
--- /dev/null
+++ b/lib/tests/settings_parse.rs
@@ -0,0 +1,156 @@
+//! Settings: a wrong value must be refused with a message that tells what to change.
+
+use std::{collections::HashMap, ffi::OsString, time::Duration};
+
+use snipepond::settings::{
+    RouterSettings, SETTINGS, SettingsError, SettingsOutcome, ValueOrigin, variable_name,
+};
+
+const REQUIRED: [&str; 6] = [
+    "--host",
+    "h1",
+    "--data-centre",
+    "a",
+    "--platform",
+    "http://127.0.0.1:9000/",
+];
+
+fn parse(args: &[&str], env: &[(&str, &str)]) -> Result<SettingsOutcome, SettingsError> {
+    let env: HashMap<String, OsString> = env
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), (*value).into()))
+        .collect();
+    RouterSettings::parse(args, |name| env.get(name).cloned())
+}
+
+fn run(args: &[&str], env: &[(&str, &str)]) -> RouterSettings {
+    match parse(args, env) {
+        Ok(SettingsOutcome::Run(settings)) => *settings,
+        other => panic!("expected settings, got {other:?}"),
+    }
+}
+
+/// A default that differs from the documented one changes a running fleet at an update.
+#[test]
+fn defaults_are_the_documented_ones() {
+    let settings = run(&REQUIRED, &[]);
+    assert_eq!(settings.platform, "http://127.0.0.1:9000");
+    assert_eq!(settings.listen.to_string(), "127.0.0.1:8080");
+    assert_eq!(settings.admin_listen.to_string(), "127.0.0.1:8081");
+    assert_eq!(settings.takeover_wait(), Duration::from_secs(17));
+    assert_eq!(
+        (
+            settings.max_connections,
+            settings.max_active,
+            settings.max_queued
+        ),
+        (2048, 1024, 2048)
+    );
+    assert_eq!(settings.max_body_bytes, 1_048_576);
+    assert_eq!(settings.header_timeout, Duration::from_secs(10));
+    assert_eq!(settings.body_timeout, Duration::from_secs(30));
+    assert_eq!(settings.drain_timeout, Some(Duration::from_secs(600)));
+    assert_eq!(settings.log, "info");
+}
+
+/// A variable must not override what the operator typed.
+#[test]
+fn a_flag_wins_over_the_variable() {
+    let env = [
+        ("SNIPEPOND_HOST", "env-host"),
+        ("SNIPEPOND_MAX_QUEUED", "7"),
+    ];
+    let settings = run(&REQUIRED, &env);
+    assert_eq!(settings.host.as_str(), "h1");
+    assert_eq!(settings.max_queued, 7);
+    let args = [&REQUIRED[..], &["--drain-timeout-ms=0"]].concat();
+    assert_eq!(run(&args, &[]).drain_timeout, None);
+}
+
+/// Each wrong value must be refused with the setting, the value and what is allowed.
+#[test]
+fn wrong_values_are_named() {
+    let cases = [
+        ("host", "a b"),
+        ("host", ""),
+        ("data-centre", "a/b"),
+        ("listen", "localhost:80"),
+        ("admin-listen", "127.0.0.1:8080"),
+        ("platform", "https://127.0.0.1:1"),
+        ("platform", "http://platform:1"),
+        ("platform", "http://127.0.0.1:1/?x"),
+        ("validity-ms", "0"),
+        ("list-lag-ms", "86400001"),
+        ("margin-ms", "-1"),
+        ("max-connections", "0"),
+        ("max-active", "99999"),
+        ("max-queued", "+1"),
+        ("max-body-bytes", "1 MiB"),
+        ("header-timeout-ms", "1.5"),
+        ("body-timeout-ms", "18446744073709551616"),
+        ("drain-timeout-ms", ""),
+        ("log", "a=b=c"),
+    ];
+    for (name, value) in cases {
+        let flag = format!("--{name}={value}");
+        let args = [&REQUIRED[..], &[flag.as_str()]].concat();
+        let error = parse(&args, &[]).expect_err(&flag);
+        let text = error.to_string();
+        assert!(text.contains(&format!("--{name}")), "{text}");
+        assert!(text.contains(&format!("{value:?}")), "{text}");
+        assert!(text.contains("allowed: "), "{text}");
+    }
+    let error = parse(&REQUIRED, &[("SNIPEPOND_MAX_ACTIVE", "x")]).unwrap_err();
+    assert!(matches!(
+        error,
+        SettingsError::Invalid {
+            origin: ValueOrigin::Environment,
+            ..
+        }
+    ));
+    assert!(error.to_string().contains("SNIPEPOND_MAX_ACTIVE"));
+}
+
+/// A required setting without a value must not get an invented one.
+#[test]
+fn required_settings_have_no_default() {
+    for name in ["host", "data-centre", "platform"] {
+        let flag = format!("--{name}");
+        let at = REQUIRED.iter().position(|it| *it == flag).unwrap();
+        let mut args = REQUIRED.to_vec();
+        args.drain(at..at + 2);
+        let text = parse(&args, &[]).unwrap_err().to_string();
+        assert!(text.contains(&flag), "{text}");
+        assert!(text.contains(&variable_name(name)), "{text}");
+    }
+}
+
+/// A misspelt flag must not be ignored.
+#[test]
+fn unknown_arguments_are_refused() {
+    for args in [&["--hots", "x"][..], &["extra"], &["-x"], &["--host"]] {
+        let error = parse(args, &[]).unwrap_err();
+        assert!(matches!(error, SettingsError::Usage { .. }), "{error}");
+    }
+}
+
+/// The help text must not fall behind the list of settings.
+#[test]
+fn help_lists_every_setting() {
+    let Ok(SettingsOutcome::PrintHelp(text)) = parse(&["--help"], &[]) else {
+        panic!("--help must print the help text");
+    };
+    for spec in SETTINGS {
+        let line = text
+            .lines()
+            .find(|it| it.trim_start().starts_with(&format!("--{} ", spec.name)))
+            .unwrap_or_else(|| panic!("{} is missing", spec.name));
+        assert!(line.contains(&format!("[unit: {}]", spec.unit)), "{line}");
+        let default = spec.default.unwrap_or("required");
+        assert!(line.contains(&format!("[default: {default}]")), "{line}");
+    }
+    assert!(matches!(
+        parse(&["--version"], &[]),
+        Ok(SettingsOutcome::PrintVersion(text)) if text.starts_with("snipepond-router ")
+    ));
+}
