status: types of the administration answers

Cause: the router fills /status and /explain while the command line reads them, so both need the same types.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod names;
 pub mod rendezvous;
 pub mod settings;
+pub mod status;
