--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,3 +13,5 @@
 pub mod rendezvous;
 pub mod threads;
 pub mod upstream;
+pub mod settings;
+pub mod status;
