daemon: one router process from the caller's port to the upstream

Cause: the whole path has to run before it is refined. Change: control actor on stakker, request exchange with retries and streaming, platform watches, administration port, graceful stop, router binary.

--- a/cli/src/bin/snipepond-router.rs
+++ b/cli/src/bin/snipepond-router.rs
@@ -1,3 +1,63 @@
 //! The router daemon.
 
-fn main() {}
+use std::{env, io::Write, process::ExitCode, sync::Arc};
+
+use anyhow::{Context, Result};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use snipepond::{
+    clock::SystemClock,
+    daemon::{RouterDaemon, RouterPorts},
+    platform::HttpPlatform,
+    settings::{RouterSettings, SettingsOutcome},
+    upstream::HttpUpstream,
+};
+
+/// Exit status of a usage error.
+const USAGE_STATUS: u8 = 2;
+
+fn main() -> ExitCode {
+    let settings = match RouterSettings::parse(env::args_os().skip(1), |name| env::var_os(name)) {
+        Ok(SettingsOutcome::Run(settings)) => *settings,
+        Ok(SettingsOutcome::PrintHelp(text) | SettingsOutcome::PrintVersion(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("snipepond-router: {error}");
+            return ExitCode::from(USAGE_STATUS);
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("snipepond-router: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: RouterSettings) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context("cannot watch signals")?;
+    let ports = RouterPorts {
+        clock: Arc::new(SystemClock),
+        platform: Arc::new(HttpPlatform::new(&settings.platform)),
+        upstream: Arc::new(HttpUpstream::new()),
+    };
+    let daemon = RouterDaemon::start(settings, ports)?;
+    println!(
+        "listening={} admin={}",
+        daemon.address(),
+        daemon.admin_address()
+    );
+    std::io::stdout()
+        .flush()
+        .context("cannot write to standard output")?;
+    signals.forever().next();
+    tracing::info!("stop_requested");
+    let is_drained = daemon.shutdown();
+    tracing::info!(is_drained, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/control/actor.rs
@@ -0,0 +1,143 @@
+//! The stakker actor and the thread that runs it.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use stakker::{
+    ActorOwn, CX, Stakker, StopCause, actor, after, fwd_to, ret_nop,
+    sync::{Channel, ChannelGuard},
+};
+
+use super::{command::ControlCommand, handle::ControlHandle, state::ControlState};
+use crate::clock::ClockSource;
+
+/// Interval of the periodic work of the control actor.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest sleep of the control thread without work.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
+
+/// What the control thread needs besides the state.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Clock that all decisions use.
+    pub clock: Arc<dyn ClockSource>,
+}
+
+struct ControlActor {
+    state: ControlState,
+    /// Closes the channel when the actor ends.
+    _guard: ChannelGuard,
+}
+
+impl ControlActor {
+    fn init(
+        cx: CX![],
+        state: ControlState,
+        channel_reply: SyncSender<Channel<ControlCommand>>,
+    ) -> Option<Self> {
+        let commands = fwd_to!([cx], command() as (ControlCommand));
+        let (channel, guard) = Channel::new(cx, commands);
+        let _ = channel_reply.send(channel);
+        after!(TICK_INTERVAL, [cx], tick());
+        Some(Self {
+            state,
+            _guard: guard,
+        })
+    }
+
+    fn command(&mut self, cx: CX![], command: ControlCommand) {
+        self.state.handle(cx.now(), command);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.state.tick(cx.now());
+        after!(TICK_INTERVAL, [cx], tick());
+    }
+}
+
+enum ThreadSignal {
+    Wake,
+    Stop,
+}
+
+/// The thread of the control actor; [`ControlThread::stop`] ends and joins it.
+pub struct ControlThread {
+    handle: ControlHandle,
+    signal: SyncSender<ThreadSignal>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ControlThread {
+    /// Starts the actor; `make_state` runs on the new thread.
+    pub fn start(
+        settings: ControlSettings,
+        make_state: impl FnOnce(Instant) -> ControlState + Send + 'static,
+    ) -> io::Result<Self> {
+        // One pending wake-up is enough: the actor handles all waiting commands at once.
+        let (signal, signals) = sync_channel(2);
+        let (reply, channels) = sync_channel(1);
+        let waker = signal.clone();
+        let thread = thread::Builder::new()
+            .name("control".into())
+            .spawn(move || run(&settings, make_state, waker, &signals, reply))?;
+        let channel = channels
+            .recv()
+            .map_err(|_| io::Error::other("control thread ended"))?;
+        Ok(Self {
+            handle: ControlHandle::new(channel),
+            signal,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns access for other threads.
+    pub fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
+    /// Ends the actor and joins its thread.
+    pub fn stop(mut self) {
+        let _ = self.signal.send(ThreadSignal::Stop);
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            tracing::error!("control_thread_panicked");
+        }
+    }
+}
+
+fn run(
+    settings: &ControlSettings,
+    make_state: impl FnOnce(Instant) -> ControlState,
+    waker: SyncSender<ThreadSignal>,
+    signals: &Receiver<ThreadSignal>,
+    reply: SyncSender<Channel<ControlCommand>>,
+) {
+    let start = settings.clock.now();
+    let mut stakker = Stakker::new(start);
+    stakker.set_poll_waker(move || match waker.try_send(ThreadSignal::Wake) {
+        Ok(()) | Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {}
+    });
+    let state = make_state(start);
+    let _actor: ActorOwn<ControlActor> =
+        actor!(stakker, ControlActor::init(state, reply), ret_nop!());
+    let mut is_idle_pending = stakker.run(settings.clock.now(), false);
+    while stakker.not_shutdown() {
+        let sleep = stakker.next_wait_max(settings.clock.now(), MAX_SLEEP, is_idle_pending);
+        match signals.recv_timeout(sleep) {
+            Ok(ThreadSignal::Wake) => stakker.poll_wake(),
+            Ok(ThreadSignal::Stop) => stakker.shutdown(StopCause::Stopped),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        is_idle_pending = stakker.run(settings.clock.now(), false);
+    }
+}
--- /dev/null
+++ b/lib/src/control/handle.rs
@@ -0,0 +1,97 @@
+//! Access to the control actor from other threads.
+
+use std::sync::{
+    Arc,
+    mpsc::{Receiver, sync_channel},
+};
+
+use stakker::sync::Channel;
+
+use super::command::{
+    AdmitOutcome, AdmitRequest, ControlCommand, DispatchEnd, DispatchGrant, DispatchOutcome,
+    DispatchRequest, ReplySender,
+};
+use crate::front::Refusal;
+
+/// Sends commands to the control actor and waits for replies.
+#[derive(Clone)]
+pub struct ControlHandle {
+    channel: Arc<Channel<ControlCommand>>,
+}
+
+impl ControlHandle {
+    pub(super) fn new(channel: Channel<ControlCommand>) -> Self {
+        Self {
+            channel: Arc::new(channel),
+        }
+    }
+
+    /// Sends a command; returns whether the actor still runs.
+    pub fn send(&self, command: ControlCommand) -> bool {
+        self.channel.send(command)
+    }
+
+    /// Sends a command and waits for the reply; `None` if the actor ended.
+    pub fn ask<T>(&self, command: impl FnOnce(ReplySender<T>) -> ControlCommand) -> Option<T> {
+        let (reply, receiver): (ReplySender<T>, Receiver<T>) = sync_channel(1);
+        if !self.send(command(reply)) {
+            return None;
+        }
+        receiver.recv().ok()
+    }
+
+    /// Asks whether a request may run.
+    pub fn admit(&self, request: AdmitRequest) -> AdmitOutcome {
+        self.ask(|reply| ControlCommand::Admit(request, reply))
+            .unwrap_or_else(|| AdmitOutcome::Refused(stopping()))
+    }
+
+    /// Asks for an upstream; waits while the request is queued.
+    pub fn dispatch(&self, request: DispatchRequest) -> Result<DispatchGuard, Refusal> {
+        match self.ask(|reply| ControlCommand::Dispatch(Box::new(request), reply)) {
+            Some(DispatchOutcome::Send(grant)) => Ok(DispatchGuard {
+                handle: self.clone(),
+                grant,
+                end: DispatchEnd::Broken,
+            }),
+            Some(DispatchOutcome::Refused(refusal)) => Err(refusal),
+            None => Err(stopping()),
+        }
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal::not_run(503, "stopping", "the host is stopping")
+}
+
+/// A dispatch that has not ended; dropping it reports the end to the control actor.
+pub struct DispatchGuard {
+    handle: ControlHandle,
+    grant: DispatchGrant,
+    end: DispatchEnd,
+}
+
+impl DispatchGuard {
+    /// Returns what was granted.
+    pub fn grant(&self) -> &DispatchGrant {
+        &self.grant
+    }
+
+    /// Reports the first piece of the answer.
+    pub fn first_piece(&self) {
+        self.handle
+            .send(ControlCommand::FirstPiece(self.grant.number));
+    }
+
+    /// Ends the dispatch.
+    pub fn end(mut self, end: DispatchEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for DispatchGuard {
+    fn drop(&mut self) {
+        self.handle
+            .send(ControlCommand::DispatchEnded(self.grant.number, self.end));
+    }
+}
--- /dev/null
+++ b/lib/src/daemon.rs
@@ -0,0 +1,165 @@
+//! The router process: starts every part, and stops without cutting a request.
+
+mod admin;
+mod watch;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result};
+
+use self::{
+    admin::AdminServer,
+    watch::{watch_config, watch_hosts},
+};
+use crate::{
+    clock::ClockSource,
+    control::{ControlCommand, ControlHandle, ControlSettings, ControlState, ControlThread},
+    exchange::Exchange,
+    front::{FrontLimits, FrontServer},
+    platform::PlatformSource,
+    settings::RouterSettings,
+    threads::{StopSignal, ThreadGroup},
+    upstream::UpstreamClient,
+};
+
+/// Largest head of a caller's request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Interval at which a stopping process looks for requests in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Time during which a stopping process still refuses new requests, so that the load balancer
+/// sees that it is not ready.
+const DRAIN_NOTICE: Duration = Duration::from_millis(500);
+
+/// The outside world of a router; each part has a test double.
+#[derive(Clone, Debug)]
+pub struct RouterPorts {
+    /// Clock of all decisions.
+    pub clock: Arc<dyn ClockSource>,
+    /// The platform.
+    pub platform: Arc<dyn PlatformSource>,
+    /// Engines and services.
+    pub upstream: Arc<dyn UpstreamClient>,
+}
+
+/// A running router.
+pub struct RouterDaemon {
+    settings: RouterSettings,
+    control: ControlThread,
+    front: FrontServer,
+    admin: AdminServer,
+    stop: StopSignal,
+    threads: ThreadGroup,
+}
+
+impl RouterDaemon {
+    /// Opens both ports and starts every thread.
+    pub fn start(settings: RouterSettings, ports: RouterPorts) -> Result<Self> {
+        let caller_listener = bind(settings.listen, "listen")?;
+        let admin_listener = bind(settings.admin_listen, "admin-listen")?;
+        let control_settings = ControlSettings {
+            clock: ports.clock.clone(),
+        };
+        let control = ControlThread::start(control_settings, |_| ControlState::new())
+            .context("cannot start the control thread")?;
+        let stop = StopSignal::new();
+        let threads = ThreadGroup::new();
+        start_watches(&ports, &control.handle(), &stop, &threads)?;
+        let admin = AdminServer::start(admin_listener, control.handle())
+            .context("cannot start the administration server")?;
+        let exchange = Exchange::new(
+            control.handle(),
+            ports.upstream.clone(),
+            ports.clock.clone(),
+        );
+        let front = FrontServer::start(caller_listener, limits(&settings), Arc::new(exchange))
+            .context("cannot start the caller interface")?;
+        Ok(Self {
+            settings,
+            control,
+            front,
+            admin,
+            stop,
+            threads,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Returns the address for peers and administration.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Returns access to the decisions.
+    pub fn control(&self) -> ControlHandle {
+        self.control.handle()
+    }
+
+    /// Refuses new requests, waits for those in flight and stops every thread.
+    ///
+    /// Returns whether all requests ended before the drain timeout.
+    pub fn shutdown(self) -> bool {
+        let handle = self.control.handle();
+        handle.send(ControlCommand::Drain);
+        self.front.drain();
+        let started = Instant::now();
+        let limit = self.settings.drain_timeout;
+        let mut is_drained = false;
+        while limit.is_none_or(|it| started.elapsed() < it) {
+            if self.front.active() == 0 && started.elapsed() >= DRAIN_NOTICE {
+                is_drained = true;
+                break;
+            }
+            std::thread::sleep(DRAIN_POLL);
+        }
+        self.front.stop();
+        self.stop.set();
+        self.threads.join();
+        self.admin.stop();
+        self.control.stop();
+        is_drained
+    }
+}
+
+fn bind(address: SocketAddr, setting: &str) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .with_context(|| format!("setting {setting}: cannot listen on {address}"))
+}
+
+fn limits(settings: &RouterSettings) -> FrontLimits {
+    FrontLimits {
+        max_connections: settings.max_connections,
+        max_active: settings.max_active,
+        max_body_bytes: settings.max_body_bytes,
+        max_head_bytes: MAX_HEAD_BYTES,
+        head_timeout: settings.header_timeout,
+        body_timeout: settings.body_timeout,
+    }
+}
+
+fn start_watches(
+    ports: &RouterPorts,
+    control: &ControlHandle,
+    stop: &StopSignal,
+    threads: &ThreadGroup,
+) -> io::Result<()> {
+    let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
+    threads.spawn("watch-config", move || {
+        watch_config(&*platform, &handle, &signal)
+    })?;
+    let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
+    let clock = ports.clock.clone();
+    threads.spawn("watch-hosts", move || {
+        watch_hosts(&*platform, &*clock, &handle, &signal)
+    })
+}
--- /dev/null
+++ b/lib/src/exchange/events.rs
@@ -0,0 +1,80 @@
+//! Splits an SSE byte stream into whole events.
+
+/// Largest event; a longer one ends the stream as broken.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Data of the event that ends a stream.
+const DONE_EVENT: &[u8] = b"data: [DONE]";
+
+/// Collects bytes and hands out whole events only.
+///
+/// A broken stream can be resumed at an event, so a part of an event is never delivered.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    pending: Vec<u8>,
+    is_done: bool,
+}
+
+/// Whole events, as bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventBatch {
+    /// The bytes, including the separators.
+    pub bytes: Vec<u8>,
+    /// Number of events.
+    pub count: u64,
+}
+
+impl EventSplitter {
+    /// Creates a splitter at the start of a stream.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds bytes and returns the events that are whole now; `None` if there are none.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<EventBatch> {
+        let searched = self.pending.len().saturating_sub(3);
+        self.pending.extend_from_slice(bytes);
+        let mut start = 0;
+        let mut count = 0;
+        let mut from = searched;
+        while let Some(end) = event_end(&self.pending, from) {
+            let event = &self.pending[start..end];
+            self.is_done |= event.starts_with(DONE_EVENT);
+            count += 1;
+            start = end;
+            from = end;
+        }
+        if count == 0 {
+            return None;
+        }
+        let rest = self.pending.split_off(start);
+        let bytes = std::mem::replace(&mut self.pending, rest);
+        Some(EventBatch { bytes, count })
+    }
+
+    /// Returns whether the final event arrived.
+    pub fn is_done(&self) -> bool {
+        self.is_done
+    }
+
+    /// Returns whether an event exceeds the largest size.
+    pub fn is_oversized(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+}
+
+/// Returns the position after the first empty line at or after `from`.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let rest = &bytes[from..];
+    let line_feeds = find(rest, b"\n\n").map(|it| it + 2);
+    let returns = find(rest, b"\r\n\r\n").map(|it| it + 4);
+    let end = match (line_feeds, returns) {
+        (Some(a), Some(b)) => a.min(b),
+        (a, b) => a.or(b)?,
+    };
+    Some(from + end)
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes.windows(pattern.len()).position(|it| it == pattern)
+}
