standin: engine, service and platform over HTTP

Cause: the router's adapters and the process tests need upstreams and a platform that speak the dialects of the design page and fail on demand.

Change: the library starts each stand-in inside a test process, and the program snipepond-standin runs one until SIGTERM. tiny_http gives no access to its sockets, so it cannot break a connection or notice that a caller went away; a TCP forwarder in front of it does both, and is public as TcpLink for tests that cut and mend a link.

--- /dev/null
+++ b/standin/src/http.rs
@@ -0,0 +1,378 @@
+//! HTTP server of the stand-ins: tiny_http behind a [`TcpLink`].
+//!
+//! tiny_http gives no access to its sockets. The link in front of it lets a stand-in cut a
+//! connection at a chosen byte and notice that a caller went away.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io::{self, Read, Write},
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crate::link::{LinkConnection, TcpLink, lock};
+
+/// Granularity of waits that end early when the caller goes away or the server stops, in
+/// milliseconds.
+const WAIT_SLICE_MS: u64 = 5;
+
+/// Longest request body, in bytes.
+const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Calls that one server handles at the same time, long polls included; further ones wait.
+const MAX_CALLS: usize = 1_024;
+
+/// Distinct values that are kept for each header name.
+const MAX_HEADER_VALUES: usize = 4_096;
+
+/// Stack of a thread that handles a call, in bytes.
+const CALL_STACK_BYTES: usize = 512 * 1024;
+
+/// Every header name and value that a stand-in received, and every request target.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct HeaderLog {
+    /// Values by header name in the spelling received.
+    pub headers: BTreeMap<String, BTreeSet<String>>,
+    /// Request targets (path with query).
+    pub targets: BTreeSet<String>,
+    /// Values that were not kept because a limit was reached.
+    pub dropped: u64,
+}
+
+impl HeaderLog {
+    pub(crate) fn record(&mut self, call: &Call) {
+        for (name, value) in &call.headers {
+            let values = self.headers.entry(name.clone()).or_default();
+            if values.len() < MAX_HEADER_VALUES {
+                values.insert(value.clone());
+            } else if !values.contains(value) {
+                self.dropped += 1;
+            }
+        }
+        if self.targets.len() < MAX_HEADER_VALUES {
+            self.targets.insert(call.target.clone());
+        } else if !self.targets.contains(&call.target) {
+            self.dropped += 1;
+        }
+    }
+
+    /// Returns whether `text` is part of any header name, header value or request target.
+    pub fn contains(&self, text: &str) -> bool {
+        self.targets.iter().any(|it| it.contains(text))
+            || self.headers.iter().any(|(name, values)| {
+                name.contains(text) || values.iter().any(|it| it.contains(text))
+            })
+    }
+}
+
+/// A request with its body read.
+pub(crate) struct Call {
+    pub(crate) method: String,
+    /// Path with query.
+    pub(crate) target: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) answer: Answer,
+}
+
+impl Call {
+    pub(crate) fn path(&self) -> &str {
+        self.target
+            .split_once('?')
+            .map_or(self.target.as_str(), |it| it.0)
+    }
+
+    /// Returns the numeric query parameter `name`.
+    pub(crate) fn query_number(&self, name: &str) -> Option<u64> {
+        let (_, query) = self.target.split_once('?')?;
+        query
+            .split('&')
+            .filter_map(|it| it.split_once('='))
+            .find(|it| it.0 == name)
+            .and_then(|it| it.1.parse().ok())
+    }
+
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|it| it.0.eq_ignore_ascii_case(name))
+            .map(|it| it.1.as_str())
+    }
+
+    /// Parses the body; an empty body counts as `{}`.
+    pub(crate) fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, String> {
+        let body: &[u8] = if self.body.is_empty() {
+            b"{}"
+        } else {
+            &self.body
+        };
+        serde_json::from_slice(body).map_err(|err| format!("body: {err}"))
+    }
+}
+
+/// The answering side of a call.
+pub(crate) struct Answer {
+    writer: Box<dyn Write + Send>,
+    connection: Arc<LinkConnection>,
+    stopping: Arc<AtomicBool>,
+}
+
+impl Answer {
+    /// Returns whether nobody waits for the answer any more.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        self.connection.is_broken() || self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Waits until `deadline`; returns false if the answer is abandoned before or `ended` says so.
+    pub(crate) fn wait_until(&self, deadline: Instant, ended: impl Fn() -> bool) -> bool {
+        loop {
+            if self.is_abandoned() || ended() {
+                return false;
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return true;
+            }
+            thread::sleep(left.min(Duration::from_millis(WAIT_SLICE_MS)));
+        }
+    }
+
+    fn write(&mut self, data: &[u8]) -> io::Result<()> {
+        self.connection.note_written(data.len());
+        self.writer.write_all(data)?;
+        self.writer.flush()
+    }
+
+    fn head(status: u16, headers: &[(&str, String)], length: &str) -> String {
+        let reason = match status {
+            200 => "OK",
+            304 => "Not Modified",
+            400 => "Bad Request",
+            404 => "Not Found",
+            413 => "Content Too Large",
+            503 => "Service Unavailable",
+            _ => "Status",
+        };
+        let mut head = format!("HTTP/1.1 {status} {reason}\r\n{length}\r\n");
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        head
+    }
+
+    /// Sends a whole answer; errors mean that the caller went away.
+    pub(crate) fn send(mut self, status: u16, headers: &[(&str, String)], body: &[u8]) {
+        let length = if status == 304 {
+            "Cache-Control: no-store".to_owned()
+        } else {
+            format!("Content-Length: {}", body.len())
+        };
+        let mut message = Self::head(status, headers, &length).into_bytes();
+        message.extend_from_slice(body);
+        let _ = self.write(&message);
+    }
+
+    /// Sends a JSON answer.
+    pub(crate) fn send_json(self, status: u16, value: &impl serde::Serialize) {
+        match serde_json::to_vec(value) {
+            Ok(body) => {
+                let headers = [("Content-Type", "application/json".to_owned())];
+                self.send(status, &headers, &body);
+            }
+            Err(err) => self.send(500, &[], err.to_string().as_bytes()),
+        }
+    }
+
+    /// Sends `{"error": message}`.
+    pub(crate) fn send_error(self, status: u16, message: &str) {
+        self.send_json(status, &serde_json::json!({ "error": message }));
+    }
+
+    /// Sends the head and the first half of a body, then breaks the connection.
+    pub(crate) fn send_half(mut self, headers: &[(&str, String)], body: &[u8]) {
+        let length = format!("Content-Length: {}", body.len());
+        let mut message = Self::head(200, headers, &length).into_bytes();
+        message.extend_from_slice(&body[..body.len() / 2]);
+        let _ = self.write(&message);
+        self.cut();
+    }
+
+    /// Starts a chunked answer.
+    pub(crate) fn start_chunks(&mut self, headers: &[(&str, String)]) -> io::Result<()> {
+        let head = Self::head(200, headers, "Transfer-Encoding: chunked");
+        self.write(head.as_bytes())
+    }
+
+    /// Sends one chunk at once.
+    pub(crate) fn chunk(&mut self, data: &[u8]) -> io::Result<()> {
+        let mut frame = format!("{:x}\r\n", data.len()).into_bytes();
+        frame.extend_from_slice(data);
+        frame.extend_from_slice(b"\r\n");
+        self.write(&frame)
+    }
+
+    /// Ends a chunked answer.
+    pub(crate) fn finish_chunks(mut self) {
+        let _ = self.write(b"0\r\n\r\n");
+    }
+
+    /// Breaks the connection after everything written so far reached the caller.
+    pub(crate) fn cut(self) {
+        self.connection.close_after_drain();
+    }
+}
+
+/// Handles calls, each on its own thread.
+pub(crate) trait CallHandler: Send + Sync + 'static {
+    fn handle(&self, call: Call);
+}
+
+/// A running HTTP server; [`HttpServer::stop`] joins the threads that this crate started.
+///
+/// The accept thread and the connection threads of tiny_http end by themselves after the server
+/// is dropped; tiny_http offers no way to join them.
+pub(crate) struct HttpServer {
+    link: Arc<TcpLink>,
+    server: Arc<tiny_http::Server>,
+    stopping: Arc<AtomicBool>,
+    dispatcher: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl HttpServer {
+    /// Opens the ports. `make_handler` receives the link in front of the server.
+    pub(crate) fn start<H: CallHandler>(
+        listen: SocketAddr,
+        make_handler: impl FnOnce(Arc<TcpLink>) -> H,
+    ) -> io::Result<Self> {
+        let server = tiny_http::Server::http((Ipv4Addr::LOCALHOST, 0)).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        let inner_address = server
+            .server_addr()
+            .to_ip()
+            .ok_or_else(|| io::Error::other("the HTTP server has no IP address"))?;
+        let link = Arc::new(TcpLink::start(listen, inner_address)?);
+        let handler = Arc::new(make_handler(link.clone()));
+        let stopping = Arc::new(AtomicBool::new(false));
+        let dispatcher = thread::Builder::new()
+            .name("standin-dispatch".to_owned())
+            .spawn({
+                let server = server.clone();
+                let link = link.clone();
+                let stopping = stopping.clone();
+                move || dispatch(&server, &link, &stopping, &handler)
+            })?;
+        Ok(Self {
+            link,
+            server,
+            stopping,
+            dispatcher: Mutex::new(Some(dispatcher)),
+        })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.link.stop();
+        self.server.unblock();
+        if let Some(dispatcher) = lock(&self.dispatcher).take()
+            && dispatcher.join().is_err()
+        {
+            eprintln!("event=dispatcher_panicked address={}", self.address());
+        }
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn dispatch<H: CallHandler>(
+    server: &tiny_http::Server,
+    link: &Arc<TcpLink>,
+    stopping: &Arc<AtomicBool>,
+    handler: &Arc<H>,
+) {
+    let mut workers: Vec<JoinHandle<()>> = Vec::new();
+    while !stopping.load(Ordering::SeqCst) {
+        let Ok(Some(request)) = server.recv_timeout(Duration::from_millis(100)) else {
+            workers.retain(|it| !it.is_finished());
+            continue;
+        };
+        workers.retain(|it| !it.is_finished());
+        while workers.len() >= MAX_CALLS && !stopping.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(WAIT_SLICE_MS));
+            workers.retain(|it| !it.is_finished());
+        }
+        let Some(connection) = request.remote_addr().and_then(|it| link.connection(*it)) else {
+            // The caller is gone, or the connection did not come through the link.
+            continue;
+        };
+        let worker = thread::Builder::new()
+            .name("standin-call".to_owned())
+            .stack_size(CALL_STACK_BYTES)
+            .spawn({
+                let handler = handler.clone();
+                let stopping = stopping.clone();
+                move || serve(request, connection, stopping, &*handler)
+            });
+        match worker {
+            Ok(worker) => workers.push(worker),
+            Err(err) => eprintln!("event=thread_start_failed error=\"{err}\""),
+        }
+    }
+    for worker in workers {
+        let _ = worker.join();
+    }
+}
+
+fn serve(
+    mut request: tiny_http::Request,
+    connection: Arc<LinkConnection>,
+    stopping: Arc<AtomicBool>,
+    handler: &dyn CallHandler,
+) {
+    let method = request.method().to_string();
+    let target = request.url().to_owned();
+    connection.mark_control(target.starts_with("/control/"));
+    let headers = request
+        .headers()
+        .iter()
+        .map(|it| (it.field.to_string(), it.value.to_string()))
+        .collect();
+    let mut body = Vec::new();
+    let read = request
+        .as_reader()
+        .take(MAX_BODY_BYTES + 1)
+        .read_to_end(&mut body);
+    let answer = Answer {
+        writer: request.into_writer(),
+        connection,
+        stopping,
+    };
+    if read.is_err() {
+        answer.cut();
+        return;
+    }
+    if body.len() as u64 > MAX_BODY_BYTES {
+        answer.send_error(413, "the body is longer than 4 MiB");
+        return;
+    }
+    handler.handle(Call {
+        method,
+        target,
+        headers,
+        body,
+        answer,
+    });
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,23 @@
 //! Stand-ins for engines, services and the platform, for tests and the demo.
+//!
+//! Each stand-in speaks the dialect of section 14 of the design page on a loopback port and has
+//! controls under `/control/` that provoke faults. They run inside a test process as
+//! [`EngineServer`], [`ServiceServer`] and [`PlatformServer`], or as the `snipepond-standin`
+//! program. `docs/standins.md` lists all settings and controls.
+
+mod engine;
+mod faults;
+mod http;
+mod link;
+mod platform;
+mod service;
+mod warmth;
+
+pub use self::{
+    engine::{EngineServer, EngineSettings, expected_text, expected_tokens},
+    faults::{AnswerFault, AnswerMode},
+    http::HeaderLog,
+    link::{LinkMode, TcpLink},
+    platform::{HostEntry, PlatformMode, PlatformServer, PlatformSettings},
+    service::{BreakPoint, ServiceServer, ServiceSettings},
+};
--- /dev/null
+++ b/standin/src/link.rs
@@ -0,0 +1,379 @@
+//! A TCP forwarder between two addresses that can be cut and mended.
+
+use std::{
+    collections::HashMap,
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+/// Size of the copy buffer of one direction, in bytes.
+const COPY_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Stack of a forwarding thread, in bytes; it only holds the copy buffer and a few frames.
+const PUMP_STACK_BYTES: usize = 128 * 1024;
+
+/// Longest wait for bytes that are on their way to the caller before a connection is cut, in
+/// milliseconds. A caller that does not read would block the wait forever.
+const DRAIN_LIMIT_MS: u64 = 1_000;
+
+/// Connections that one link carries at the same time; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 2_048;
+
+/// What a link does with its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkMode {
+    /// Bytes pass in both directions.
+    Open,
+    /// Connections are accepted and stay open, but no byte passes until the mode changes.
+    Held,
+    /// Existing connections are reset, new ones are reset after they were accepted.
+    Reset,
+}
+
+/// Locks a mutex; a panic in another thread must not hide its own message behind a second one.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|it| it.into_inner())
+}
+
+/// One forwarded connection.
+#[derive(Debug)]
+pub(crate) struct LinkConnection {
+    caller: TcpStream,
+    target: TcpStream,
+    /// Whether the caller closed or broke its side.
+    broken: AtomicBool,
+    /// Bytes that the target reported as written; only the HTTP server reports them.
+    written: AtomicU64,
+    /// Bytes passed on to the caller.
+    forwarded: AtomicU64,
+    /// Whether the last request was a control call; such connections survive a crash.
+    control: AtomicBool,
+    /// Whether the connection ends with a TCP reset, without FIN.
+    resetting: AtomicBool,
+}
+
+impl LinkConnection {
+    /// Returns whether the caller closed or broke its side of the connection.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn mark_control(&self, control: bool) {
+        self.control.store(control, Ordering::SeqCst);
+    }
+
+    pub(crate) fn note_written(&self, bytes: usize) {
+        self.written.fetch_add(bytes as u64, Ordering::SeqCst);
+    }
+
+    /// Closes both sides after everything written so far reached the caller.
+    pub(crate) fn close_after_drain(&self) {
+        let deadline = Instant::now() + Duration::from_millis(DRAIN_LIMIT_MS);
+        while !self.is_broken()
+            && self.forwarded.load(Ordering::SeqCst) < self.written.load(Ordering::SeqCst)
+            && Instant::now() < deadline
+        {
+            thread::sleep(Duration::from_micros(200));
+        }
+        self.close();
+    }
+
+    /// Closes both sides.
+    pub(crate) fn close(&self) {
+        self.broken.store(true, Ordering::SeqCst);
+        // Both fail only if the other side closed first.
+        let _ = self.caller.shutdown(Shutdown::Both);
+        let _ = self.target.shutdown(Shutdown::Both);
+    }
+
+    /// Ends both sides with a TCP reset.
+    fn reset(&self) {
+        self.resetting.store(true, Ordering::SeqCst);
+        self.broken.store(true, Ordering::SeqCst);
+        for stream in [&self.caller, &self.target] {
+            // With a linger time of zero the later close sends a reset. Only the reading side is
+            // shut down here, because a full shutdown sends FIN first.
+            let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct LinkShared {
+    target: Mutex<SocketAddr>,
+    mode: Mutex<LinkMode>,
+    mode_changed: Condvar,
+    stopping: AtomicBool,
+    next_number: AtomicU64,
+    connections: Mutex<HashMap<SocketAddr, Arc<LinkConnection>>>,
+}
+
+impl LinkShared {
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Waits while the link is held; returns whether bytes may pass.
+    fn wait_until_passable(&self) -> bool {
+        let mut mode = lock(&self.mode);
+        while *mode == LinkMode::Held && !self.is_stopping() {
+            mode = self
+                .mode_changed
+                .wait(mode)
+                .unwrap_or_else(|it| it.into_inner());
+        }
+        *mode == LinkMode::Open && !self.is_stopping()
+    }
+}
+
+/// A TCP forwarder between two addresses that a test can cut and mend.
+///
+/// The threads of the link end with [`TcpLink::stop`], also called on drop.
+#[derive(Debug)]
+pub struct TcpLink {
+    address: SocketAddr,
+    shared: Arc<LinkShared>,
+    acceptor: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl TcpLink {
+    /// Listens on `listen` (port 0 picks a port) and forwards every connection to `target`.
+    ///
+    /// # Errors
+    /// The listening socket cannot be opened.
+    pub fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(LinkShared {
+            target: Mutex::new(target),
+            mode: Mutex::new(LinkMode::Open),
+            mode_changed: Condvar::new(),
+            stopping: AtomicBool::new(false),
+            next_number: AtomicU64::new(0),
+            connections: Mutex::default(),
+        });
+        let acceptor = thread::Builder::new()
+            .name("link-accept".to_owned())
+            .spawn({
+                let shared = shared.clone();
+                move || accept_loop(&listener, &shared)
+            })?;
+        Ok(Self {
+            address,
+            shared,
+            acceptor: Mutex::new(Some(acceptor)),
+        })
+    }
+
+    /// Returns the address on which the link listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leads new connections to another address.
+    pub fn set_target(&self, target: SocketAddr) {
+        *lock(&self.shared.target) = target;
+    }
+
+    /// Changes the mode for existing and new connections.
+    pub fn set_mode(&self, mode: LinkMode) {
+        *lock(&self.shared.mode) = mode;
+        self.shared.mode_changed.notify_all();
+        if mode == LinkMode::Reset {
+            for connection in lock(&self.shared.connections).values() {
+                connection.reset();
+            }
+        }
+    }
+
+    /// Returns the number of connections that are open now.
+    pub fn connection_count(&self) -> usize {
+        lock(&self.shared.connections).len()
+    }
+
+    /// Closes all connections except those of control calls; new ones are accepted.
+    pub(crate) fn drop_connections(&self) {
+        for connection in lock(&self.shared.connections).values() {
+            if !connection.control.load(Ordering::SeqCst) {
+                connection.close();
+            }
+        }
+    }
+
+    /// Returns the connection that reaches the target from `inner_address`.
+    pub(crate) fn connection(&self, inner_address: SocketAddr) -> Option<Arc<LinkConnection>> {
+        lock(&self.shared.connections).get(&inner_address).cloned()
+    }
+
+    /// Closes all connections and joins the threads of the link.
+    pub fn stop(&self) {
+        let Some(acceptor) = lock(&self.acceptor).take() else {
+            return;
+        };
+        {
+            // The store happens under the lock so that no waiting thread misses it.
+            let _mode = lock(&self.shared.mode);
+            self.shared.stopping.store(true, Ordering::SeqCst);
+        }
+        self.shared.mode_changed.notify_all();
+        // `accept` has no timeout; a connection of our own wakes it.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_secs(1));
+        if acceptor.join().is_err() {
+            eprintln!("event=link_acceptor_panicked address={}", self.address);
+        }
+    }
+}
+
+impl Drop for TcpLink {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn accept_loop(listener: &TcpListener, shared: &Arc<LinkShared>) {
+    let mut carriers: Vec<JoinHandle<()>> = Vec::new();
+    for caller in listener.incoming() {
+        if shared.is_stopping() {
+            break;
+        }
+        carriers.retain(|it| !it.is_finished());
+        let Ok(caller) = caller else {
+            // Out of file descriptors or an aborted connection; a pause avoids a busy loop.
+            thread::sleep(Duration::from_millis(10));
+            continue;
+        };
+        if carriers.len() >= MAX_CONNECTIONS {
+            continue;
+        }
+        let number = shared.next_number.fetch_add(1, Ordering::SeqCst);
+        let carrier = thread::Builder::new()
+            .name(format!("link-{number}"))
+            .stack_size(PUMP_STACK_BYTES)
+            .spawn({
+                let shared = shared.clone();
+                move || carry(caller, &shared)
+            });
+        if let Ok(carrier) = carrier {
+            carriers.push(carrier);
+        }
+    }
+    // Carriers that registered late see the stop flag after registration and end on their own.
+    for connection in lock(&shared.connections).values() {
+        connection.close();
+    }
+    for carrier in carriers {
+        let _ = carrier.join();
+    }
+}
+
+/// Forwards one connection until both directions ended.
+fn carry(caller: TcpStream, shared: &Arc<LinkShared>) {
+    if !shared.wait_until_passable() {
+        let _ = socket2::SockRef::from(&caller).set_linger(Some(Duration::ZERO));
+        return;
+    }
+    let target_address = *lock(&shared.target);
+    let Ok(target) = TcpStream::connect_timeout(&target_address, Duration::from_secs(1)) else {
+        let _ = socket2::SockRef::from(&caller).set_linger(Some(Duration::ZERO));
+        return;
+    };
+    let Ok(inner_address) = target.local_addr() else {
+        return;
+    };
+    // Small frames must not wait for the acknowledgement of earlier ones.
+    let _ = caller.set_nodelay(true);
+    let _ = target.set_nodelay(true);
+    let connection = Arc::new(LinkConnection {
+        caller,
+        target,
+        broken: AtomicBool::new(false),
+        written: AtomicU64::new(0),
+        forwarded: AtomicU64::new(0),
+        control: AtomicBool::new(false),
+        resetting: AtomicBool::new(false),
+    });
+    lock(&shared.connections).insert(inner_address, connection.clone());
+    if shared.is_stopping() {
+        connection.close();
+    }
+    let back = thread::Builder::new()
+        .name("link-back".to_owned())
+        .stack_size(PUMP_STACK_BYTES)
+        .spawn({
+            let connection = connection.clone();
+            let shared = shared.clone();
+            move || pump_back(&connection, &shared)
+        });
+    match back {
+        Ok(back) => {
+            pump_forth(&connection, shared);
+            let _ = back.join();
+        }
+        Err(_) => connection.close(),
+    }
+    lock(&shared.connections).remove(&inner_address);
+}
+
+fn pump_forth(connection: &LinkConnection, shared: &LinkShared) {
+    let copied = copy(&connection.caller, &connection.target, shared, |_| ());
+    connection.broken.store(true, Ordering::SeqCst);
+    end_direction(connection, copied, &connection.target);
+}
+
+fn pump_back(connection: &LinkConnection, shared: &LinkShared) {
+    let copied = copy(&connection.target, &connection.caller, shared, |bytes| {
+        connection
+            .forwarded
+            .fetch_add(bytes as u64, Ordering::SeqCst);
+    });
+    let ended = copied.is_ok();
+    end_direction(connection, copied, &connection.caller);
+    if ended && !connection.resetting.load(Ordering::SeqCst) {
+        // The target sends nothing more, so nothing the caller sends can be answered.
+        let _ = connection.caller.shutdown(Shutdown::Read);
+    }
+}
+
+fn end_direction(connection: &LinkConnection, copied: io::Result<()>, to: &TcpStream) {
+    match copied {
+        _ if connection.resetting.load(Ordering::SeqCst) => (),
+        Ok(()) => {
+            let _ = to.shutdown(Shutdown::Write);
+        }
+        Err(err) if err.kind() == io::ErrorKind::ConnectionReset => connection.reset(),
+        Err(_) => connection.close(),
+    }
+}
+
+fn copy(
+    mut from: &TcpStream,
+    mut to: &TcpStream,
+    shared: &LinkShared,
+    note: impl Fn(usize),
+) -> io::Result<()> {
+    let mut buffer = vec![0; COPY_BUFFER_BYTES];
+    loop {
+        let read = match from.read(&mut buffer) {
+            Ok(0) => {
+                // The end of a stream is held back like its bytes.
+                shared.wait_until_passable();
+                return Ok(());
+            }
+            Ok(read) => read,
+            Err(err) if err.kind() == io::ErrorKind::Interrupted => continue,
+            Err(err) => return Err(err),
+        };
+        if !shared.wait_until_passable() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        to.write_all(&buffer[..read])?;
+        note(read);
+    }
+}
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,513 @@
+//! Stand-in for the platform: configuration entries and the host list.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{
+    http::{Answer, Call, CallHandler, HttpServer},
+    link::lock,
+};
+
+/// Longest wait of a long poll, in milliseconds.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// Host lists that are kept so that older ones can be served.
+const MAX_HOST_LISTS: usize = 4_096;
+
+/// How a platform behaves.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Address to listen on; port 0 picks a port.
+    pub listen: SocketAddr,
+    /// Revisions over which changes can be computed; a reader that is further behind receives a
+    /// whole configuration.
+    pub history: u64,
+    /// Initial age of the host list that is served.
+    pub list_lag: Duration,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            history: 1_000,
+            list_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// A host of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Name of the host.
+    pub name: String,
+    /// Address of its peer and administration port, IP:port.
+    pub address: String,
+    /// Data centre in which it runs.
+    pub data_centre: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// Faults of a platform or replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlatformMode {
+    /// Every call of the readers is broken without an answer.
+    pub down: bool,
+    /// The state at the time of freezing is served.
+    pub frozen: bool,
+    /// A reader that is ahead of a frozen state receives that older state after its wait,
+    /// instead of 304.
+    pub serve_older: bool,
+    /// Age of the host list that is served.
+    pub list_lag: Duration,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ModeRequest {
+    down: Option<bool>,
+    frozen: Option<bool>,
+    serve_older: Option<bool>,
+    list_lag_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EntriesRequest {
+    #[serde(default)]
+    set: BTreeMap<String, Value>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HostsRequest {
+    /// The whole list.
+    hosts: Option<Vec<HostEntry>>,
+    #[serde(default)]
+    set: Vec<HostEntry>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+/// Entries at one revision; an entry without a value is a tombstone.
+#[derive(Clone, Debug, Default)]
+struct ConfigState {
+    revision: u64,
+    entries: BTreeMap<String, (u64, Option<String>)>,
+    /// Oldest revision from which a change can be computed.
+    horizon: u64,
+}
+
+impl ConfigState {
+    fn change(&mut self, history: u64, set: BTreeMap<String, String>, remove: Vec<String>) {
+        self.revision += 1;
+        for (key, value) in set {
+            self.entries.insert(key, (self.revision, Some(value)));
+        }
+        for key in remove {
+            if self.entries.contains_key(&key) {
+                self.entries.insert(key, (self.revision, None));
+            }
+        }
+        self.horizon = self.horizon.max(self.revision.saturating_sub(history));
+        let horizon = self.horizon;
+        self.entries
+            .retain(|_, (revision, value)| value.is_some() || *revision > horizon);
+    }
+
+    fn page(&self, after: u64) -> Value {
+        let base = if after < self.horizon || after > self.revision {
+            0
+        } else {
+            after
+        };
+        let entries: Vec<Value> = self
+            .entries
+            .iter()
+            .filter(|(_, (revision, value))| *revision > base && (base != 0 || value.is_some()))
+            .map(|(key, (revision, value))| {
+                json!({ "key": key, "revision": revision, "value": value })
+            })
+            .collect();
+        json!({ "base": base, "revision": self.revision, "entries": entries })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct HostState {
+    since: Instant,
+    version: u64,
+    hosts: Vec<HostEntry>,
+}
+
+#[derive(Debug)]
+struct SharedState {
+    config: ConfigState,
+    /// Host lists, oldest first.
+    lists: VecDeque<HostState>,
+}
+
+/// What all replicas share.
+#[derive(Debug)]
+struct PlatformStore {
+    history: u64,
+    state: Mutex<SharedState>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct ReplicaState {
+    mode: PlatformMode,
+    frozen: Option<(ConfigState, HostState)>,
+    config_calls: u64,
+    host_calls: u64,
+    waiting: u64,
+}
+
+struct PlatformShared {
+    store: Arc<PlatformStore>,
+    replica: Mutex<ReplicaState>,
+}
+
+impl PlatformShared {
+    fn list_at(state: &SharedState, visible_until: Option<Instant>) -> HostState {
+        state
+            .lists
+            .iter()
+            .rev()
+            .find(|it| visible_until.is_none_or(|until| it.since <= until))
+            .or(state.lists.front())
+            .cloned()
+            .unwrap_or_else(|| HostState {
+                since: Instant::now(),
+                version: 0,
+                hosts: Vec::new(),
+            })
+    }
+
+    fn visible_list(state: &SharedState, lag: Duration) -> HostState {
+        Self::list_at(state, Instant::now().checked_sub(lag))
+    }
+
+    fn set_mode(&self, mode: PlatformMode) {
+        let state = lock(&self.store.state);
+        let mut replica = lock(&self.replica);
+        if mode.frozen && replica.frozen.is_none() {
+            let list = Self::visible_list(&state, replica.mode.list_lag);
+            replica.frozen = Some((state.config.clone(), list));
+        }
+        if !mode.frozen {
+            replica.frozen = None;
+        }
+        replica.mode = mode;
+        self.store.changed.notify_all();
+    }
+
+    /// Answers a long poll with the first page that `read` returns.
+    ///
+    /// `read` receives whether the wait is over; nothing means that there is no news.
+    fn poll(
+        &self,
+        answer: Answer,
+        wait: Duration,
+        read: impl Fn(&SharedState, &ReplicaState, bool) -> Option<Value>,
+    ) {
+        let deadline = Instant::now() + wait;
+        lock(&self.replica).waiting += 1;
+        let mut state = lock(&self.store.state);
+        let page = loop {
+            let now = Instant::now();
+            {
+                let replica = lock(&self.replica);
+                if replica.mode.down || answer.is_abandoned() {
+                    break Err(());
+                }
+                let page = read(&state, &replica, now >= deadline);
+                if page.is_some() || now >= deadline {
+                    break Ok(page);
+                }
+            }
+            // The timeout bounds how late a lagging list or an abandoned call is noticed.
+            let timeout = (deadline - now).min(Duration::from_millis(20));
+            state = self
+                .store
+                .changed
+                .wait_timeout(state, timeout)
+                .unwrap_or_else(|it| it.into_inner())
+                .0;
+        };
+        drop(state);
+        lock(&self.replica).waiting -= 1;
+        match page {
+            Ok(Some(page)) => answer.send_json(200, &page),
+            Ok(None) => answer.send(304, &[], b""),
+            Err(()) => answer.cut(),
+        }
+    }
+
+    fn read_config(&self, call: Call) {
+        lock(&self.replica).config_calls += 1;
+        let after = call.query_number("after").unwrap_or(0);
+        let wait = wait_of(&call);
+        self.poll(call.answer, wait, |state, replica, is_over| {
+            let (config, is_frozen) = match &replica.frozen {
+                Some((config, _)) => (config, true),
+                None => (&state.config, false),
+            };
+            let is_older = after > config.revision;
+            let is_news = config.revision > after
+                || (is_older && is_over && is_frozen && replica.mode.serve_older);
+            is_news.then(|| config.page(after))
+        });
+    }
+
+    fn read_hosts(&self, call: Call) {
+        lock(&self.replica).host_calls += 1;
+        let after = call.query_number("after").unwrap_or(0);
+        let wait = wait_of(&call);
+        self.poll(call.answer, wait, |state, replica, is_over| {
+            let (list, is_frozen) = match &replica.frozen {
+                Some((_, list)) => (list.clone(), true),
+                None => (Self::visible_list(state, replica.mode.list_lag), false),
+            };
+            let is_news = list.version > after
+                || (list.version < after && is_over && is_frozen && replica.mode.serve_older);
+            is_news.then(|| json!({ "version": list.version, "hosts": list.hosts }))
+        });
+    }
+
+    fn stats(&self) -> Value {
+        let state = lock(&self.store.state);
+        let replica = lock(&self.replica);
+        json!({
+            "revision": state.config.revision,
+            "version": state.lists.back().map_or(0, |it| it.version),
+            "config_calls": replica.config_calls,
+            "host_calls": replica.host_calls,
+            "waiting": replica.waiting,
+            "down": replica.mode.down,
+            "frozen": replica.mode.frozen,
+            "list_lag_ms": replica.mode.list_lag.as_millis() as u64,
+        })
+    }
+
+    fn change_entries(&self, set: BTreeMap<String, String>, remove: Vec<String>) -> u64 {
+        let mut state = lock(&self.store.state);
+        state.config.change(self.store.history, set, remove);
+        self.store.changed.notify_all();
+        state.config.revision
+    }
+
+    fn change_hosts(&self, change: impl FnOnce(&mut Vec<HostEntry>)) -> u64 {
+        let mut state = lock(&self.store.state);
+        let last = Self::list_at(&state, None);
+        let mut hosts = last.hosts;
+        change(&mut hosts);
+        let version = last.version + 1;
+        state.lists.push_back(HostState {
+            since: Instant::now(),
+            version,
+            hosts,
+        });
+        if state.lists.len() > MAX_HOST_LISTS {
+            state.lists.pop_front();
+        }
+        self.store.changed.notify_all();
+        version
+    }
+
+    fn control(&self, call: Call) {
+        let result = match call.path() {
+            "/control/entries" => call.json::<EntriesRequest>().map(|it| {
+                let set = it
+                    .set
+                    .into_iter()
+                    .map(|(key, value)| (key, value.to_string()))
+                    .collect();
+                json!({ "revision": self.change_entries(set, it.remove) })
+            }),
+            "/control/hosts" => call.json::<HostsRequest>().map(|it| {
+                let version = self.change_hosts(|hosts| {
+                    if let Some(whole) = it.hosts {
+                        *hosts = whole;
+                    }
+                    for entry in it.set {
+                        hosts.retain(|it| it.name != entry.name);
+                        hosts.push(entry);
+                    }
+                    hosts.retain(|host| !it.remove.contains(&host.name));
+                });
+                json!({ "version": version })
+            }),
+            "/control/mode" => call.json::<ModeRequest>().map(|it| {
+                let old = lock(&self.replica).mode;
+                self.set_mode(PlatformMode {
+                    down: it.down.unwrap_or(old.down),
+                    frozen: it.frozen.unwrap_or(old.frozen),
+                    serve_older: it.serve_older.unwrap_or(old.serve_older),
+                    list_lag: it.list_lag_ms.map_or(old.list_lag, Duration::from_millis),
+                });
+                json!({})
+            }),
+            _ => {
+                let path = call.path().to_owned();
+                call.answer
+                    .send_error(404, &format!("no control {path} on a platform"));
+                return;
+            }
+        };
+        match result {
+            Ok(body) => call.answer.send_json(200, &body),
+            Err(message) => call.answer.send_error(400, &message),
+        }
+    }
+}
+
+fn wait_of(call: &Call) -> Duration {
+    Duration::from_millis(call.query_number("wait_ms").unwrap_or(0).min(MAX_WAIT_MS))
+}
+
+struct PlatformHandler(Arc<PlatformShared>);
+
+impl CallHandler for PlatformHandler {
+    fn handle(&self, call: Call) {
+        let shared = &self.0;
+        match (call.method.as_str(), call.path()) {
+            ("GET", "/v1/config") => shared.read_config(call),
+            ("GET", "/v1/hosts") => shared.read_hosts(call),
+            ("GET", "/control/stats") => call.answer.send_json(200, &shared.stats()),
+            ("POST", path) if path.starts_with("/control/") => shared.control(call),
+            (method, path) => {
+                let message = format!("a platform does not serve {method} {path}");
+                call.answer.send_error(404, &message);
+            }
+        }
+    }
+}
+
+/// A running platform, or a replica of one; it stops on drop.
+pub struct PlatformServer {
+    server: HttpServer,
+    shared: Arc<PlatformShared>,
+}
+
+impl PlatformServer {
+    /// Opens the port and starts serving, without entries and hosts.
+    ///
+    /// # Errors
+    /// The port cannot be opened, or a thread cannot be started.
+    pub fn start(settings: PlatformSettings) -> io::Result<Self> {
+        let store = Arc::new(PlatformStore {
+            history: settings.history,
+            state: Mutex::new(SharedState {
+                config: ConfigState::default(),
+                lists: VecDeque::new(),
+            }),
+            changed: Condvar::new(),
+        });
+        Self::start_on(store, settings)
+    }
+
+    /// Starts a replica with the same entries and hosts, and with its own mode and counters.
+    /// `history` of `settings` has no effect.
+    ///
+    /// # Errors
+    /// The port cannot be opened, or a thread cannot be started.
+    pub fn start_replica(&self, settings: PlatformSettings) -> io::Result<Self> {
+        Self::start_on(self.shared.store.clone(), settings)
+    }
+
+    fn start_on(store: Arc<PlatformStore>, settings: PlatformSettings) -> io::Result<Self> {
+        let mode = PlatformMode {
+            list_lag: settings.list_lag,
+            ..PlatformMode::default()
+        };
+        let shared = Arc::new(PlatformShared {
+            store,
+            replica: Mutex::new(ReplicaState {
+                mode,
+                ..ReplicaState::default()
+            }),
+        });
+        let handler = PlatformHandler(shared.clone());
+        let server = HttpServer::start(settings.listen, |_| handler)?;
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the address on which the platform listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Closes all connections and joins the threads of the platform.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+
+    /// Returns what `GET /control/stats` answers.
+    pub fn stats(&self) -> Value {
+        self.shared.stats()
+    }
+
+    /// Sets one entry and returns the new revision.
+    pub fn set_entry(&self, key: &str, value: Value) -> u64 {
+        self.set_entries([(key, value)])
+    }
+
+    /// Sets several entries in one revision and returns it.
+    pub fn set_entries<'a>(&self, entries: impl IntoIterator<Item = (&'a str, Value)>) -> u64 {
+        let set = entries
+            .into_iter()
+            .map(|(key, value)| (key.to_owned(), value.to_string()))
+            .collect();
+        self.shared.change_entries(set, Vec::new())
+    }
+
+    /// Sets an entry to a text that need not be JSON and returns the new revision.
+    pub fn set_raw_entry(&self, key: &str, text: &str) -> u64 {
+        let set = BTreeMap::from([(key.to_owned(), text.to_owned())]);
+        self.shared.change_entries(set, Vec::new())
+    }
+
+    /// Removes an entry and returns the new revision.
+    pub fn remove_entry(&self, key: &str) -> u64 {
+        self.shared
+            .change_entries(BTreeMap::new(), vec![key.to_owned()])
+    }
+
+    /// Replaces the host list and returns its new version.
+    pub fn set_hosts(&self, hosts: Vec<HostEntry>) -> u64 {
+        self.shared.change_hosts(|it| *it = hosts)
+    }
+
+    /// Returns the newest host list.
+    pub fn hosts(&self) -> Vec<HostEntry> {
+        PlatformShared::list_at(&lock(&self.shared.store.state), None).hosts
+    }
+
+    /// Returns the newest revision.
+    pub fn revision(&self) -> u64 {
+        lock(&self.shared.store.state).config.revision
+    }
+
+    /// Returns the faults in force.
+    pub fn mode(&self) -> PlatformMode {
+        lock(&self.shared.replica).mode
+    }
+
+    /// Changes the faults in force.
+    pub fn set_mode(&self, mode: PlatformMode) {
+        self.shared.set_mode(mode);
+    }
+}
