--- a/lib/src/daemon/admin.rs
+++ b/lib/src/daemon/admin.rs
@@ -26,8 +26,7 @@
 impl AdminServer {
     pub(super) fn start(listener: TcpListener, control: ControlHandle) -> io::Result<Self> {
         let address = listener.local_addr()?;
-        let server =
-            Arc::new(Server::from_listener(listener, None).map_err(io::Error::other)?);
+        let server = Arc::new(Server::from_listener(listener, None).map_err(io::Error::other)?);
         let threads = ThreadGroup::new();
         for _ in 0..ADMIN_THREADS {
             let (server, control) = (server.clone(), control.clone());
