peer: pool of threads that call other hosts

Cause: the control actor must never wait for another host. Change: a fixed number of threads make ordered calls; a host whose last call failed is not called again for 300 ms, so that it cannot occupy every thread. Conclusion: grants and heartbeats can be sent from the control actor.

--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -1,10 +1,14 @@
 //! Calls between hosts.
 
 mod http;
+mod pool;
 
 use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
-pub use self::http::{HttpPeer, decode_message, encode_message};
+pub use self::{
+    http::{HttpPeer, decode_message, encode_message},
+    pool::{PeerCall, PeerCaller, PeerPool},
+};
 
 /// Calls another host with an encoded request; `Q` and `R` are the message types.
 pub trait PeerTransport<Q, R>: Debug + Send + Sync {
