telemetry: key=value log lines and metrics in the Prometheus text format

Cause: operators need one line per event that no value can forge, and a /metrics page whose size does not depend on what callers send. Conclusion: labels are bounded by the catalogue and by 20,000 sets per instrument.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod rendezvous;
 pub mod settings;
 pub mod status;
+pub mod telemetry;
--- /dev/null
+++ b/lib/src/telemetry.rs
@@ -0,0 +1,12 @@
+//! Logs, one `key=value` line per event, and metrics in the Prometheus text format.
+
+mod exposition;
+mod log;
+mod metrics;
+
+pub use self::{
+    log::{LineFormat, TelemetryError, init_log, log_subscriber},
+    metrics::{
+        CONTROL_PURPOSES, ControlPurpose, MetricsError, OTHER_LABEL, RequestLabels, RouterMetrics,
+    },
+};
--- /dev/null
+++ b/lib/src/telemetry/exposition.rs
@@ -0,0 +1,121 @@
+//! The Prometheus text format, version 0.0.4, for collected metrics.
+//!
+//! Source: the Prometheus documentation, "Exposition formats". Counters get the suffix `_total`.
+
+use std::fmt::{Display, Write};
+
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::metrics::data::{AggregatedMetrics, Metric, MetricData, ResourceMetrics};
+
+/// Writes all metrics; families and samples are ordered by name and labels.
+pub(super) fn render(metrics: &ResourceMetrics) -> String {
+    let mut families: Vec<(String, String)> = metrics
+        .scope_metrics()
+        .flat_map(|scope| scope.metrics())
+        .filter_map(|metric| Some((metric.name().to_owned(), render_family(metric)?)))
+        .collect();
+    families.sort();
+    families.into_iter().map(|(_, text)| text).collect()
+}
+
+fn render_family(metric: &Metric) -> Option<String> {
+    match metric.data() {
+        AggregatedMetrics::F64(data) => render_data(metric, data),
+        AggregatedMetrics::U64(data) => render_data(metric, data),
+        AggregatedMetrics::I64(data) => render_data(metric, data),
+    }
+}
+
+fn render_data<T: Copy + Display>(metric: &Metric, data: &MetricData<T>) -> Option<String> {
+    let name = sanitized(metric.name());
+    match data {
+        MetricData::Gauge(gauge) => {
+            let samples = gauge.data_points().map(|point| {
+                let labels = labels(point.attributes(), None);
+                format!("{name}{labels} {}\n", point.value())
+            });
+            Some(family(metric, &name, "gauge", samples))
+        }
+        MetricData::Sum(sum) => {
+            let (name, kind) = if sum.is_monotonic() {
+                (format!("{name}_total"), "counter")
+            } else {
+                (name, "gauge")
+            };
+            let samples = sum.data_points().map(|point| {
+                let labels = labels(point.attributes(), None);
+                format!("{name}{labels} {}\n", point.value())
+            });
+            Some(family(metric, &name, kind, samples))
+        }
+        MetricData::Histogram(histogram) => {
+            let samples = histogram.data_points().map(|point| {
+                let mut text = String::new();
+                let mut below = 0;
+                let bounds = point.bounds().map(|it| it.to_string());
+                for (bound, count) in bounds.chain(["+Inf".to_owned()]).zip(point.bucket_counts()) {
+                    below += count;
+                    let labels = labels(point.attributes(), Some(&bound));
+                    writeln!(text, "{name}_bucket{labels} {below}").expect(STRING_WRITE);
+                }
+                let labels = labels(point.attributes(), None);
+                writeln!(text, "{name}_sum{labels} {}", point.sum()).expect(STRING_WRITE);
+                writeln!(text, "{name}_count{labels} {}", point.count()).expect(STRING_WRITE);
+                text
+            });
+            Some(family(metric, &name, "histogram", samples))
+        }
+        // No instrument of the router uses it.
+        MetricData::ExponentialHistogram(_) => None,
+    }
+}
+
+const STRING_WRITE: &str = "writing to a string does not fail";
+
+fn family(
+    metric: &Metric,
+    name: &str,
+    kind: &str,
+    samples: impl Iterator<Item = String>,
+) -> String {
+    let help = metric
+        .description()
+        .replace('\\', "\\\\")
+        .replace('\n', "\\n");
+    let mut samples: Vec<String> = samples.collect();
+    samples.sort();
+    format!(
+        "# HELP {name} {help}\n# TYPE {name} {kind}\n{}",
+        samples.concat()
+    )
+}
+
+fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>, bound: Option<&str>) -> String {
+    let mut pairs: Vec<String> = attributes
+        .map(|it| {
+            let value = escaped(&it.value.as_str());
+            format!("{}=\"{value}\"", sanitized(it.key.as_str()))
+        })
+        .collect();
+    pairs.sort();
+    pairs.extend(bound.map(|it| format!("le=\"{it}\"")));
+    if pairs.is_empty() {
+        String::new()
+    } else {
+        format!("{{{}}}", pairs.join(","))
+    }
+}
+
+fn escaped(value: &str) -> String {
+    value
+        .replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
+}
+
+/// Replaces what the text format does not allow in a name, such as the dots that the SDK uses.
+fn sanitized(name: &str) -> String {
+    name.chars()
+        .map(|c| if c.is_ascii_alphanumeric() { c } else { '_' })
+        .collect()
+}
--- /dev/null
+++ b/lib/src/telemetry/metrics.rs
@@ -0,0 +1,441 @@
+//! The instruments of a router.
+//!
+//! Labels are bounded: names that are not in the catalogue are counted under `other`, all other
+//! labels are constants of the program. Besides, each instrument keeps at most
+//! [`MAX_SERIES`] label sets; the SDK counts the rest under `otel_metric_overflow`.
+
+use std::{
+    fmt,
+    sync::{Arc, Mutex, PoisonError, RwLock},
+    time::Duration,
+};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::{
+    error::{OTelSdkError, OTelSdkResult},
+    metrics::{
+        Instrument, InstrumentKind, PeriodicReader, SdkMeterProvider, Stream, Temporality,
+        data::ResourceMetrics, exporter::PushMetricExporter,
+    },
+};
+
+use super::exposition;
+use crate::{
+    catalogue::Catalogue,
+    names::{ClassName, RouteName, TeamName, UpstreamName},
+};
+
+/// Most label sets of one instrument.
+///
+/// 440 teams with four outcomes on eleven routes are 19,360. The SDK's default of 2,000 would
+/// merge teams of the target size.
+const MAX_SERIES: usize = 20_000;
+
+/// Label for a name that is not in the catalogue.
+pub const OTHER_LABEL: &str = "other";
+
+/// Pseudo-team of the requests on open routes.
+const OPEN_TEAM: &str = "open";
+
+/// Upper bounds of first-chunk and queue times, in seconds; 0.41 s is the first-token target.
+const WAIT_BOUNDS_S: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.41, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Upper bounds of the time between chunks, in seconds; 0.076 s is the target between tokens.
+const CHUNK_BOUNDS_S: [f64; 12] = [
+    0.005, 0.01, 0.02, 0.04, 0.06, 0.076, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0,
+];
+
+/// The SDK exports only on request; this interval is the longest that it may wait without one.
+const EXPORT_INTERVAL: Duration = Duration::from_secs(86_400);
+
+/// Why metrics cannot be rendered.
+#[derive(Debug, thiserror::Error)]
+#[error("metrics cannot be collected: {0}")]
+pub struct MetricsError(#[from] OTelSdkError);
+
+/// What control traffic serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ControlPurpose {
+    /// Watching and reading the configuration.
+    Config,
+    /// Watching the host list.
+    HostList,
+    /// Heartbeats and views between hosts.
+    Membership,
+    /// Digests and deltas between hosts.
+    AntiEntropy,
+    /// Token grants.
+    Grant,
+    /// Records of operations.
+    Operation,
+    /// Register of requests that broke upstreams.
+    Quarantine,
+    /// Cold starts told to peers.
+    ColdStart,
+    /// Load reports and cache events of upstreams.
+    Load,
+}
+
+/// All purposes; each has a sample from the start.
+pub const CONTROL_PURPOSES: [ControlPurpose; 9] = [
+    ControlPurpose::Config,
+    ControlPurpose::HostList,
+    ControlPurpose::Membership,
+    ControlPurpose::AntiEntropy,
+    ControlPurpose::Grant,
+    ControlPurpose::Operation,
+    ControlPurpose::Quarantine,
+    ControlPurpose::ColdStart,
+    ControlPurpose::Load,
+];
+
+impl ControlPurpose {
+    /// Returns the value of the label `purpose`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::HostList => "host_list",
+            Self::Membership => "membership",
+            Self::AntiEntropy => "anti_entropy",
+            Self::Grant => "grant",
+            Self::Operation => "operation",
+            Self::Quarantine => "quarantine",
+            Self::ColdStart => "cold_start",
+            Self::Load => "load",
+        }
+    }
+}
+
+/// Whose request it is; absent for a request that was refused before this was known.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestLabels<'a> {
+    /// Route of the request.
+    pub route: Option<&'a RouteName>,
+    /// Team of the request.
+    pub team: Option<&'a TeamName>,
+    /// Class of the request.
+    pub class: Option<&'a ClassName>,
+}
+
+/// The instruments of one process.
+///
+/// `reason`, `kind` and `outcome` labels are `&'static str`, so that only values written in the
+/// program occur. Dropping the value ends the SDK's thread.
+pub struct RouterMetrics {
+    provider: SdkMeterProvider,
+    exposition: Arc<Mutex<String>>,
+    catalogue: RwLock<Arc<Catalogue>>,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    first_chunk: Histogram<f64>,
+    chunk_gap: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    queue_length: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    upstream_errors: Counter<u64>,
+    config_accepted: Gauge<u64>,
+    config_seen: Gauge<u64>,
+    control_sent: Counter<u64>,
+    control_received: Counter<u64>,
+    grants: Counter<u64>,
+    granted_tokens: Counter<f64>,
+    operations: Counter<u64>,
+}
+
+impl fmt::Debug for RouterMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RouterMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for RouterMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RouterMetrics {
+    /// Creates the instruments of a router that has no catalogue yet.
+    pub fn new() -> Self {
+        let exposition = Arc::new(Mutex::new(String::new()));
+        let exporter = TextExporter {
+            text: exposition.clone(),
+        };
+        let reader = PeriodicReader::builder(exporter)
+            .with_interval(EXPORT_INTERVAL)
+            .build();
+        let provider = SdkMeterProvider::builder()
+            .with_reader(reader)
+            .with_view(limit_series)
+            .build();
+        let meter = provider.meter("snipepond");
+        let metrics = Self {
+            requests: counter(&meter, "snipepond_requests", "Finished requests."),
+            refusals: counter(&meter, "snipepond_refusals", "Refused requests by reason."),
+            first_chunk: histogram(
+                &meter,
+                "snipepond_first_chunk_seconds",
+                "Time from the request to the first chunk of the response.",
+                &WAIT_BOUNDS_S,
+            ),
+            chunk_gap: histogram(
+                &meter,
+                "snipepond_chunk_gap_seconds",
+                "Time between two chunks of a response.",
+                &CHUNK_BOUNDS_S,
+            ),
+            queue_wait: histogram(
+                &meter,
+                "snipepond_queue_wait_seconds",
+                "Time that a request waited in the queue.",
+                &WAIT_BOUNDS_S,
+            ),
+            queue_length: gauge(&meter, "snipepond_queue_length", "Requests in the queue."),
+            in_flight: gauge(&meter, "snipepond_in_flight", "Requests at upstreams."),
+            upstream_errors: counter(
+                &meter,
+                "snipepond_upstream_errors",
+                "Failed upstream calls by kind of failure.",
+            ),
+            config_accepted: gauge(
+                &meter,
+                "snipepond_config_accepted_revision",
+                "Revision of the configuration in force.",
+            ),
+            config_seen: gauge(
+                &meter,
+                "snipepond_config_seen_revision",
+                "Highest revision of the configuration known.",
+            ),
+            control_sent: counter(
+                &meter,
+                "snipepond_control_sent_bytes",
+                "Bytes of control traffic sent.",
+            ),
+            control_received: counter(
+                &meter,
+                "snipepond_control_received_bytes",
+                "Bytes of control traffic received.",
+            ),
+            grants: counter(&meter, "snipepond_grants", "Token grants by outcome."),
+            granted_tokens: meter
+                .f64_counter("snipepond_granted_tokens")
+                .with_description("Tokens granted.")
+                .build(),
+            operations: counter(
+                &meter,
+                "snipepond_operations",
+                "At-most-once operations by outcome.",
+            ),
+            catalogue: RwLock::default(),
+            provider,
+            exposition,
+        };
+        for purpose in CONTROL_PURPOSES {
+            metrics.control_sent(purpose, 0);
+            metrics.control_received(purpose, 0);
+        }
+        metrics.queue_length(0);
+        metrics.in_flight(0);
+        metrics.config_revision(0, 0);
+        metrics
+    }
+
+    /// Sets the catalogue whose names may be labels.
+    pub fn set_catalogue(&self, catalogue: &Arc<Catalogue>) {
+        *self
+            .catalogue
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = catalogue.clone();
+    }
+
+    /// Counts a finished request.
+    pub fn request(&self, labels: RequestLabels<'_>, outcome: &'static str) {
+        let catalogue = self.names();
+        let route = labels
+            .route
+            .filter(|name| catalogue.routes().iter().any(|(it, _)| it == *name));
+        let team = labels
+            .team
+            .filter(|it| it.as_str() == OPEN_TEAM || catalogue.team(it).is_some());
+        self.requests.add(
+            1,
+            &[
+                label("route", route.map(RouteName::as_str)),
+                label("team", team.map(TeamName::as_str)),
+                class_label(&catalogue, labels.class),
+                KeyValue::new("outcome", outcome),
+            ],
+        );
+    }
+
+    /// Counts a refused request.
+    pub fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the time from a request to the first chunk of its response.
+    pub fn first_chunk(&self, class: &ClassName, time: Duration) {
+        let label = class_label(&self.names(), Some(class));
+        self.first_chunk.record(time.as_secs_f64(), &[label]);
+    }
+
+    /// Records the time between two chunks of a response.
+    pub fn chunk_gap(&self, class: &ClassName, time: Duration) {
+        let label = class_label(&self.names(), Some(class));
+        self.chunk_gap.record(time.as_secs_f64(), &[label]);
+    }
+
+    /// Records how long a request waited in the queue.
+    pub fn queue_wait(&self, class: &ClassName, time: Duration) {
+        let label = class_label(&self.names(), Some(class));
+        self.queue_wait.record(time.as_secs_f64(), &[label]);
+    }
+
+    /// Sets the number of requests in the queue.
+    pub fn queue_length(&self, requests: u64) {
+        self.queue_length.record(requests, &[]);
+    }
+
+    /// Sets the number of requests at upstreams.
+    pub fn in_flight(&self, requests: u64) {
+        self.in_flight.record(requests, &[]);
+    }
+
+    /// Counts a failed upstream call.
+    pub fn upstream_error(&self, upstream: &UpstreamName, kind: &'static str) {
+        let catalogue = self.names();
+        let name = Some(upstream).filter(|it| catalogue.upstreams().contains_key(*it));
+        let labels = [
+            label("upstream", name.map(UpstreamName::as_str)),
+            KeyValue::new("kind", kind),
+        ];
+        self.upstream_errors.add(1, &labels);
+    }
+
+    /// Sets the revision in force and the highest one known.
+    pub fn config_revision(&self, accepted: u64, seen: u64) {
+        self.config_accepted.record(accepted, &[]);
+        self.config_seen.record(seen, &[]);
+    }
+
+    /// Counts control traffic sent, in bytes.
+    pub fn control_sent(&self, purpose: ControlPurpose, bytes: u64) {
+        let label = KeyValue::new("purpose", purpose.as_str());
+        self.control_sent.add(bytes, &[label]);
+    }
+
+    /// Counts control traffic received, in bytes.
+    pub fn control_received(&self, purpose: ControlPurpose, bytes: u64) {
+        let label = KeyValue::new("purpose", purpose.as_str());
+        self.control_received.add(bytes, &[label]);
+    }
+
+    /// Counts a reply to a request for tokens; `tokens` is 0 for a refusal.
+    pub fn grant(&self, outcome: &'static str, tokens: f64) {
+        let label = KeyValue::new("outcome", outcome);
+        self.grants.add(1, std::slice::from_ref(&label));
+        self.granted_tokens.add(tokens, &[label]);
+    }
+
+    /// Counts an at-most-once operation.
+    pub fn operation(&self, outcome: &'static str) {
+        self.operations.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Returns all metrics in the Prometheus text format, for `GET /metrics`.
+    ///
+    /// # Errors
+    ///
+    /// The SDK's collection failed, for example because its thread could not be started.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        self.provider.force_flush()?;
+        Ok(self
+            .exposition
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone())
+    }
+
+    fn names(&self) -> Arc<Catalogue> {
+        self.catalogue
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+/// Keeps the text of the last collection.
+///
+/// `ManualReader` of the SDK needs an experimental feature. A periodic reader that is flushed for
+/// each `GET /metrics` gives the same result and costs one idle thread.
+#[derive(Debug)]
+struct TextExporter {
+    text: Arc<Mutex<String>>,
+}
+
+impl PushMetricExporter for TextExporter {
+    async fn export(&self, metrics: &ResourceMetrics) -> OTelSdkResult {
+        *self.text.lock().unwrap_or_else(PoisonError::into_inner) = exposition::render(metrics);
+        Ok(())
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _timeout: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn temporality(&self) -> Temporality {
+        Temporality::Cumulative
+    }
+}
+
+fn limit_series(instrument: &Instrument) -> Option<Stream> {
+    // A stream without boundaries would reset those of a histogram to the SDK's defaults; its
+    // labels are classes only, so the default limit of 2,000 suffices.
+    if instrument.kind() == InstrumentKind::Histogram {
+        return None;
+    }
+    Stream::builder()
+        .with_cardinality_limit(MAX_SERIES)
+        .build()
+        .ok()
+}
+
+fn counter(meter: &Meter, name: &'static str, help: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(help).build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, help: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(help).build()
+}
+
+fn histogram(
+    meter: &Meter,
+    name: &'static str,
+    help: &'static str,
+    bounds: &[f64],
+) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(help)
+        .with_boundaries(bounds.to_vec())
+        .build()
+}
+
+fn label(key: &'static str, name: Option<&str>) -> KeyValue {
+    KeyValue::new(key, name.unwrap_or(OTHER_LABEL).to_owned())
+}
+
+fn class_label(catalogue: &Catalogue, class: Option<&ClassName>) -> KeyValue {
+    let name = class.filter(|it| catalogue.classes().contains_key(*it));
+    label("class", name.map(ClassName::as_str))
+}
