slo: burn report over 5 minutes and 1 hour per team and class

Cause: operators have to see which team is served worst and when its error budget burns too fast, without a metrics system beside the routers.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod names;
 pub mod rendezvous;
 pub mod settings;
+pub mod slo;
 pub mod status;
 pub mod telemetry;
