--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod platform;
 pub mod rendezvous;
 pub mod settings;
+pub mod slo;
 pub mod status;
 pub mod threads;
 pub mod upstream;
+pub mod telemetry;
