--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod catalogue;
 pub mod clock;
 pub mod config;
+pub mod limits;
 pub mod membership;
 pub mod names;
 pub mod rendezvous;
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -1,5 +1,9 @@
 //! Which hosts there are, and which of them owns a key.
 
 mod host_list;
+mod view;
 
-pub use self::host_list::{HostList, HostRecord, HostState};
+pub use self::{
+    host_list::{HostList, HostRecord, HostState},
+    view::{HeardHost, Heartbeat, HeartbeatReply, HostRelease, ViewTiming, ViewTracker},
+};
--- /dev/null
+++ b/lib/src/membership/view.rs
@@ -0,0 +1,556 @@
+//! Decides when it is safe for this host to act as the owner of a key.
+//!
+//! Every error in this module must be on the side of not owning: a host that is missing from a
+//! view can lead to two owners, a host too many only leads to none.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{HostList, HostRecord, HostState};
+use crate::{
+    names::{CentreName, HostName},
+    rendezvous,
+};
+
+/// Times on which ownership depends; the same on every host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ViewTiming {
+    /// Age up to which a list read or a heartbeat counts as evidence.
+    pub validity: Duration,
+    /// Longest time until a change of the host list is visible to every reader.
+    pub list_lag: Duration,
+    /// Allowance for clock drift, and longest harmless lapse of the evidence.
+    pub margin: Duration,
+}
+
+impl ViewTiming {
+    /// Returns how long a host must have been owner in all its views before it acts.
+    pub fn takeover_wait(&self) -> Duration {
+        self.list_lag + self.validity + self.margin
+    }
+}
+
+impl Default for ViewTiming {
+    fn default() -> Self {
+        Self {
+            validity: Duration::from_secs(6),
+            list_lag: Duration::from_secs(10),
+            margin: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Sent about once per second to the hosts of the own data centre; see [`ViewTracker::peers`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender; `leaving` if it does not consider itself listed as live.
+    pub host: HostRecord,
+    /// Incarnation of the sending process.
+    pub incarnation: u64,
+    /// Version of the sender's host list.
+    pub list_version: u64,
+}
+
+/// Answer to a [`Heartbeat`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatReply {
+    /// The answering host; `leaving` if it does not consider itself listed as live.
+    pub host: HostRecord,
+    /// Incarnation of the answering process.
+    pub incarnation: u64,
+    /// Hash of the answering host's view.
+    pub view_hash: u64,
+    /// Hosts of the data centre that the answering host has heard from within the validity.
+    /// If both have the same list version, only those that are not live in the list.
+    pub heard: Vec<HeardHost>,
+}
+
+/// A host that a peer has heard from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardHost {
+    /// The host as it described itself.
+    pub host: HostRecord,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+}
+
+/// Statement of a process that it owns nothing from now on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRelease {
+    /// Host that stops.
+    pub host: HostName,
+    /// Incarnation of the process that stops.
+    pub incarnation: u64,
+}
+
+/// What is known about another host of the data centre.
+#[derive(Clone, Debug)]
+struct PeerState {
+    /// The host as it last described itself.
+    record: HostRecord,
+    incarnation: u64,
+    /// Time at which the host was last heard from directly.
+    heard: Option<Instant>,
+    /// Time at which a peer last reported to have heard from the host.
+    reported: Option<Instant>,
+    /// Hash that the host last confirmed and the time at which it was asked.
+    confirmed: Option<(u64, Instant)>,
+    /// Latest time at which the incarnation is known to have run.
+    alive: Option<Instant>,
+}
+
+/// The set of hosts that was in force from some time on.
+#[derive(Clone, Debug)]
+struct View {
+    from: Instant,
+    names: BTreeSet<HostName>,
+    hash: u64,
+}
+
+impl View {
+    fn new(from: Instant, names: BTreeSet<HostName>) -> Self {
+        let parts: Vec<&str> = names.iter().map(HostName::as_str).collect();
+        let hash = rendezvous::hash_parts(&parts);
+        Self { from, names, hash }
+    }
+}
+
+/// Uninterrupted period in which the host had evidence for its views.
+#[derive(Clone, Copy, Debug)]
+struct EvidencePeriod {
+    from: Instant,
+    until: Instant,
+}
+
+/// Owner of one process's knowledge about the hosts of the fleet.
+#[derive(Debug)]
+pub struct ViewTracker {
+    host: HostRecord,
+    incarnation: u64,
+    timing: ViewTiming,
+    started: Instant,
+    last_call: Instant,
+    list: HostList,
+    /// Start of the last list read that contained this host as live.
+    list_read: Option<Instant>,
+    peers: BTreeMap<HostName, PeerState>,
+    /// Incarnations that own nothing any more, with the end of their exclusion from views.
+    releases: BTreeMap<HostName, (u64, Instant)>,
+    /// Views in force during the last `takeover_wait`, oldest first; never empty.
+    views: Vec<View>,
+    /// Live hosts of the whole fleet, as `views`.
+    fleets: Vec<View>,
+    evidence: Option<EvidencePeriod>,
+    is_released: bool,
+}
+
+impl ViewTracker {
+    /// Creates a tracker that knows no host list yet.
+    pub fn new(host: HostRecord, incarnation: u64, timing: ViewTiming, now: Instant) -> Self {
+        Self {
+            host,
+            incarnation,
+            timing,
+            started: now,
+            last_call: now,
+            list: HostList::default(),
+            list_read: None,
+            peers: BTreeMap::new(),
+            releases: BTreeMap::new(),
+            views: vec![View::new(now, BTreeSet::new())],
+            fleets: vec![View::new(now, BTreeSet::new())],
+            evidence: None,
+            is_released: false,
+        }
+    }
+
+    /// Takes a list whose read began at `started`.
+    ///
+    /// A list with a lower version than the known one comes from a stale replica. It is ignored
+    /// and is no evidence of freshness.
+    pub fn read_list(&mut self, started: Instant, now: Instant, list: &HostList) {
+        self.detect_pause(now);
+        if list.version >= self.list.version {
+            if list.version > self.list.version {
+                self.list = list.clone();
+            }
+            self.list_read = self.is_listed().then_some(started);
+        }
+        self.update(now);
+    }
+
+    /// Notes that a read that began at `started` found no newer list.
+    pub fn list_unchanged(&mut self, started: Instant, now: Instant) {
+        self.detect_pause(now);
+        self.list_read = self.is_listed().then_some(started);
+        self.update(now);
+    }
+
+    /// Drops what has expired; to be called several times per validity.
+    ///
+    /// After a gap larger than the validity all evidence is discarded.
+    pub fn tick(&mut self, now: Instant) {
+        self.detect_pause(now);
+        self.update(now);
+    }
+
+    /// Returns the heartbeat to send to the hosts of [`Self::peers`].
+    pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
+        self.tick(now);
+        Heartbeat {
+            host: self.self_record(),
+            incarnation: self.incarnation,
+            list_version: self.list.version,
+        }
+    }
+
+    /// Returns the other hosts of the data centre in any view of the last `takeover_wait`.
+    ///
+    /// Hosts that were just removed from the list are included because they may still run.
+    pub fn peers(&self) -> Vec<&HostRecord> {
+        let names: BTreeSet<&HostName> = self.views.iter().flat_map(|it| &it.names).collect();
+        names
+            .into_iter()
+            .filter(|it| **it != self.host.name)
+            .filter_map(|it| self.record(it))
+            .collect()
+    }
+
+    /// Takes a heartbeat and returns the answer to it.
+    pub fn hear(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatReply {
+        self.detect_pause(now);
+        self.note_host(
+            &heartbeat.host,
+            heartbeat.incarnation,
+            now,
+            HeardVia::Message,
+        );
+        self.update(now);
+        let same_list = heartbeat.list_version == self.list.version;
+        let heard = self
+            .peers
+            .values()
+            .filter(|it| it.record.name != heartbeat.host.name)
+            .filter(|it| self.is_fresh(it.heard, now) && it.record.state == HostState::Live)
+            .filter(|it| {
+                !(same_list && self.listed_state(&it.record.name) == Some(HostState::Live))
+            })
+            .map(|it| HeardHost {
+                host: it.record.clone(),
+                incarnation: it.incarnation,
+            })
+            .collect();
+        HeartbeatReply {
+            host: self.self_record(),
+            incarnation: self.incarnation,
+            view_hash: self.view().hash,
+            heard,
+        }
+    }
+
+    /// Takes the answer of `peer` to a heartbeat that was sent at `sent`.
+    pub fn confirm(
+        &mut self,
+        sent: Instant,
+        now: Instant,
+        peer: &HostName,
+        reply: &HeartbeatReply,
+    ) {
+        self.detect_pause(now);
+        // After a change of addresses another host may answer; it cannot speak for the peer.
+        if reply.host.name == *peer {
+            self.note_host(&reply.host, reply.incarnation, sent, HeardVia::Reply);
+            for heard in &reply.heard {
+                self.note_host(&heard.host, heard.incarnation, sent, HeardVia::Peer);
+            }
+            if let Some(state) = self.peers.get_mut(peer) {
+                state.confirmed = Some((reply.view_hash, sent));
+            }
+        }
+        self.update(now);
+    }
+
+    /// Gives up all rights of this process for good and returns the message that says so.
+    pub fn release(&mut self) -> HostRelease {
+        self.is_released = true;
+        HostRelease {
+            host: self.host.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Takes the release of another process.
+    ///
+    /// It is ignored unless that incarnation answered a heartbeat recently. A later process on
+    /// the same host acts at the earliest `takeover_wait` after that answer, and the exclusion
+    /// from the views ends before that, so that a late release cannot exclude the new process.
+    pub fn released(&mut self, now: Instant, host: &HostName, incarnation: u64) {
+        self.detect_pause(now);
+        let alive = self
+            .peers
+            .get(host)
+            .filter(|it| it.incarnation == incarnation)
+            .and_then(|it| it.alive);
+        if let Some(alive) = alive {
+            let until = alive + self.timing.takeover_wait() - self.timing.margin;
+            if now < until {
+                self.releases.insert(host.clone(), (incarnation, until));
+                self.peers.remove(host);
+                for view in &mut self.views {
+                    if view.names.remove(host) {
+                        *view = View::new(view.from, std::mem::take(&mut view.names));
+                    }
+                }
+            }
+        }
+        self.update(now);
+    }
+
+    /// Returns whether there is recent evidence that the current view is complete.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        self.confirmed_until().is_some_and(|it| now <= it)
+    }
+
+    /// Returns the owner of a key in the own data centre according to the current view.
+    pub fn owner(&self, key: &str) -> Option<&HostRecord> {
+        self.record(rendezvous::first(key, &self.view().names)?)
+    }
+
+    /// Returns the owner of a key in a data centre; elsewhere according to the host list only.
+    pub fn owner_in(&self, centre: &CentreName, key: &str) -> Option<&HostRecord> {
+        if *centre == self.host.data_centre {
+            return self.owner(key);
+        }
+        let name = rendezvous::first(key, self.list.live_in(centre).map(|it| &it.name))?;
+        self.list.host(name)
+    }
+
+    /// Returns whether this process may act as the owner of a key in its data centre.
+    pub fn owns(&self, key: &str, now: Instant) -> bool {
+        let wait = self.timing.takeover_wait();
+        !self.is_released
+            && now.saturating_duration_since(self.last_call) <= self.timing.validity
+            && self.is_confirmed(now)
+            && now.saturating_duration_since(self.started) >= wait
+            && self
+                .evidence
+                .is_some_and(|it| now.saturating_duration_since(it.from) >= wait)
+            && self
+                .views
+                .iter()
+                .all(|it| rendezvous::first(key, &it.names) == Some(&self.host.name))
+    }
+
+    /// Returns the last host list read.
+    pub fn hosts(&self) -> &HostList {
+        &self.list
+    }
+
+    /// Returns the sets of live hosts of the fleet in force during the last `takeover_wait`.
+    ///
+    /// Until the first list read this is one empty set. A released host stays in the sets,
+    /// because its requests in flight continue.
+    pub fn recent_fleets(&self, now: Instant) -> Vec<&BTreeSet<HostName>> {
+        let wait = self.timing.takeover_wait();
+        let first = first_recent(&self.fleets, now, wait);
+        self.fleets[first..].iter().map(|it| &it.names).collect()
+    }
+
+    fn view(&self) -> &View {
+        self.views.last().expect("views are never empty")
+    }
+
+    fn is_fresh(&self, time: Option<Instant>, now: Instant) -> bool {
+        time.is_some_and(|it| now.saturating_duration_since(it) <= self.timing.validity)
+    }
+
+    fn listed_state(&self, name: &HostName) -> Option<HostState> {
+        self.list.host(name).map(|it| it.state)
+    }
+
+    fn is_listed(&self) -> bool {
+        self.list
+            .live_in(&self.host.data_centre)
+            .any(|it| it.name == self.host.name)
+    }
+
+    fn self_record(&self) -> HostRecord {
+        let state = if self.is_listed() && !self.is_released {
+            HostState::Live
+        } else {
+            HostState::Leaving
+        };
+        HostRecord {
+            state,
+            ..self.host.clone()
+        }
+    }
+
+    fn record(&self, name: &HostName) -> Option<&HostRecord> {
+        if *name == self.host.name {
+            return Some(&self.host);
+        }
+        self.list
+            .host(name)
+            .or_else(|| self.peers.get(name).map(|it| &it.record))
+    }
+
+    fn detect_pause(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.last_call) > self.timing.validity {
+            self.list_read = None;
+            self.evidence = None;
+            for peer in self.peers.values_mut() {
+                peer.confirmed = None;
+            }
+        }
+        self.last_call = self.last_call.max(now);
+    }
+
+    fn note_host(&mut self, record: &HostRecord, incarnation: u64, at: Instant, via: HeardVia) {
+        let is_foreign =
+            record.name == self.host.name || record.data_centre != self.host.data_centre;
+        let is_released = self
+            .releases
+            .get(&record.name)
+            .is_some_and(|it| it.0 == incarnation);
+        if is_foreign || is_released {
+            return;
+        }
+        // Another incarnation runs, so the host belongs into the views again.
+        self.releases.remove(&record.name);
+        let peer = self
+            .peers
+            .entry(record.name.clone())
+            .or_insert_with(|| PeerState {
+                record: record.clone(),
+                incarnation,
+                heard: None,
+                reported: None,
+                confirmed: None,
+                alive: None,
+            });
+        if via == HeardVia::Peer {
+            peer.reported = peer.reported.max(Some(at));
+            return;
+        }
+        // A reply proves which incarnation ran after the request was sent; a heartbeat may be
+        // old and replaces no incarnation that is known to have run.
+        if via == HeardVia::Reply && peer.alive.is_none_or(|it| at >= it) {
+            peer.incarnation = incarnation;
+            peer.alive = Some(at);
+            peer.record = record.clone();
+        } else if peer.incarnation == incarnation || peer.alive.is_none() {
+            peer.incarnation = incarnation;
+            peer.record = record.clone();
+        }
+        peer.heard = peer.heard.max(Some(at));
+    }
+
+    /// Latest time up to which the current view is confirmed.
+    fn confirmed_until(&self) -> Option<Instant> {
+        let view = self.view();
+        if !view.names.contains(&self.host.name) {
+            return None;
+        }
+        let by_list = self.list_read;
+        let by_peers = view
+            .names
+            .iter()
+            .filter(|it| **it != self.host.name)
+            .map(|it| {
+                let confirmed = self.peers.get(it)?.confirmed?;
+                (confirmed.0 == view.hash).then_some(confirmed.1)
+            })
+            // A host that is alone in its view has nobody to ask; its own activity counts.
+            .try_fold(self.last_call, |oldest, it| Some(oldest.min(it?)));
+        by_list.max(by_peers).map(|it| it + self.timing.validity)
+    }
+
+    fn current_names(&self, now: Instant) -> BTreeSet<HostName> {
+        let listed = self
+            .list
+            .live_in(&self.host.data_centre)
+            .map(|it| &it.name)
+            .filter(|it| {
+                // A host that says itself that it owns nothing leaves the view.
+                !self.peers.get(*it).is_some_and(|peer| {
+                    peer.record.state == HostState::Leaving && self.is_fresh(peer.heard, now)
+                })
+            });
+        let heard = self
+            .peers
+            .values()
+            .filter(|it| it.record.state == HostState::Live)
+            .filter(|it| self.is_fresh(it.heard, now) || self.is_fresh(it.reported, now))
+            .map(|it| &it.record.name)
+            .filter(|it| self.listed_state(it) != Some(HostState::Leaving));
+        listed
+            .chain(heard)
+            .filter(|it| !self.releases.contains_key(*it))
+            .cloned()
+            .collect()
+    }
+
+    fn update(&mut self, now: Instant) {
+        let wait = self.timing.takeover_wait();
+        self.releases.retain(|_, (_, until)| now < *until);
+        let memory = wait + self.timing.validity;
+        self.peers.retain(|_, it| {
+            it.heard
+                .max(it.reported)
+                .max(it.alive)
+                .is_some_and(|at| now.saturating_duration_since(at) <= memory)
+        });
+        let names = self.current_names(now);
+        push_view(&mut self.views, now, wait, names);
+        let fleet = self
+            .list
+            .hosts
+            .iter()
+            .filter(|it| it.state == HostState::Live)
+            .map(|it| it.name.clone())
+            .collect();
+        push_view(&mut self.fleets, now, wait, fleet);
+
+        // Other hosts cannot have taken over before the end of the margin, so that a shorter
+        // lapse of the evidence does not hide a removal of this host from their views.
+        let until = self.confirmed_until();
+        match &mut self.evidence {
+            Some(period) if now <= period.until + self.timing.margin => {
+                period.until = until.map_or(period.until, |it| it.max(period.until));
+            }
+            evidence => {
+                *evidence = until
+                    .filter(|it| *it >= now)
+                    .map(|until| EvidencePeriod { from: now, until });
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum HeardVia {
+    /// The host sent a heartbeat.
+    Message,
+    /// The host answered a heartbeat; the time is that of the sending.
+    Reply,
+    /// Another host named it.
+    Peer,
+}
+
+/// Returns the index of the first view that was in force during the last `wait`.
+fn first_recent(views: &[View], now: Instant, wait: Duration) -> usize {
+    let ended = |it: &View| now.saturating_duration_since(it.from) > wait;
+    views.iter().rposition(ended).unwrap_or(0)
+}
+
+fn push_view(views: &mut Vec<View>, now: Instant, wait: Duration, names: BTreeSet<HostName>) {
+    if views.last().is_some_and(|it| it.names != names) {
+        views.push(View::new(now, names));
+    }
+    views.drain(..first_recent(views, now, wait));
+}
