--- /dev/null
+++ b/lib/src/control/admission.rs
@@ -0,0 +1,294 @@
+//! Who may run what: routes, keys and team limits.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{
+    command::{Admission, AdmitOutcome, AdmitRequest, ReplySender},
+    message::PeerRequest,
+    state::ControlState,
+};
+use crate::{
+    catalogue::{Catalogue, RouteEntry},
+    front::Refusal,
+    limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare},
+    membership::HostRecord,
+    names::{CentreName, TeamName},
+};
+
+/// Name under which requests on open routes share the queue.
+pub(super) const OPEN_TEAM: &str = "open";
+
+/// Time until the reply of an owner; the longest way is between data centres.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Longest wait of a request for a token.
+const TOKEN_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Requests of one team that wait for a token at the same time.
+const MAX_WAITING: usize = 256;
+
+/// Age up to which an owner's answer that its bucket is empty explains a refusal.
+const EMPTY_MEMORY: Duration = Duration::from_millis(1_000);
+
+/// A request that waits for a token.
+pub(super) struct WaitingAdmission {
+    admission: Admission,
+    arrived: Instant,
+    reply: ReplySender<AdmitOutcome>,
+}
+
+/// The requests of one team that wait for a token, and why.
+#[derive(Default)]
+pub(super) struct TokenQueue {
+    waiting: VecDeque<WaitingAdmission>,
+    /// When an owner last said that its bucket is empty.
+    empty_at: Option<Instant>,
+}
+
+/// Returns the key under which a team's bucket has its owner.
+pub(super) fn bucket_key(team: &TeamName) -> String {
+    format!("team/{team}")
+}
+
+impl ControlState {
+    /// Admits a request, refuses it, or lets it wait for a token.
+    pub(super) fn admit(
+        &mut self,
+        now: Instant,
+        request: &AdmitRequest,
+        reply: ReplySender<AdmitOutcome>,
+    ) {
+        let admission = match self.check_admission(now, request) {
+            Ok(admission) => admission,
+            Err(refusal) => return send_refusal(&reply, refusal),
+        };
+        if admission.open {
+            return send_admission(&reply, admission);
+        }
+        let team = admission.team.clone();
+        let queue = self.tokens.entry(team.clone()).or_default();
+        if queue.waiting.len() >= MAX_WAITING {
+            let message = "too many requests of the team wait for a token";
+            let refusal = Refusal::not_run(429, "over_rate", message).retry_after(TOKEN_WAIT);
+            return send_refusal(&reply, refusal);
+        }
+        queue.waiting.push_back(WaitingAdmission { admission, arrived: now, reply });
+        self.serve_waiting(now, &team);
+    }
+
+    /// Repeats the attempts of all teams with waiting requests.
+    pub(super) fn serve_all_waiting(&mut self, now: Instant) {
+        let teams: Vec<TeamName> = self
+            .tokens
+            .iter()
+            .filter(|(_, it)| !it.waiting.is_empty())
+            .map(|(team, _)| team.clone())
+            .collect();
+        for team in teams {
+            self.serve_waiting(now, &team);
+        }
+        let catalogue = self.catalogue().clone();
+        self.tokens.retain(|team, it| !it.waiting.is_empty() || catalogue.team(team).is_some());
+    }
+
+    /// Serves the waiting requests of a team in order, until one has to wait for an answer.
+    pub(super) fn serve_waiting(&mut self, now: Instant, team: &TeamName) {
+        let share = TeamShare::of(self.catalogue(), team).unwrap_or_default();
+        while let Some(arrived) = self.first_waiting(team) {
+            match self.wallets.take(now, arrived, team, &share) {
+                TakeOutcome::Taken => {
+                    if let Some(first) = self.pop_waiting(team) {
+                        send_admission(&first.reply, first.admission);
+                    }
+                }
+                TakeOutcome::Refused { retry } => {
+                    let refusal = self.token_refusal(now, team, retry);
+                    if let Some(first) = self.pop_waiting(team) {
+                        send_refusal(&first.reply, refusal);
+                    }
+                }
+                TakeOutcome::Ask(centres) => {
+                    if now.saturating_duration_since(arrived) >= TOKEN_WAIT {
+                        let refusal = self.token_refusal(now, team, TOKEN_WAIT);
+                        if let Some(first) = self.pop_waiting(team) {
+                            send_refusal(&first.reply, refusal);
+                        }
+                    } else if !self.ask_owner(now, team, &centres) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks the first data centre that can be asked; returns whether the answer is already here.
+    fn ask_owner(&mut self, now: Instant, team: &TeamName, centres: &[CentreName]) -> bool {
+        let waiting = self.tokens.get(team).map_or(0, |it| it.waiting.len());
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let mut has_skipped = false;
+        for centre in centres {
+            let has_owner = self.owner_of(team, centre).is_some();
+            match self.wallets.request(now, team, centre, waiting) {
+                Some(request) if has_owner => {
+                    return self.send_grant_request(now, centre, request);
+                }
+                Some(request) => {
+                    self.wallets.on_lost(now, team, centre, request.sequence);
+                    has_skipped = true;
+                }
+                // An earlier request is on its way; its answer serves this one too.
+                None if has_owner => return false,
+                None => {}
+            }
+        }
+        has_skipped
+    }
+
+    /// Sends a request for tokens; returns whether the answer is already here.
+    pub(super) fn send_grant_request(
+        &mut self,
+        now: Instant,
+        centre: &CentreName,
+        request: GrantRequest,
+    ) -> bool {
+        let Some(owner) = self.owner_of(&request.team, centre) else {
+            self.wallets.on_lost(now, &request.team, centre, request.sequence);
+            return true;
+        };
+        if owner.name == self.identity.name {
+            let reply = self.grant(now, &request);
+            self.take_grant(now, centre, &reply);
+            return true;
+        }
+        self.call(now, &owner, PeerRequest::Grant(request), GRANT_TIMEOUT);
+        false
+    }
+
+    fn owner_of(&self, team: &TeamName, centre: &CentreName) -> Option<HostRecord> {
+        self.views.owner_in(centre, &bucket_key(team)).cloned()
+    }
+
+    /// Answers a request for tokens as the owner of the team's bucket.
+    pub(super) fn grant(&mut self, now: Instant, request: &GrantRequest) -> GrantReply {
+        let owns = self.views.owns(&bucket_key(&request.team), now);
+        let share = self.gate.share(&request.team);
+        self.buckets.grant(now, owns, share, request)
+    }
+
+    /// Takes an owner's answer.
+    pub(super) fn take_grant(&mut self, now: Instant, centre: &CentreName, reply: &GrantReply) {
+        if reply.is_owner
+            && reply.retry_ms > 0
+            && let Some(queue) = self.tokens.get_mut(&reply.team)
+        {
+            queue.empty_at = Some(now);
+        }
+        self.wallets.on_reply(now, centre, reply);
+    }
+
+    fn first_waiting(&self, team: &TeamName) -> Option<Instant> {
+        self.tokens.get(team)?.waiting.front().map(|it| it.arrived)
+    }
+
+    fn pop_waiting(&mut self, team: &TeamName) -> Option<WaitingAdmission> {
+        self.tokens.get_mut(team)?.waiting.pop_front()
+    }
+
+    /// Tells a team that is over its rate from one whose owners cannot be asked.
+    fn token_refusal(&self, now: Instant, team: &TeamName, retry: Duration) -> Refusal {
+        let empty_at = self.tokens.get(team).and_then(|it| it.empty_at);
+        if empty_at.is_some_and(|it| now.saturating_duration_since(it) <= EMPTY_MEMORY) {
+            Refusal::not_run(429, "over_rate", "the team has used its rate and burst")
+        } else {
+            let message = "no host that keeps the team's limit can be asked";
+            Refusal::not_run(503, "limit_unavailable", message)
+        }
+        .retry_after(retry)
+    }
+
+    fn check_admission(&self, now: Instant, request: &AdmitRequest) -> Result<Admission, Refusal> {
+        let catalogue = self.catalogue();
+        if self.is_draining {
+            return Err(Refusal::not_run(503, "draining", "the host is about to stop")
+                .retry_after(Duration::from_secs(1)));
+        }
+        if catalogue.revision() == 0 {
+            return Err(Refusal::not_run(503, "no_configuration", "no configuration yet")
+                .retry_after(Duration::from_secs(1)));
+        }
+        let Some((name, route)) = catalogue.route(&request.method, &request.path) else {
+            return Err(no_route(catalogue, request));
+        };
+        let team = authenticate(catalogue, route, request)?;
+        let class_name = route
+            .class
+            .as_ref()
+            .or_else(|| catalogue.team(&team).map(|it| &it.class))
+            .expect("the catalogue check requires a class for every route without a team");
+        let class = catalogue.classes().get(class_name).expect("the check resolves classes");
+        Ok(Admission {
+            route: name.clone(),
+            kind: route.kind,
+            service: route.service.clone(),
+            once: route.once,
+            open: route.open,
+            weight: catalogue.team(&team).map_or(1.0, |it| it.weight),
+            team,
+            key: request.key,
+            class: class_name.clone(),
+            priority: class.priority,
+            deadline: Duration::from_millis(class.deadline_ms),
+            queue_limit: Duration::from_millis(class.queue_ms),
+            admitted: now,
+        })
+    }
+
+    /// Returns whether the key of an admitted request is still valid.
+    pub(super) fn is_key_valid(&self, admission: &Admission) -> bool {
+        admission.open
+            || admission.key.and_then(|it| self.catalogue().team_of_key(&it))
+                == Some(&admission.team)
+    }
+}
+
+fn no_route(catalogue: &Catalogue, request: &AdmitRequest) -> Refusal {
+    if catalogue.has_path(&request.path) {
+        let message = format!("no route for method {}", request.method);
+        Refusal::not_run(405, "method_not_allowed", message)
+    } else {
+        Refusal::not_run(404, "no_route", "no route for this path")
+    }
+}
+
+fn authenticate(
+    catalogue: &Catalogue,
+    route: &RouteEntry,
+    request: &AdmitRequest,
+) -> Result<TeamName, Refusal> {
+    if route.open {
+        return Ok(TeamName::new(OPEN_TEAM));
+    }
+    let key = request
+        .key
+        .ok_or_else(|| Refusal::not_run(401, "key_missing", "this route needs a key"))?;
+    let team = catalogue
+        .team_of_key(&key)
+        .ok_or_else(|| Refusal::not_run(401, "key_invalid", "the key is unknown or withdrawn"))?;
+    if !route.teams.is_empty() && !route.teams.contains(team) {
+        let message = "the team may not use this route";
+        return Err(Refusal::not_run(403, "route_forbidden", message));
+    }
+    Ok(team.clone())
+}
+
+fn send_admission(reply: &ReplySender<AdmitOutcome>, admission: Admission) {
+    let _ = reply.send(AdmitOutcome::Admitted(Arc::new(admission)));
+}
+
+fn send_refusal(reply: &ReplySender<AdmitOutcome>, refusal: Refusal) {
+    let _ = reply.send(AdmitOutcome::Refused(refusal));
+}
--- /dev/null
+++ b/lib/src/control/gossip.rs
@@ -0,0 +1,200 @@
+//! Heartbeats, digests and releases: what hosts tell each other without a request.
+
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+
+use super::{
+    message::{HostDigest, PeerReply, PeerRequest},
+    state::ControlState,
+};
+use crate::{
+    config::ConfigChange,
+    membership::{HostRecord, HostRelease},
+    names::HostName,
+    peer::PeerCall,
+};
+
+/// Time until the reply to a background message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time until a configuration arrives from a peer; it may be some hundred kilobytes.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Heartbeats sent in one round while the platform answers. Each costs about 600 bytes in both
+/// directions, and a host may spend 4 KB/s on all control traffic.
+const HEARTBEATS_PER_ROUND: usize = 8;
+
+/// Peers that a new process asks for their revision before it is ready.
+const START_PEERS: usize = 8;
+
+/// Longest time for which a new process waits for the answers of its peers.
+const START_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Progress of a new process in learning the highest revision of its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum StartSync {
+    /// No host list yet.
+    WaitsForList,
+    /// Peers were asked; the number of answers still expected.
+    Asked {
+        /// When they were asked.
+        since: Instant,
+        /// Calls without an end.
+        pending: usize,
+    },
+    /// All peers answered or were silent.
+    Done,
+}
+
+impl ControlState {
+    /// Orders a call to another host.
+    pub(super) fn call(
+        &self,
+        now: Instant,
+        host: &HostRecord,
+        request: PeerRequest,
+        timeout: Duration,
+    ) {
+        self.caller.order(PeerCall { address: host.address, request, timeout, ordered: now });
+    }
+
+    /// Sends a background message to a host.
+    pub(super) fn tell(&self, now: Instant, host: &HostRecord, request: PeerRequest) {
+        self.call(now, host, request, MESSAGE_TIMEOUT);
+    }
+
+    pub(super) fn digest(&self) -> HostDigest {
+        HostDigest {
+            host: self.identity.name.clone(),
+            incarnation: self.incarnation,
+            accepted: self.config.accepted_revision(),
+            seen: self.config.seen_revision(),
+        }
+    }
+
+    /// Sends heartbeats to the hosts of the data centre.
+    ///
+    /// While the platform is silent every host of the view has to confirm it, so all are asked.
+    pub(super) fn send_heartbeats(&mut self, now: Instant) {
+        let heartbeat = self.views.heartbeat(now);
+        let peers: Vec<HostRecord> = self.views.peers().into_iter().cloned().collect();
+        if peers.is_empty() {
+            return;
+        }
+        let is_platform_silent =
+            now.saturating_duration_since(self.list_read) > self.timing.validity / 2;
+        let count = if is_platform_silent { peers.len() } else { HEARTBEATS_PER_ROUND };
+        for step in 0..count.min(peers.len()) {
+            let peer = &peers[(self.heartbeat_cursor + step) % peers.len()];
+            self.tell(now, peer, PeerRequest::Heartbeat(heartbeat.clone()));
+        }
+        self.heartbeat_cursor = (self.heartbeat_cursor + count) % peers.len();
+    }
+
+    /// Exchanges digests with one random host of the fleet.
+    pub(super) fn send_digest(&mut self, now: Instant) {
+        let others: Vec<&HostRecord> = self.other_hosts().collect();
+        if let Some(peer) = others.choose(&mut rand::rng()) {
+            self.tell(now, peer, PeerRequest::Digest(self.digest()));
+        }
+    }
+
+    /// Returns all other hosts of the list, also leaving ones.
+    pub(super) fn other_hosts(&self) -> impl Iterator<Item = &HostRecord> {
+        self.views.hosts().hosts.iter().filter(|it| it.name != self.identity.name)
+    }
+
+    /// Asks peers for their revision, once, when the first host list is known.
+    pub(super) fn start_sync(&mut self, now: Instant) {
+        if self.sync != StartSync::WaitsForList || self.views.hosts().version == 0 {
+            return;
+        }
+        let others: Vec<HostRecord> = self.other_hosts().cloned().collect();
+        let asked: Vec<&HostRecord> = others.choose_multiple(&mut rand::rng(), START_PEERS).collect();
+        for peer in &asked {
+            self.tell(now, peer, PeerRequest::Digest(self.digest()));
+        }
+        self.sync = match asked.len() {
+            0 => StartSync::Done,
+            pending => StartSync::Asked { since: now, pending },
+        };
+    }
+
+    /// Counts one answered or failed call of the start.
+    pub(super) fn sync_step(&mut self) {
+        if let StartSync::Asked { pending, .. } = &mut self.sync {
+            *pending = pending.saturating_sub(1);
+            if *pending == 0 {
+                self.sync = StartSync::Done;
+            }
+        }
+    }
+
+    /// Ends the wait for silent peers.
+    pub(super) fn expire_sync(&mut self, now: Instant) {
+        if let StartSync::Asked { since, .. } = self.sync
+            && now.saturating_duration_since(since) >= START_TIMEOUT
+        {
+            tracing::warn!("start_without_all_peers");
+            self.sync = StartSync::Done;
+        }
+    }
+
+    /// Notes a peer's revision and pulls a newer configuration from it.
+    ///
+    /// Returns whether a pull was ordered.
+    pub(super) fn hear_digest(&mut self, now: Instant, digest: &HostDigest) -> bool {
+        self.note_revision(&digest.host, digest.accepted);
+        if digest.seen <= self.config.seen_revision() {
+            return false;
+        }
+        let Some(peer) = self.views.hosts().host(&digest.host).cloned() else { return false };
+        let request = PeerRequest::ConfigSince(self.config.seen_revision());
+        self.call(now, &peer, request, CONFIG_TIMEOUT);
+        true
+    }
+
+    pub(super) fn note_revision(&mut self, host: &HostName, revision: u64) {
+        self.gate.confirm(host, revision);
+        let known = self.revisions.entry(host.clone()).or_default();
+        *known = revision.max(*known);
+    }
+
+    pub(super) fn config_reply(&self, base: u64) -> ConfigChange {
+        self.config.change_since(base)
+    }
+
+    /// Gives up every right of this process and tells the hosts of the data centre.
+    pub(super) fn release(&mut self, now: Instant) {
+        let release: HostRelease = self.views.release();
+        let peers: Vec<HostRecord> = self.views.peers().into_iter().cloned().collect();
+        for peer in &peers {
+            self.tell(now, peer, PeerRequest::Release(release.clone()));
+        }
+    }
+
+    /// Handles a background message of another host.
+    pub(super) fn hear(&mut self, now: Instant, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Heartbeat(heartbeat) => {
+                PeerReply::Heartbeat(self.views.hear(now, &heartbeat))
+            }
+            PeerRequest::Release(release) => {
+                self.views.released(now, &release.host, release.incarnation);
+                PeerReply::Done
+            }
+            PeerRequest::Digest(digest) => {
+                self.hear_digest(now, &digest);
+                PeerReply::Digest(self.digest())
+            }
+            PeerRequest::ConfigSince(base) => PeerReply::Config(self.config_reply(base)),
+            PeerRequest::HostList => PeerReply::HostList(self.views.hosts().clone()),
+            PeerRequest::Grant(request) => PeerReply::Grant(self.grant(now, &request)),
+            PeerRequest::Loads(batch) => {
+                self.take_loads(now, &batch.reports);
+                PeerReply::Done
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/control/timer.rs
@@ -0,0 +1,27 @@
+//! Periodic work inside a tick.
+
+use std::time::{Duration, Instant};
+
+/// Becomes due once per period.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeriodTimer {
+    period: Duration,
+    due: Instant,
+}
+
+impl PeriodTimer {
+    /// Creates a timer that is due at once.
+    pub(super) fn new(period: Duration, now: Instant) -> Self {
+        Self { period, due: now }
+    }
+
+    /// Returns whether the work is due, and starts the next period if so.
+    pub(super) fn is_due(&mut self, now: Instant) -> bool {
+        if now < self.due {
+            return false;
+        }
+        // A late tick starts a whole period, so that a pause causes no burst of work.
+        self.due = now + self.period;
+        true
+    }
+}
