--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod membership;
 pub mod names;
 pub mod rendezvous;
+pub mod routing;
+pub mod schedule;
--- /dev/null
+++ b/lib/src/routing/candidates.rs
@@ -0,0 +1,103 @@
+//! The upstreams that may serve a model or a service, prepared per catalogue revision.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use crate::{
+    catalogue::{Catalogue, UpstreamEntry, UpstreamKind},
+    names::{CentreName, UpstreamName},
+    rendezvous,
+    routing::load::LoadIndex,
+};
+
+/// An upstream that takes new work.
+#[derive(Clone, Debug)]
+pub(super) struct CandidateUpstream {
+    pub(super) name: UpstreamName,
+    pub(super) address: SocketAddr,
+    pub(super) hash: u64,
+    pub(super) capacity: f64,
+    pub(super) cold_allowance: u32,
+    pub(super) warmup: Duration,
+    pub(super) index: LoadIndex,
+}
+
+/// Candidates for one model or service, the nearest group first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CandidateGroups {
+    pub(super) groups: [Vec<CandidateUpstream>; 3],
+}
+
+/// Candidates by model and by service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CandidateIndex {
+    models: HashMap<String, CandidateGroups>,
+    services: HashMap<String, CandidateGroups>,
+}
+
+impl CandidateIndex {
+    /// Builds the index for a host in `centre`; `index_of` gives the position in the load table.
+    pub(super) fn build(
+        centre: &CentreName,
+        catalogue: &Catalogue,
+        mut index_of: impl FnMut(&UpstreamName) -> LoadIndex,
+    ) -> Self {
+        let mut index = Self::default();
+        for (name, entry) in catalogue.upstreams() {
+            if !catalogue.takes_new_work(entry) {
+                continue;
+            }
+            let candidate = CandidateUpstream {
+                name: name.clone(),
+                address: entry.address,
+                hash: rendezvous::hash_parts(&[name.as_str()]),
+                capacity: f64::from(entry.capacity.max(1)),
+                cold_allowance: entry.cold_allowance,
+                warmup: Duration::from_millis(entry.warmup_ms),
+                index: index_of(name),
+            };
+            let distance = distance_of(centre, catalogue, entry);
+            match entry.kind {
+                UpstreamKind::Engine => {
+                    for model in &entry.models {
+                        add(&mut index.models, model.as_str(), distance, &candidate);
+                    }
+                }
+                UpstreamKind::Service => {
+                    if let Some(service) = &entry.service {
+                        add(&mut index.services, service.as_str(), distance, &candidate);
+                    }
+                }
+            }
+        }
+        index
+    }
+
+    pub(super) fn model(&self, name: &str) -> Option<&CandidateGroups> {
+        self.models.get(name)
+    }
+
+    pub(super) fn service(&self, name: &str) -> Option<&CandidateGroups> {
+        self.services.get(name)
+    }
+}
+
+fn add(
+    sets: &mut HashMap<String, CandidateGroups>,
+    key: &str,
+    distance: usize,
+    candidate: &CandidateUpstream,
+) {
+    sets.entry(key.to_owned()).or_default().groups[distance].push(candidate.clone());
+}
+
+/// 0 is the nearest group: the own data centre for services and the own region for engines.
+fn distance_of(centre: &CentreName, catalogue: &Catalogue, entry: &UpstreamEntry) -> usize {
+    let region_of = |name| catalogue.centres().get(name).map(|it| it.region.as_str());
+    if entry.kind == UpstreamKind::Service && entry.data_centre == *centre {
+        0
+    } else if region_of(&entry.data_centre) == region_of(centre) {
+        1
+    } else {
+        2
+    }
+}
--- /dev/null
+++ b/lib/src/routing/pick.rs
@@ -0,0 +1,704 @@
+//! The choice itself.
+
+use std::{
+    collections::{BinaryHeap, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    catalogue::Catalogue,
+    names::{CentreName, HostName, ModelName, ServiceName, UpstreamName},
+    rendezvous,
+    routing::{
+        candidates::{CandidateIndex, CandidateUpstream},
+        cold::{ColdGate, ColdNotice, ColdPhase, ColdReason, HostSet},
+        load::{LoadEstimate, LoadReport, LoadSettings, LoadSummary, LoadTable, ReportEffect},
+    },
+};
+
+/// Part of an engine's capacity below which the load bound does not apply to the first request of
+/// a host. An engine that is nearly idle is not overloaded, and moving its chats costs their cache.
+const IDLE_SHARE: f64 = 1.0 / 8.0;
+
+/// Skipped upstreams described in an outcome; the others are only counted.
+const MAX_DESCRIBED: usize = 8;
+
+/// Separates the ramp-up decision of a chat from its rendezvous order.
+const RAMP_SALT: u64 = 0x7261_6d70;
+
+/// Separates the spill-over threshold of a chat from its rendezvous order.
+const SPILL_SALT: u64 = 0x7370_696c;
+
+/// Settings of an [`UpstreamPicker`].
+#[derive(Clone, Copy, Debug)]
+pub struct RoutingSettings {
+    /// Time constants of the load estimates.
+    pub load: LoadSettings,
+    /// Longest ramp-up of an upstream that became warm or returned.
+    pub ramp_up: Duration,
+    /// An upstream that refused a connection is not tried again before this time.
+    pub refusal_pause: Duration,
+    /// Width of the band of spill-over thresholds, as part of `skew_multiple - 1`.
+    ///
+    /// Each chat has its own fixed threshold in this band below the load bound. While the load
+    /// varies within the band, only the chats with a threshold in the range of variation change
+    /// engines, instead of all chats of the engine.
+    pub spill_band: f64,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self {
+            load: LoadSettings::default(),
+            ramp_up: Duration::from_secs(30),
+            refusal_pause: Duration::from_secs(1),
+            spill_band: 0.5,
+        }
+    }
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PickTarget<'a> {
+    /// An engine with this model.
+    Model(&'a ModelName),
+    /// An upstream of this service.
+    Service(&'a ServiceName),
+}
+
+/// A request that needs an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct PickRequest<'a> {
+    /// What the request needs.
+    pub target: PickTarget<'a>,
+    /// Chat whose prefix an engine may hold in its cache.
+    pub chat: Option<&'a str>,
+    /// Request id; spreads requests without a chat.
+    pub request: &'a str,
+    /// Estimated work in tokens.
+    pub work: u64,
+    /// Upstreams that already failed for this request.
+    pub tried: &'a [UpstreamName],
+}
+
+/// Why an upstream was picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PickReason {
+    /// First acceptable upstream in the rendezvous order of the chat.
+    ChatOrder,
+    /// Less loaded of the first two acceptable upstreams for a request without a chat.
+    LessLoaded,
+    /// All were over their bound or in ramp-up; this one has the least load.
+    LeastLoaded,
+}
+
+/// Why an upstream was not picked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SkipReason {
+    /// It already failed for this request.
+    Tried,
+    /// It refused a connection a moment ago.
+    Refused,
+    /// It is cold and this host's slots are in use.
+    NoColdSlot(ColdPhase),
+    /// It runs as many requests as its capacity.
+    Full,
+    /// It returned or is cold, and the chat is not yet among those that it takes (share given).
+    RampUp(f64),
+    /// Its load with this request is above the bound.
+    OverBound,
+    /// The other of two choices has less load.
+    MoreLoaded,
+}
+
+/// An upstream that was not picked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SkippedUpstream {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Position in the order of the request, 0 first.
+    pub rank: usize,
+    /// Estimated load.
+    pub estimate: LoadEstimate,
+    /// Why it was not picked.
+    pub reason: SkipReason,
+}
+
+/// A picked upstream with the reasons.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamPick {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Position in the order of the request, 0 first.
+    pub rank: usize,
+    /// Why it was picked.
+    pub reason: PickReason,
+    /// Estimated load before this request.
+    pub estimate: LoadEstimate,
+    /// Mean load that an upstream of this capacity would have, in tokens (requests for services).
+    pub mean: f64,
+    /// Load bound that applied, in the unit of `mean`.
+    pub bound: f64,
+    /// Whether it is cold, unknown or in ramp-up.
+    pub phase: ColdPhase,
+    /// Upstreams before it in the order; the first few of them.
+    pub skipped: Vec<SkippedUpstream>,
+    /// Number of upstreams skipped.
+    pub skipped_count: usize,
+}
+
+/// Outcome of a pick.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PickOutcome {
+    /// An upstream may receive the request.
+    Picked(UpstreamPick),
+    /// Upstreams exist but none may receive a request now; the request waits.
+    Busy {
+        /// The first few of them.
+        skipped: Vec<SkippedUpstream>,
+        /// Number of upstreams skipped.
+        skipped_count: usize,
+    },
+    /// No upstream of the catalogue takes such requests, or all were tried.
+    NoneEligible,
+}
+
+/// How a request to an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinishKind {
+    /// With a complete response.
+    Complete,
+    /// The connection was refused; nothing was sent.
+    Refused,
+    /// The connection broke, or the response was cut.
+    Broken,
+    /// The caller or the router gave up; this says nothing about the upstream.
+    Cancelled,
+}
+
+/// Candidate in the order of a request; the heap's maximum comes first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct OrderedCandidate {
+    score: f64,
+    position: usize,
+}
+
+impl Eq for OrderedCandidate {}
+
+impl Ord for OrderedCandidate {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        // Candidates are indexed in the order of their names, which breaks ties on every host alike.
+        self.score
+            .total_cmp(&other.score)
+            .then_with(|| other.position.cmp(&self.position))
+    }
+}
+
+impl PartialOrd for OrderedCandidate {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Whether an upstream takes new work, and since when.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamPresence {
+    is_taking: bool,
+    since: Instant,
+}
+
+/// Chooses upstreams and keeps what the choice depends on.
+#[derive(Clone, Debug)]
+pub struct UpstreamPicker {
+    settings: RoutingSettings,
+    centre: CentreName,
+    table: LoadTable,
+    gate: ColdGate,
+    presence: HashMap<UpstreamName, UpstreamPresence>,
+    revision: Option<u64>,
+    index: CandidateIndex,
+    heap: Vec<OrderedCandidate>,
+}
+
+impl UpstreamPicker {
+    /// Creates a picker for a host and its data centre.
+    pub fn new(settings: RoutingSettings, host: HostName, centre: CentreName) -> Self {
+        Self {
+            settings,
+            centre,
+            table: LoadTable::new(settings.load),
+            gate: ColdGate::new(host, settings.ramp_up, settings.load.report_lag),
+            presence: HashMap::new(),
+            revision: None,
+            index: CandidateIndex::default(),
+            heap: Vec::new(),
+        }
+    }
+
+    /// Notes a request that is about to be sent, with its estimated work in tokens.
+    pub fn started(&mut self, now: Instant, upstream: &UpstreamName, work: u64) {
+        self.table.started(now, upstream, work);
+    }
+
+    /// Notes the time from sending a request to the first piece of its response.
+    ///
+    /// Returns the notice for the peers if this shows a cold start.
+    pub fn first_token(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        elapsed: Duration,
+    ) -> Option<ColdNotice> {
+        let phase = self.gate.phase(now, upstream, Duration::MAX);
+        if let ColdPhase::Cold(_) | ColdPhase::Unknown = phase {
+            return None;
+        }
+        if !self.table.first_token(now, upstream, elapsed) {
+            return None;
+        }
+        self.table.forget_first_tokens(now, upstream);
+        let incarnation = self.table.last_incarnation(upstream);
+        self.gate
+            .cold(upstream, incarnation, ColdReason::FirstTokenJump)
+    }
+
+    /// Notes the end of a request; `work` is the value given to [`UpstreamPicker::started`].
+    ///
+    /// Returns the notice for the peers if this shows a cold start or ends a part of it.
+    pub fn finished(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        work: u64,
+        how: FinishKind,
+    ) -> Option<ColdNotice> {
+        self.table.finished(now, upstream, work);
+        match how {
+            FinishKind::Complete => self.gate.responded(now, upstream),
+            FinishKind::Refused => {
+                let incarnation = self.table.last_incarnation(upstream);
+                self.gate.refused(now, upstream, incarnation)
+            }
+            FinishKind::Broken => {
+                self.gate.broken(now, upstream);
+                None
+            }
+            FinishKind::Cancelled => None,
+        }
+    }
+
+    /// Takes a load report; returns the notice for the peers if it shows a cold start.
+    pub fn report(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        report: &LoadReport,
+    ) -> Option<ColdNotice> {
+        let effect = self.table.report(now, upstream, report);
+        if effect == ReportEffect::Outdated {
+            return None;
+        }
+        let is_new = effect == ReportEffect::NewIncarnation;
+        self.gate
+            .report(now, upstream, report.incarnation, is_new, report.cold)
+    }
+
+    /// Takes the incarnation that a response names; returns the notice for the peers if it is new.
+    pub fn incarnation(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        incarnation: u64,
+    ) -> Option<ColdNotice> {
+        match self.table.incarnation(now, upstream, incarnation) {
+            ReportEffect::NewIncarnation => {
+                self.gate
+                    .cold(upstream, Some(incarnation), ColdReason::NewIncarnation)
+            }
+            ReportEffect::First | ReportEffect::Same | ReportEffect::Outdated => None,
+        }
+    }
+
+    /// Takes a peer's notice.
+    pub fn notice(&mut self, now: Instant, notice: &ColdNotice) {
+        self.gate.notice(now, notice);
+    }
+
+    /// Returns notices of all cold upstreams, for peers that missed earlier ones.
+    pub fn notices(&self) -> Vec<ColdNotice> {
+        self.gate.notices()
+    }
+
+    /// Returns the load table.
+    pub fn table(&self) -> &LoadTable {
+        &self.table
+    }
+
+    /// Returns the phase of an upstream of the catalogue.
+    pub fn phase(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        catalogue: &Catalogue,
+    ) -> ColdPhase {
+        let warmup = catalogue
+            .upstreams()
+            .get(upstream)
+            .map_or(Duration::ZERO, |it| Duration::from_millis(it.warmup_ms));
+        self.gate.phase(now, upstream, warmup)
+    }
+
+    /// Adopts a catalogue if its revision differs from the one in use; `pick` does so as well.
+    ///
+    /// Call it on each accepted revision, so that absences are noticed when they happen.
+    pub fn adopt(&mut self, now: Instant, catalogue: &Catalogue) {
+        if self.revision == Some(catalogue.revision()) {
+            return;
+        }
+        let is_first = self.revision.is_none();
+        let upstreams = catalogue.upstreams();
+        self.presence.retain(|name, _| upstreams.contains_key(name));
+        self.gate.retain(|name| upstreams.contains_key(name));
+        self.table.retain(|name| upstreams.contains_key(name));
+        for (name, entry) in upstreams {
+            let is_taking = catalogue.takes_new_work(entry);
+            match self.presence.get_mut(name) {
+                None => {
+                    let presence = UpstreamPresence {
+                        is_taking,
+                        since: now,
+                    };
+                    self.presence.insert(name.clone(), presence);
+                    if is_first {
+                        self.gate.discovered(name);
+                    } else {
+                        self.gate.cold(name, None, ColdReason::Joined);
+                    }
+                }
+                Some(presence) if presence.is_taking != is_taking => {
+                    if is_taking {
+                        let absence = now.saturating_duration_since(presence.since);
+                        self.gate.returned(now, name, absence);
+                    }
+                    *presence = UpstreamPresence {
+                        is_taking,
+                        since: now,
+                    };
+                }
+                Some(_) => {}
+            }
+        }
+        let table = &mut self.table;
+        self.index = CandidateIndex::build(&self.centre, catalogue, |it| table.index(now, it));
+        self.revision = Some(catalogue.revision());
+    }
+
+    /// Picks an upstream for a request.
+    ///
+    /// `fleets` are the sets of live hosts of the whole fleet that were in force at this host at
+    /// any time during the last `takeover_wait`, the latest last; empty for a younger process.
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        request: &PickRequest<'_>,
+        catalogue: &Catalogue,
+        fleets: &[HostSet],
+    ) -> PickOutcome {
+        self.adopt(now, catalogue);
+        let groups = match request.target {
+            PickTarget::Model(model) => self.index.model(model.as_str()),
+            PickTarget::Service(service) => self.index.service(service.as_str()),
+        };
+        let Some(groups) = groups else {
+            return PickOutcome::NoneEligible;
+        };
+        let mut attempt = PickAttempt {
+            now,
+            request,
+            settings: &self.settings,
+            skew_multiple: catalogue.settings().skew_multiple,
+            fleets,
+            table: &self.table,
+            gate: &mut self.gate,
+            key_hash: match request.chat {
+                Some(chat) => {
+                    let target = match request.target {
+                        PickTarget::Model(model) => model.as_str(),
+                        PickTarget::Service(service) => service.as_str(),
+                    };
+                    rendezvous::hash_parts(&[target, chat])
+                }
+                None => rendezvous::hash_parts(&[request.request]),
+            },
+            skipped: Vec::new(),
+            skipped_count: 0,
+            rank: 0,
+            has_untried: false,
+        };
+        for group in &groups.groups {
+            if group.is_empty() {
+                continue;
+            }
+            if let Some(pick) = attempt.pick_from(group, &mut self.heap) {
+                return PickOutcome::Picked(pick);
+            }
+        }
+        if attempt.has_untried {
+            PickOutcome::Busy {
+                skipped: attempt.skipped,
+                skipped_count: attempt.skipped_count,
+            }
+        } else {
+            PickOutcome::NoneEligible
+        }
+    }
+}
+
+/// One call of [`UpstreamPicker::pick`].
+struct PickAttempt<'a> {
+    now: Instant,
+    request: &'a PickRequest<'a>,
+    settings: &'a RoutingSettings,
+    skew_multiple: f64,
+    fleets: &'a [HostSet],
+    table: &'a LoadTable,
+    gate: &'a mut ColdGate,
+    key_hash: u64,
+    skipped: Vec<SkippedUpstream>,
+    skipped_count: usize,
+    rank: usize,
+    has_untried: bool,
+}
+
+/// A candidate with what was found out about it.
+struct JudgedCandidate<'a> {
+    candidate: &'a CandidateUpstream,
+    rank: usize,
+    estimate: LoadEstimate,
+    phase: ColdPhase,
+    mean: f64,
+    bound: f64,
+    verdict: Result<(), SkipReason>,
+}
+
+impl JudgedCandidate<'_> {
+    /// Load per unit of capacity.
+    fn relative_load(&self, load: f64) -> f64 {
+        load / self.candidate.capacity
+    }
+
+    /// Whether the request may run there although the verdict is negative.
+    fn is_possible(&self) -> bool {
+        matches!(
+            self.verdict,
+            Ok(()) | Err(SkipReason::RampUp(_) | SkipReason::OverBound)
+        )
+    }
+}
+
+impl PickAttempt<'_> {
+    fn pick_from(
+        &mut self,
+        group: &[CandidateUpstream],
+        scratch: &mut Vec<OrderedCandidate>,
+    ) -> Option<UpstreamPick> {
+        scratch.clear();
+        let mut summary = LoadSummary::default();
+        for (position, candidate) in group.iter().enumerate() {
+            self.table
+                .add_to_summary(self.now, candidate.index, candidate.capacity, &mut summary);
+            scratch.push(OrderedCandidate {
+                score: rendezvous::hashed_score(self.key_hash, candidate.hash, candidate.capacity),
+                position,
+            });
+        }
+        // A heap gives the first candidates in order without sorting the whole set.
+        let mut heap = BinaryHeap::from(std::mem::take(scratch));
+        let pick = self.pick_in_order(group, &summary, &mut heap);
+        *scratch = heap.into_vec();
+        pick
+    }
+
+    fn pick_in_order(
+        &mut self,
+        group: &[CandidateUpstream],
+        summary: &LoadSummary,
+        heap: &mut BinaryHeap<OrderedCandidate>,
+    ) -> Option<UpstreamPick> {
+        let mut first: Option<JudgedCandidate<'_>> = None;
+        let mut least: Option<JudgedCandidate<'_>> = None;
+        while let Some(ordered) = heap.pop() {
+            let judged = self.judge(&group[ordered.position], summary);
+            if judged.verdict.is_ok() {
+                if self.request.chat.is_some() {
+                    return Some(self.pick_of(judged, PickReason::ChatOrder));
+                }
+                let Some(earlier) = first.take() else {
+                    first = Some(judged);
+                    continue;
+                };
+                let earlier_load = earlier.relative_load(self.load_of(&earlier.estimate));
+                let later_load = judged.relative_load(self.load_of(&judged.estimate));
+                let (chosen, other) = if later_load < earlier_load {
+                    (judged, earlier)
+                } else {
+                    (earlier, judged)
+                };
+                self.skip(&other, SkipReason::MoreLoaded);
+                return Some(self.pick_of(chosen, PickReason::LessLoaded));
+            }
+            if let Err(reason) = judged.verdict {
+                self.skip(&judged, reason);
+            }
+            if judged.is_possible() {
+                let load = judged.relative_load(self.load_of(&judged.estimate));
+                let is_less = least
+                    .as_ref()
+                    .is_none_or(|it| load < it.relative_load(self.load_of(&it.estimate)));
+                if is_less {
+                    least = Some(judged);
+                }
+            }
+        }
+        if let Some(judged) = first {
+            return Some(self.pick_of(judged, PickReason::LessLoaded));
+        }
+        least.map(|it| self.pick_of(it, PickReason::LeastLoaded))
+    }
+
+    fn judge<'a>(
+        &mut self,
+        candidate: &'a CandidateUpstream,
+        summary: &LoadSummary,
+    ) -> JudgedCandidate<'a> {
+        let estimate =
+            self.table
+                .estimate_at(self.now, candidate.index, candidate.capacity, summary);
+        let rank = self.rank;
+        self.rank += 1;
+        let phase = self.gate.phase(self.now, &candidate.name, candidate.warmup);
+        let mean = candidate.capacity
+            * match self.request.target {
+                PickTarget::Model(_) => summary.mean_work(),
+                PickTarget::Service(_) => summary.mean_requests(),
+            };
+        let bound = self.bound(candidate, mean);
+        let mut judged = JudgedCandidate {
+            candidate,
+            rank,
+            estimate,
+            phase,
+            mean,
+            bound,
+            verdict: Ok(()),
+        };
+        judged.verdict = self.verdict(&judged);
+        judged
+    }
+
+    fn verdict(&mut self, judged: &JudgedCandidate<'_>) -> Result<(), SkipReason> {
+        let (candidate, estimate) = (judged.candidate, &judged.estimate);
+        if self.request.tried.contains(&candidate.name) {
+            return Err(SkipReason::Tried);
+        }
+        self.has_untried = true;
+        if let Some(refused_at) = self.gate.refused_at(&candidate.name)
+            && self.now.saturating_duration_since(refused_at) < self.settings.refusal_pause
+        {
+            return Err(SkipReason::Refused);
+        }
+        if let ColdPhase::Unknown | ColdPhase::Cold(_) = judged.phase
+            && !self.gate.has_slot(
+                &candidate.name,
+                candidate.cold_allowance,
+                estimate.own_requests,
+                self.fleets,
+            )
+        {
+            return Err(SkipReason::NoColdSlot(judged.phase));
+        }
+        if estimate.requests + 1.0 > candidate.capacity + 1e-6 {
+            return Err(SkipReason::Full);
+        }
+        let share = judged.phase.chat_share();
+        if self.request.chat.is_some()
+            && share < 1.0
+            && self.chat_unit(candidate, RAMP_SALT) >= share
+        {
+            return Err(SkipReason::RampUp(share));
+        }
+        let load = self.load_of(estimate);
+        if load + self.request_load() <= judged.bound || load <= judged.mean {
+            return Ok(());
+        }
+        if estimate.own_requests == 0 && estimate.requests < self.idle_requests(candidate) {
+            return Ok(());
+        }
+        Err(SkipReason::OverBound)
+    }
+
+    /// Load up to which a request is accepted, in tokens or requests.
+    fn bound(&self, candidate: &CandidateUpstream, mean: f64) -> f64 {
+        let excess = (self.skew_multiple - 1.0).max(0.0);
+        let band = if self.request.chat.is_some() {
+            self.settings.spill_band * self.chat_unit(candidate, SPILL_SALT)
+        } else {
+            0.0
+        };
+        mean * (1.0 + excess * (1.0 - band))
+    }
+
+    /// Estimated requests below which an upstream counts as idle.
+    fn idle_requests(&self, candidate: &CandidateUpstream) -> f64 {
+        let hosts = self.fleets.last().map_or(1, |it| it.len()) as f64;
+        hosts.min(candidate.capacity * IDLE_SHARE).max(1.0)
+    }
+
+    fn chat_unit(&self, candidate: &CandidateUpstream, salt: u64) -> f64 {
+        rendezvous::unit(rendezvous::mix(self.key_hash ^ salt, candidate.hash))
+    }
+
+    fn load_of(&self, estimate: &LoadEstimate) -> f64 {
+        match self.request.target {
+            PickTarget::Model(_) => estimate.work,
+            PickTarget::Service(_) => estimate.requests,
+        }
+    }
+
+    fn request_load(&self) -> f64 {
+        match self.request.target {
+            PickTarget::Model(_) => self.request.work as f64,
+            PickTarget::Service(_) => 1.0,
+        }
+    }
+
+    fn skip(&mut self, judged: &JudgedCandidate<'_>, reason: SkipReason) {
+        self.skipped_count += 1;
+        if self.skipped.len() < MAX_DESCRIBED {
+            self.skipped.push(SkippedUpstream {
+                upstream: judged.candidate.name.clone(),
+                rank: judged.rank,
+                estimate: judged.estimate,
+                reason,
+            });
+        }
+    }
+
+    fn pick_of(&mut self, judged: JudgedCandidate<'_>, reason: PickReason) -> UpstreamPick {
+        UpstreamPick {
+            upstream: judged.candidate.name.clone(),
+            address: judged.candidate.address,
+            rank: judged.rank,
+            reason,
+            estimate: judged.estimate,
+            mean: judged.mean,
+            bound: judged.bound,
+            phase: judged.phase,
+            skipped: std::mem::take(&mut self.skipped),
+            skipped_count: self.skipped_count,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/schedule.rs
@@ -0,0 +1,15 @@
+//! The queue of requests that wait for an upstream.
+//!
+//! [`FairQueue`] decides which request starts next, which one is shed when the queue is full and
+//! which one has waited too long; see `docs/scheduling.md`.
+
+mod queue;
+mod stats;
+
+pub use self::{
+    queue::{
+        FairQueue, PushOutcome, QueueSettings, QueuedRequest, RefusalReason, RefusedRequest,
+        StartedRequest,
+    },
+    stats::{QueueReport, QueueStats, WaitHistogram},
+};
--- /dev/null
+++ b/lib/src/schedule/queue.rs
@@ -0,0 +1,656 @@
+//! Priorities between classes, start-time fair queueing between teams, shedding and expiry.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    catalogue::ClassEntry,
+    names::{ClassName, TeamName},
+    schedule::stats::{QueueReport, QueueStats},
+};
+
+/// Part of its fair share of the queue below which a team's requests are never shed for others.
+const PROTECTED_SHARE: f64 = 0.5;
+
+/// Multiple of its fair share above which a team sheds nothing of other teams.
+const GREEDY_SHARE: f64 = 2.0;
+
+/// Settings of a [`FairQueue`].
+#[derive(Clone, Copy, Debug)]
+pub struct QueueSettings {
+    /// Longest queue, in requests.
+    pub capacity: usize,
+    /// A class with a request that has waited half of its longest wait is served at the latest
+    /// after this number of starts of other classes. Without it, urgent work at the limit of the
+    /// upstreams would starve all other work.
+    pub overdue_interval: u32,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        // The active requests of a host are limited to 1,024 (docs/design.md, section 10).
+        Self {
+            capacity: 1024,
+            overdue_interval: 9,
+        }
+    }
+}
+
+/// A request that waits; `T` is what the caller of the queue needs to start or refuse it.
+#[derive(Clone, Debug)]
+pub struct QueuedRequest<T> {
+    /// Team of the caller.
+    pub team: TeamName,
+    /// Weight of the team.
+    pub weight: f64,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Priority of the class; 0 is served first.
+    pub priority: u8,
+    /// Model or service. If one request cannot start, others with the same target are not tried.
+    pub target: Arc<str>,
+    /// Estimated work in tokens.
+    pub work: u64,
+    /// Longest wait in the queue.
+    pub queue_time: Duration,
+    /// When the response would come too late even if the request started.
+    pub deadline: Instant,
+    /// What the caller of the queue needs.
+    pub payload: T,
+}
+
+impl<T> QueuedRequest<T> {
+    /// Creates a request of a class whose deadline counts from `now`.
+    #[expect(clippy::too_many_arguments, reason = "each argument is one field")]
+    pub fn of_class(
+        now: Instant,
+        class: &ClassName,
+        entry: &ClassEntry,
+        team: &TeamName,
+        weight: f64,
+        target: Arc<str>,
+        work: u64,
+        payload: T,
+    ) -> Self {
+        Self {
+            team: team.clone(),
+            weight,
+            class: class.clone(),
+            priority: entry.priority,
+            target,
+            work,
+            queue_time: Duration::from_millis(entry.queue_ms),
+            deadline: now + Duration::from_millis(entry.deadline_ms),
+            payload,
+        }
+    }
+}
+
+/// Why a request was refused; it never ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The queue is full and the team has its share of it.
+    QueueFull,
+    /// The queue is full and the place went to another request.
+    Shed,
+    /// It waited longer than its class allows.
+    WaitedTooLong,
+    /// Its deadline passed.
+    DeadlinePassed,
+}
+
+/// A request that leaves the queue without a start.
+#[derive(Clone, Debug)]
+pub struct RefusedRequest<T> {
+    /// The request.
+    pub request: QueuedRequest<T>,
+    /// Why it was refused.
+    pub reason: RefusalReason,
+    /// How long it waited.
+    pub wait: Duration,
+}
+
+/// A request that may start now.
+#[derive(Clone, Debug)]
+pub struct StartedRequest<T> {
+    /// The request.
+    pub request: QueuedRequest<T>,
+    /// How long it waited.
+    pub wait: Duration,
+}
+
+/// Outcome of a push.
+#[derive(Clone, Debug)]
+pub enum PushOutcome<T> {
+    /// The request waits under this number. If the queue was full, `shed` lost its place.
+    Queued {
+        /// Number for [`FairQueue::cancel`].
+        number: u64,
+        /// The request that was shed.
+        shed: Option<RefusedRequest<T>>,
+    },
+    /// The request is refused.
+    Refused(RefusedRequest<T>),
+}
+
+#[derive(Clone, Debug)]
+struct QueueEntry<T> {
+    number: u64,
+    request: QueuedRequest<T>,
+    arrival: Instant,
+    /// Virtual time of the class at arrival.
+    virtual_arrival: f64,
+}
+
+impl<T> QueueEntry<T> {
+    fn expiry(&self) -> Instant {
+        self.request
+            .deadline
+            .min(self.arrival + self.request.queue_time)
+    }
+
+    fn is_overdue(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.arrival) * 2 >= self.request.queue_time
+    }
+
+    fn refused(self, now: Instant, reason: RefusalReason) -> RefusedRequest<T> {
+        RefusedRequest {
+            wait: now.saturating_duration_since(self.arrival),
+            request: self.request,
+            reason,
+        }
+    }
+}
+
+/// Requests of one team in one class, in order of arrival.
+#[derive(Clone, Debug)]
+struct TeamFlow<T> {
+    entries: VecDeque<QueueEntry<T>>,
+    /// Virtual finish time of the last started request.
+    finish: f64,
+}
+
+/// The flows of one priority.
+#[derive(Clone, Debug)]
+struct ClassBand<T> {
+    flows: BTreeMap<(TeamName, ClassName), TeamFlow<T>>,
+    virtual_time: f64,
+    /// Starts of other priorities since the last own one while an overdue request waited here.
+    passed_over: u32,
+}
+
+/// A team's places in the queue.
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamBacklog {
+    requests: usize,
+    weight: f64,
+}
+
+/// Where an entry is.
+#[derive(Clone, Debug)]
+struct EntryPosition {
+    priority: u8,
+    flow: (TeamName, ClassName),
+    index: usize,
+}
+
+/// Order in which requests start; the smallest comes first.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct StartOrder {
+    /// Starts for which an overdue request was passed over, once they reach the limit.
+    passed_over: Reverse<u32>,
+    priority: u8,
+    /// How far the team is ahead of its class's virtual time. Virtual times of different classes
+    /// have no common scale, but leads can be compared.
+    lead: f64,
+    arrival: Instant,
+}
+
+/// A bounded queue that is fair between teams.
+///
+/// - Classes are served in strict priority. A request that has waited half of its longest wait is
+///   overdue. A class is served as one priority higher while a team that holds at most its fair
+///   share of the places has an overdue request in it, and a class with any overdue request is
+///   passed over for a limited number of starts only.
+/// - Teams of a class are served by start-time fair queueing, by weight and estimated work.
+/// - When the queue is full, a team above its fair share of the places cannot push out others,
+///   and the lowest class is shed first.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T> {
+    settings: QueueSettings,
+    bands: BTreeMap<u8, ClassBand<T>>,
+    backlogs: BTreeMap<TeamName, TeamBacklog>,
+    len: usize,
+    next_number: u64,
+    /// No entry expires before this time.
+    next_expiry: Option<Instant>,
+    stats: BTreeMap<(TeamName, ClassName), QueueStats>,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            bands: BTreeMap::new(),
+            backlogs: BTreeMap::new(),
+            len: 0,
+            next_number: 0,
+            next_expiry: None,
+            stats: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the number of waiting requests of a team.
+    pub fn team_len(&self, team: &TeamName) -> usize {
+        self.backlogs.get(team).map_or(0, |it| it.requests)
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, now: Instant, request: QueuedRequest<T>) -> PushOutcome<T> {
+        self.stats_of(&request).pushed += 1;
+        let mut shed = None;
+        if self.len >= self.settings.capacity {
+            match self.victim(&request) {
+                Some(position) => {
+                    let entry = self.remove(&position);
+                    self.stats_of(&entry.request)
+                        .count_refusal(RefusalReason::Shed);
+                    shed = Some(entry.refused(now, RefusalReason::Shed));
+                }
+                None => {
+                    let reason = RefusalReason::QueueFull;
+                    self.stats_of(&request).count_refusal(reason);
+                    return PushOutcome::Refused(RefusedRequest {
+                        request,
+                        reason,
+                        wait: Duration::ZERO,
+                    });
+                }
+            }
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        let backlog = self.backlogs.entry(request.team.clone()).or_default();
+        backlog.requests += 1;
+        backlog.weight = valid_weight(request.weight);
+        let band = self.bands.entry(request.priority).or_insert(ClassBand {
+            flows: BTreeMap::new(),
+            virtual_time: 0.0,
+            passed_over: 0,
+        });
+        let virtual_arrival = band.virtual_time;
+        let flow = band
+            .flows
+            .entry((request.team.clone(), request.class.clone()))
+            .or_insert(TeamFlow {
+                entries: VecDeque::new(),
+                finish: 0.0,
+            });
+        let entry = QueueEntry {
+            number,
+            request,
+            arrival: now,
+            virtual_arrival,
+        };
+        let expiry = entry.expiry();
+        self.next_expiry = Some(self.next_expiry.map_or(expiry, |it| it.min(expiry)));
+        flow.entries.push_back(entry);
+        self.len += 1;
+        PushOutcome::Queued { number, shed }
+    }
+
+    /// Removes and returns the next request that `can_start` accepts.
+    ///
+    /// `can_start` is asked at most once per target: if one request cannot start, the others with
+    /// the same target wait too. Requests that expired are not offered; [`FairQueue::expire`]
+    /// returns them.
+    pub fn pop(
+        &mut self,
+        now: Instant,
+        mut can_start: impl FnMut(&QueuedRequest<T>) -> bool,
+    ) -> Option<StartedRequest<T>> {
+        let mut blocked: Vec<Arc<str>> = Vec::new();
+        loop {
+            let position = self.next(now, &blocked)?;
+            let entry = self.entry(&position);
+            if can_start(&entry.request) {
+                return Some(self.start(now, &position));
+            }
+            blocked.push(entry.request.target.clone());
+        }
+    }
+
+    /// Removes and returns the requests that waited too long.
+    pub fn expire(&mut self, now: Instant) -> Vec<RefusedRequest<T>> {
+        if self.next_expiry.is_none_or(|it| now < it) {
+            return Vec::new();
+        }
+        let mut expired = Vec::new();
+        let mut next_expiry: Option<Instant> = None;
+        for band in self.bands.values_mut() {
+            for flow in band.flows.values_mut() {
+                let entries = std::mem::take(&mut flow.entries);
+                for entry in entries {
+                    let expiry = entry.expiry();
+                    if expiry <= now {
+                        let reason = if entry.request.deadline <= now {
+                            RefusalReason::DeadlinePassed
+                        } else {
+                            RefusalReason::WaitedTooLong
+                        };
+                        expired.push(entry.refused(now, reason));
+                    } else {
+                        next_expiry = Some(next_expiry.map_or(expiry, |it| it.min(expiry)));
+                        flow.entries.push_back(entry);
+                    }
+                }
+            }
+            band.forget_idle();
+        }
+        self.next_expiry = next_expiry;
+        for refused in &expired {
+            self.leave(&refused.request.team);
+            self.stats_of(&refused.request)
+                .count_refusal(refused.reason);
+        }
+        expired
+    }
+
+    /// Returns a time before which no request expires; `None` if nothing waits.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.next_expiry
+    }
+
+    /// Removes a request whose caller gave up.
+    pub fn cancel(&mut self, number: u64) -> Option<QueuedRequest<T>> {
+        let position = self.bands.iter().find_map(|(priority, band)| {
+            band.flows.iter().find_map(|(key, flow)| {
+                let index = flow.entries.iter().position(|it| it.number == number)?;
+                Some(EntryPosition {
+                    priority: *priority,
+                    flow: key.clone(),
+                    index,
+                })
+            })
+        })?;
+        let entry = self.remove(&position);
+        self.stats_of(&entry.request).cancelled += 1;
+        Some(entry.request)
+    }
+
+    /// Removes and returns all requests, in no particular order; for the end of the process.
+    pub fn drain(&mut self) -> Vec<QueuedRequest<T>> {
+        self.len = 0;
+        self.backlogs.clear();
+        self.next_expiry = None;
+        std::mem::take(&mut self.bands)
+            .into_values()
+            .flat_map(|it| it.flows.into_values())
+            .flat_map(|it| it.entries)
+            .map(|it| it.request)
+            .collect()
+    }
+
+    /// Returns the counters of every team in every class.
+    pub fn reports(&self) -> impl Iterator<Item = QueueReport<'_>> {
+        self.stats
+            .iter()
+            .map(|((team, class), stats)| QueueReport { team, class, stats })
+    }
+
+    /// Returns the team and class with the smallest share of started requests; among equal ones,
+    /// the one with the longest 95th percentile of waits.
+    pub fn worst_served(&self) -> Option<QueueReport<'_>> {
+        self.reports()
+            .filter(|it| it.stats.started + it.stats.refused() > 0)
+            .min_by(|a, b| {
+                let (share_a, share_b) = (a.stats.service_share(), b.stats.service_share());
+                let (wait_a, wait_b) = (a.stats.waits.quantile(0.95), b.stats.waits.quantile(0.95));
+                share_a
+                    .total_cmp(&share_b)
+                    .then_with(|| wait_b.cmp(&wait_a))
+            })
+    }
+
+    /// Removes the counters of teams that `keep` rejects and that have no waiting request.
+    pub fn retain_stats(&mut self, mut keep: impl FnMut(&TeamName) -> bool) {
+        let backlogs = &self.backlogs;
+        self.stats
+            .retain(|(team, _), _| backlogs.contains_key(team) || keep(team));
+    }
+
+    /// Finds the request to start next, apart from blocked targets.
+    ///
+    /// Overdue requests raise their class, not themselves: inside the class the order of the
+    /// teams holds. Otherwise the requests of a surging team, which wait long because there are
+    /// so many of them, would overtake those of all other teams.
+    fn next(&self, now: Instant, blocked: &[Arc<str>]) -> Option<EntryPosition> {
+        let total_weight = self.total_weight();
+        let mut best: Option<(StartOrder, EntryPosition)> = None;
+        for (priority, band) in &self.bands {
+            let mut first: Option<(f64, Instant, &(TeamName, ClassName), usize)> = None;
+            let (mut is_overdue, mut is_raised) = (false, false);
+            for (key, flow) in &band.flows {
+                let head = flow
+                    .entries
+                    .iter()
+                    .enumerate()
+                    .find(|(_, it)| it.expiry() > now && !blocked.contains(&it.request.target));
+                let Some((index, entry)) = head else {
+                    continue;
+                };
+                if entry.is_overdue(now) {
+                    is_overdue = true;
+                    let backlog = &self.backlogs[&key.0];
+                    is_raised |= self.place_share(backlog, total_weight) <= 1.0;
+                }
+                let start = entry.virtual_arrival.max(flow.finish);
+                let lead = (start - band.virtual_time).max(0.0);
+                if first
+                    .as_ref()
+                    .is_none_or(|it| (lead, entry.arrival) < (it.0, it.1))
+                {
+                    first = Some((lead, entry.arrival, key, index));
+                }
+            }
+            let Some((lead, arrival, key, index)) = first else {
+                continue;
+            };
+            let is_due = is_overdue && band.passed_over >= self.settings.overdue_interval;
+            let order = StartOrder {
+                passed_over: Reverse(if is_due { band.passed_over } else { 0 }),
+                priority: priority.saturating_sub(u8::from(is_raised)),
+                lead,
+                arrival,
+            };
+            if best.as_ref().is_none_or(|(other, _)| order < *other) {
+                let position = EntryPosition {
+                    priority: *priority,
+                    flow: key.clone(),
+                    index,
+                };
+                best = Some((order, position));
+            }
+        }
+        best.map(|(_, it)| it)
+    }
+
+    fn start(&mut self, now: Instant, position: &EntryPosition) -> StartedRequest<T> {
+        for (priority, band) in &mut self.bands {
+            if *priority == position.priority {
+                band.passed_over = 0;
+            } else if band.has_overdue(now) {
+                band.passed_over = band.passed_over.saturating_add(1);
+            }
+        }
+        let band = self
+            .bands
+            .get_mut(&position.priority)
+            .expect("the band of a found entry exists");
+        let flow = band
+            .flows
+            .get_mut(&position.flow)
+            .expect("the flow of a found entry exists");
+        let entry = &flow.entries[position.index];
+        let start = entry.virtual_arrival.max(flow.finish);
+        let cost = entry.request.work.max(1) as f64 / valid_weight(entry.request.weight);
+        flow.finish = start + cost;
+        band.virtual_time = band.virtual_time.max(start);
+        let entry = self.remove(position);
+        let wait = now.saturating_duration_since(entry.arrival);
+        let stats = self.stats_of(&entry.request);
+        stats.started += 1;
+        stats.waits.add(wait);
+        StartedRequest {
+            request: entry.request,
+            wait,
+        }
+    }
+
+    /// Finds the request that loses its place in a full queue for `incoming`, if any does.
+    ///
+    /// A team's fair share of the places is by weight over the teams with waiting requests.
+    fn victim(&self, incoming: &QueuedRequest<T>) -> Option<EntryPosition> {
+        let own_weight = valid_weight(incoming.weight);
+        let own_backlog = self.backlogs.get(&incoming.team);
+        let newcomer_weight = if own_backlog.is_none() {
+            own_weight
+        } else {
+            0.0
+        };
+        let total_weight = self.total_weight() + newcomer_weight;
+        // The request itself counts, so that a team never grows beyond a limit by one.
+        let own_after = TeamBacklog {
+            requests: own_backlog.map_or(0, |it| it.requests) + 1,
+            weight: own_weight,
+        };
+        let own_share = self.place_share(&own_after, total_weight);
+        let mut best: Option<((u8, f64), EntryPosition)> = None;
+        for (priority, band) in self.bands.iter().rev() {
+            let is_lower = *priority > incoming.priority;
+            for (key, flow) in &band.flows {
+                let Some(newest) = flow.entries.len().checked_sub(1) else {
+                    continue;
+                };
+                let backlog = &self.backlogs[&key.0];
+                let share = self.place_share(backlog, total_weight);
+                let may_lose = if key.0 == incoming.team {
+                    is_lower
+                } else if own_share <= PROTECTED_SHARE {
+                    share > 1.0
+                } else if own_share <= 1.0 {
+                    share > 1.0 && *priority >= incoming.priority
+                        || is_lower && share > PROTECTED_SHARE
+                } else {
+                    own_share <= GREEDY_SHARE && is_lower && share > PROTECTED_SHARE
+                };
+                if may_lose
+                    && best
+                        .as_ref()
+                        .is_none_or(|((priority_best, share_best), _)| {
+                            (*priority, share) > (*priority_best, *share_best)
+                        })
+                {
+                    let position = EntryPosition {
+                        priority: *priority,
+                        flow: key.clone(),
+                        index: newest,
+                    };
+                    best = Some(((*priority, share), position));
+                }
+            }
+        }
+        best.map(|(_, it)| it)
+    }
+
+    fn total_weight(&self) -> f64 {
+        self.backlogs.values().map(|it| it.weight).sum()
+    }
+
+    /// Places that a team holds, as a multiple of its fair share of the queue.
+    fn place_share(&self, backlog: &TeamBacklog, total_weight: f64) -> f64 {
+        let capacity = self.settings.capacity.max(1) as f64;
+        backlog.requests as f64 * total_weight / (capacity * backlog.weight)
+    }
+
+    fn entry(&self, position: &EntryPosition) -> &QueueEntry<T> {
+        &self.bands[&position.priority].flows[&position.flow].entries[position.index]
+    }
+
+    fn remove(&mut self, position: &EntryPosition) -> QueueEntry<T> {
+        let band = self
+            .bands
+            .get_mut(&position.priority)
+            .expect("the band of a found entry exists");
+        let entry = band
+            .flows
+            .get_mut(&position.flow)
+            .and_then(|it| it.entries.remove(position.index))
+            .expect("a found entry exists");
+        band.forget_idle();
+        self.leave(&position.flow.0);
+        entry
+    }
+
+    fn leave(&mut self, team: &TeamName) {
+        self.len -= 1;
+        let backlog = self
+            .backlogs
+            .get_mut(team)
+            .expect("a team with a waiting request has a backlog");
+        backlog.requests -= 1;
+        if backlog.requests == 0 {
+            self.backlogs.remove(team);
+        }
+    }
+
+    fn stats_of(&mut self, request: &QueuedRequest<T>) -> &mut QueueStats {
+        self.stats
+            .entry((request.team.clone(), request.class.clone()))
+            .or_default()
+    }
+}
+
+impl<T> ClassBand<T> {
+    fn has_overdue(&self, now: Instant) -> bool {
+        self.flows.values().any(|flow| {
+            flow.entries
+                .iter()
+                .find(|it| it.expiry() > now)
+                .is_some_and(|it| it.is_overdue(now))
+        })
+    }
+
+    /// Forgets flows whose past has no influence any more.
+    ///
+    /// A flow that is ahead of the virtual time is kept, or a team that always has a single
+    /// request in the queue would be served as if it had not been served before.
+    fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.flows
+            .retain(|_, it| !it.entries.is_empty() || it.finish > virtual_time);
+    }
+}
+
+fn valid_weight(weight: f64) -> f64 {
+    if weight > 0.0 && weight.is_finite() {
+        weight
+    } else {
+        1.0
+    }
+}
--- /dev/null
+++ b/lib/tests/schedule_queue.rs
@@ -0,0 +1,440 @@
+//! Fairness, deadlines, shedding and expiry of the queue. All time is simulated.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use snipepond::{
+    catalogue::ClassEntry,
+    names::{ClassName, TeamName},
+    schedule::{
+        FairQueue, PushOutcome, QueueSettings, QueuedRequest, RefusalReason, StartedRequest,
+    },
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn request(team: &str, priority: u8, work: u64, queue_ms: u64) -> QueuedRequest<u64> {
+    QueuedRequest {
+        team: team.into(),
+        weight: 1.0,
+        class: ClassName::new(&format!("class-{priority}")),
+        priority,
+        target: "model".into(),
+        work,
+        queue_time: MS * queue_ms as u32,
+        deadline: Instant::now() + Duration::from_secs(86_400),
+        payload: 0,
+    }
+}
+
+fn queue(capacity: usize) -> FairQueue<u64> {
+    FairQueue::new(QueueSettings {
+        capacity,
+        ..QueueSettings::default()
+    })
+}
+
+fn shed_team(outcome: PushOutcome<u64>) -> Option<String> {
+    match outcome {
+        PushOutcome::Queued { shed, .. } => shed.map(|it| it.request.team.to_string()),
+        PushOutcome::Refused(refused) => Some(format!("refused {}", refused.request.team)),
+    }
+}
+
+/// The simplest alternative: one bounded list, first in, first out.
+struct PlainList {
+    entries: VecDeque<(Instant, QueuedRequest<u64>)>,
+    capacity: usize,
+    refused: HashMap<TeamName, u64>,
+}
+
+enum Discipline {
+    Fair(FairQueue<u64>),
+    Plain(PlainList),
+}
+
+impl Discipline {
+    fn plain(capacity: usize) -> Self {
+        Self::Plain(PlainList {
+            entries: VecDeque::new(),
+            capacity,
+            refused: HashMap::new(),
+        })
+    }
+
+    fn push(&mut self, now: Instant, request: QueuedRequest<u64>) {
+        match self {
+            Self::Fair(queue) => drop(queue.push(now, request)),
+            Self::Plain(list) if list.entries.len() < list.capacity => {
+                list.entries.push_back((now, request));
+            }
+            Self::Plain(list) => *list.refused.entry(request.team).or_default() += 1,
+        }
+    }
+
+    fn pop(&mut self, now: Instant) -> Option<StartedRequest<u64>> {
+        match self {
+            Self::Fair(queue) => {
+                queue.expire(now);
+                queue.pop(now, |_| true)
+            }
+            Self::Plain(list) => loop {
+                let (arrival, request) = list.entries.pop_front()?;
+                let wait = now - arrival;
+                if wait < request.queue_time {
+                    break Some(StartedRequest { request, wait });
+                }
+                *list.refused.entry(request.team).or_default() += 1;
+            },
+        }
+    }
+
+    fn refused(&self, team: &TeamName) -> u64 {
+        match self {
+            Self::Fair(queue) => queue
+                .reports()
+                .filter(|it| it.team == team)
+                .map(|it| it.stats.refused())
+                .sum(),
+            Self::Plain(list) => list.refused.get(team).copied().unwrap_or(0),
+        }
+    }
+}
+
+/// Worst refusals and longest wait in ms of nine ordinary teams while a tenth sends ten times as
+/// much; the server does 120% of the ordinary load.
+fn surge_outcome(mut discipline: Discipline, seed: u64) -> (u64, u128) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut now = Instant::now();
+    let teams: Vec<TeamName> = (0..10)
+        .map(|it| TeamName::new(&format!("team-{it}")))
+        .collect();
+    let mut longest = 0;
+    let mut credit = 0.0;
+    for _ in 0..20_000 {
+        for (index, team) in teams.iter().enumerate() {
+            let rate = if index == 9 { 0.2 } else { 0.02 };
+            if rng.random_bool(rate) {
+                discipline.push(now, request(team.as_str(), 1, 100, 2_000));
+            }
+        }
+        now += MS;
+        credit += 0.24;
+        while credit >= 1.0 {
+            credit -= 1.0;
+            if let Some(started) = discipline.pop(now)
+                && started.request.team != teams[9]
+            {
+                longest = longest.max(started.wait.as_millis());
+            }
+        }
+    }
+    let refused = teams[..9].iter().map(|it| discipline.refused(it)).max();
+    (refused.unwrap_or(0), longest)
+}
+
+/// Ten rounds of service, each with one request of all ten teams, take 417 ms at 0.24 per ms.
+const MAX_WAIT_MS: u128 = 417;
+
+/// Guards against a surging team that delays or displaces the others.
+#[test]
+fn surge_of_one_team_does_not_touch_the_others() {
+    for seed in 0..3 {
+        let (refused, longest) = surge_outcome(Discipline::Fair(queue(200)), seed);
+        assert_eq!(refused, 0, "seed {seed}");
+        assert!(
+            longest <= MAX_WAIT_MS,
+            "seed {seed}: longest wait {longest} ms"
+        );
+        let (refused, longest) = surge_outcome(Discipline::plain(200), seed);
+        assert!(
+            refused > 0 && longest > MAX_WAIT_MS,
+            "a plain list must fail this check"
+        );
+    }
+}
+
+/// Longest wait of urgent requests and the number of patient ones served and expired, at an urgent load of
+/// `urgent` of the server's capacity and an unlimited patient load.
+fn mixed_outcome(
+    mut queue: FairQueue<u64>,
+    urgent: f64,
+    urgent_priority: u8,
+) -> (u128, usize, usize) {
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut now = Instant::now();
+    let (mut longest, mut patient, mut expired) = (0, 0, 0);
+    for _ in 0..20_000 {
+        if rng.random_bool(urgent) {
+            queue.push(now, request("urgent", urgent_priority, 100, 200));
+        }
+        if rng.random_bool(0.5) {
+            queue.push(now, request("patient", 2, 100, 4_000));
+        }
+        now += MS;
+        let refused = queue.expire(now);
+        expired += refused
+            .iter()
+            .filter(|it| it.request.team.as_str() == "patient")
+            .count();
+        if let Some(started) = queue.pop(now, |_| true) {
+            if started.request.team.as_str() == "urgent" {
+                longest = longest.max(started.wait.as_millis());
+            } else {
+                patient += 1;
+            }
+        }
+    }
+    (longest, patient, expired)
+}
+
+/// Guards against urgent work that waits behind a backlog of patient work.
+#[test]
+fn urgent_work_meets_its_deadline_beside_a_backlog() {
+    let (longest, patient, _) = mixed_outcome(queue(100), 0.8, 0);
+    assert!(longest <= 60, "longest wait {longest} ms");
+    assert!(patient > 2_000);
+    let (longest, _, _) = mixed_outcome(queue(100), 0.8, 2);
+    assert!(longest > 60, "equal priorities must fail this check");
+}
+
+/// Guards against starvation: urgent work alone could fill the server.
+///
+/// Patient requests keep 25 protected places and become overdue after 2 s, so that at least 25 of
+/// them start in 2.5 s, and none that has a place expires.
+#[test]
+fn patient_work_is_served_in_the_end() {
+    let (_, patient, expired) = mixed_outcome(queue(100), 1.0, 0);
+    assert!(
+        patient >= 175 && expired == 0,
+        "{patient} served, {expired} expired"
+    );
+    let starving = FairQueue::new(QueueSettings {
+        capacity: 100,
+        overdue_interval: u32::MAX,
+    });
+    let (_, patient, expired) = mixed_outcome(starving, 1.0, 0);
+    assert!(
+        patient < 175 && expired > 0,
+        "strict priority must fail this check"
+    );
+}
+
+/// Guards against an overdue request that stays behind the class above its own.
+#[test]
+fn overdue_request_counts_as_one_priority_higher() {
+    let start = Instant::now();
+    let mut queue = queue(10);
+    queue.push(start, request("slow", 1, 1, 100));
+    queue.push(start + 40 * MS, request("fast", 0, 1, 1_000));
+    let mut early = queue.clone();
+    let started = early.pop(start + 49 * MS, |_| true).expect("two wait");
+    assert_eq!(started.request.team.as_str(), "fast");
+    // Both count as priority 0 now, and the older one comes first.
+    let started = queue.pop(start + 50 * MS, |_| true).expect("two wait");
+    assert_eq!(started.request.team.as_str(), "slow");
+}
+
+/// Guards against service that ignores weights or the size of requests.
+#[test]
+fn backlogged_teams_share_by_weight_and_work() {
+    let now = Instant::now();
+    let mut queue = queue(10_000);
+    for _ in 0..3_000 {
+        queue.push(now, request("small", 1, 50, 60_000));
+        queue.push(now, request("large", 1, 200, 60_000));
+        let mut heavy = request("heavy", 1, 100, 60_000);
+        heavy.weight = 3.0;
+        queue.push(now, heavy);
+    }
+    let mut work: HashMap<String, u64> = HashMap::new();
+    for _ in 0..3_000 {
+        let started = queue.pop(now, |_| true).expect("many wait");
+        *work.entry(started.request.team.to_string()).or_default() += started.request.work;
+    }
+    let unit = work["small"] as f64;
+    assert!((work["large"] as f64 / unit - 1.0).abs() < 0.02, "{work:?}");
+    assert!((work["heavy"] as f64 / unit - 3.0).abs() < 0.05, "{work:?}");
+}
+
+/// Guards against service that favours a team which always has a single request in the queue.
+#[test]
+fn one_request_at_a_time_gives_no_advantage() {
+    let now = Instant::now();
+    let mut queue = queue(1_000);
+    for _ in 0..900 {
+        queue.push(now, request("many", 1, 100, 60_000));
+    }
+    let mut single = 0;
+    queue.push(now, request("single", 1, 100, 60_000));
+    for _ in 0..400 {
+        let started = queue.pop(now, |_| true).expect("many wait");
+        if started.request.team.as_str() == "single" {
+            single += 1;
+            queue.push(now, request("single", 1, 100, 60_000));
+        }
+    }
+    assert!((199..=201).contains(&single), "{single} of 400");
+}
+
+/// Guards against one busy model that blocks requests for another, also within a team.
+#[test]
+fn busy_target_does_not_block_others() {
+    let now = Instant::now();
+    let mut queue = queue(10);
+    for target in ["busy", "busy", "free"] {
+        let mut item = request("team", 1, 1, 1_000);
+        item.target = Arc::from(target);
+        queue.push(now, item);
+    }
+    let mut asked = Vec::new();
+    let started = queue.pop(now, |it| {
+        asked.push(it.target.to_string());
+        &*it.target == "free"
+    });
+    assert_eq!(
+        started.map(|it| it.request.target.to_string()),
+        Some("free".into())
+    );
+    assert_eq!(asked, ["busy", "free"]);
+    assert!(queue.pop(now, |it| &*it.target == "free").is_none());
+    assert_eq!(queue.len(), 2);
+}
+
+/// Guards against a full queue that keeps low classes, or lets a team push out others.
+#[test]
+fn full_queue_sheds_low_classes_within_the_fair_share() {
+    let now = Instant::now();
+    let mut queue = queue(8);
+    for _ in 0..3 {
+        queue.push(now, request("a", 1, 1, 1_000));
+    }
+    for _ in 0..5 {
+        queue.push(now, request("b", 2, 1, 1_000));
+    }
+    // Team a has 3 of 4 fair places; b is above its share and has the lower class.
+    for _ in 0..3 {
+        let outcome = queue.push(now, request("a", 0, 1, 1_000));
+        assert_eq!(shed_team(outcome), Some("b".into()));
+    }
+    // Team b is down to its protected half, so a loses its own lowest class from now on.
+    assert_eq!(queue.team_len(&"b".into()), 2);
+    for _ in 0..3 {
+        let outcome = queue.push(now, request("a", 0, 1, 1_000));
+        assert_eq!(shed_team(outcome), Some("a".into()));
+    }
+    let outcome = queue.push(now, request("a", 0, 1, 1_000));
+    assert_eq!(shed_team(outcome), Some("refused a".into()));
+    // A newcomer gets a place at the expense of the team above its share.
+    let outcome = queue.push(now, request("c", 2, 1, 1_000));
+    assert_eq!(shed_team(outcome), Some("a".into()));
+    assert_eq!(queue.len(), 8);
+}
+
+/// Guards against requests that wait for ever, and against a wrong reason in the refusal.
+#[test]
+fn waiting_requests_expire_with_their_reason() {
+    let start = Instant::now();
+    let mut queue = queue(10);
+    let class = ClassEntry {
+        priority: 0,
+        deadline_ms: 300,
+        queue_ms: 100,
+        objective: 0.95,
+    };
+    let (name, team) = (ClassName::new("chat"), TeamName::new("team"));
+    for (number, queue_ms) in [100, 1_000].into_iter().enumerate() {
+        let entry = ClassEntry {
+            queue_ms,
+            ..class.clone()
+        };
+        let target = Arc::from("model");
+        let item =
+            QueuedRequest::of_class(start, &name, &entry, &team, 1.0, target, 1, number as u64);
+        queue.push(start, item);
+    }
+    assert_eq!(queue.next_expiry(), Some(start + 100 * MS));
+    assert!(queue.expire(start + 99 * MS).is_empty());
+    let expired = queue.expire(start + 100 * MS);
+    assert_eq!(expired.len(), 1);
+    assert_eq!(expired[0].reason, RefusalReason::WaitedTooLong);
+    // An expired request never starts, even before `expire` has removed it.
+    assert!(queue.pop(start + 300 * MS, |_| true).is_none());
+    let expired = queue.expire(start + 300 * MS);
+    assert_eq!(expired[0].reason, RefusalReason::DeadlinePassed);
+    assert!(queue.is_empty() && queue.next_expiry().is_none());
+    let worst = queue.worst_served().expect("one team is known");
+    assert_eq!((worst.team, worst.stats.refused()), (&team, 2));
+}
+
+/// Guards against lost, repeated or reordered requests and wrong counters, with random schedules.
+#[test]
+fn every_request_leaves_exactly_once() {
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let capacity = rng.random_range(1..30);
+        let mut queue = queue(capacity);
+        let mut now = Instant::now();
+        let mut pushed = 0_u64;
+        let mut left: Vec<u64> = Vec::new();
+        let mut last_started: HashMap<(String, u8), u64> = HashMap::new();
+        let mut waiting: Vec<(u64, u64)> = Vec::new();
+        for _ in 0..600 {
+            match rng.random_range(0..10) {
+                0..=5 => {
+                    let team = format!("team-{}", rng.random_range(0..4));
+                    let mut item = request(&team, rng.random_range(0..3), 10, 40);
+                    item.payload = pushed;
+                    item.weight = f64::from(rng.random_range(1..4));
+                    pushed += 1;
+                    let payload = item.payload;
+                    match queue.push(now, item) {
+                        PushOutcome::Queued { number, shed } => {
+                            waiting.push((number, payload));
+                            left.extend(shed.map(|it| it.request.payload));
+                        }
+                        PushOutcome::Refused(refused) => left.push(refused.request.payload),
+                    }
+                }
+                6..=7 => {
+                    if let Some(started) = queue.pop(now, |_| true) {
+                        let request = started.request;
+                        let key = (request.team.to_string(), request.priority);
+                        if let Some(last) = last_started.insert(key, request.payload) {
+                            assert!(last < request.payload, "seed {seed}: order of a team");
+                        }
+                        left.push(request.payload);
+                    }
+                }
+                8 => {
+                    let index = rng.random_range(0..waiting.len().max(1));
+                    if let Some((number, payload)) = waiting.get(index)
+                        && let Some(request) = queue.cancel(*number)
+                    {
+                        assert_eq!(request.payload, *payload);
+                        left.push(request.payload);
+                    }
+                }
+                _ => left.extend(queue.expire(now).iter().map(|it| it.request.payload)),
+            }
+            now += MS * rng.random_range(0..4);
+            assert!(queue.len() <= capacity);
+            let by_team: usize = (0..4)
+                .map(|it| queue.team_len(&TeamName::new(&format!("team-{it}"))))
+                .sum();
+            assert_eq!(by_team, queue.len());
+        }
+        let counted: u64 = queue
+            .reports()
+            .map(|it| it.stats.started + it.stats.refused() + it.stats.cancelled)
+            .sum();
+        assert_eq!(counted, left.len() as u64, "seed {seed}");
+        left.extend(queue.drain().iter().map(|it| it.payload));
+        left.sort_unstable();
+        assert!(left.iter().copied().eq(0..pushed), "seed {seed}");
+    }
+}
