--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,3 +21,5 @@
 pub mod threads;
 pub mod upstream;
 pub mod telemetry;
+pub mod routing;
+pub mod schedule;
