standin: a recording caller and tests of every stand-in

Cause: tests need to see how an answer arrived, piece by piece, and whether it ended properly; common clients hide both.

Change: CallerRequest sends raw HTTP/1.1 and records status, headers, events in the order of arrival, and the kind of end. The load report counts the work of waiting requests as well.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -30,6 +30,9 @@
 /// Longest answer, in tokens.
 const MAX_ANSWER_TOKENS: u64 = 65_536;
 
+/// Length of the list of request ids in the order of their runs.
+const MAX_RUN_ORDER: usize = 4_096;
+
 /// How an engine behaves.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -177,6 +180,8 @@
 #[derive(Debug, Default)]
 struct EngineTotals {
     runs: BTreeMap<String, u64>,
+    /// Request ids in the order in which they began to run, the first ones only.
+    run_order: Vec<String>,
     received: u64,
     completed: u64,
     cancelled: u64,
@@ -260,6 +265,7 @@
             "generated_tokens": state.totals.generated_tokens,
             "cache_tokens_used": state.cache.used_tokens(),
             "runs": state.totals.runs,
+            "run_order": state.totals.run_order,
             "headers": state.log.headers,
             "targets": state.log.targets,
             "dropped_values": state.log.dropped,
@@ -320,7 +326,10 @@
             let mut state = lock(&self.state);
             state.totals.received += 1;
             match state.warmth.arrive(now) {
-                Arrival::Taken(generation) => generation,
+                Arrival::Taken(generation) => {
+                    state.totals.work_tokens += job.work();
+                    generation
+                }
                 Arrival::Fell => {
                     self.forget_memory(&mut state, now);
                     self.report(&mut state, now);
@@ -331,9 +340,11 @@
                 }
             }
         };
-        let end = self.run(call, &job, generation);
+        let mut open_work = job.work();
+        let end = self.run(call, &job, generation, &mut open_work);
         let now = Instant::now();
         let mut state = lock(&self.state);
+        state.totals.work_tokens -= open_work;
         state.warmth.leave(generation, end == JobEnd::Complete, now);
         match end {
             JobEnd::Complete => state.totals.completed += 1,
@@ -343,7 +354,8 @@
         self.report(&mut state, now);
     }
 
-    fn run(&self, call: Call, job: &ChatJob, generation: u64) -> JobEnd {
+    /// Runs a request; `open_work` is what is left of its work in tokens.
+    fn run(&self, call: Call, job: &ChatJob, generation: u64, open_work: &mut u64) -> JobEnd {
         if !self.wait_for_slot(&call.answer, job.priority, generation) {
             return JobEnd::Cancelled;
         }
@@ -355,8 +367,8 @@
             let prompt: u64 = job.prompt.iter().map(|it| it.1).sum();
             state.totals.prompt_tokens += prompt;
             state.totals.cached_tokens += cached;
-            let work = prompt - cached + job.tokens - job.offset;
-            state.totals.work_tokens += work;
+            state.totals.work_tokens -= cached;
+            *open_work -= cached;
             self.report(&mut state, now);
             let is_streamed = job.stream;
             let die_after = match &mut state.die_after {
@@ -369,7 +381,6 @@
             RunStart {
                 prompt,
                 cached,
-                work,
                 fault: state.fault.take(),
                 die_after,
                 factor: if state.warmth.cold {
@@ -380,13 +391,10 @@
                 incarnation: state.warmth.incarnation.clone(),
             }
         };
-        let work = started.work;
-        let mut open_work = work;
-        let end = self.answer(call, job, generation, started, &mut open_work);
+        let end = self.answer(call, job, generation, started, open_work);
         let now = Instant::now();
         let mut state = lock(&self.state);
         state.totals.running -= 1;
-        state.totals.work_tokens -= open_work;
         self.report(&mut state, now);
         drop(state);
         self.slot_freed.notify_all();
@@ -580,6 +588,9 @@
 
 fn count_run(state: &mut EngineState, call: &Call) {
     let id = call.header("x-request-id").unwrap_or_default().to_owned();
+    if state.totals.run_order.len() < MAX_RUN_ORDER {
+        state.totals.run_order.push(id.clone());
+    }
     *state.totals.runs.entry(id).or_default() += 1;
 }
 
@@ -595,7 +606,6 @@
 struct RunStart {
     prompt: u64,
     cached: u64,
-    work: u64,
     fault: AnswerFault,
     die_after: Option<u64>,
     factor: u32,
@@ -617,6 +627,11 @@
 }
 
 impl ChatJob {
+    /// Returns the work in tokens if nothing of the prompt is cached.
+    fn work(&self) -> u64 {
+        self.prompt.iter().map(|it| it.1).sum::<u64>() + self.tokens - self.offset
+    }
+
     fn new(settings: &EngineSettings, call: &Call, request: ChatRequest) -> Self {
         let prompt: Vec<(u64, u64)> = request
             .messages
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,8 +3,10 @@
 //! Each stand-in speaks the dialect of section 14 of the design page on a loopback port and has
 //! controls under `/control/` that provoke faults. They run inside a test process as
 //! [`EngineServer`], [`ServiceServer`] and [`PlatformServer`], or as the `snipepond-standin`
-//! program. `docs/standins.md` lists all settings and controls.
+//! program. [`TcpLink`] cuts and mends connections, and [`CallerRequest`] calls and records.
+//! `docs/standins.md` lists all settings and controls.
 
+mod caller;
 mod engine;
 mod faults;
 mod http;
@@ -14,6 +16,7 @@
 mod warmth;
 
 pub use self::{
+    caller::{AnswerEnd, AnswerReader, CallerAnswer, CallerConnection, CallerEvent, CallerRequest},
     engine::{EngineServer, EngineSettings, expected_text, expected_tokens},
     faults::{AnswerFault, AnswerMode},
     http::HeaderLog,
--- /dev/null
+++ b/standin/tests/engine.rs
@@ -0,0 +1,508 @@
+//! Tests of the engine stand-in.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use serde_json::json;
+use snipepond_standin::{
+    AnswerEnd, AnswerFault, AnswerMode, CallerAnswer, CallerRequest, EngineServer, EngineSettings,
+    expected_text, expected_tokens,
+};
+
+use self::support::{control, get, wait_for};
+
+fn quick() -> EngineSettings {
+    EngineSettings {
+        first_token: Duration::from_millis(1),
+        token: Duration::from_millis(1),
+        load_lag: Duration::ZERO,
+        event_lag: Duration::ZERO,
+        event_gap: 0,
+        ..EngineSettings::default()
+    }
+}
+
+fn slow() -> EngineSettings {
+    EngineSettings {
+        token: Duration::from_millis(20),
+        ..quick()
+    }
+}
+
+fn start(settings: EngineSettings) -> EngineServer {
+    EngineServer::start(settings).expect("engine starts")
+}
+
+fn chat(engine: &EngineServer, text: &str, tokens: u64) -> CallerAnswer {
+    CallerRequest::chat("m", text, tokens, true)
+        .call(engine.address())
+        .expect("answer")
+}
+
+fn number(engine: &EngineServer, name: &str) -> u64 {
+    engine.stats()[name].as_u64().expect(name)
+}
+
+/// Guards against a stream that is held back until it is complete, and against unstable tokens.
+#[test]
+fn stream_arrives_token_by_token() {
+    let engine = start(quick());
+    let mut reader = CallerRequest::chat("m", "hello", 5, true)
+        .header("x-request-id", "r1")
+        .start(engine.address())
+        .unwrap();
+    assert_eq!(reader.read_events(1), 1);
+    let answer = reader.finish();
+    assert!(answer.is_whole());
+    assert_eq!(answer.header("x-request-id"), Some("r1"));
+    assert_eq!(
+        answer.tokens(),
+        expected_tokens("m", &[("user", "hello")], 5)
+    );
+    // One chunk for each token and one for the end: nothing was collected on the way.
+    assert_eq!(answer.piece_count, 6);
+    assert_eq!(engine.stats()["runs"]["r1"], 1);
+}
+
+/// Guards against a first event that is sent only together with the last one.
+#[test]
+fn first_event_is_sent_while_the_rest_is_open() {
+    let engine = start(EngineSettings {
+        token: Duration::from_secs(60),
+        ..quick()
+    });
+    let mut reader = CallerRequest::chat("m", "hello", 5, true)
+        .start(engine.address())
+        .unwrap();
+    assert_eq!(reader.read_events(1), 1);
+    assert_eq!(number(&engine, "running"), 1);
+    drop(reader);
+    wait_for("cancel", || number(&engine, "cancelled") == 1);
+    assert_eq!(number(&engine, "running"), 0);
+}
+
+/// Guards against plain answers that differ from streamed ones.
+#[test]
+fn plain_answer_has_the_same_text() {
+    let engine = start(quick());
+    let answer = CallerRequest::chat("m", "hello", 5, false)
+        .call(engine.address())
+        .unwrap();
+    assert!(answer.is_whole());
+    assert_eq!(
+        answer.chat_text(),
+        expected_text("m", &[("user", "hello")], 5)
+    );
+    let other = CallerRequest::chat("m", "other", 5, false)
+        .call(engine.address())
+        .unwrap();
+    assert_ne!(answer.chat_text(), other.chat_text());
+}
+
+/// Guards against a resumed stream that repeats or skips tokens.
+#[test]
+fn resumed_stream_continues_at_the_offset() {
+    let engine = start(quick());
+    engine.die_after(3, 1);
+    let first = chat(&engine, "hello", 8);
+    assert!(!first.is_whole());
+    assert!(matches!(first.end, AnswerEnd::Broken(_)), "{:?}", first.end);
+    assert_eq!(first.tokens().len(), 3);
+    let rest = CallerRequest::chat("m", "hello", 8, true)
+        .header("x-resume-offset", "3")
+        .call(engine.address())
+        .unwrap();
+    assert!(rest.is_whole());
+    let tokens = [first.tokens(), rest.tokens()].concat();
+    assert_eq!(tokens, expected_tokens("m", &[("user", "hello")], 8));
+}
+
+/// Guards against an engine without resume support that pretends to have it.
+#[test]
+fn engine_without_resume_starts_over() {
+    let engine = start(EngineSettings {
+        resume: false,
+        ..quick()
+    });
+    let answer = CallerRequest::chat("m", "hello", 4, true)
+        .header("x-resume-offset", "3")
+        .call(engine.address())
+        .unwrap();
+    assert_eq!(answer.tokens().len(), 4);
+}
+
+/// Guards against more parallel runs than `capacity`, and against a queue that ignores priority.
+#[test]
+fn waiting_requests_run_by_priority() {
+    let engine = start(EngineSettings {
+        capacity: 1,
+        token: Duration::from_secs(60),
+        ..quick()
+    });
+    let address = engine.address();
+    let mut blocker = CallerRequest::chat("m", "blocker", 2, true)
+        .header("x-request-id", "blocker")
+        .start(address)
+        .unwrap();
+    assert_eq!(blocker.read_events(1), 1);
+    let send = |id: &'static str, priority: &'static str| {
+        thread::spawn(move || {
+            CallerRequest::chat("m", id, 1, true)
+                .header("x-request-id", id)
+                .header("x-priority", priority)
+                .call(address)
+                .unwrap();
+        })
+    };
+    let low = send("low", "5");
+    wait_for("the low request", || number(&engine, "waiting") == 1);
+    let high = send("high", "0");
+    wait_for("the high request", || number(&engine, "waiting") == 2);
+    assert_eq!(number(&engine, "peak_running"), 1);
+    drop(blocker);
+    low.join().unwrap();
+    high.join().unwrap();
+    let stats = engine.stats();
+    assert_eq!(stats["run_order"], json!(["blocker", "high", "low"]));
+    assert_eq!(number(&engine, "peak_running"), 1);
+}
+
+/// Guards against a waiting request that still runs after its caller went away.
+#[test]
+fn abandoned_request_leaves_the_queue() {
+    let engine = start(EngineSettings {
+        capacity: 1,
+        token: Duration::from_secs(60),
+        ..quick()
+    });
+    let mut blocker = CallerRequest::chat("m", "blocker", 2, true)
+        .start(engine.address())
+        .unwrap();
+    blocker.read_events(1);
+    let mut waiting = snipepond_standin::CallerConnection::open(engine.address()).unwrap();
+    let request = CallerRequest::chat("m", "waiting", 1, true).header("x-request-id", "gone");
+    waiting
+        .send_raw(&request.to_bytes(engine.address()))
+        .unwrap();
+    wait_for("the request", || number(&engine, "waiting") == 1);
+    drop(waiting);
+    wait_for("the queue to empty", || number(&engine, "waiting") == 0);
+    assert!(engine.stats()["runs"]["gone"].is_null());
+}
+
+/// Guards against a cache that forgets a returning chat or exceeds its limit.
+#[test]
+fn prefix_cache_keeps_recent_chats() {
+    let engine = start(EngineSettings {
+        cache_tokens: 12,
+        ..quick()
+    });
+    let ask = |chat: &str, turns: &[(&str, &str)]| {
+        CallerRequest::chat_turns("m", turns, 2, true)
+            .header("x-chat-id", chat)
+            .call(engine.address())
+            .unwrap()
+    };
+    let first = ask("a", &[("user", "one two three")]);
+    assert_eq!(first.header("x-prompt-tokens"), Some("4"));
+    assert_eq!(first.header("x-cached-tokens"), Some("0"));
+    let answer = first.chat_text();
+    let turns = [
+        ("user", "one two three"),
+        ("assistant", answer.as_str()),
+        ("user", "four"),
+    ];
+    // 4 tokens of the first message and 3 of the answer.
+    let second = ask("a", &turns);
+    assert_eq!(second.header("x-cached-tokens"), Some("7"));
+    // The other chat needs the room: the cache holds 12 tokens and chat `a` has 12 of them.
+    ask("b", &[("user", "five")]);
+    let third = ask("a", &turns);
+    assert_eq!(third.header("x-cached-tokens"), Some("0"));
+    assert!(number(&engine, "cache_tokens_used") <= 12);
+    assert_eq!(number(&engine, "cached_tokens"), 7);
+}
+
+/// Guards against a chat whose different text counts as cached.
+#[test]
+fn changed_prompt_is_not_cached() {
+    let engine = start(quick());
+    for text in ["one two", "one three"] {
+        let answer = CallerRequest::chat("m", text, 1, true)
+            .header("x-chat-id", "a")
+            .call(engine.address())
+            .unwrap();
+        assert_eq!(answer.header("x-cached-tokens"), Some("0"));
+    }
+}
+
+/// Guards against a cold engine that bears any load, and against a fall that is not visible.
+#[test]
+fn cold_engine_falls_over_beyond_its_allowance() {
+    let engine = start(EngineSettings {
+        cold: true,
+        cold_allowance: 2,
+        cold_factor: 1,
+        ..slow()
+    });
+    let incarnation = engine.stats()["incarnation"].clone();
+    let address = engine.address();
+    let readers: Vec<_> = (0..2)
+        .map(|it| {
+            let mut reader = CallerRequest::chat("m", &format!("chat {it}"), 1000, true)
+                .start(address)
+                .unwrap();
+            assert_eq!(reader.read_events(1), 1);
+            reader
+        })
+        .collect();
+    assert_eq!(number(&engine, "falls"), 0);
+    assert!(
+        CallerRequest::chat("m", "chat 3", 1, true)
+            .call(address)
+            .is_err()
+    );
+    for reader in readers {
+        assert!(!reader.finish().is_whole());
+    }
+    let stats = engine.stats();
+    assert_eq!(stats["falls"], 1);
+    assert_eq!(stats["peak_cold"], 3);
+    assert_eq!(stats["cold"], true);
+    assert_ne!(stats["incarnation"], incarnation);
+    // It serves again, as a cold engine.
+    wait_for("the lost requests to end", || {
+        number(&engine, "in_flight") == 0
+    });
+    assert!(chat(&engine, "again", 1).is_whole());
+}
+
+/// Guards against an engine that never becomes warm, or is warm before its first answer.
+#[test]
+fn engine_warms_up_after_its_first_answer() {
+    let engine = start(EngineSettings {
+        cold: true,
+        cold_allowance: 1,
+        warmup: Duration::ZERO,
+        ..quick()
+    });
+    assert_eq!(engine.stats()["cold"], true);
+    assert!(chat(&engine, "hello", 1).is_whole());
+    wait_for("the engine to be warm", || engine.stats()["cold"] == false);
+    let load = get(engine.address(), "/load").json();
+    assert_eq!(load["cold"], false);
+}
+
+/// Guards against a silent cold start that the load report gives away, and the reverse.
+#[test]
+fn silent_cold_start_is_not_reported() {
+    let engine = start(quick());
+    let before = get(engine.address(), "/load").json();
+    control(engine.address(), "/control/cold", json!({ "silent": true }));
+    assert_eq!(get(engine.address(), "/load").json(), before);
+    assert_eq!(engine.stats()["cold"], true);
+    control(engine.address(), "/control/cold", json!({}));
+    let load = get(engine.address(), "/load").json();
+    assert_eq!(load["cold"], true);
+    assert_ne!(load["incarnation"], before["incarnation"]);
+}
+
+/// Guards against a crashing request that leaves other requests alive or the engine dead.
+#[test]
+fn crash_drops_all_connections_and_serves_again() {
+    let engine = start(slow());
+    let incarnation = engine.stats()["incarnation"].clone();
+    let mut reader = CallerRequest::chat("m", "victim", 1000, true)
+        .start(engine.address())
+        .unwrap();
+    reader.read_events(1);
+    let crash = CallerRequest::chat("m", "please [[crash]] now", 1, true).call(engine.address());
+    assert!(crash.is_err());
+    assert!(!reader.finish().is_whole());
+    let stats = engine.stats();
+    assert_eq!(stats["crashes"], 1);
+    assert_ne!(stats["incarnation"], incarnation);
+    wait_for("the victim to end", || number(&engine, "in_flight") == 0);
+    assert!(chat(&engine, "again", 1).is_whole());
+}
+
+/// Guards against a load report without its lag.
+#[test]
+fn load_report_lags() {
+    let engine = start(EngineSettings {
+        load_lag: Duration::from_secs(60),
+        token: Duration::from_secs(60),
+        ..quick()
+    });
+    let mut reader = CallerRequest::chat("m", "hello", 2, true)
+        .start(engine.address())
+        .unwrap();
+    reader.read_events(1);
+    assert_eq!(number(&engine, "running"), 1);
+    assert_eq!(get(engine.address(), "/load").json()["running"], 0);
+}
+
+/// Guards against a current load report that is wrong.
+#[test]
+fn load_report_shows_running_and_waiting() {
+    let engine = start(EngineSettings {
+        capacity: 1,
+        token: Duration::from_secs(60),
+        ..quick()
+    });
+    let mut reader = CallerRequest::chat("m", "hello", 10, true)
+        .start(engine.address())
+        .unwrap();
+    reader.read_events(1);
+    let second = CallerRequest::chat("m", "second", 10, true);
+    let mut connection = snipepond_standin::CallerConnection::open(engine.address()).unwrap();
+    connection
+        .send_raw(&second.to_bytes(engine.address()))
+        .unwrap();
+    wait_for("the second request", || number(&engine, "waiting") == 1);
+    let load = get(engine.address(), "/load").json();
+    assert_eq!(load["running"], 1);
+    assert_eq!(load["waiting"], 1);
+    assert_eq!(load["capacity"], 1);
+    // 9 of 10 tokens of the running request are left; the waiting one has 2 of its prompt and 10.
+    wait_for("the work of both requests", || {
+        get(engine.address(), "/load").json()["work_tokens"] == 9 + 12
+    });
+}
+
+/// Guards against cache events without gaps or out of order.
+#[test]
+fn cache_events_have_gaps() {
+    let engine = start(EngineSettings {
+        event_gap: 2,
+        ..quick()
+    });
+    for chat_id in ["a", "b", "c"] {
+        CallerRequest::chat("m", chat_id, 1, true)
+            .header("x-chat-id", chat_id)
+            .call(engine.address())
+            .unwrap();
+    }
+    let page = get(engine.address(), "/events?after=0").json();
+    assert_eq!(page["next"], 3);
+    let events = page["events"].as_array().unwrap();
+    let chats: Vec<_> = events
+        .iter()
+        .map(|it| it["chat"].as_str().unwrap())
+        .collect();
+    assert_eq!(chats, ["a", "c"]);
+    assert_eq!(events[0]["kind"], "stored");
+    let rest = get(engine.address(), "/events?after=1").json();
+    assert_eq!(rest["events"].as_array().unwrap().len(), 1);
+}
+
+/// Guards against cache events that are visible at once.
+#[test]
+fn cache_events_are_late() {
+    let engine = start(EngineSettings {
+        event_lag: Duration::from_secs(60),
+        ..quick()
+    });
+    chat(&engine, "hello", 1);
+    let page = get(engine.address(), "/events?after=0").json();
+    assert_eq!(page["next"], 0);
+}
+
+/// Guards against answer faults that do not happen, or that last longer than ordered.
+#[test]
+fn answer_faults_affect_the_ordered_number_of_answers() {
+    let engine = start(quick());
+    let ask = |stream: bool| {
+        CallerRequest::chat("m", "hello", 4, stream)
+            .header("x-request-id", "r")
+            .call(engine.address())
+            .unwrap()
+    };
+    let set = |mode: &str| {
+        control(
+            engine.address(),
+            "/control/echo",
+            json!({ "mode": mode, "count": 1 }),
+        );
+    };
+    set("wrong_id");
+    let foreign = ask(true);
+    assert_eq!(foreign.header("x-request-id"), Some("other-r"));
+    assert!(foreign.chat_text().contains("foreign"));
+    let normal = ask(true);
+    assert_eq!(normal.header("x-request-id"), Some("r"));
+    assert!(!normal.chat_text().contains("foreign"));
+    set("no_id");
+    assert_eq!(ask(true).header("x-request-id"), None);
+    set("short");
+    let short = ask(true);
+    assert!(matches!(short.end, AnswerEnd::Broken(_)));
+    assert_eq!(short.tokens().len(), 2);
+    set("short_framed");
+    let framed = ask(true);
+    assert_eq!(framed.end, AnswerEnd::Complete);
+    assert!(!framed.is_whole());
+    set("short");
+    assert!(matches!(ask(false).end, AnswerEnd::Broken(_)));
+    engine.set_fault(AnswerFault {
+        mode: AnswerMode::Late,
+        count: 1,
+        delay_ms: 1,
+    });
+    assert!(ask(false).is_whole());
+}
+
+/// Guards against a credential that a test would not find in the recorded headers.
+#[test]
+fn headers_and_targets_are_recorded() {
+    let engine = start(quick());
+    CallerRequest::chat("m", "hello", 1, true)
+        .header("X-Odd-Spelling", "secret-1")
+        .call(engine.address())
+        .unwrap();
+    get(engine.address(), "/load?api_key=secret-2");
+    let log = engine.header_log();
+    assert!(log.contains("secret-1"));
+    assert!(log.contains("secret-2"));
+    assert!(!log.contains("secret-3"));
+    assert_eq!(engine.stats()["headers"]["X-Odd-Spelling"][0], "secret-1");
+}
+
+/// Guards against unclear errors of the controls.
+#[test]
+fn wrong_controls_are_refused() {
+    let engine = start(quick());
+    let refused = |path: &str, body: &str| {
+        CallerRequest::new("POST", path)
+            .body(body)
+            .call(engine.address())
+            .unwrap()
+    };
+    assert_eq!(refused("/control/nothing", "{}").status, 404);
+    let answer = refused("/control/echo", r#"{"mode":"upside_down"}"#);
+    assert_eq!(answer.status, 400);
+    assert!(answer.text().contains("upside_down"));
+    assert_eq!(refused("/v1/chat/completions", "no JSON").status, 400);
+    assert_eq!(get(engine.address(), "/nothing").status, 404);
+}
+
+/// Guards against a stop that hangs on a running stream or leaves the port open.
+#[test]
+fn stop_ends_running_streams() {
+    let engine = start(EngineSettings {
+        token: Duration::from_secs(60),
+        ..quick()
+    });
+    let mut reader = CallerRequest::chat("m", "hello", 10, true)
+        .start(engine.address())
+        .unwrap();
+    reader.read_events(1);
+    engine.stop();
+    assert!(!reader.finish().is_whole());
+    assert!(
+        CallerRequest::new("GET", "/load")
+            .call(engine.address())
+            .is_err()
+    );
+}
--- /dev/null
+++ b/standin/tests/platform.rs
@@ -0,0 +1,207 @@
+//! Tests of the platform stand-in.
+
+mod support;
+
+use std::{net::SocketAddr, thread};
+
+use serde_json::{Value, json};
+use snipepond_standin::{CallerRequest, HostEntry, PlatformMode, PlatformServer, PlatformSettings};
+
+use self::support::{control, get, wait_for};
+
+fn start() -> PlatformServer {
+    PlatformServer::start(PlatformSettings::default()).expect("platform starts")
+}
+
+fn config(address: SocketAddr, after: u64) -> Value {
+    let answer = get(address, &format!("/v1/config?after={after}&wait_ms=0"));
+    match answer.status {
+        200 => answer.json(),
+        status => json!(status),
+    }
+}
+
+fn hosts(address: SocketAddr, after: u64) -> Value {
+    let answer = get(address, &format!("/v1/hosts?after={after}&wait_ms=0"));
+    match answer.status {
+        200 => answer.json(),
+        status => json!(status),
+    }
+}
+
+fn host(name: &str) -> HostEntry {
+    HostEntry {
+        name: name.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: "a".to_owned(),
+        state: "live".to_owned(),
+    }
+}
+
+/// Guards against changes that miss an entry, repeat one, or hide a removal.
+#[test]
+fn changes_are_based_on_the_revision_asked_for() {
+    let platform = start();
+    let address = platform.address();
+    assert_eq!(config(address, 0), 304);
+    let set = json!({ "set": { "team/a": { "rate": 1 }, "team/b": { "rate": 2 } } });
+    assert_eq!(control(address, "/control/entries", set)["revision"], 1);
+    let whole = config(address, 0);
+    assert_eq!(whole["base"], 0);
+    assert_eq!(whole["revision"], 1);
+    assert_eq!(whole["entries"].as_array().unwrap().len(), 2);
+    // The value is the JSON text of the entry.
+    assert_eq!(whole["entries"][0]["value"], r#"{"rate":1}"#);
+    assert_eq!(config(address, 1), 304);
+    control(address, "/control/entries", json!({ "remove": ["team/a"] }));
+    let change = config(address, 1);
+    assert_eq!(
+        change,
+        json!({
+            "base": 1,
+            "revision": 2,
+            "entries": [{ "key": "team/a", "revision": 2, "value": null }],
+        })
+    );
+    // A whole configuration has no tombstones.
+    let whole = config(address, 0);
+    assert_eq!(whole["entries"].as_array().unwrap().len(), 1);
+}
+
+/// Guards against a change from a revision whose later removals are forgotten.
+#[test]
+fn reader_too_far_behind_receives_everything() {
+    let platform = PlatformServer::start(PlatformSettings {
+        history: 2,
+        ..PlatformSettings::default()
+    })
+    .unwrap();
+    for number in 0..5 {
+        platform.set_entry(&format!("team/{number}"), json!({}));
+    }
+    platform.remove_entry("team/0");
+    assert_eq!(config(platform.address(), 1)["base"], 0);
+    assert_eq!(config(platform.address(), 5)["base"], 5);
+}
+
+/// Guards against a long poll that ends late or without the change.
+#[test]
+fn long_poll_ends_with_the_change() {
+    let platform = start();
+    let address = platform.address();
+    platform.set_entry("team/a", json!({}));
+    let poll = thread::spawn(move || {
+        get(address, "/v1/config?after=1&wait_ms=30000").json()["revision"].clone()
+    });
+    wait_for("the poll", || platform.stats()["waiting"] == 1);
+    platform.set_entry("team/b", json!({}));
+    assert_eq!(poll.join().unwrap(), 2);
+    let poll = thread::spawn(move || {
+        get(address, "/v1/hosts?after=0&wait_ms=30000").json()["version"].clone()
+    });
+    wait_for("the poll", || platform.stats()["waiting"] == 1);
+    platform.set_hosts(vec![host("h1")]);
+    assert_eq!(poll.join().unwrap(), 1);
+}
+
+/// Guards against a waiting call that counts several times, or not.
+#[test]
+fn each_call_counts_once() {
+    let platform = start();
+    get(platform.address(), "/v1/config?after=0&wait_ms=100");
+    hosts(platform.address(), 0);
+    hosts(platform.address(), 0);
+    let stats = platform.stats();
+    assert_eq!(stats["config_calls"], 1);
+    assert_eq!(stats["host_calls"], 2);
+}
+
+/// Guards against a host list that ignores its lag.
+#[test]
+fn host_list_lags() {
+    let platform = start();
+    platform.set_hosts(vec![host("h1")]);
+    control(
+        platform.address(),
+        "/control/mode",
+        json!({ "list_lag_ms": 60000 }),
+    );
+    platform.set_hosts(vec![host("h1"), host("h2")]);
+    // The oldest list is served as long as no list is old enough.
+    assert_eq!(hosts(platform.address(), 0)["version"], 1);
+    platform.set_mode(PlatformMode::default());
+    assert_eq!(hosts(platform.address(), 1)["version"], 2);
+}
+
+/// Guards against host changes that lose or keep the wrong hosts.
+#[test]
+fn hosts_are_changed_by_control() {
+    let platform = start();
+    let address = platform.address();
+    control(
+        address,
+        "/control/hosts",
+        json!({ "hosts": [host("h1"), host("h2")] }),
+    );
+    let mut leaving = host("h2");
+    leaving.state = "leaving".to_owned();
+    control(
+        address,
+        "/control/hosts",
+        json!({ "set": [leaving], "remove": ["h1"] }),
+    );
+    let list = hosts(address, 0);
+    assert_eq!(list["version"], 2);
+    assert_eq!(list["hosts"], json!([leaving]));
+    assert_eq!(platform.hosts(), [leaving]);
+}
+
+/// Guards against a platform that answers while it is down.
+#[test]
+fn platform_that_is_down_breaks_calls() {
+    let platform = start();
+    let address = platform.address();
+    platform.set_entry("team/a", json!({}));
+    let poll = thread::spawn(move || {
+        CallerRequest::new("GET", "/v1/config?after=1&wait_ms=30000")
+            .call(address)
+            .is_err()
+    });
+    wait_for("the poll", || platform.stats()["waiting"] == 1);
+    control(address, "/control/mode", json!({ "down": true }));
+    assert!(poll.join().unwrap());
+    let again = CallerRequest::new("GET", "/v1/config?after=0&wait_ms=0").call(address);
+    assert!(again.is_err());
+    control(address, "/control/mode", json!({ "down": false }));
+    assert_eq!(config(address, 0)["revision"], 1);
+}
+
+/// Guards against a stale replica that shows newer state, and one that changes the others.
+#[test]
+fn frozen_replica_serves_its_state() {
+    let platform = start();
+    platform.set_entry("team/a", json!({}));
+    platform.set_hosts(vec![host("h1")]);
+    let replica = platform.start_replica(PlatformSettings::default()).unwrap();
+    let frozen = PlatformMode {
+        frozen: true,
+        ..PlatformMode::default()
+    };
+    replica.set_mode(frozen);
+    platform.set_entry("team/b", json!({}));
+    platform.set_hosts(vec![]);
+    assert_eq!(config(platform.address(), 0)["revision"], 2);
+    assert_eq!(config(replica.address(), 0)["revision"], 1);
+    assert_eq!(hosts(replica.address(), 0)["version"], 1);
+    // A reader that is ahead gets no news, unless the replica serves older states.
+    assert_eq!(config(replica.address(), 2), 304);
+    replica.set_mode(PlatformMode {
+        serve_older: true,
+        ..frozen
+    });
+    let older = config(replica.address(), 2);
+    assert_eq!(older["base"], 0);
+    assert_eq!(older["revision"], 1);
+    replica.set_mode(PlatformMode::default());
+    assert_eq!(config(replica.address(), 1)["revision"], 2);
+}
--- /dev/null
+++ b/standin/tests/service.rs
@@ -0,0 +1,178 @@
+//! Tests of the service stand-in.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use serde_json::json;
+use snipepond_standin::{
+    AnswerEnd, BreakPoint, CallerConnection, CallerRequest, ServiceServer, ServiceSettings,
+};
+
+use self::support::{control, get, wait_for};
+
+fn start(settings: ServiceSettings) -> ServiceServer {
+    ServiceServer::start(settings).expect("service starts")
+}
+
+fn quick() -> ServiceSettings {
+    ServiceSettings {
+        duration: Duration::ZERO,
+        load_lag: Duration::ZERO,
+        ..ServiceSettings::default()
+    }
+}
+
+fn order(key: &str) -> CallerRequest {
+    CallerRequest::new("POST", "/orders/7")
+        .header("Idempotency-Key", key)
+        .header("x-request-id", "r1")
+        .body("two cups")
+}
+
+/// Guards against runs that are not counted by key, and reads that count as runs.
+#[test]
+fn runs_are_counted_by_key() {
+    let service = start(quick());
+    for expected in 1..=2 {
+        let answer = order("k1").call(service.address()).unwrap();
+        assert!(answer.is_whole());
+        assert_eq!(answer.header("x-request-id"), Some("r1"));
+        let body = answer.json();
+        assert_eq!(body["run"], expected);
+        assert_eq!(body["body"], "two cups");
+        assert_eq!(body["target"], "/orders/7");
+    }
+    assert!(get(service.address(), "/orders/7").is_whole());
+    assert_eq!(service.runs("k1"), 2);
+    assert_eq!(service.runs("k2"), 0);
+    assert_eq!(service.total_runs(), 2);
+    assert_eq!(service.stats()["reads"], 1);
+}
+
+/// Guards against a call that counts as run although its connection broke before.
+#[test]
+fn break_before_run_has_no_effect() {
+    let service = start(quick());
+    service.break_next(BreakPoint::BeforeRun, 1);
+    assert!(order("k1").call(service.address()).is_err());
+    assert_eq!(service.runs("k1"), 0);
+    assert!(order("k1").call(service.address()).unwrap().is_whole());
+    assert_eq!(service.runs("k1"), 1);
+}
+
+/// Guards against a call that does not count although it ran before its connection broke.
+#[test]
+fn break_after_run_has_its_effect() {
+    let service = start(quick());
+    control(
+        service.address(),
+        "/control/break",
+        json!({ "when": "after_run" }),
+    );
+    assert!(order("k1").call(service.address()).is_err());
+    assert_eq!(service.runs("k1"), 1);
+}
+
+/// Guards against a call that is lost because its caller went away.
+#[test]
+fn abandoned_order_still_runs() {
+    let service = start(ServiceSettings {
+        duration: Duration::from_millis(50),
+        ..quick()
+    });
+    let mut connection = CallerConnection::open(service.address()).unwrap();
+    connection
+        .send_raw(&order("k1").to_bytes(service.address()))
+        .unwrap();
+    wait_for("the call", || service.stats()["in_flight"] == 1);
+    drop(connection);
+    wait_for("the run", || service.runs("k1") == 1);
+}
+
+/// Guards against a foreign answer that a test cannot recognise.
+#[test]
+fn foreign_answer_has_another_id_and_body() {
+    let service = start(quick());
+    control(
+        service.address(),
+        "/control/echo",
+        json!({ "mode": "wrong_id" }),
+    );
+    let answer = order("k1").call(service.address()).unwrap();
+    assert_eq!(answer.header("x-request-id"), Some("other-r1"));
+    assert_eq!(answer.json()["body"], "foreign");
+    control(
+        service.address(),
+        "/control/echo",
+        json!({ "mode": "short" }),
+    );
+    let answer = order("k1").call(service.address()).unwrap();
+    assert!(matches!(answer.end, AnswerEnd::Broken(_)));
+}
+
+/// Guards against a cold service that bears any load.
+#[test]
+fn cold_service_falls_over_beyond_its_allowance() {
+    let service = start(ServiceSettings {
+        cold: true,
+        cold_allowance: 1,
+        duration: Duration::from_secs(30),
+        ..quick()
+    });
+    let address = service.address();
+    let first = thread::spawn(move || CallerRequest::new("GET", "/a").call(address).is_err());
+    wait_for("the first call", || service.stats()["in_flight"] == 1);
+    assert!(CallerRequest::new("GET", "/b").call(address).is_err());
+    assert!(first.join().unwrap());
+    let stats = service.stats();
+    assert_eq!(stats["falls"], 1);
+    assert_eq!(stats["peak_cold"], 2);
+}
+
+/// Guards against a kept-alive connection that is closed after each answer.
+#[test]
+fn connection_serves_several_calls() {
+    let service = start(quick());
+    let mut connection = CallerConnection::open(service.address()).unwrap();
+    for _ in 0..3 {
+        let (answer, kept) = connection
+            .send(&order("k1"))
+            .unwrap()
+            .finish_and_keep()
+            .unwrap();
+        assert_eq!(answer.status, 200);
+        connection = kept;
+    }
+    assert_eq!(service.runs("k1"), 3);
+}
+
+/// Guards against a load report without the calls in flight.
+#[test]
+fn load_report_shows_calls_in_flight() {
+    let service = start(ServiceSettings {
+        duration: Duration::from_secs(30),
+        ..quick()
+    });
+    let mut connection = CallerConnection::open(service.address()).unwrap();
+    let request = CallerRequest::new("GET", "/slow");
+    connection
+        .send_raw(&request.to_bytes(service.address()))
+        .unwrap();
+    wait_for("the call in the report", || {
+        get(service.address(), "/load").json()["running"] == 1
+    });
+    assert_eq!(get(service.address(), "/load").json()["cold"], false);
+}
+
+/// Guards against unclear errors of the controls.
+#[test]
+fn wrong_controls_are_refused() {
+    let service = start(quick());
+    let answer = CallerRequest::new("POST", "/control/break")
+        .body(r#"{"when":"later"}"#)
+        .call(service.address())
+        .unwrap();
+    assert_eq!(answer.status, 400);
+    assert!(answer.text().contains("later"));
+}
--- /dev/null
+++ b/standin/tests/support/mod.rs
@@ -0,0 +1,40 @@
+//! Helpers shared by the tests of the stand-ins.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use snipepond_standin::{CallerAnswer, CallerRequest};
+
+/// Longest wait for a condition, in seconds; it bounds a failing test only.
+const WAIT_LIMIT_S: u64 = 10;
+
+/// Waits until `condition` holds.
+pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(WAIT_LIMIT_S);
+    while !condition() {
+        assert!(Instant::now() < deadline, "timed out waiting for {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Sends a control call that must succeed.
+pub fn control(address: SocketAddr, path: &str, body: Value) -> Value {
+    let answer = CallerRequest::new("POST", path)
+        .json(&body)
+        .call(address)
+        .expect("control call");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    answer.json()
+}
+
+/// Sends a GET that must be answered.
+pub fn get(address: SocketAddr, target: &str) -> CallerAnswer {
+    CallerRequest::new("GET", target)
+        .call(address)
+        .expect("answer to GET")
+}
