--- a/cli/src/bin/snipepond-router.rs
+++ b/cli/src/bin/snipepond-router.rs
@@ -10,8 +10,10 @@
 use snipepond::{
     clock::SystemClock,
     daemon::{RouterDaemon, RouterPorts},
+    peer::HttpPeer,
     platform::HttpPlatform,
     settings::{RouterSettings, SettingsOutcome},
+    telemetry::init_log,
     upstream::HttpUpstream,
 };
 
@@ -40,11 +42,14 @@
 }
 
 fn run(settings: RouterSettings) -> Result<()> {
+    let clock = Arc::new(SystemClock);
+    init_log(&settings.log, clock.clone()).context("cannot start the log")?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).context("cannot watch signals")?;
     let ports = RouterPorts {
-        clock: Arc::new(SystemClock),
+        clock,
         platform: Arc::new(HttpPlatform::new(&settings.platform)),
         upstream: Arc::new(HttpUpstream::new()),
+        peers: Arc::new(HttpPeer::new()),
     };
     let daemon = RouterDaemon::start(settings, ports)?;
     println!(
--- a/lib/src/control/actor.rs
+++ b/lib/src/control/actor.rs
@@ -19,17 +19,13 @@
 use crate::clock::ClockSource;
 
 /// Interval of the periodic work of the control actor.
-const TICK_INTERVAL: Duration = Duration::from_millis(50);
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Longest sleep of the control thread without work.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
-/// What the control thread needs besides the state.
-#[derive(Clone, Debug)]
-pub struct ControlSettings {
-    /// Clock that all decisions use.
-    pub clock: Arc<dyn ClockSource>,
-}
+/// Makes the state on the control thread; the handle reaches the actor that will own it.
+type StateMaker = Box<dyn FnOnce(Instant, ControlHandle) -> ControlState + Send>;
 
 struct ControlActor {
     state: ControlState,
@@ -40,12 +36,14 @@
 impl ControlActor {
     fn init(
         cx: CX![],
-        state: ControlState,
-        channel_reply: SyncSender<Channel<ControlCommand>>,
+        make_state: StateMaker,
+        handle_reply: SyncSender<ControlHandle>,
     ) -> Option<Self> {
         let commands = fwd_to!([cx], command() as (ControlCommand));
         let (channel, guard) = Channel::new(cx, commands);
-        let _ = channel_reply.send(channel);
+        let handle = ControlHandle::new(channel);
+        let state = make_state(cx.now(), handle.clone());
+        let _ = handle_reply.send(handle);
         after!(TICK_INTERVAL, [cx], tick());
         Some(Self {
             state,
@@ -78,21 +76,22 @@
 impl ControlThread {
     /// Starts the actor; `make_state` runs on the new thread.
     pub fn start(
-        settings: ControlSettings,
-        make_state: impl FnOnce(Instant) -> ControlState + Send + 'static,
+        clock: Arc<dyn ClockSource>,
+        make_state: impl FnOnce(Instant, ControlHandle) -> ControlState + Send + 'static,
     ) -> io::Result<Self> {
         // One pending wake-up is enough: the actor handles all waiting commands at once.
         let (signal, signals) = sync_channel(2);
-        let (reply, channels) = sync_channel(1);
+        let (reply, handles) = sync_channel(1);
+        let make_state: StateMaker = Box::new(make_state);
         let waker = signal.clone();
         let thread = thread::Builder::new()
             .name("control".into())
-            .spawn(move || run(&settings, make_state, waker, &signals, reply))?;
-        let channel = channels
+            .spawn(move || run(&*clock, make_state, waker, &signals, reply))?;
+        let handle = handles
             .recv()
             .map_err(|_| io::Error::other("control thread ended"))?;
         Ok(Self {
-            handle: ControlHandle::new(channel),
+            handle,
             signal,
             thread: Some(thread),
         })
@@ -115,29 +114,28 @@
 }
 
 fn run(
-    settings: &ControlSettings,
-    make_state: impl FnOnce(Instant) -> ControlState,
+    clock: &dyn ClockSource,
+    make_state: StateMaker,
     waker: SyncSender<ThreadSignal>,
     signals: &Receiver<ThreadSignal>,
-    reply: SyncSender<Channel<ControlCommand>>,
+    reply: SyncSender<ControlHandle>,
 ) {
-    let start = settings.clock.now();
+    let start = clock.now();
     let mut stakker = Stakker::new(start);
     stakker.set_poll_waker(move || match waker.try_send(ThreadSignal::Wake) {
         Ok(()) | Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {}
     });
-    let state = make_state(start);
     let _actor: ActorOwn<ControlActor> =
-        actor!(stakker, ControlActor::init(state, reply), ret_nop!());
-    let mut is_idle_pending = stakker.run(settings.clock.now(), false);
+        actor!(stakker, ControlActor::init(make_state, reply), ret_nop!());
+    let mut is_idle_pending = stakker.run(clock.now(), false);
     while stakker.not_shutdown() {
-        let sleep = stakker.next_wait_max(settings.clock.now(), MAX_SLEEP, is_idle_pending);
+        let sleep = stakker.next_wait_max(clock.now(), MAX_SLEEP, is_idle_pending);
         match signals.recv_timeout(sleep) {
             Ok(ThreadSignal::Wake) => stakker.poll_wake(),
             Ok(ThreadSignal::Stop) => stakker.shutdown(StopCause::Stopped),
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
-        is_idle_pending = stakker.run(settings.clock.now(), false);
+        is_idle_pending = stakker.run(clock.now(), false);
     }
 }
--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -8,15 +8,16 @@
 
 use super::{
     command::{Admission, AdmitOutcome, AdmitRequest, ReplySender},
-    message::PeerRequest,
+    message::{PeerReply, PeerRequest},
     state::ControlState,
 };
 use crate::{
     catalogue::{Catalogue, RouteEntry},
-    front::Refusal,
+    front::{Refusal, RefusalKind},
     limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare},
     membership::HostRecord,
     names::{CentreName, TeamName},
+    peer::PeerError,
 };
 
 /// Name under which requests on open routes share the queue.
@@ -67,16 +68,21 @@
             Err(refusal) => return send_refusal(&reply, refusal),
         };
         if admission.open {
+            self.count_admission(&admission.team);
             return send_admission(&reply, admission);
         }
         let team = admission.team.clone();
         let queue = self.tokens.entry(team.clone()).or_default();
         if queue.waiting.len() >= MAX_WAITING {
             let message = "too many requests of the team wait for a token";
-            let refusal = Refusal::not_run(429, "over_rate", message).retry_after(TOKEN_WAIT);
+            let refusal = Refusal::not_run(RefusalKind::OverRate, message).retry_after(TOKEN_WAIT);
             return send_refusal(&reply, refusal);
         }
-        queue.waiting.push_back(WaitingAdmission { admission, arrived: now, reply });
+        queue.waiting.push_back(WaitingAdmission {
+            admission,
+            arrived: now,
+            reply,
+        });
         self.serve_waiting(now, &team);
     }
 
@@ -92,7 +98,8 @@
             self.serve_waiting(now, &team);
         }
         let catalogue = self.catalogue().clone();
-        self.tokens.retain(|team, it| !it.waiting.is_empty() || catalogue.team(team).is_some());
+        self.tokens
+            .retain(|team, it| !it.waiting.is_empty() || catalogue.team(team).is_some());
     }
 
     /// Serves the waiting requests of a team in order, until one has to wait for an answer.
@@ -101,22 +108,19 @@
         while let Some(arrived) = self.first_waiting(team) {
             match self.wallets.take(now, arrived, team, &share) {
                 TakeOutcome::Taken => {
+                    self.count_admission(team);
                     if let Some(first) = self.pop_waiting(team) {
                         send_admission(&first.reply, first.admission);
                     }
                 }
                 TakeOutcome::Refused { retry } => {
                     let refusal = self.token_refusal(now, team, retry);
-                    if let Some(first) = self.pop_waiting(team) {
-                        send_refusal(&first.reply, refusal);
-                    }
+                    self.refuse_first(now, team, refusal);
                 }
                 TakeOutcome::Ask(centres) => {
                     if now.saturating_duration_since(arrived) >= TOKEN_WAIT {
                         let refusal = self.token_refusal(now, team, TOKEN_WAIT);
-                        if let Some(first) = self.pop_waiting(team) {
-                            send_refusal(&first.reply, refusal);
-                        }
+                        self.refuse_first(now, team, refusal);
                     } else if !self.ask_owner(now, team, &centres) {
                         return;
                     }
@@ -156,7 +160,8 @@
         request: GrantRequest,
     ) -> bool {
         let Some(owner) = self.owner_of(&request.team, centre) else {
-            self.wallets.on_lost(now, &request.team, centre, request.sequence);
+            self.wallets
+                .on_lost(now, &request.team, centre, request.sequence);
             return true;
         };
         if owner.name == self.identity.name {
@@ -164,6 +169,7 @@
             self.take_grant(now, centre, &reply);
             return true;
         }
+        self.grant_calls.insert(request.sequence, centre.clone());
         self.call(now, &owner, PeerRequest::Grant(request), GRANT_TIMEOUT);
         false
     }
@@ -198,14 +204,24 @@
         self.tokens.get_mut(team)?.waiting.pop_front()
     }
 
+    fn refuse_first(&mut self, now: Instant, team: &TeamName, refusal: Refusal) {
+        if let Some(first) = self.pop_waiting(team) {
+            self.count_refusal(now, &first.admission, refusal.kind);
+            send_refusal(&first.reply, refusal);
+        }
+    }
+
     /// Tells a team that is over its rate from one whose owners cannot be asked.
     fn token_refusal(&self, now: Instant, team: &TeamName, retry: Duration) -> Refusal {
         let empty_at = self.tokens.get(team).and_then(|it| it.empty_at);
         if empty_at.is_some_and(|it| now.saturating_duration_since(it) <= EMPTY_MEMORY) {
-            Refusal::not_run(429, "over_rate", "the team has used its rate and burst")
+            Refusal::not_run(
+                RefusalKind::OverRate,
+                "the team has used its rate and burst",
+            )
         } else {
             let message = "no host that keeps the team's limit can be asked";
-            Refusal::not_run(503, "limit_unavailable", message)
+            Refusal::not_run(RefusalKind::LimitUnavailable, message)
         }
         .retry_after(retry)
     }
@@ -213,12 +229,16 @@
     fn check_admission(&self, now: Instant, request: &AdmitRequest) -> Result<Admission, Refusal> {
         let catalogue = self.catalogue();
         if self.is_draining {
-            return Err(Refusal::not_run(503, "draining", "the host is about to stop")
-                .retry_after(Duration::from_secs(1)));
+            return Err(
+                Refusal::not_run(RefusalKind::Draining, "the host is about to stop")
+                    .retry_after(Duration::from_secs(1)),
+            );
         }
         if catalogue.revision() == 0 {
-            return Err(Refusal::not_run(503, "no_configuration", "no configuration yet")
-                .retry_after(Duration::from_secs(1)));
+            return Err(
+                Refusal::not_run(RefusalKind::NoConfiguration, "no configuration yet")
+                    .retry_after(Duration::from_secs(1)),
+            );
         }
         let Some((name, route)) = catalogue.route(&request.method, &request.path) else {
             return Err(no_route(catalogue, request));
@@ -229,7 +249,10 @@
             .as_ref()
             .or_else(|| catalogue.team(&team).map(|it| &it.class))
             .expect("the catalogue check requires a class for every route without a team");
-        let class = catalogue.classes().get(class_name).expect("the check resolves classes");
+        let class = catalogue
+            .classes()
+            .get(class_name)
+            .expect("the check resolves classes");
         Ok(Admission {
             route: name.clone(),
             kind: route.kind,
@@ -246,21 +269,20 @@
             admitted: now,
         })
     }
+}
 
-    /// Returns whether the key of an admitted request is still valid.
-    pub(super) fn is_key_valid(&self, admission: &Admission) -> bool {
-        admission.open
-            || admission.key.and_then(|it| self.catalogue().team_of_key(&it))
-                == Some(&admission.team)
-    }
+/// Returns whether the key of an admitted request is still valid.
+pub(super) fn is_key_valid(catalogue: &Catalogue, admission: &Admission) -> bool {
+    admission.open
+        || admission.key.and_then(|it| catalogue.team_of_key(&it)) == Some(&admission.team)
 }
 
 fn no_route(catalogue: &Catalogue, request: &AdmitRequest) -> Refusal {
     if catalogue.has_path(&request.path) {
         let message = format!("no route for method {}", request.method);
-        Refusal::not_run(405, "method_not_allowed", message)
+        Refusal::not_run(RefusalKind::MethodNotAllowed, message)
     } else {
-        Refusal::not_run(404, "no_route", "no route for this path")
+        Refusal::not_run(RefusalKind::NoRoute, "no route for this path")
     }
 }
 
@@ -274,13 +296,13 @@
     }
     let key = request
         .key
-        .ok_or_else(|| Refusal::not_run(401, "key_missing", "this route needs a key"))?;
-    let team = catalogue
-        .team_of_key(&key)
-        .ok_or_else(|| Refusal::not_run(401, "key_invalid", "the key is unknown or withdrawn"))?;
+        .ok_or_else(|| Refusal::not_run(RefusalKind::KeyMissing, "this route needs a key"))?;
+    let team = catalogue.team_of_key(&key).ok_or_else(|| {
+        Refusal::not_run(RefusalKind::KeyInvalid, "the key is unknown or withdrawn")
+    })?;
     if !route.teams.is_empty() && !route.teams.contains(team) {
         let message = "the team may not use this route";
-        return Err(Refusal::not_run(403, "route_forbidden", message));
+        return Err(Refusal::not_run(RefusalKind::RouteForbidden, message));
     }
     Ok(team.clone())
 }
@@ -292,3 +314,25 @@
 fn send_refusal(reply: &ReplySender<AdmitOutcome>, refusal: Refusal) {
     let _ = reply.send(AdmitOutcome::Refused(refusal));
 }
+
+impl ControlState {
+    /// Takes the end of a call to an owner.
+    pub(super) fn grant_ended(
+        &mut self,
+        now: Instant,
+        request: &GrantRequest,
+        result: Result<PeerReply, PeerError>,
+    ) {
+        let Some(centre) = self.grant_calls.remove(&request.sequence) else {
+            return;
+        };
+        match result {
+            Ok(PeerReply::Grant(reply)) => self.take_grant(now, &centre, &reply),
+            Ok(_) | Err(_) => {
+                self.wallets
+                    .on_lost(now, &request.team, &centre, request.sequence);
+            }
+        }
+        self.serve_waiting(now, &request.team);
+    }
+}
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -6,12 +6,20 @@
     time::{Duration, Instant},
 };
 
+use super::{
+    dispatch::LoadRound,
+    message::{PeerReply, PeerRequest},
+};
 use crate::{
     catalogue::{KeyHash, RouteKind},
     config::ConfigChange,
-    front::{OutcomeKind, Refusal},
+    front::{OutcomeKind, Refusal, RefusalKind},
     membership::HostList,
     names::{ClassName, ModelName, RouteName, ServiceName, TeamName, UpstreamName},
+    peer::{PeerCall, PeerError},
+    routing::LoadReport,
+    slo::BurnReport,
+    status::{ExplainQuery, ExplainReport, StatusReport},
 };
 
 /// Where the control actor sends a reply; the receiver may be gone.
@@ -34,11 +42,30 @@
     /// To which upstream does an admitted request go?
     Dispatch(Box<DispatchRequest>, ReplySender<DispatchOutcome>),
     /// The first piece of an answer arrived.
-    FirstPiece(u64),
+    FirstPiece {
+        /// Number of the dispatch.
+        number: u64,
+        /// Incarnation that the answer names.
+        incarnation: Option<u64>,
+    },
     /// A dispatched request ended.
     DispatchEnded(u64, DispatchEnd),
     /// A caller's request ended.
-    RequestEnded(Box<RequestEnd>),
+    RequestEnded(Arc<Admission>, RequestEnd),
+    /// The state of this host.
+    Status(ReplySender<Box<StatusReport>>),
+    /// What the host would do with a request.
+    Explain(ExplainQuery, ReplySender<Box<ExplainReport>>),
+    /// The burn of the objectives.
+    Burn(ReplySender<BurnReport>),
+    /// What the thread that reads load reports has to do next.
+    LoadRound(ReplySender<LoadRound>),
+    /// Load reports that this host read.
+    LoadsRead(Vec<(UpstreamName, LoadReport)>),
+    /// A message of another host.
+    Peer(Box<PeerRequest>, ReplySender<PeerReply>),
+    /// A call to another host ended.
+    PeerEnded(Box<PeerCall<PeerRequest>>, Result<PeerReply, PeerError>),
     /// The revision up to which the configuration is known.
     SeenRevision(ReplySender<u64>),
     /// The version of the host list.
@@ -88,6 +115,8 @@
     pub key: Option<KeyHash>,
     /// Class of the request.
     pub class: ClassName,
+    /// Weight of the team in fair queueing.
+    pub weight: f64,
     /// Priority of the class, 0 first.
     pub priority: u8,
     /// Time until the first piece of the answer.
@@ -119,6 +148,8 @@
     pub admission: Arc<Admission>,
     /// What the request needs.
     pub target: DispatchTarget,
+    /// Id of the request; spreads requests without a chat.
+    pub request_id: String,
     /// Estimated work in tokens; 1 for a service.
     pub work: u64,
     /// Upstreams that failed for this request.
@@ -162,15 +193,34 @@
     Abandoned,
 }
 
-/// How a caller's request ended, for reports.
-#[derive(Clone, Debug)]
-pub struct RequestEnd {
-    /// The admission.
-    pub admission: Arc<Admission>,
-    /// Whether the caller got a whole answer.
-    pub is_answered: bool,
-    /// Whether an upstream ran the request.
-    pub outcome: OutcomeKind,
-    /// Time until the first piece of the answer.
-    pub first_piece: Option<Duration>,
+/// How an admitted request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// The whole answer was sent.
+    Answered {
+        /// Time until the first piece of the answer.
+        first_piece: Duration,
+    },
+    /// The answer broke off after its first piece.
+    Cut,
+    /// The caller went away.
+    CallerGone,
+    /// The caller got a refusal.
+    Refused {
+        /// Why.
+        kind: RefusalKind,
+        /// Whether an upstream ran the request.
+        outcome: OutcomeKind,
+    },
+}
+
+impl RequestEnd {
+    /// Returns whether an upstream ran the request.
+    pub fn outcome(self) -> OutcomeKind {
+        match self {
+            Self::Answered { .. } | Self::CallerGone => OutcomeKind::Ran,
+            Self::Cut => OutcomeKind::Unknown,
+            Self::Refused { outcome, .. } => outcome,
+        }
+    }
 }
--- /dev/null
+++ b/lib/src/control/dispatch.rs
@@ -0,0 +1,350 @@
+//! Which admitted request goes to which upstream, and when.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{
+    admission::is_key_valid,
+    command::{
+        DispatchEnd, DispatchGrant, DispatchOutcome, DispatchRequest, DispatchTarget, ReplySender,
+    },
+    message::{LoadBatch, PeerRequest},
+    state::ControlState,
+};
+use crate::{
+    catalogue::{Catalogue, RouteKind},
+    front::{Refusal, RefusalKind},
+    membership::HostRecord,
+    names::UpstreamName,
+    routing::{
+        ColdNotice, FinishKind, LoadReport, PickOutcome, PickRequest, PickTarget, UpstreamPick,
+    },
+    schedule::{PushOutcome, QueuedRequest, RefusalReason, RefusedRequest},
+};
+
+/// Time after which a refused caller may try again.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// Bytes of one load report on the wire, both directions and HTTP heads included.
+const LOAD_PROBE_BYTES: f64 = 350.0;
+
+/// Bytes per second that a host spends on load probes at most, of 4 KB/s for all control traffic.
+const LOAD_PROBE_BUDGET: f64 = 1_200.0;
+
+/// Shortest interval between two probes of an upstream.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Probe intervals without a report after which a host probes an upstream itself.
+const MISSED_PROBES: u32 = 3;
+
+/// A dispatch request in the queue.
+pub(super) struct QueuedDispatch {
+    request: DispatchRequest,
+    reply: ReplySender<DispatchOutcome>,
+}
+
+/// A request that an upstream runs.
+#[derive(Clone, Debug)]
+pub(super) struct RunningDispatch {
+    upstream: UpstreamName,
+    work: u64,
+    sent: Instant,
+}
+
+/// An upstream whose load this host reads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadTarget {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+}
+
+/// What the thread that reads load reports has to do in one round.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadRound {
+    /// Upstreams to read.
+    pub targets: Vec<LoadTarget>,
+    /// Time from the start of this round to the next.
+    pub interval: Duration,
+}
+
+/// Decision about the request at the head of the queue.
+enum HeadVerdict {
+    Send(Box<UpstreamPick>),
+    Refuse(Refusal),
+}
+
+impl ControlState {
+    /// Queues a request and starts whatever can start.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        request: DispatchRequest,
+        reply: ReplySender<DispatchOutcome>,
+    ) {
+        let admission = request.admission.clone();
+        let target: Arc<str> = match &request.target {
+            DispatchTarget::Chat { model, .. } => model.as_str().into(),
+            DispatchTarget::Service(service) => service.as_str().into(),
+        };
+        let queued = QueuedRequest {
+            team: admission.team.clone(),
+            weight: admission.weight,
+            class: admission.class.clone(),
+            priority: admission.priority,
+            target,
+            work: request.work,
+            queue_time: admission.queue_limit,
+            // A request that waits is refused by its class's longest wait; an answer after the
+            // class's deadline is still wanted and only counts as late.
+            deadline: admission.admitted + admission.queue_limit.max(admission.deadline),
+            payload: QueuedDispatch { request, reply },
+        };
+        match self.queue.push(now, queued) {
+            PushOutcome::Queued { shed, .. } => {
+                if let Some(shed) = shed {
+                    refuse_queued(shed);
+                }
+            }
+            PushOutcome::Refused(refused) => refuse_queued(refused),
+        }
+        self.serve_queue(now);
+    }
+
+    /// Starts every request that an upstream can take now, and refuses those that waited too long.
+    pub(super) fn serve_queue(&mut self, now: Instant) {
+        for refused in self.queue.expire(now) {
+            refuse_queued(refused);
+        }
+        loop {
+            let mut verdict = None;
+            let Self {
+                queue,
+                picker,
+                config,
+                fleets,
+                ..
+            } = self;
+            let catalogue = config.catalogue();
+            let started = queue.pop(now, |queued| {
+                verdict = judge(
+                    queued,
+                    |request| picker.pick(now, request, catalogue, fleets),
+                    catalogue,
+                );
+                verdict.is_some()
+            });
+            let (Some(started), Some(verdict)) = (started, verdict) else {
+                return;
+            };
+            let QueuedDispatch { request, reply } = started.request.payload;
+            let outcome = match verdict {
+                HeadVerdict::Refuse(refusal) => DispatchOutcome::Refused(refusal),
+                HeadVerdict::Send(pick) => {
+                    DispatchOutcome::Send(self.start_dispatch(now, &request, &pick))
+                }
+            };
+            if let Err(std::sync::mpsc::SendError(DispatchOutcome::Send(grant))) =
+                reply.send(outcome)
+            {
+                self.dispatch_ended(now, grant.number, DispatchEnd::Abandoned);
+            }
+        }
+    }
+
+    fn start_dispatch(
+        &mut self,
+        now: Instant,
+        request: &DispatchRequest,
+        pick: &UpstreamPick,
+    ) -> DispatchGrant {
+        self.picker.started(now, &pick.upstream, request.work);
+        self.next_dispatch += 1;
+        let running = RunningDispatch {
+            upstream: pick.upstream.clone(),
+            work: request.work,
+            sent: now,
+        };
+        self.running.insert(self.next_dispatch, running);
+        let entry = self.catalogue().upstreams().get(&pick.upstream);
+        DispatchGrant {
+            number: self.next_dispatch,
+            upstream: pick.upstream.clone(),
+            address: pick.address,
+            resume: request.admission.kind == RouteKind::Chat && entry.is_some_and(|it| it.resume),
+        }
+    }
+
+    /// Notes the first piece of an answer and the incarnation that the answer names.
+    pub(super) fn first_piece(&mut self, now: Instant, number: u64, incarnation: Option<u64>) {
+        let Some(running) = self.running.get(&number).cloned() else {
+            return;
+        };
+        let elapsed = now.saturating_duration_since(running.sent);
+        let jump = self.picker.first_token(now, &running.upstream, elapsed);
+        let restart =
+            incarnation.and_then(|it| self.picker.incarnation(now, &running.upstream, it));
+        for notice in [jump, restart].into_iter().flatten() {
+            self.tell_cold(now, &notice);
+        }
+    }
+
+    pub(super) fn dispatch_ended(&mut self, now: Instant, number: u64, end: DispatchEnd) {
+        let Some(running) = self.running.remove(&number) else {
+            return;
+        };
+        let how = match end {
+            DispatchEnd::Complete => FinishKind::Complete,
+            DispatchEnd::NotSent => FinishKind::Refused,
+            DispatchEnd::Broken => FinishKind::Broken,
+            DispatchEnd::Abandoned => FinishKind::Cancelled,
+        };
+        if let Some(notice) = self
+            .picker
+            .finished(now, &running.upstream, running.work, how)
+        {
+            self.tell_cold(now, &notice);
+        }
+        self.serve_queue(now);
+    }
+
+    /// Tells every host of the fleet that an upstream turned cold or answered again.
+    fn tell_cold(&self, now: Instant, notice: &ColdNotice) {
+        tracing::info!(upstream = %notice.upstream, change = ?notice.change, "cold_upstream");
+        for host in self.other_hosts() {
+            self.tell(now, host, PeerRequest::Cold(notice.clone()));
+        }
+    }
+
+    /// Takes load reports, from an upstream or from the host that read them.
+    pub(super) fn take_loads(&mut self, now: Instant, reports: &[(UpstreamName, LoadReport)]) {
+        for (upstream, report) in reports {
+            self.reported.insert(upstream.clone(), now);
+            if let Some(notice) = self.picker.report(now, upstream, report) {
+                self.tell_cold(now, &notice);
+            }
+        }
+        self.serve_queue(now);
+    }
+
+    /// Takes the reports that this host read and passes them to its data centre.
+    pub(super) fn share_loads(&mut self, now: Instant, reports: Vec<(UpstreamName, LoadReport)>) {
+        self.take_loads(now, &reports);
+        if reports.is_empty() {
+            return;
+        }
+        let peers: Vec<HostRecord> = self.views.peers().into_iter().cloned().collect();
+        for peer in &peers {
+            let batch = LoadBatch {
+                reports: reports.clone(),
+            };
+            self.tell(now, peer, PeerRequest::Loads(batch));
+        }
+    }
+
+    /// Returns the upstreams whose load this host reads.
+    ///
+    /// One host of each data centre reads an upstream. Any other does so as well if it has had
+    /// no report for a while.
+    pub(super) fn load_round(&mut self, now: Instant) -> LoadRound {
+        let catalogue = self.catalogue().clone();
+        self.reported
+            .retain(|name, _| catalogue.upstreams().contains_key(name));
+        let interval_of = |count: usize| {
+            let seconds = count as f64 * LOAD_PROBE_BYTES / LOAD_PROBE_BUDGET;
+            MIN_PROBE_INTERVAL.max(Duration::from_secs_f64(seconds))
+        };
+        let patience = interval_of(catalogue.upstreams().len()) * MISSED_PROBES;
+        let targets: Vec<LoadTarget> = catalogue
+            .upstreams()
+            .iter()
+            .filter(|(name, _)| {
+                let reader = self.views.owner(&format!("load/{name}"));
+                let is_reader = reader.is_none_or(|it| it.name == self.identity.name);
+                let is_silent = self
+                    .reported
+                    .get(*name)
+                    .is_none_or(|at| now.saturating_duration_since(*at) > patience);
+                is_reader || is_silent
+            })
+            .map(|(name, entry)| LoadTarget {
+                upstream: name.clone(),
+                address: entry.address,
+            })
+            .collect();
+        LoadRound {
+            interval: interval_of(targets.len()),
+            targets,
+        }
+    }
+
+    /// Returns the number of requests that upstreams run for this host, by upstream.
+    pub(super) fn running_by_upstream(&self) -> HashMap<&UpstreamName, u64> {
+        let mut counts = HashMap::new();
+        for running in self.running.values() {
+            *counts.entry(&running.upstream).or_default() += 1;
+        }
+        counts
+    }
+}
+
+fn judge(
+    queued: &QueuedRequest<QueuedDispatch>,
+    pick: impl FnOnce(&PickRequest<'_>) -> PickOutcome,
+    catalogue: &Catalogue,
+) -> Option<HeadVerdict> {
+    let request = &queued.payload.request;
+    if !is_key_valid(catalogue, &request.admission) {
+        let refusal = Refusal::not_run(RefusalKind::KeyInvalid, "the key was withdrawn");
+        return Some(HeadVerdict::Refuse(refusal));
+    }
+    let mut excluded = request.tried.clone();
+    if request.needs_resume {
+        let unable = catalogue.upstreams().iter().filter(|(_, it)| !it.resume);
+        excluded.extend(unable.map(|(name, _)| name.clone()));
+    }
+    let (target, chat) = match &request.target {
+        DispatchTarget::Chat { model, chat } => (PickTarget::Model(model), Some(chat.as_str())),
+        DispatchTarget::Service(service) => (PickTarget::Service(service), None),
+    };
+    let pick_request = PickRequest {
+        target,
+        chat,
+        request: &request.request_id,
+        work: request.work,
+        tried: &excluded,
+    };
+    match pick(&pick_request) {
+        PickOutcome::Picked(pick) => Some(HeadVerdict::Send(Box::new(pick))),
+        PickOutcome::Busy { .. } => None,
+        PickOutcome::NoneEligible => {
+            let message = "no upstream takes such requests at present";
+            let refusal =
+                Refusal::not_run(RefusalKind::NoUpstream, message).retry_after(BUSY_RETRY);
+            Some(HeadVerdict::Refuse(refusal))
+        }
+    }
+}
+
+fn refuse_queued(refused: RefusedRequest<QueuedDispatch>) {
+    let (kind, message) = match refused.reason {
+        RefusalReason::QueueFull => (RefusalKind::QueueFull, "the queue of the team is full"),
+        RefusalReason::Shed => (
+            RefusalKind::Shed,
+            "the place in the queue went to more urgent work",
+        ),
+        RefusalReason::WaitedTooLong | RefusalReason::DeadlinePassed => {
+            (RefusalKind::QueueTimeout, "no upstream was free in time")
+        }
+    };
+    let refusal = Refusal::not_run(kind, message).retry_after(BUSY_RETRY);
+    let _ = refused
+        .request
+        .payload
+        .reply
+        .send(DispatchOutcome::Refused(refusal));
+}
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -56,7 +56,12 @@
         request: PeerRequest,
         timeout: Duration,
     ) {
-        self.caller.order(PeerCall { address: host.address, request, timeout, ordered: now });
+        self.caller.order(PeerCall {
+            address: host.address,
+            request,
+            timeout,
+            ordered: now,
+        });
     }
 
     /// Sends a background message to a host.
@@ -84,7 +89,11 @@
         }
         let is_platform_silent =
             now.saturating_duration_since(self.list_read) > self.timing.validity / 2;
-        let count = if is_platform_silent { peers.len() } else { HEARTBEATS_PER_ROUND };
+        let count = if is_platform_silent {
+            peers.len()
+        } else {
+            HEARTBEATS_PER_ROUND
+        };
         for step in 0..count.min(peers.len()) {
             let peer = &peers[(self.heartbeat_cursor + step) % peers.len()];
             self.tell(now, peer, PeerRequest::Heartbeat(heartbeat.clone()));
@@ -102,7 +111,11 @@
 
     /// Returns all other hosts of the list, also leaving ones.
     pub(super) fn other_hosts(&self) -> impl Iterator<Item = &HostRecord> {
-        self.views.hosts().hosts.iter().filter(|it| it.name != self.identity.name)
+        self.views
+            .hosts()
+            .hosts
+            .iter()
+            .filter(|it| it.name != self.identity.name)
     }
 
     /// Asks peers for their revision, once, when the first host list is known.
@@ -111,13 +124,18 @@
             return;
         }
         let others: Vec<HostRecord> = self.other_hosts().cloned().collect();
-        let asked: Vec<&HostRecord> = others.choose_multiple(&mut rand::rng(), START_PEERS).collect();
+        let asked: Vec<&HostRecord> = others
+            .choose_multiple(&mut rand::rng(), START_PEERS)
+            .collect();
         for peer in &asked {
             self.tell(now, peer, PeerRequest::Digest(self.digest()));
         }
         self.sync = match asked.len() {
             0 => StartSync::Done,
-            pending => StartSync::Asked { since: now, pending },
+            pending => StartSync::Asked {
+                since: now,
+                pending,
+            },
         };
     }
 
@@ -149,7 +167,9 @@
         if digest.seen <= self.config.seen_revision() {
             return false;
         }
-        let Some(peer) = self.views.hosts().host(&digest.host).cloned() else { return false };
+        let Some(peer) = self.views.hosts().host(&digest.host).cloned() else {
+            return false;
+        };
         let request = PeerRequest::ConfigSince(self.config.seen_revision());
         self.call(now, &peer, request, CONFIG_TIMEOUT);
         true
@@ -191,6 +211,10 @@
             PeerRequest::ConfigSince(base) => PeerReply::Config(self.config_reply(base)),
             PeerRequest::HostList => PeerReply::HostList(self.views.hosts().clone()),
             PeerRequest::Grant(request) => PeerReply::Grant(self.grant(now, &request)),
+            PeerRequest::Cold(notice) => {
+                self.picker.notice(now, &notice);
+                PeerReply::Done
+            }
             PeerRequest::Loads(batch) => {
                 self.take_loads(now, &batch.reports);
                 PeerReply::Done
--- a/lib/src/control/handle.rs
+++ b/lib/src/control/handle.rs
@@ -11,7 +11,7 @@
     AdmitOutcome, AdmitRequest, ControlCommand, DispatchEnd, DispatchGrant, DispatchOutcome,
     DispatchRequest, ReplySender,
 };
-use crate::front::Refusal;
+use crate::front::{Refusal, RefusalKind};
 
 /// Sends commands to the control actor and waits for replies.
 #[derive(Clone)]
@@ -61,7 +61,7 @@
 }
 
 fn stopping() -> Refusal {
-    Refusal::not_run(503, "stopping", "the host is stopping")
+    Refusal::not_run(RefusalKind::Stopping, "the host is stopping")
 }
 
 /// A dispatch that has not ended; dropping it reports the end to the control actor.
@@ -78,9 +78,12 @@
     }
 
     /// Reports the first piece of the answer.
-    pub fn first_piece(&self) {
-        self.handle
-            .send(ControlCommand::FirstPiece(self.grant.number));
+    pub fn first_piece(&self, incarnation: Option<u64>) {
+        let number = self.grant.number;
+        self.handle.send(ControlCommand::FirstPiece {
+            number,
+            incarnation,
+        });
     }
 
     /// Ends the dispatch.
--- a/lib/src/control/message.rs
+++ b/lib/src/control/message.rs
@@ -7,12 +7,11 @@
     limits::{GrantReply, GrantRequest},
     membership::{Heartbeat, HeartbeatReply, HostList, HostRelease},
     names::{HostName, UpstreamName},
-    upstream::LoadReport,
+    routing::{ColdNotice, LoadReport},
 };
 
 /// What a host tells about itself when it exchanges digests.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostDigest {
     /// The host.
     pub host: HostName,
@@ -25,16 +24,14 @@
 }
 
 /// Load reports that one host read for its data centre.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadBatch {
     /// The reports.
     pub reports: Vec<(UpstreamName, LoadReport)>,
 }
 
 /// A request to another host.
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// Sent to the hosts of the own data centre.
     Heartbeat(Heartbeat),
@@ -50,11 +47,12 @@
     Grant(GrantRequest),
     /// Load reports for the data centre.
     Loads(LoadBatch),
+    /// An upstream turned cold, or answered for the first time since.
+    Cold(ColdNotice),
 }
 
 /// The reply to a [`PeerRequest`].
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
     /// To a heartbeat.
     Heartbeat(HeartbeatReply),
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -1,232 +1,355 @@
 //! The decisions of one router behind one interface.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     fmt,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use super::command::{
-    Admission, AdmitOutcome, AdmitRequest, ControlCommand, DispatchEnd, DispatchGrant,
-    DispatchOutcome, DispatchRequest, DispatchTarget,
+use super::{
+    admission::TokenQueue,
+    command::ControlCommand,
+    dispatch::{QueuedDispatch, RunningDispatch},
+    gossip::StartSync,
+    message::{PeerReply, PeerRequest},
+    report::TeamCountTable,
+    timer::PeriodTimer,
 };
 use crate::{
-    catalogue::{Catalogue, RouteKind},
+    catalogue::Catalogue,
     config::{ChangeOutcome, ConfigChange, ConfigTracker},
-    front::Refusal,
-    membership::HostList,
-    names::{TeamName, UpstreamName},
-    rendezvous,
+    limits::{BucketTable, ShareGate, WalletTable},
+    membership::{HostList, HostRecord, ViewTiming, ViewTracker},
+    names::{CentreName, HostName, TeamName, UpstreamName},
+    peer::{PeerCall, PeerCaller, PeerError},
+    routing::{HostSet, RoutingSettings, UpstreamPicker},
+    schedule::{FairQueue, QueueSettings},
+    slo::BurnTracker,
+    telemetry::RouterMetrics,
 };
 
-/// Name under which requests on open routes share the queue.
-const OPEN_TEAM: &str = "open";
+/// Interval of digests; with 2 s a changed revision reaches a host that is cut off from the
+/// platform within seconds and costs 300 bytes/s.
+const DIGEST_PERIOD: Duration = Duration::from_secs(2);
+
+/// Interval of slow periodic work.
+const SLOW_PERIOD: Duration = Duration::from_millis(500);
+
+/// Interval at which the queue is served without another cause.
+const QUEUE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Heartbeats per validity, so that single losses do no harm.
+const HEARTBEATS_PER_VALIDITY: u32 = 5;
+
+/// What the state of a new process is made from.
+pub struct StateSettings {
+    /// This host as other hosts know it.
+    pub identity: HostRecord,
+    /// Random number of this process.
+    pub incarnation: u64,
+    /// Times on which ownership depends.
+    pub timing: ViewTiming,
+    /// Longest queue, in requests.
+    pub max_queued: usize,
+    /// Where events are counted.
+    pub metrics: Arc<RouterMetrics>,
+    /// Calls to other hosts.
+    pub caller: Arc<dyn PeerCaller<PeerRequest, PeerReply>>,
+}
+
+/// Timers of the periodic work.
+struct StateTimers {
+    heartbeat: PeriodTimer,
+    digest: PeriodTimer,
+    slow: PeriodTimer,
+    queue: PeriodTimer,
+}
 
 /// Everything that the control actor owns.
 pub struct ControlState {
-    config: ConfigTracker,
-    hosts: HostList,
-    dispatches: HashMap<u64, UpstreamName>,
-    next_dispatch: u64,
-    is_draining: bool,
+    pub(super) identity: HostRecord,
+    pub(super) incarnation: u64,
+    pub(super) timing: ViewTiming,
+    pub(super) caller: Arc<dyn PeerCaller<PeerRequest, PeerReply>>,
+    timers: StateTimers,
+    pub(super) is_draining: bool,
+
+    pub(super) config: ConfigTracker,
+    /// Highest revision that each host is known to have accepted.
+    pub(super) revisions: BTreeMap<HostName, u64>,
+    pub(super) sync: StartSync,
+
+    pub(super) views: ViewTracker,
+    /// When a read of the host list last ended.
+    pub(super) list_read: Instant,
+    pub(super) heartbeat_cursor: usize,
+
+    pub(super) gate: ShareGate,
+    pub(super) buckets: BucketTable,
+    pub(super) wallets: WalletTable,
+    pub(super) tokens: BTreeMap<TeamName, TokenQueue>,
+    /// Data centre that each grant request without an answer was sent to, by sequence.
+    pub(super) grant_calls: HashMap<u64, CentreName>,
+
+    pub(super) picker: UpstreamPicker,
+    /// Sets of live hosts in force during the last `takeover_wait`, for the cold split.
+    pub(super) fleets: Vec<HostSet>,
+    pub(super) reported: HashMap<UpstreamName, Instant>,
+    pub(super) queue: FairQueue<QueuedDispatch>,
+    pub(super) running: HashMap<u64, RunningDispatch>,
+    pub(super) next_dispatch: u64,
+
+    pub(super) metrics: Arc<RouterMetrics>,
+    pub(super) burn: BurnTracker,
+    pub(super) counts: TeamCountTable,
+    started: Instant,
 }
 
 impl fmt::Debug for ControlState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("ControlState").finish_non_exhaustive()
+        f.debug_struct("ControlState")
+            .field("identity", &self.identity)
+            .finish_non_exhaustive()
     }
 }
 
 impl ControlState {
     /// Creates the state of a process that has just started.
-    pub fn new() -> Self {
+    pub fn new(settings: StateSettings, now: Instant) -> Self {
+        let StateSettings {
+            identity,
+            incarnation,
+            timing,
+            max_queued,
+            metrics,
+            caller,
+        } = settings;
+        let (host, centre) = (identity.name.clone(), identity.data_centre.clone());
+        let routing = RoutingSettings::default();
+        let queue = QueueSettings {
+            capacity: max_queued,
+            ..QueueSettings::default()
+        };
         Self {
+            incarnation,
+            timing,
+            caller,
+            timers: StateTimers {
+                heartbeat: PeriodTimer::new(timing.validity / HEARTBEATS_PER_VALIDITY, now),
+                digest: PeriodTimer::new(DIGEST_PERIOD, now),
+                slow: PeriodTimer::new(SLOW_PERIOD, now),
+                queue: PeriodTimer::new(QUEUE_PERIOD, now),
+            },
+            is_draining: false,
             config: ConfigTracker::new(),
-            hosts: HostList::default(),
-            dispatches: HashMap::new(),
+            revisions: BTreeMap::new(),
+            sync: StartSync::WaitsForList,
+            views: ViewTracker::new(identity.clone(), incarnation, timing, now),
+            list_read: now,
+            heartbeat_cursor: 0,
+            gate: ShareGate::new(&identity, timing.takeover_wait()),
+            buckets: BucketTable::new(),
+            wallets: WalletTable::new(host.clone(), incarnation, centre.clone()),
+            tokens: BTreeMap::new(),
+            grant_calls: HashMap::new(),
+            picker: UpstreamPicker::new(routing, host, centre),
+            fleets: Vec::new(),
+            reported: HashMap::new(),
+            queue: FairQueue::new(queue),
+            running: HashMap::new(),
             next_dispatch: 0,
-            is_draining: false,
+            metrics,
+            burn: BurnTracker::new(now),
+            counts: TeamCountTable::new(),
+            started: now,
+            identity,
         }
     }
 
     /// Handles one command.
     pub fn handle(&mut self, now: Instant, command: ControlCommand) {
         match command {
-            ControlCommand::ConfigRead(change) => self.apply_config(&change),
-            ControlCommand::HostsRead { list, .. } => {
-                if let Some(list) = list
-                    && list.version > self.hosts.version
-                {
-                    self.hosts = list;
-                }
+            ControlCommand::ConfigRead(change) => {
+                self.apply_config(now, &change);
+            }
+            ControlCommand::HostsRead { started, list } => self.hosts_read(now, started, list),
+            ControlCommand::Admit(request, reply) => self.admit(now, &request, reply),
+            ControlCommand::Dispatch(request, reply) => self.dispatch(now, *request, reply),
+            ControlCommand::FirstPiece {
+                number,
+                incarnation,
+            } => {
+                self.first_piece(now, number, incarnation);
+            }
+            ControlCommand::DispatchEnded(number, end) => self.dispatch_ended(now, number, end),
+            ControlCommand::RequestEnded(admission, end) => {
+                self.request_ended(now, &admission, end);
+            }
+            ControlCommand::Status(reply) => {
+                let _ = reply.send(Box::new(self.status(now)));
+            }
+            ControlCommand::Explain(query, reply) => {
+                let _ = reply.send(Box::new(self.explain(now, query)));
             }
-            ControlCommand::Admit(request, reply) => {
-                let _ = reply.send(self.admit(now, &request));
+            ControlCommand::Burn(reply) => {
+                let _ = reply.send(self.burn_report(now));
             }
-            ControlCommand::Dispatch(request, reply) => {
-                let _ = reply.send(self.dispatch(&request));
+            ControlCommand::LoadRound(reply) => {
+                let _ = reply.send(self.load_round(now));
             }
-            ControlCommand::DispatchEnded(number, end) => self.dispatch_ended(number, end),
+            ControlCommand::LoadsRead(reports) => self.share_loads(now, reports),
+            ControlCommand::Peer(request, reply) => {
+                let _ = reply.send(self.hear(now, *request));
+            }
+            ControlCommand::PeerEnded(call, result) => self.peer_ended(now, *call, result),
             ControlCommand::SeenRevision(reply) => {
                 let _ = reply.send(self.config.seen_revision());
             }
             ControlCommand::ListVersion(reply) => {
-                let _ = reply.send(self.hosts.version);
+                let _ = reply.send(self.views.hosts().version);
             }
             ControlCommand::IsReady(reply) => {
-                let _ = reply.send(!self.is_draining && self.config.accepted_revision() > 0);
+                let _ = reply.send(self.is_ready());
+            }
+            ControlCommand::Drain => {
+                self.is_draining = true;
+                self.release(now);
             }
-            ControlCommand::Drain => self.is_draining = true,
-            ControlCommand::FirstPiece(_) | ControlCommand::RequestEnded(_) => {}
         }
     }
 
     /// Does the periodic work.
-    pub fn tick(&mut self, _now: Instant) {}
+    pub fn tick(&mut self, now: Instant) {
+        self.views.tick(now);
+        for (centre, request) in self.wallets.due(now) {
+            self.send_grant_request(now, &centre, request);
+        }
+        self.serve_all_waiting(now);
+        if self.timers.queue.is_due(now) {
+            self.serve_queue(now);
+        }
+        if self.timers.heartbeat.is_due(now) {
+            self.send_heartbeats(now);
+        }
+        if self.timers.digest.is_due(now) {
+            self.send_digest(now);
+        }
+        if self.timers.slow.is_due(now) {
+            self.slow_tick(now);
+        }
+    }
+
+    fn slow_tick(&mut self, now: Instant) {
+        let Self {
+            gate,
+            buckets,
+            views,
+            ..
+        } = self;
+        gate.update(now, views.hosts());
+        buckets.tick(now, gate.shares(), |team| {
+            views.owns(&super::admission::bucket_key(team), now)
+        });
+        self.start_sync(now);
+        self.expire_sync(now);
+        self.update_fleets(now);
+        self.update_gauges();
+    }
+
+    /// Returns whether the host takes new requests.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining && self.config.accepted_revision() > 0 && self.sync == StartSync::Done
+    }
 
-    fn catalogue(&self) -> &Arc<Catalogue> {
+    pub(super) fn catalogue(&self) -> &Arc<Catalogue> {
         self.config.catalogue()
     }
 
-    fn apply_config(&mut self, change: &ConfigChange) {
+    /// Applies a change; returns whether a whole configuration is needed instead.
+    fn apply_config(&mut self, now: Instant, change: &ConfigChange) -> bool {
         match self.config.apply(change) {
             ChangeOutcome::Accepted(catalogue) => {
                 tracing::info!(revision = catalogue.revision(), "config_accepted");
+                self.metrics.set_catalogue(&catalogue);
+                self.gate.on_catalogue(&catalogue);
+                self.note_revision(&self.identity.name.clone(), catalogue.revision());
+                self.picker.adopt(now, &catalogue);
+                self.serve_queue(now);
+                false
             }
             ChangeOutcome::Rejected(rejection) => {
                 for problem in &rejection.problems {
                     tracing::warn!(revision = rejection.revision, %problem, "config_rejected");
                 }
+                false
             }
-            ChangeOutcome::Stale => {}
+            ChangeOutcome::Stale => false,
             ChangeOutcome::Gap => {
                 tracing::warn!(base = change.base, revision = change.revision, "config_gap");
+                true
             }
         }
     }
 
-    fn admit(&self, now: Instant, request: &AdmitRequest) -> AdmitOutcome {
-        match self.check_admission(now, request) {
-            Ok(admission) => AdmitOutcome::Admitted(Arc::new(admission)),
-            Err(refusal) => AdmitOutcome::Refused(refusal),
+    fn hosts_read(&mut self, now: Instant, started: Instant, list: Option<HostList>) {
+        self.list_read = now;
+        match list {
+            Some(list) => {
+                if list.version > self.views.hosts().version {
+                    tracing::info!(
+                        version = list.version,
+                        hosts = list.hosts.len(),
+                        "host_list"
+                    );
+                }
+                self.views.read_list(started, now, &list);
+            }
+            None => self.views.list_unchanged(started, now),
         }
+        self.update_fleets(now);
+        self.start_sync(now);
     }
 
-    fn check_admission(&self, now: Instant, request: &AdmitRequest) -> Result<Admission, Refusal> {
-        let catalogue = self.catalogue();
-        if self.is_draining {
-            return Err(
-                Refusal::not_run(503, "draining", "the host is about to stop")
-                    .retry_after(Duration::from_secs(1)),
-            );
-        }
-        if catalogue.revision() == 0 {
-            return Err(
-                Refusal::not_run(503, "no_configuration", "no configuration yet")
-                    .retry_after(Duration::from_secs(1)),
-            );
+    /// A process younger than `takeover_wait` does not know the sets in force before its start.
+    fn update_fleets(&mut self, now: Instant) {
+        self.fleets.clear();
+        if now.saturating_duration_since(self.started) < self.timing.takeover_wait() {
+            return;
         }
-        let Some((name, route)) = catalogue.route(&request.method, &request.path) else {
-            return Err(if catalogue.has_path(&request.path) {
-                let message = format!("no route for method {}", request.method);
-                Refusal::not_run(405, "method_not_allowed", message)
-            } else {
-                Refusal::not_run(404, "no_route", "no route for this path")
-            });
-        };
-        let team = if route.open {
-            TeamName::new(OPEN_TEAM)
-        } else {
-            let key = request
-                .key
-                .ok_or_else(|| Refusal::not_run(401, "key_missing", "this route needs a key"))?;
-            let team = catalogue.team_of_key(&key).ok_or_else(|| {
-                Refusal::not_run(401, "key_invalid", "the key is unknown or withdrawn")
-            })?;
-            if !route.teams.is_empty() && !route.teams.contains(team) {
-                return Err(Refusal::not_run(
-                    403,
-                    "route_forbidden",
-                    "the team may not use this route",
-                ));
-            }
-            team.clone()
-        };
-        let class_name = route
-            .class
-            .as_ref()
-            .or_else(|| catalogue.team(&team).map(|it| &it.class))
-            .expect("the catalogue check requires a class for every route without a team");
-        let class = catalogue
-            .classes()
-            .get(class_name)
-            .expect("the check resolves classes");
-        Ok(Admission {
-            route: name.clone(),
-            kind: route.kind,
-            service: route.service.clone(),
-            once: route.once,
-            open: route.open,
-            team,
-            key: request.key,
-            class: class_name.clone(),
-            priority: class.priority,
-            deadline: Duration::from_millis(class.deadline_ms),
-            queue_limit: Duration::from_millis(class.queue_ms),
-            admitted: now,
-        })
+        let sets = self.views.recent_fleets(now);
+        self.fleets.extend(
+            sets.into_iter()
+                .map(|it| it.iter().cloned().collect::<HostSet>()),
+        );
     }
 
-    fn dispatch(&mut self, request: &DispatchRequest) -> DispatchOutcome {
-        let catalogue = self.catalogue().clone();
-        let admission = &request.admission;
-        if !admission.open
-            && admission.key.and_then(|it| catalogue.team_of_key(&it)) != Some(&admission.team)
-        {
-            let refusal = Refusal::not_run(401, "key_invalid", "the key was withdrawn");
-            return DispatchOutcome::Refused(refusal);
-        }
-        let eligible = catalogue.upstreams().iter().filter(|(name, it)| {
-            catalogue.takes_new_work(it)
-                && !request.tried.contains(name)
-                && (it.resume || !request.needs_resume)
-                && match &request.target {
-                    DispatchTarget::Chat { model, .. } => it.models.contains(model),
-                    DispatchTarget::Service(service) => it.service.as_ref() == Some(service),
+    fn peer_ended(
+        &mut self,
+        now: Instant,
+        call: PeerCall<PeerRequest>,
+        result: Result<PeerReply, PeerError>,
+    ) {
+        match (call.request, result) {
+            (PeerRequest::Heartbeat(_), Ok(PeerReply::Heartbeat(reply))) => {
+                let peer = reply.host.name.clone();
+                self.views.confirm(call.ordered, now, &peer, &reply);
+            }
+            (PeerRequest::Digest(_), Ok(PeerReply::Digest(digest))) => {
+                let is_pulling = self.hear_digest(now, &digest);
+                if !is_pulling {
+                    self.sync_step();
                 }
-        });
-        let key = match &request.target {
-            DispatchTarget::Chat { chat, .. } => chat.clone(),
-            DispatchTarget::Service(_) => rand::random::<u64>().to_string(),
-        };
-        let Some(upstream) = rendezvous::first(&key, eligible.map(|(name, _)| name)) else {
-            let refusal = Refusal::not_run(503, "no_upstream", "no upstream can take the request")
-                .retry_after(Duration::from_secs(1));
-            return DispatchOutcome::Refused(refusal);
-        };
-        let entry = &catalogue.upstreams()[upstream];
-        self.next_dispatch += 1;
-        self.dispatches.insert(self.next_dispatch, upstream.clone());
-        DispatchOutcome::Send(DispatchGrant {
-            number: self.next_dispatch,
-            upstream: upstream.clone(),
-            address: entry.address,
-            resume: entry.resume && admission.kind == RouteKind::Chat,
-        })
-    }
-
-    fn dispatch_ended(&mut self, number: u64, end: DispatchEnd) {
-        if let Some(upstream) = self.dispatches.remove(&number)
-            && end == DispatchEnd::Broken
-        {
-            tracing::warn!(%upstream, "upstream_broken");
+            }
+            (PeerRequest::ConfigSince(_), Ok(PeerReply::Config(change))) => {
+                self.apply_config(now, &change);
+                self.sync_step();
+            }
+            (PeerRequest::Digest(_) | PeerRequest::ConfigSince(_), _) => self.sync_step(),
+            (PeerRequest::Grant(request), result) => {
+                self.grant_ended(now, &request, result);
+            }
+            _ => {}
         }
     }
 }
-
-impl Default for ControlState {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The router process: starts every part, and stops without cutting a request.
 
 mod admin;
+mod peers;
 mod watch;
 
 use std::{
@@ -12,17 +13,21 @@
 
 use anyhow::{Context, Result};
 
+pub use self::peers::RouterTransport;
 use self::{
     admin::AdminServer,
-    watch::{watch_config, watch_hosts},
+    peers::SplitCaller,
+    watch::{read_loads, watch_config, watch_hosts},
 };
 use crate::{
     clock::ClockSource,
-    control::{ControlCommand, ControlHandle, ControlSettings, ControlState, ControlThread},
+    control::{ControlCommand, ControlHandle, ControlState, ControlThread, StateSettings},
     exchange::Exchange,
     front::{FrontLimits, FrontServer},
+    membership::{HostRecord, HostState, ViewTiming},
     platform::PlatformSource,
     settings::RouterSettings,
+    telemetry::RouterMetrics,
     threads::{StopSignal, ThreadGroup},
     upstream::UpstreamClient,
 };
@@ -46,6 +51,8 @@
     pub platform: Arc<dyn PlatformSource>,
     /// Engines and services.
     pub upstream: Arc<dyn UpstreamClient>,
+    /// Other hosts.
+    pub peers: Arc<RouterTransport>,
 }
 
 /// A running router.
@@ -63,15 +70,13 @@
     pub fn start(settings: RouterSettings, ports: RouterPorts) -> Result<Self> {
         let caller_listener = bind(settings.listen, "listen")?;
         let admin_listener = bind(settings.admin_listen, "admin-listen")?;
-        let control_settings = ControlSettings {
-            clock: ports.clock.clone(),
-        };
-        let control = ControlThread::start(control_settings, |_| ControlState::new())
-            .context("cannot start the control thread")?;
+        let metrics = Arc::new(RouterMetrics::new());
+        let address = admin_listener.local_addr()?;
+        let control = start_control(&settings, &ports, address, &metrics)?;
         let stop = StopSignal::new();
         let threads = ThreadGroup::new();
         start_watches(&ports, &control.handle(), &stop, &threads)?;
-        let admin = AdminServer::start(admin_listener, control.handle())
+        let admin = AdminServer::start(admin_listener, control.handle(), metrics)
             .context("cannot start the administration server")?;
         let exchange = Exchange::new(
             control.handle(),
@@ -147,6 +152,42 @@
     }
 }
 
+fn start_control(
+    settings: &RouterSettings,
+    ports: &RouterPorts,
+    address: SocketAddr,
+    metrics: &Arc<RouterMetrics>,
+) -> Result<ControlThread> {
+    let identity = HostRecord {
+        name: settings.host.clone(),
+        address,
+        data_centre: settings.data_centre.clone(),
+        state: HostState::Live,
+    };
+    let timing = ViewTiming {
+        validity: settings.validity,
+        list_lag: settings.list_lag,
+        margin: settings.margin,
+    };
+    let max_queued = settings.max_queued;
+    let metrics = metrics.clone();
+    let (transport, clock) = (ports.peers.clone(), ports.clock.clone());
+    ControlThread::start(ports.clock.clone(), move |now, handle| {
+        let caller = SplitCaller::start(&transport, &clock, &handle)
+            .expect("threads can be started while the process starts");
+        let settings = StateSettings {
+            identity,
+            incarnation: rand::random(),
+            timing,
+            max_queued,
+            metrics,
+            caller: Arc::new(caller),
+        };
+        ControlState::new(settings, now)
+    })
+    .context("cannot start the control thread")
+}
+
 fn start_watches(
     ports: &RouterPorts,
     control: &ControlHandle,
@@ -161,5 +202,10 @@
     let clock = ports.clock.clone();
     threads.spawn("watch-hosts", move || {
         watch_hosts(&*platform, &*clock, &handle, &signal)
+    })?;
+    let (upstream, handle, signal) = (ports.upstream.clone(), control.clone(), stop.clone());
+    let clock = ports.clock.clone();
+    threads.spawn("read-loads", move || {
+        read_loads(&*upstream, &*clock, &handle, &signal)
     })
 }
--- a/lib/src/daemon/admin.rs
+++ b/lib/src/daemon/admin.rs
@@ -6,10 +6,14 @@
     sync::Arc,
 };
 
+use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::{
-    control::{ControlCommand, ControlHandle},
+    control::{ControlCommand, ControlHandle, PeerReply, PeerRequest},
+    peer::{decode_message, encode_message},
+    status::ExplainQuery,
+    telemetry::RouterMetrics,
     threads::ThreadGroup,
 };
 
@@ -23,16 +27,58 @@
     threads: ThreadGroup,
 }
 
+/// What the answers are made from.
+#[derive(Clone)]
+struct AdminState {
+    control: ControlHandle,
+    metrics: Arc<RouterMetrics>,
+}
+
+/// Status, content type and body of an answer.
+struct AdminAnswer {
+    status: u16,
+    content_type: &'static str,
+    body: Vec<u8>,
+}
+
+impl AdminAnswer {
+    fn text(status: u16, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            body: body.into().into_bytes(),
+        }
+    }
+
+    fn json<T: Serialize>(value: Option<T>) -> Self {
+        match value.map(|it| serde_json::to_vec(&it)) {
+            Some(Ok(body)) => Self {
+                status: 200,
+                content_type: "application/json",
+                body,
+            },
+            Some(Err(error)) => Self::text(500, format!("cannot encode the answer: {error}\n")),
+            None => Self::text(503, "the router is stopping\n"),
+        }
+    }
+}
+
 impl AdminServer {
-    pub(super) fn start(listener: TcpListener, control: ControlHandle) -> io::Result<Self> {
+    pub(super) fn start(
+        listener: TcpListener,
+        control: ControlHandle,
+        metrics: Arc<RouterMetrics>,
+    ) -> io::Result<Self> {
         let address = listener.local_addr()?;
-        let server = Arc::new(Server::from_listener(listener, None).map_err(io::Error::other)?);
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        let state = AdminState { control, metrics };
         let threads = ThreadGroup::new();
         for _ in 0..ADMIN_THREADS {
-            let (server, control) = (server.clone(), control.clone());
+            let (server, state) = (server.clone(), state.clone());
             threads.spawn("admin", move || {
                 while let Ok(request) = server.recv() {
-                    serve(request, &control);
+                    state.serve(request);
                 }
             })?;
         }
@@ -55,26 +101,65 @@
     }
 }
 
-fn serve(request: Request, control: &ControlHandle) {
-    let path = request
-        .url()
-        .split('?')
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    let (status, body) = match (request.method(), path.as_str()) {
-        (Method::Get, "/healthz") => (200, "ok\n"),
-        (Method::Get, "/readyz") => match control.ask(ControlCommand::IsReady) {
-            Some(true) => (200, "ok\n"),
-            _ => (503, "not ready\n"),
-        },
-        _ => (404, "not found\n"),
-    };
-    let plain = Header::from_bytes("content-type", "text/plain").expect("the header is valid");
-    let response = Response::from_string(body)
-        .with_status_code(status)
-        .with_header(plain);
-    if let Err(error) = request.respond(response) {
-        tracing::debug!(%error, "admin_answer_failed");
+impl AdminState {
+    fn serve(&self, mut request: Request) {
+        let answer = match request.method() {
+            Method::Post if request.url() == "/peer" => self.peer(request.as_reader()),
+            Method::Get => self.get(request.url()),
+            _ => AdminAnswer::text(405, "this port is read only\n"),
+        };
+        let kind =
+            Header::from_bytes("content-type", answer.content_type).expect("the header is valid");
+        let response = Response::from_data(answer.body)
+            .with_status_code(answer.status)
+            .with_header(kind);
+        if let Err(error) = request.respond(response) {
+            tracing::debug!(%error, "admin_answer_failed");
+        }
+    }
+
+    fn get(&self, url: &str) -> AdminAnswer {
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        match path {
+            "/healthz" => AdminAnswer::text(200, "ok\n"),
+            "/readyz" => match self.control.ask(ControlCommand::IsReady) {
+                Some(true) => AdminAnswer::text(200, "ok\n"),
+                _ => AdminAnswer::text(503, "not ready\n"),
+            },
+            "/status" => AdminAnswer::json(self.control.ask(ControlCommand::Status)),
+            "/slo" => AdminAnswer::json(self.control.ask(ControlCommand::Burn)),
+            "/explain" => match ExplainQuery::parse(query) {
+                Ok(query) => {
+                    AdminAnswer::json(self.control.ask(|it| ControlCommand::Explain(query, it)))
+                }
+                Err(error) => AdminAnswer::text(400, format!("{error}\n")),
+            },
+            "/metrics" => match self.metrics.render() {
+                Ok(text) => AdminAnswer::text(200, text),
+                Err(error) => AdminAnswer::text(500, format!("{error}\n")),
+            },
+            _ => AdminAnswer::text(404, "not found\n"),
+        }
+    }
+
+    fn peer(&self, reader: &mut dyn io::Read) -> AdminAnswer {
+        match decode_message::<PeerRequest>(reader) {
+            Ok(message) => {
+                let reply = self
+                    .control
+                    .ask(|reply| ControlCommand::Peer(Box::new(message), reply))
+                    .unwrap_or(PeerReply::Unavailable);
+                let body = encode_message(&reply);
+                AdminAnswer {
+                    status: 200,
+                    content_type: "application/vnd.msgpack",
+                    body,
+                }
+            }
+            Err(error) => {
+                tracing::warn!(%error, "peer_message_invalid");
+                AdminAnswer::text(400, "invalid message\n")
+            }
+        }
     }
 }
--- a/lib/src/daemon/watch.rs
+++ b/lib/src/daemon/watch.rs
@@ -7,6 +7,7 @@
     control::{ControlCommand, ControlHandle},
     platform::{PlatformError, PlatformSource},
     threads::StopSignal,
+    upstream::UpstreamClient,
 };
 
 /// Longest wait of one configuration watch; 400 hosts make 13 calls/s.
@@ -24,6 +25,9 @@
 /// Longest pause after failed reads; with 400 hosts 80 calls/s reach a platform in trouble.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
+/// Pause between load rounds while there is no upstream.
+const EMPTY_ROUND: Duration = Duration::from_millis(50);
+
 /// Pause between reads, doubled with each failure.
 struct RetryPause {
     next: Duration,
@@ -69,7 +73,7 @@
                     control.send(ControlCommand::ConfigRead(change));
                 }
             }
-            Err(error) => report(&error, "config_read_failed", &mut pause, stop),
+            Err(error) => report(&error, "config", &mut pause, stop),
         }
     }
 }
@@ -95,12 +99,48 @@
                 }
                 control.send(ControlCommand::HostsRead { started, list });
             }
-            Err(error) => report(&error, "host_list_read_failed", &mut pause, stop),
+            Err(error) => report(&error, "hosts", &mut pause, stop),
         }
     }
 }
 
-fn report(error: &PlatformError, event: &str, pause: &mut RetryPause, stop: &StopSignal) {
-    tracing::warn!(%error, event, "platform_read_failed");
+fn report(error: &PlatformError, resource: &str, pause: &mut RetryPause, stop: &StopSignal) {
+    tracing::warn!(%error, resource, "platform_read_failed");
     pause.wait(stop);
 }
+
+/// Reads load reports until the stop.
+pub(super) fn read_loads(
+    upstream: &dyn UpstreamClient,
+    clock: &dyn ClockSource,
+    control: &ControlHandle,
+    stop: &StopSignal,
+) {
+    while !stop.is_set() {
+        let started = clock.now();
+        let Some(round) = control.ask(ControlCommand::LoadRound) else {
+            return;
+        };
+        let mut reports = Vec::with_capacity(round.targets.len());
+        for target in &round.targets {
+            match upstream.load(target.address) {
+                Ok(report) => reports.push((target.upstream.clone(), report)),
+                Err(error) => {
+                    tracing::debug!(upstream = %target.upstream, %error, "load_read_failed");
+                }
+            }
+            if stop.is_set() {
+                return;
+            }
+        }
+        control.send(ControlCommand::LoadsRead(reports));
+        // Without a configuration there is nothing to read yet, and the first read is urgent:
+        // an upstream of which nothing is known is limited like a cold one.
+        let interval = if round.targets.is_empty() {
+            EMPTY_ROUND
+        } else {
+            round.interval
+        };
+        stop.wait(interval.saturating_sub(clock.now().saturating_duration_since(started)));
+    }
+}
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -18,8 +18,8 @@
         DispatchGuard, DispatchRequest, DispatchTarget, RequestEnd,
     },
     front::{
-        BodyWriter, CallerRequest, ChatRequest, OutcomeKind, Refusal, RequestHandler, Responder,
-        bearer_key, without_credentials,
+        BodyWriter, CallerRequest, ChatRequest, OutcomeKind, Refusal, RefusalKind, RequestHandler,
+        Responder, bearer_key, without_credentials,
     },
     names::UpstreamName,
     upstream::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient},
@@ -107,15 +107,6 @@
     }
 }
 
-/// How a request ended for its caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CallerEnd {
-    Answered,
-    Refused(OutcomeKind),
-    Cut,
-    CallerGone,
-}
-
 /// One attempt that brought no answer.
 struct FailedAttempt {
     refusal: Refusal,
@@ -133,7 +124,7 @@
 }
 
 impl RequestRun<'_> {
-    fn chat(&mut self, original: &CallerRequest, responder: Responder) -> CallerEnd {
+    fn chat(&mut self, original: &CallerRequest, responder: Responder) -> RequestEnd {
         let chat = match ChatRequest::parse(original, &self.admission.team) {
             Ok(chat) => chat,
             Err(refusal) => return refuse(responder, &refusal),
@@ -160,7 +151,7 @@
                     }
                 },
                 Ok(answer) => match self.read_whole(guard, answer) {
-                    Ok(whole) => return stream.answer(whole),
+                    Ok(whole) => return stream.answer(whole, self.answered()),
                     Err(failed) => failed,
                 },
                 Err(error) => self.failed_call(guard, &error),
@@ -172,12 +163,15 @@
         unreachable!("the loop ends by returning")
     }
 
-    fn service(&mut self, responder: Responder) -> CallerEnd {
+    fn service(&mut self, responder: Responder) -> RequestEnd {
         let Some(service) = self.admission.service.clone() else {
             unreachable!("the catalogue check requires a service for a service route")
         };
         if self.admission.once {
-            let refusal = Refusal::not_run(501, "not_implemented", "operations are not served yet");
+            let refusal = Refusal::not_run(
+                RefusalKind::OperationUndecided,
+                "operations are not served yet",
+            );
             return refuse(responder, &refusal);
         }
         let target = DispatchTarget::Service(service);
@@ -189,7 +183,9 @@
             };
             let failed = match self.call(&guard, &self.service_headers()) {
                 Ok(answer) => match self.read_whole(guard, answer) {
-                    Ok(whole) => return StreamState::Waiting(responder).answer(whole),
+                    Ok(whole) => {
+                        return StreamState::Waiting(responder).answer(whole, self.answered());
+                    }
                     Err(failed) => failed,
                 },
                 Err(error) => self.failed_call(guard, &error),
@@ -211,6 +207,7 @@
         self.exchange.control.dispatch(DispatchRequest {
             admission: self.admission.clone(),
             target: target.clone(),
+            request_id: self.request.request_id.clone(),
             work,
             tried: self.tried.clone(),
             needs_resume,
@@ -258,8 +255,9 @@
         self.tried.push(upstream);
         if let CallError::NotSent(_) = error {
             guard.end(DispatchEnd::NotSent);
-            let refusal = Refusal::not_run(503, "upstream_unreachable", "no upstream was reached")
-                .retry_after(Duration::from_secs(1));
+            let refusal =
+                Refusal::not_run(RefusalKind::UpstreamUnreachable, "no upstream was reached")
+                    .retry_after(Duration::from_secs(1));
             FailedAttempt {
                 refusal,
                 may_retry: true,
@@ -282,13 +280,14 @@
         let UpstreamAnswer {
             status,
             headers,
+            incarnation,
             body,
         } = answer;
         let mut text = Vec::new();
         let read = body.take(MAX_WHOLE_ANSWER_BYTES + 1).read_to_end(&mut text);
         if text.len() as u64 > MAX_WHOLE_ANSWER_BYTES {
             guard.end(DispatchEnd::Abandoned);
-            let refusal = Refusal::unknown(502, "answer_too_large", "the answer is too large");
+            let refusal = Refusal::unknown(RefusalKind::AnswerTooLarge, "the answer is too large");
             return Err(FailedAttempt {
                 refusal,
                 may_retry: false,
@@ -296,7 +295,7 @@
         }
         match read {
             Ok(_) => {
-                self.note_first_piece(&guard);
+                self.note_first_piece(&guard, incarnation);
                 guard.end(DispatchEnd::Complete);
                 Ok(WholeAnswer {
                     status,
@@ -317,12 +316,13 @@
         let UpstreamAnswer {
             status,
             headers,
+            incarnation,
             body,
         } = answer;
         let (mut writer, mut delivered) = stream.start(status, &headers);
         let end = relay_events(body, &mut |events, count| {
             if delivered == 0 {
-                self.note_first_piece(&guard);
+                self.note_first_piece(&guard, incarnation);
             }
             writer.write(events)?;
             delivered += count;
@@ -332,13 +332,13 @@
             RelayEnd::Complete => {
                 guard.end(DispatchEnd::Complete);
                 match writer.finish() {
-                    Ok(()) => RelayOutcome::Ended(CallerEnd::Answered),
-                    Err(_) => RelayOutcome::Ended(CallerEnd::CallerGone),
+                    Ok(()) => RelayOutcome::Ended(self.answered()),
+                    Err(_) => RelayOutcome::Ended(RequestEnd::CallerGone),
                 }
             }
             RelayEnd::CallerGone => {
                 guard.end(DispatchEnd::Abandoned);
-                RelayOutcome::Ended(CallerEnd::CallerGone)
+                RelayOutcome::Ended(RequestEnd::CallerGone)
             }
             RelayEnd::Broken(reason) => {
                 let upstream = guard.grant().upstream.clone();
@@ -353,8 +353,8 @@
         }
     }
 
-    fn note_first_piece(&mut self, guard: &DispatchGuard) {
-        guard.first_piece();
+    fn note_first_piece(&mut self, guard: &DispatchGuard, incarnation: Option<u64>) {
+        guard.first_piece(incarnation);
         let elapsed = self
             .exchange
             .clock
@@ -363,30 +363,39 @@
         self.first_piece.get_or_insert(elapsed);
     }
 
-    fn report(self, end: CallerEnd) {
-        let outcome = match end {
-            CallerEnd::Answered | CallerEnd::CallerGone => OutcomeKind::Ran,
-            CallerEnd::Refused(outcome) => outcome,
-            CallerEnd::Cut => OutcomeKind::Unknown,
+    fn elapsed(&self) -> Duration {
+        self.exchange
+            .clock
+            .now()
+            .saturating_duration_since(self.started)
+    }
+
+    fn answered(&self) -> RequestEnd {
+        RequestEnd::Answered {
+            first_piece: self.first_piece.unwrap_or_else(|| self.elapsed()),
+        }
+    }
+
+    fn report(self, end: RequestEnd) {
+        let refusal = match end {
+            RequestEnd::Refused { kind, .. } => Some(kind.as_str()),
+            _ => None,
         };
         tracing::info!(
             request_id = %self.request.request_id,
             team = %self.admission.team,
             class = %self.admission.class,
             route = %self.admission.route,
-            outcome = outcome.as_str(),
+            outcome = end.outcome().as_str(),
+            refusal,
             first_piece_ms = self.first_piece.map(|it| it.as_millis()),
-            attempts = self.tried.len() + 1,
+            total_ms = self.elapsed().as_millis(),
+            failed_attempts = self.tried.len(),
             "request_ended"
         );
         self.exchange
             .control
-            .send(ControlCommand::RequestEnded(Box::new(RequestEnd {
-                admission: self.admission,
-                is_answered: end == CallerEnd::Answered,
-                outcome,
-                first_piece: self.first_piece,
-            })));
+            .send(ControlCommand::RequestEnded(self.admission, end));
     }
 }
 
@@ -398,7 +407,7 @@
 }
 
 enum RelayOutcome {
-    Ended(CallerEnd),
+    Ended(RequestEnd),
     Broken(StreamState),
 }
 
@@ -424,34 +433,36 @@
     }
 
     /// Refuses the request, or cuts an answer that has begun.
-    fn fail(self, refusal: &Refusal) -> CallerEnd {
+    fn fail(self, refusal: &Refusal) -> RequestEnd {
         match self {
             Self::Waiting(responder) => refuse(responder, refusal),
-            Self::Started { .. } => CallerEnd::Cut,
+            Self::Started { .. } => RequestEnd::Cut,
         }
     }
 
-    fn answer(self, whole: WholeAnswer) -> CallerEnd {
+    fn answer(self, whole: WholeAnswer, answered: RequestEnd) -> RequestEnd {
         match self {
             Self::Waiting(responder) => {
                 responder.answer(whole.status, &whole.headers, OutcomeKind::Ran, whole.body);
-                CallerEnd::Answered
+                answered
             }
             // A whole answer cannot continue a stream.
-            Self::Started { .. } => CallerEnd::Cut,
+            Self::Started { .. } => RequestEnd::Cut,
         }
     }
 }
 
-fn refuse(responder: Responder, refusal: &Refusal) -> CallerEnd {
+fn refuse(responder: Responder, refusal: &Refusal) -> RequestEnd {
     responder.refuse(refusal);
-    CallerEnd::Refused(refusal.outcome)
+    RequestEnd::Refused {
+        kind: refusal.kind,
+        outcome: refusal.outcome,
+    }
 }
 
 fn lost_refusal() -> Refusal {
     Refusal::unknown(
-        502,
-        "upstream_lost",
+        RefusalKind::UpstreamLost,
         "the upstream did not answer to the end",
     )
 }
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     credentials::{bearer_key, without_credentials},
-    refusal::{OutcomeKind, Refusal},
+    refusal::{OutcomeKind, Refusal, RefusalKind},
     request::{CallerRequest, ChatRequest},
     respond::{BodyWriter, CallerGone, Responder},
     server::{FrontLimits, FrontServer, RequestHandler},
--- a/lib/src/front/request.rs
+++ b/lib/src/front/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::refusal::Refusal;
+use super::refusal::{Refusal, RefusalKind};
 use crate::{
     names::{ModelName, TeamName},
     rendezvous::hash_parts,
@@ -100,7 +100,7 @@
 impl ChatRequest {
     /// Reads the body; `team` separates the chats of different teams.
     pub fn parse(request: &CallerRequest, team: &TeamName) -> Result<Self, Refusal> {
-        let invalid = |message: &str| Refusal::not_run(400, "invalid_request", message);
+        let invalid = |message: &str| Refusal::not_run(RefusalKind::InvalidRequest, message);
         let body: Value = serde_json::from_slice(&request.body)
             .map_err(|error| invalid(&format!("body is not valid JSON: {error}")))?;
         let model = body
--- a/lib/src/front/respond.rs
+++ b/lib/src/front/respond.rs
@@ -17,7 +17,7 @@
     time::timeout,
 };
 
-use super::refusal::{OutcomeKind, Refusal};
+use super::refusal::{OutcomeKind, Refusal, RefusalKind};
 
 /// Chunks that wait for a slow caller before the worker blocks.
 const CHUNKS_IN_FLIGHT: usize = 64;
@@ -119,7 +119,7 @@
             headers.push(("retry-after".to_owned(), seconds.to_string()));
         }
         let body = refusal.body(&self.request_id);
-        self.answer(refusal.status, &headers, refusal.outcome, body);
+        self.answer(refusal.kind.status(), &headers, refusal.outcome, body);
     }
 
     /// Sends a whole answer.
@@ -242,8 +242,7 @@
             self.answer(200, &headers, OutcomeKind::Ran, b"ok\n".to_vec());
         } else {
             self.refuse(&Refusal::not_run(
-                503,
-                "not_ready",
+                RefusalKind::NotReady,
                 "the host takes no new requests",
             ));
         }
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -22,7 +22,7 @@
 };
 
 use super::{
-    refusal::Refusal,
+    refusal::{Refusal, RefusalKind},
     request::CallerRequest,
     respond::{AnswerBody, AnswerHead, Responder},
 };
@@ -246,9 +246,11 @@
     guard: ActiveGuard,
 ) {
     let Ok(permit) = state.workers.clone().try_acquire_owned() else {
-        let refusal =
-            Refusal::not_run(503, "overloaded", "the host serves its maximum of requests")
-                .retry_after(Duration::from_secs(1));
+        let refusal = Refusal::not_run(
+            RefusalKind::Overloaded,
+            "the host serves its maximum of requests",
+        )
+        .retry_after(Duration::from_secs(1));
         return responder.refuse(&refusal);
     };
     let handler = state.handler.clone();
@@ -264,8 +266,7 @@
     let (head, mut receiver) = oneshot::channel::<AnswerHead>();
     let responder = Responder::new(head, Handle::current(), "", true);
     responder.refuse(&Refusal::unknown(
-        500,
-        "internal_error",
+        RefusalKind::InternalError,
         "the request was interrupted",
     ));
     receiver.try_recv().expect("a refusal always sends a head")
@@ -279,7 +280,7 @@
     let (parts, body) = request.into_parts();
     let too_large = || {
         let message = format!("the body exceeds {} bytes", limits.max_body_bytes);
-        Refusal::not_run(413, "body_too_large", message)
+        Refusal::not_run(RefusalKind::BodyTooLarge, message)
     };
     let stated = parts
         .headers
@@ -295,12 +296,12 @@
                 "the body took longer than {} s",
                 limits.body_timeout.as_secs()
             );
-            return Err(Refusal::not_run(408, "body_timeout", message));
+            return Err(Refusal::not_run(RefusalKind::BodyTimeout, message));
         }
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
         Ok(Err(error)) => {
             let message = format!("the body is incomplete: {error}");
-            return Err(Refusal::not_run(400, "invalid_request", message));
+            return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
         }
         Ok(Ok(body)) => body.to_bytes(),
     };
@@ -308,7 +309,7 @@
     for (name, value) in &parts.headers {
         let value = value.to_str().map_err(|_| {
             let message = format!("header {name} is not visible ASCII");
-            Refusal::not_run(400, "invalid_request", message)
+            Refusal::not_run(RefusalKind::InvalidRequest, message)
         })?;
         headers.push((name.as_str().to_owned(), value.to_owned()));
     }
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -9,9 +9,8 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-
 pub use self::http::HttpUpstream;
+use crate::routing::LoadReport;
 
 /// A request as it goes to an upstream; it carries no credential.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +42,8 @@
     pub status: u16,
     /// Headers, without those that describe the connection.
     pub headers: Vec<(String, String)>,
+    /// Incarnation of the upstream, if the answer names it.
+    pub incarnation: Option<u64>,
     /// Body; an error means that the answer is incomplete.
     pub body: Box<dyn Read + Send>,
 }
@@ -82,24 +83,6 @@
     },
 }
 
-/// An upstream's own view of its load; it lags.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Changes with every start of the upstream.
-    pub incarnation: u64,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait inside the upstream.
-    pub waiting: u32,
-    /// Requests that it runs at the same time.
-    pub capacity: u32,
-    /// Tokens still to be processed.
-    #[serde(default)]
-    pub work_tokens: u64,
-    /// Whether it is in cold start.
-    pub cold: bool,
-}
-
 /// Calls upstreams.
 pub trait UpstreamClient: Debug + Send + Sync {
     /// Sends a request and returns the head of the answer.
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -8,7 +8,8 @@
     http::{Request, Response},
 };
 
-use super::{CallError, LoadReport, UpstreamAnswer, UpstreamCall, UpstreamClient};
+use super::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient};
+use crate::{rendezvous, routing::LoadReport};
 
 /// Time for a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -159,10 +160,50 @@
             .take(MAX_LOAD_BYTES)
             .read_to_end(&mut text)
             .map_err(|error| CallError::Ambiguous(error.to_string()))?;
-        serde_json::from_slice(&text).map_err(|error| CallError::Ambiguous(error.to_string()))
+        let report: ReportedLoad = serde_json::from_slice(&text)
+            .map_err(|error| CallError::Ambiguous(error.to_string()))?;
+        Ok(report.into())
+    }
+}
+
+/// The body of `GET /load`.
+#[derive(serde::Deserialize)]
+struct ReportedLoad {
+    /// A number or a text; only equality matters.
+    incarnation: serde_json::Value,
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    capacity: u32,
+    #[serde(default)]
+    work_tokens: u64,
+    #[serde(default)]
+    cold: bool,
+}
+
+impl From<ReportedLoad> for LoadReport {
+    fn from(reported: ReportedLoad) -> Self {
+        let incarnation = match &reported.incarnation {
+            serde_json::Value::String(text) => incarnation_number(text),
+            other => incarnation_number(&other.to_string()),
+        };
+        Self {
+            incarnation,
+            running: reported.running,
+            waiting: reported.waiting,
+            capacity: reported.capacity,
+            work_tokens: reported.work_tokens,
+            cold: reported.cold,
+        }
     }
 }
 
+/// Maps the text form of an incarnation to a number, the same for reports and answers.
+fn incarnation_number(text: &str) -> u64 {
+    rendezvous::hash_parts(&[text])
+}
+
 /// Returns whether a request of this method states its length even if the body is empty.
 fn sends_length(method: &str) -> bool {
     matches!(method, "POST" | "PUT" | "PATCH")
@@ -170,6 +211,11 @@
 
 fn into_answer(response: Response<ureq::Body>) -> UpstreamAnswer {
     let (parts, body) = response.into_parts();
+    let incarnation = parts
+        .headers
+        .get("x-incarnation")
+        .and_then(|it| it.to_str().ok())
+        .map(incarnation_number);
     let headers = parts
         .headers
         .iter()
@@ -181,6 +227,7 @@
     UpstreamAnswer {
         status: parts.status.as_u16(),
         headers,
+        incarnation,
         body: Box::new(body.into_reader()),
     }
 }
