--- a/lib/src/limits/gate.rs
+++ b/lib/src/limits/gate.rs
@@ -149,6 +149,11 @@
             .map_or_else(CentreShare::default, |it| it.in_force)
     }
 
+    /// Returns the split of a team's limits that the catalogue assigns, for the wallets.
+    pub fn split(&self, team: &TeamName) -> Option<&TeamShare> {
+        self.shares.get(team).map(|it| &it.target)
+    }
+
     /// Returns the shares in force of all teams.
     pub fn shares(&self) -> impl Iterator<Item = (&TeamName, CentreShare)> {
         self.shares.iter().map(|(team, it)| (team, it.in_force))
--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -177,6 +177,13 @@
         if list.version >= self.list.version {
             if list.version > self.list.version {
                 self.list = list.clone();
+                let live = self
+                    .list
+                    .hosts
+                    .iter()
+                    .filter(|it| it.state == HostState::Live);
+                let fleet = live.map(|it| it.name.clone()).collect();
+                push_view(&mut self.fleets, now, self.timing.takeover_wait(), fleet);
             }
             self.list_read = self.is_listed().then_some(started);
         }
@@ -507,15 +514,6 @@
         });
         let names = self.current_names(now);
         push_view(&mut self.views, now, wait, names);
-        let fleet = self
-            .list
-            .hosts
-            .iter()
-            .filter(|it| it.state == HostState::Live)
-            .map(|it| it.name.clone())
-            .collect();
-        push_view(&mut self.fleets, now, wait, fleet);
-
         // Other hosts cannot have taken over before the end of the margin, so that a shorter
         // lapse of the evidence does not hide a removal of this host from their views.
         let until = self.confirmed_until();
