--- a/lib/src/catalogue.rs
+++ b/lib/src/catalogue.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     sync::Arc,
 };
 
@@ -36,7 +37,8 @@
 
     /// Parses 64 hexadecimal digits.
     pub fn from_hex(text: &str) -> Option<Self> {
-        if text.len() != 64 || !text.is_ascii() {
+        // `from_str_radix` alone also takes a sign, such as "+f".
+        if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
             return None;
         }
         let mut bytes = [0; 32];
@@ -47,6 +49,13 @@
     }
 }
 
+impl fmt::Display for KeyHash {
+    /// Writes 64 lower-case hexadecimal digits.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|it| write!(f, "{it:02x}"))
+    }
+}
+
 /// A checked set of entries at one revision.
 #[derive(Clone, Debug, Default)]
 pub struct Catalogue {
--- a/lib/src/catalogue/check.rs
+++ b/lib/src/catalogue/check.rs
@@ -1,6 +1,9 @@
 //! The check of a whole catalogue: the same verdict on every host for the same entries.
 
-use std::{collections::HashSet, fmt};
+use std::{
+    collections::{BTreeSet, HashSet},
+    fmt,
+};
 
 use serde::de::DeserializeOwned;
 
@@ -13,8 +16,11 @@
 /// Highest rate and burst of a team, in requests per second and requests.
 const MAX_TEAM_RATE: f64 = 1_000_000.0;
 
-/// Longest deadline or queue time of a class: one day, in milliseconds.
-const MAX_CLASS_MS: u64 = 86_400_000;
+/// Longest deadline, queue time or warm-up time: one day, in milliseconds.
+const MAX_TIME_MS: u64 = 86_400_000;
+
+/// Team name under which requests on open routes are queued and counted.
+const OPEN_TEAM: &str = "open";
 
 /// One reason why a catalogue is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
@@ -65,6 +71,9 @@
 struct EntryParser {
     catalogue: Catalogue,
     keys: Vec<(String, KeyEntry)>,
+    /// Keys of entries whose value cannot be read. References to them are not reported as missing:
+    /// the entry exists, and its own problem is reported.
+    unreadable: HashSet<String>,
     problems: Vec<CatalogueProblem>,
 }
 
@@ -97,15 +106,26 @@
     }
 
     fn decode<T: DeserializeOwned>(&mut self, key: &str, value: &str) -> Option<T> {
-        match serde_json::from_str(value) {
+        // Serde's derive would also read the fields from an array, by position.
+        let result = if value.trim_start().starts_with('{') {
+            serde_json::from_str(value).map_err(|error| error.to_string())
+        } else {
+            Err("expected a JSON object".to_owned())
+        };
+        match result {
             Ok(entry) => Some(entry),
-            Err(error) => {
-                self.report(key, "", error.to_string());
+            Err(reason) => {
+                self.report(key, "", reason);
+                self.unreadable.insert(key.to_owned());
                 None
             }
         }
     }
 
+    fn is_unreadable(&self, kind: &str, name: &str) -> bool {
+        self.unreadable.contains(&format!("{kind}/{name}"))
+    }
+
     fn add_class(&mut self, key: &str, name: &str, value: &str) {
         let Some(entry) = self.decode::<ClassEntry>(key, value) else {
             return;
@@ -114,8 +134,8 @@
             ("deadline_ms", entry.deadline_ms),
             ("queue_ms", entry.queue_ms),
         ] {
-            if !(1..=MAX_CLASS_MS).contains(&millis) {
-                self.report(key, field, format!("must be 1 to {MAX_CLASS_MS} ms"));
+            if !(1..=MAX_TIME_MS).contains(&millis) {
+                self.report(key, field, format!("must be 1 to {MAX_TIME_MS} ms"));
             }
         }
         if !(entry.objective > 0.0 && entry.objective < 1.0) {
@@ -139,6 +159,9 @@
             return;
         };
         self.check_owner(key, &entry.owner);
+        if name == OPEN_TEAM {
+            self.report(key, "", "name is reserved for open routes");
+        }
         if !(entry.rate > 0.0 && entry.rate <= MAX_TEAM_RATE) {
             self.report(
                 key,
@@ -174,6 +197,15 @@
         if !entry.path.starts_with('/') {
             self.report(key, "path", "must start with '/'");
         }
+        // Such a prefix would never match the path of a request.
+        if entry
+            .path
+            .bytes()
+            .any(|b| !b.is_ascii_graphic() || matches!(b, b'?' | b'#'))
+        {
+            let reason = "must be visible ASCII without '?' and '#'";
+            self.report(key, "path", reason);
+        }
         if entry
             .methods
             .iter()
@@ -181,6 +213,10 @@
         {
             self.report(key, "methods", "must be upper-case HTTP methods");
         }
+        let methods: HashSet<_> = entry.methods.iter().collect();
+        if methods.len() != entry.methods.len() {
+            self.report(key, "methods", "must not repeat a method");
+        }
         match (entry.kind, &entry.service) {
             (RouteKind::Service, None) => {
                 self.report(key, "service", "required for kind \"service\"");
@@ -212,13 +248,39 @@
         };
         self.check_owner(key, &entry.owner);
         match entry.kind {
-            UpstreamKind::Engine if entry.models.is_empty() => {
-                self.report(key, "models", "an engine needs at least one model");
+            UpstreamKind::Engine => {
+                if entry.models.is_empty() {
+                    self.report(key, "models", "an engine needs at least one model");
+                }
+                if entry.service.is_some() {
+                    self.report(key, "service", "not allowed for kind \"engine\"");
+                }
             }
-            UpstreamKind::Service if entry.service.is_none() => {
-                self.report(key, "service", "required for kind \"service\"");
+            UpstreamKind::Service => {
+                if entry.service.is_none() {
+                    self.report(key, "service", "required for kind \"service\"");
+                }
+                if !entry.models.is_empty() {
+                    self.report(key, "models", "not allowed for kind \"service\"");
+                }
             }
-            _ => {}
+        }
+        if entry.models.iter().any(|it| it.as_str().is_empty()) {
+            self.report(key, "models", "must not contain an empty name");
+        }
+        if entry
+            .service
+            .as_ref()
+            .is_some_and(|it| it.as_str().is_empty())
+        {
+            self.report(key, "service", "must not be empty");
+        }
+        if entry.address.port() == 0 {
+            self.report(key, "address", "port must not be 0");
+        }
+        if entry.warmup_ms > MAX_TIME_MS {
+            let reason = format!("must be at most {MAX_TIME_MS} ms");
+            self.report(key, "warmup_ms", reason);
         }
         if entry.capacity == 0 {
             self.report(key, "capacity", "must be at least 1 request");
@@ -254,8 +316,11 @@
     fn check_references(&mut self) {
         let mut missing = Vec::new();
         let catalogue = &self.catalogue;
+        let is_class = |name: &ClassName| {
+            catalogue.classes.contains_key(name) || self.is_unreadable("class", name.as_str())
+        };
         for (name, team) in &catalogue.teams {
-            if !catalogue.classes.contains_key(&team.class) {
+            if !is_class(&team.class) {
                 missing.push((
                     format!("team/{name}"),
                     "class",
@@ -266,12 +331,15 @@
         let services: HashSet<_> = catalogue
             .upstreams
             .values()
+            .filter(|it| it.kind == UpstreamKind::Service)
             .filter_map(|it| it.service.as_ref())
             .collect();
+        // An upstream that cannot be read may provide any service.
+        let unread_upstream = self.unreadable.iter().any(|it| it.starts_with("upstream/"));
         for (name, route) in &catalogue.routes {
             let entry = format!("route/{name}");
             if let Some(class) = &route.class
-                && !catalogue.classes.contains_key(class)
+                && !is_class(class)
             {
                 missing.push((
                     entry.clone(),
@@ -280,7 +348,8 @@
                 ));
             }
             for team in &route.teams {
-                if !catalogue.teams.contains_key(team) {
+                if !catalogue.teams.contains_key(team) && !self.is_unreadable("team", team.as_str())
+                {
                     missing.push((
                         entry.clone(),
                         "teams",
@@ -290,14 +359,18 @@
             }
             if let Some(service) = &route.service
                 && !services.contains(service)
+                && !unread_upstream
             {
                 let reason = format!("no upstream provides service {:?}", service.as_str());
                 missing.push((entry, "service", reason));
             }
         }
         for (name, upstream) in &catalogue.upstreams {
-            if !catalogue.centres.contains_key(&upstream.data_centre) {
-                let reason = format!("no data centre {:?}", upstream.data_centre.as_str());
+            let centre = &upstream.data_centre;
+            if !catalogue.centres.contains_key(centre)
+                && !self.is_unreadable("data_centre", centre.as_str())
+            {
+                let reason = format!("no data centre {:?}", centre.as_str());
                 missing.push((format!("upstream/{name}"), "data_centre", reason));
             }
         }
@@ -312,11 +385,13 @@
         let mut seen = HashSet::new();
         let mut duplicates = Vec::new();
         for (name, route) in &self.catalogue.routes {
-            let methods: &[String] = &route.methods;
-            let all = [String::from("*")];
-            for method in if methods.is_empty() { &all } else { methods } {
-                if !seen.insert((route.path.clone(), method.clone())) {
-                    duplicates.push((name.clone(), method.clone()));
+            let mut methods: BTreeSet<&str> = route.methods.iter().map(String::as_str).collect();
+            if methods.is_empty() {
+                methods.insert("*");
+            }
+            for method in methods {
+                if !seen.insert((&route.path, method)) {
+                    duplicates.push((name.clone(), method.to_owned()));
                 }
             }
         }
@@ -336,7 +411,9 @@
                 self.report(&key, "sha256", "must be 64 hexadecimal digits");
                 continue;
             };
-            if !self.catalogue.teams.contains_key(&entry.team) {
+            if !self.catalogue.teams.contains_key(&entry.team)
+                && !self.is_unreadable("team", entry.team.as_str())
+            {
                 self.report(&key, "team", format!("no team {:?}", entry.team.as_str()));
             }
             if !seen.insert(hash) {
--- a/lib/src/config/tracker.rs
+++ b/lib/src/config/tracker.rs
@@ -38,7 +38,7 @@
     Accepted(Arc<Catalogue>),
     /// The check failed; the last accepted catalogue stays in force.
     Rejected(RejectedCatalogue),
-    /// The revision is not higher than the one known.
+    /// The revision is not higher than the one in force, or is already known as rejected.
     Stale,
     /// The change starts from a revision that is not known here; a whole one is needed.
     Gap,
@@ -133,11 +133,14 @@
         Self::default()
     }
 
-    /// Applies a change if it leads to a higher revision.
+    /// Applies a change if it leads to a higher revision than the one in force.
     pub fn apply(&mut self, change: &ConfigChange) -> ChangeOutcome {
-        if change.revision <= self.seen.revision {
+        if change.revision <= self.accepted.revision || change.revision == self.seen.revision {
             return ChangeOutcome::Stale;
         }
+        if change.revision < self.seen.revision {
+            return self.apply_skipped(change);
+        }
         if change.base > self.seen.revision {
             return ChangeOutcome::Gap;
         }
@@ -156,6 +159,27 @@
         }
     }
 
+    /// Applies a change to a revision between the accepted one and a newer, rejected one.
+    ///
+    /// A process that started, or was cut off, while the newest revision was rejected saw that
+    /// one first. Without this it would keep its older catalogue, or none, until the next
+    /// revision, while its peers serve the one before the rejected.
+    fn apply_skipped(&mut self, change: &ConfigChange) -> ChangeOutcome {
+        if change.base > self.accepted.revision {
+            return ChangeOutcome::Gap;
+        }
+        let mut snapshot = self.accepted.clone();
+        snapshot.apply(change);
+        match Catalogue::parse(snapshot.revision, &snapshot.values) {
+            Ok(catalogue) => {
+                self.accepted = snapshot;
+                self.catalogue = Arc::new(catalogue);
+                ChangeOutcome::Accepted(self.catalogue.clone())
+            }
+            Err(rejection) => ChangeOutcome::Rejected(rejection),
+        }
+    }
+
     /// Returns the catalogue in force; empty at revision 0 before the first accepted one.
     pub fn catalogue(&self) -> &Arc<Catalogue> {
         &self.catalogue
@@ -178,6 +202,8 @@
 
     /// Returns the change that leads a peer from `base` to the newest revision known here.
     ///
+    /// `base` is the revision that the peer has in force, not the highest one that it has seen.
+    ///
     /// Rejected revisions are passed on as well: the peer reaches the same verdict, and later
     /// changes are based on them. A peer that lacks the accepted revision before a rejected
     /// one receives the accepted one first.
