cli: commands check, status, explain, slo and key hash

Cause: operators need to check a catalogue before publishing it and to read a router's state. Conclusion: demo can be added as one module and one line of the table.

--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,13 @@
+//! The operator's command line as a library; `bin/snipepond.rs` only passes the process's
+//! arguments, input and output.
+
+mod check;
+mod command;
+mod explain;
+mod fetch;
+mod key;
+mod slo;
+mod status;
+mod strict_json;
+
+pub use self::command::{CommandError, CommandIo, ExitStatus, run};
