standin: harness for tests of whole router processes

Cause: the process tests need routers, upstreams and a platform that can be paused, cut off and stopped, with ports from the OS.

--- /dev/null
+++ b/cli/tests/support/fleet.rs
@@ -0,0 +1,451 @@
+//! A platform, upstreams and routers with a catalogue.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use snipepond_standin::{
+    CallerRequest, EngineServer, EngineSettings, HostEntry, PlatformServer, PlatformSettings,
+    ServiceServer, ServiceSettings, TcpLink,
+};
+
+use super::{
+    chat, order,
+    router::{RouterProcess, RouterSettings},
+    wait_for,
+};
+
+/// Model that all engines serve.
+pub const MODEL: &str = "small";
+
+/// Key of team `one`.
+pub const KEY_ONE: &str = "sk-one-7f3a9c51d2e84b60";
+
+/// Key of team `two`.
+pub const KEY_TWO: &str = "sk-two-c04be91d77a35f28";
+
+/// Time within which a host list read confirms a view, in milliseconds. Short, because ownership
+/// begins `VALIDITY_MS + LIST_LAG_MS + MARGIN_MS` after the start of a process.
+pub const VALIDITY_MS: u64 = 1_500;
+
+/// Largest lag of the host list, in milliseconds.
+pub const LIST_LAG_MS: u64 = 300;
+
+/// Safety margin of the takeover wait, in milliseconds.
+pub const MARGIN_MS: u64 = 200;
+
+/// Time after which another host may own what a silent host owned.
+pub const TAKEOVER_WAIT: Duration = Duration::from_millis(VALIDITY_MS + LIST_LAG_MS + MARGIN_MS);
+
+/// Any free port of the loopback interface.
+pub const ANY_PORT: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
+
+/// Numbers operation keys, so that probes never repeat one.
+static NEXT_PROBE: AtomicU64 = AtomicU64::new(0);
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Names of data centres, all in one region.
+    pub centres: Vec<&'static str>,
+    /// Name and data centre of each host.
+    pub hosts: Vec<(&'static str, &'static str)>,
+    /// Name, data centre and settings of each engine.
+    pub engines: Vec<(&'static str, &'static str, EngineSettings)>,
+    /// Name, data centre and settings of each service upstream of the service `desk`.
+    pub services: Vec<(&'static str, &'static str, ServiceSettings)>,
+    /// Load bound of the fleet.
+    pub skew_multiple: f64,
+    /// Whether engines are announced as able to resume a stream.
+    pub resume: bool,
+    /// Whether each host is listed with the address of a [`TcpLink`] to its peer port.
+    pub linked: bool,
+    /// Further arguments of every router.
+    pub arguments: Vec<&'static str>,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            centres: vec!["a"],
+            hosts: vec![("h1", "a")],
+            engines: Vec::new(),
+            services: Vec::new(),
+            skew_multiple: 4.0,
+            resume: true,
+            linked: false,
+            arguments: Vec::new(),
+        }
+    }
+}
+
+/// Returns settings of an engine that answers without noticeable delay.
+pub fn quick_engine() -> EngineSettings {
+    EngineSettings {
+        first_token: Duration::from_millis(1),
+        token: Duration::from_millis(1),
+        load_lag: Duration::from_millis(10),
+        ..EngineSettings::default()
+    }
+}
+
+/// Returns settings of a service that answers without noticeable delay.
+pub fn quick_service() -> ServiceSettings {
+    ServiceSettings {
+        duration: Duration::from_millis(1),
+        load_lag: Duration::from_millis(10),
+        ..ServiceSettings::default()
+    }
+}
+
+/// An upstream with its name and data centre.
+pub struct Named<T> {
+    pub name: &'static str,
+    pub data_centre: &'static str,
+    pub server: T,
+}
+
+/// A running fleet. Fields are dropped in order: routers end before what they call.
+pub struct Fleet {
+    pub routers: Vec<RouterProcess>,
+    /// Link to the peer port of each host, if the plan asks for links.
+    pub links: Vec<TcpLink>,
+    pub engines: Vec<Named<EngineServer>>,
+    pub services: Vec<Named<ServiceServer>>,
+    pub platform: PlatformServer,
+    plan: FleetPlan,
+}
+
+impl Fleet {
+    /// Starts everything and waits until all routers are ready.
+    #[track_caller]
+    pub fn start(plan: FleetPlan) -> Self {
+        let mut fleet = Self::start_without_routers(plan);
+        let platform = fleet.platform.address();
+        for (host, centre) in fleet.plan.hosts.clone() {
+            fleet.add_router(host, centre, platform);
+        }
+        fleet.publish_hosts();
+        for router in &fleet.routers {
+            router.wait_until_ready();
+        }
+        fleet
+    }
+
+    /// Starts platform and upstreams and publishes the catalogue.
+    #[track_caller]
+    pub fn start_without_routers(plan: FleetPlan) -> Self {
+        let platform =
+            PlatformServer::start(PlatformSettings::default()).expect("the platform starts");
+        let engines: Vec<_> = plan
+            .engines
+            .iter()
+            .map(|(name, data_centre, settings)| Named {
+                name,
+                data_centre,
+                server: EngineServer::start(settings.clone()).expect("an engine starts"),
+            })
+            .collect();
+        let services: Vec<_> = plan
+            .services
+            .iter()
+            .map(|(name, data_centre, settings)| Named {
+                name,
+                data_centre,
+                server: ServiceServer::start(settings.clone()).expect("a service starts"),
+            })
+            .collect();
+        let fleet = Self {
+            routers: Vec::new(),
+            links: Vec::new(),
+            engines,
+            services,
+            platform,
+            plan,
+        };
+        let entries = fleet.catalogue();
+        fleet
+            .platform
+            .set_entries(entries.iter().map(|it| (it.0.as_str(), it.1.clone())));
+        fleet
+    }
+
+    /// Starts one more router, which is listed from the next [`Fleet::publish_hosts`] on.
+    #[track_caller]
+    pub fn add_router(&mut self, host: &str, centre: &str, platform: SocketAddr) {
+        self.add_router_at(host, centre, platform, ANY_PORT.into());
+    }
+
+    /// Starts one more router whose peer and administration port is given.
+    #[track_caller]
+    pub fn add_router_at(
+        &mut self,
+        host: &str,
+        centre: &str,
+        platform: SocketAddr,
+        admin_listen: SocketAddr,
+    ) {
+        let router = RouterProcess::start(&RouterSettings {
+            host: host.to_owned(),
+            data_centre: centre.to_owned(),
+            listen: ANY_PORT.into(),
+            admin_listen,
+            platform,
+            validity_ms: VALIDITY_MS,
+            list_lag_ms: LIST_LAG_MS,
+            margin_ms: MARGIN_MS,
+            arguments: self.plan.arguments.clone(),
+        });
+        if self.plan.linked {
+            let link = TcpLink::start(ANY_PORT.into(), router.admin).expect("a link starts");
+            self.links.push(link);
+        }
+        self.routers.push(router);
+    }
+
+    /// Returns the records of all routers, live.
+    pub fn host_entries(&self) -> Vec<HostEntry> {
+        self.routers
+            .iter()
+            .enumerate()
+            .map(|(index, router)| HostEntry {
+                name: router.host.clone(),
+                address: match self.links.get(index) {
+                    Some(link) => link.address().to_string(),
+                    None => router.admin.to_string(),
+                },
+                data_centre: router.data_centre.clone(),
+                state: "live".to_owned(),
+            })
+            .collect()
+    }
+
+    /// Publishes all routers as live hosts.
+    pub fn publish_hosts(&self) {
+        self.platform.set_hosts(self.host_entries());
+    }
+
+    /// Returns the address for callers of the router with `index`.
+    pub fn address(&self, index: usize) -> SocketAddr {
+        self.routers[index].address
+    }
+
+    /// Waits until every router serves chats of team one.
+    ///
+    /// A team's bucket starts empty and belongs to nobody for the takeover wait, so the first
+    /// requests after a start may be refused.
+    #[track_caller]
+    pub fn wait_until_chats_work(&self) {
+        for router in &self.routers {
+            wait_for(&format!("chats through {}", router.host), || {
+                chat("probe", 1)
+                    .call(router.address)
+                    .is_ok_and(|it| it.status == 200 && it.is_whole())
+            });
+        }
+    }
+
+    /// Waits until every router serves look-ups of team one.
+    #[track_caller]
+    pub fn wait_until_lookups_work(&self) {
+        for router in &self.routers {
+            wait_for(&format!("look-ups through {}", router.host), || {
+                CallerRequest::new("GET", "/items/0")
+                    .key(super::KEY_ONE)
+                    .call(router.address)
+                    .is_ok_and(|it| it.status == 200 && it.is_whole())
+            });
+        }
+    }
+
+    /// Waits until every router runs orders with a plain key.
+    ///
+    /// Several keys in a row must run, so that each host has acted as owner.
+    #[track_caller]
+    pub fn wait_until_orders_work(&self) {
+        for router in &self.routers {
+            wait_for(&format!("orders through {}", router.host), || {
+                (0..8).all(|_| {
+                    let number = NEXT_PROBE.fetch_add(1, Ordering::SeqCst);
+                    order(&format!("probe-{number}"))
+                        .call(router.address)
+                        .is_ok_and(|it| it.status == 200 && it.is_whole())
+                })
+            });
+        }
+    }
+
+    /// Returns the index of the engine that ran the request with `id`.
+    pub fn engine_of(&self, id: &str) -> Option<usize> {
+        self.engines
+            .iter()
+            .position(|it| it.server.stats()["runs"][id].as_u64().unwrap_or(0) > 0)
+    }
+
+    /// Returns how often any service upstream ran a call with `key`.
+    pub fn runs(&self, key: &str) -> u64 {
+        self.services.iter().map(|it| it.server.runs(key)).sum()
+    }
+
+    /// Publishes the state of a data centre.
+    pub fn set_centre_state(&self, name: &str, state: &str) -> u64 {
+        self.platform
+            .set_entry(&format!("data_centre/{name}"), centre_entry(state))
+    }
+
+    /// Publishes the state of an engine.
+    pub fn set_engine_state(&self, index: usize, state: &str) -> u64 {
+        let engine = &self.engines[index];
+        let entry = self.engine_entry(index, state);
+        self.platform
+            .set_entry(&format!("upstream/{}", engine.name), entry)
+    }
+
+    /// Withdraws or restores a key.
+    pub fn set_key_state(&self, id: &str, team: &str, key: &str, state: &str) -> u64 {
+        self.platform
+            .set_entry(&format!("key/{id}"), key_entry(team, key, state))
+    }
+
+    fn engine_entry(&self, index: usize, state: &str) -> Value {
+        let engine = &self.engines[index];
+        let settings = &self.plan.engines[index].2;
+        json!({
+            "owner": "platform",
+            "kind": "engine",
+            "address": engine.server.address().to_string(),
+            "data_centre": engine.data_centre,
+            "models": [MODEL],
+            "capacity": settings.capacity,
+            "cold_allowance": settings.cold_allowance,
+            "warmup_ms": settings.warmup.as_millis() as u64,
+            "state": state,
+            "resume": self.plan.resume,
+        })
+    }
+
+    fn catalogue(&self) -> Vec<(String, Value)> {
+        let mut entries: Vec<(String, Value)> = vec![
+            (
+                "class/interactive".to_owned(),
+                json!({ "priority": 0, "deadline_ms": 20_000, "queue_ms": 20_000 }),
+            ),
+            (
+                "team/one".to_owned(),
+                team_entry("interactive", 1_000.0, 1_000),
+            ),
+            (
+                "team/two".to_owned(),
+                team_entry("interactive", 1_000.0, 1_000),
+            ),
+            (
+                "key/k1".to_owned(),
+                key_entry("one", super::KEY_ONE, "active"),
+            ),
+            (
+                "key/k2".to_owned(),
+                key_entry("two", super::KEY_TWO, "active"),
+            ),
+            (
+                "fleet/settings".to_owned(),
+                json!({ "skew_multiple": self.plan.skew_multiple }),
+            ),
+        ];
+        for name in &self.plan.centres {
+            entries.push((format!("data_centre/{name}"), centre_entry("in_service")));
+        }
+        if !self.engines.is_empty() {
+            entries.push((
+                "route/chat".to_owned(),
+                json!({
+                    "owner": "platform",
+                    "path": "/v1/chat/completions",
+                    "methods": ["POST"],
+                    "kind": "chat",
+                }),
+            ));
+        }
+        for (index, engine) in self.engines.iter().enumerate() {
+            entries.push((
+                format!("upstream/{}", engine.name),
+                self.engine_entry(index, "in_service"),
+            ));
+        }
+        if !self.services.is_empty() {
+            let route = |path: &str, fields: Value| {
+                let mut route = json!({
+                    "owner": "platform",
+                    "path": path,
+                    "kind": "service",
+                    "service": "desk",
+                });
+                if let (Some(route), Some(fields)) = (route.as_object_mut(), fields.as_object()) {
+                    route.extend(fields.clone());
+                }
+                route
+            };
+            entries.push((
+                "route/orders".to_owned(),
+                route("/orders", json!({ "methods": ["POST"], "once": true })),
+            ));
+            entries.push(("route/items".to_owned(), route("/items", json!({}))));
+            entries.push((
+                "route/private".to_owned(),
+                route("/private", json!({ "teams": ["two"] })),
+            ));
+            entries.push((
+                "route/public".to_owned(),
+                route(
+                    "/public",
+                    json!({ "methods": ["GET"], "open": true, "class": "interactive" }),
+                ),
+            ));
+        }
+        for (service, (_, _, settings)) in self.services.iter().zip(&self.plan.services) {
+            entries.push((
+                format!("upstream/{}", service.name),
+                json!({
+                    "owner": "platform",
+                    "kind": "service",
+                    "address": service.server.address().to_string(),
+                    "data_centre": service.data_centre,
+                    "service": "desk",
+                    "capacity": settings.capacity,
+                    "cold_allowance": settings.cold_allowance,
+                    "warmup_ms": settings.warmup.as_millis() as u64,
+                    "state": "in_service",
+                }),
+            ));
+        }
+        entries
+    }
+}
+
+/// Returns a free address of the loopback interface.
+///
+/// The port is free when the function returns; nothing else on the machine is expected to take
+/// it within the moment until the router opens it.
+pub fn reserve_address() -> SocketAddr {
+    let listener = TcpListener::bind(ANY_PORT).expect("a free port");
+    listener.local_addr().expect("local address")
+}
+
+fn centre_entry(state: &str) -> Value {
+    json!({ "region": "north", "state": state })
+}
+
+fn team_entry(class: &str, rate: f64, burst: u32) -> Value {
+    json!({ "owner": "platform", "class": class, "rate": rate, "burst": burst })
+}
+
+fn key_entry(team: &str, key: &str, state: &str) -> Value {
+    let hash: String = Sha256::digest(key.as_bytes())
+        .iter()
+        .map(|it| format!("{it:02x}"))
+        .collect();
+    json!({ "team": team, "sha256": hash, "state": state })
+}
