standin: a stale replica answers readers that are ahead soon

Cause: with serve_older a reader that was ahead waited for the end of its long poll, 30 s for a router, before it saw the older state.

Change: the older state follows after 200 ms, which bounds the rate of such reads; /control/stats counts these answers, so that a test can wait for them.

Conclusion: tests of rollback need no long wait.

--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -19,6 +19,10 @@
 /// Longest wait of a long poll, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
 
+/// Pause before a replica answers a reader that is ahead with its older state, in milliseconds.
+/// It bounds the rate at which such a reader can ask again.
+const OLDER_PAUSE_MS: u64 = 200;
+
 /// Host lists that are kept so that older ones can be served.
 const MAX_HOST_LISTS: usize = 4_096;
 
@@ -64,8 +68,8 @@
     pub down: bool,
     /// The state at the time of freezing is served.
     pub frozen: bool,
-    /// A reader that is ahead of a frozen state receives that older state after its wait,
-    /// instead of 304.
+    /// A reader that is ahead of a frozen state receives that older state after 200 ms, instead
+    /// of 304 after its wait.
     pub serve_older: bool,
     /// Age of the host list that is served.
     pub list_lag: Duration,
@@ -173,6 +177,16 @@
     config_calls: u64,
     host_calls: u64,
     waiting: u64,
+    /// Answers with a state older than the reader's.
+    older_answers: u64,
+}
+
+impl ReplicaState {
+    /// Returns whether a reader that knows `after` receives the older state `served`.
+    fn answers_older(&self, served: u64, after: u64, waited: Duration, wait: Duration) -> bool {
+        let pause = wait.min(Duration::from_millis(OLDER_PAUSE_MS));
+        served < after && self.frozen.is_some() && self.mode.serve_older && waited >= pause
+    }
 }
 
 struct PlatformShared {
@@ -216,24 +230,25 @@
 
     /// Answers a long poll with the first page that `read` returns.
     ///
-    /// `read` receives whether the wait is over; nothing means that there is no news.
+    /// `read` receives the time since the call; nothing means that there is no news.
     fn poll(
         &self,
         answer: Answer,
         wait: Duration,
-        read: impl Fn(&SharedState, &ReplicaState, bool) -> Option<Value>,
+        read: impl Fn(&SharedState, &mut ReplicaState, Duration) -> Option<Value>,
     ) {
-        let deadline = Instant::now() + wait;
+        let started = Instant::now();
+        let deadline = started + wait;
         lock(&self.replica).waiting += 1;
         let mut state = lock(&self.store.state);
         let page = loop {
             let now = Instant::now();
             {
-                let replica = lock(&self.replica);
+                let mut replica = lock(&self.replica);
                 if replica.mode.down || answer.is_abandoned() {
                     break Err(());
                 }
-                let page = read(&state, &replica, now >= deadline);
+                let page = read(&state, &mut replica, now - started);
                 if page.is_some() || now >= deadline {
                     break Ok(page);
                 }
@@ -260,15 +275,18 @@
         lock(&self.replica).config_calls += 1;
         let after = call.query_number("after").unwrap_or(0);
         let wait = wait_of(&call);
-        self.poll(call.answer, wait, |state, replica, is_over| {
-            let (config, is_frozen) = match &replica.frozen {
-                Some((config, _)) => (config, true),
-                None => (&state.config, false),
+        self.poll(call.answer, wait, |state, replica, waited| {
+            let config = match &replica.frozen {
+                Some((config, _)) => config,
+                None => &state.config,
             };
-            let is_older = after > config.revision;
-            let is_news = config.revision > after
-                || (is_older && is_over && is_frozen && replica.mode.serve_older);
-            is_news.then(|| config.page(after))
+            if config.revision > after {
+                return Some(config.page(after));
+            }
+            let is_older = replica.answers_older(config.revision, after, waited, wait);
+            let page = is_older.then(|| config.page(after));
+            replica.older_answers += u64::from(is_older);
+            page
         });
     }
 
@@ -276,14 +294,15 @@
         lock(&self.replica).host_calls += 1;
         let after = call.query_number("after").unwrap_or(0);
         let wait = wait_of(&call);
-        self.poll(call.answer, wait, |state, replica, is_over| {
-            let (list, is_frozen) = match &replica.frozen {
-                Some((_, list)) => (list.clone(), true),
-                None => (Self::visible_list(state, replica.mode.list_lag), false),
+        self.poll(call.answer, wait, |state, replica, waited| {
+            let list = match &replica.frozen {
+                Some((_, list)) => list.clone(),
+                None => Self::visible_list(state, replica.mode.list_lag),
             };
-            let is_news = list.version > after
-                || (list.version < after && is_over && is_frozen && replica.mode.serve_older);
-            is_news.then(|| json!({ "version": list.version, "hosts": list.hosts }))
+            let is_older = replica.answers_older(list.version, after, waited, wait);
+            replica.older_answers += u64::from(is_older);
+            (is_older || list.version > after)
+                .then(|| json!({ "version": list.version, "hosts": list.hosts }))
         });
     }
 
@@ -296,6 +315,7 @@
             "config_calls": replica.config_calls,
             "host_calls": replica.host_calls,
             "waiting": replica.waiting,
+            "older_answers": replica.older_answers,
             "down": replica.mode.down,
             "frozen": replica.mode.frozen,
             "list_lag_ms": replica.mode.list_lag.as_millis() as u64,
--- a/standin/tests/platform.rs
+++ b/standin/tests/platform.rs
@@ -202,6 +202,7 @@
     let older = config(replica.address(), 2);
     assert_eq!(older["base"], 0);
     assert_eq!(older["revision"], 1);
+    assert_eq!(replica.stats()["older_answers"], 1);
     replica.set_mode(PlatformMode::default());
     assert_eq!(config(replica.address(), 1)["revision"], 2);
 }
