--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -1,15 +1,17 @@
 //! One caller's request from arrival to the last piece of its answer, on a worker thread.
 
+mod chat;
 mod events;
 mod relay;
+mod service;
 
 use std::{
+    io::Read,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-pub use self::events::EventSplitter;
-use self::relay::{RelayEnd, relay_events};
+pub use self::events::{EventBatch, EventSplitter};
 use crate::{
     catalogue::{KeyHash, RouteKind},
     clock::ClockSource,
@@ -18,8 +20,8 @@
         DispatchGuard, DispatchRequest, DispatchTarget, RequestEnd,
     },
     front::{
-        BodyWriter, CallerRequest, ChatRequest, OutcomeKind, Refusal, RefusalKind, RequestHandler,
-        Responder, bearer_key, without_credentials,
+        CallerRequest, OutcomeKind, Refusal, RefusalKind, RequestHandler, Responder, bearer_key,
+        without_credentials,
     },
     names::UpstreamName,
     upstream::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient},
@@ -77,27 +79,17 @@
             AdmitOutcome::Admitted(admission) => admission,
             AdmitOutcome::Refused(refusal) => return responder.refuse(&refusal),
         };
-        let (headers, target) =
-            without_credentials(&request.headers, &request.target, key.as_deref());
-        let headers = headers
-            .into_iter()
-            .filter(|(name, _)| !ROUTER_HEADERS.contains(&name.as_str()))
-            .collect();
         let mut run = RequestRun {
             exchange: self,
             started: self.clock.now(),
-            request: CallerRequest {
-                headers,
-                target,
-                ..request.clone()
-            },
+            request: as_upstreams_see_it(&request, key.as_deref()),
             admission,
             tried: Vec::new(),
             first_piece: None,
         };
         let end = match run.admission.kind {
             RouteKind::Chat => run.chat(&request, responder),
-            RouteKind::Service => run.service(responder),
+            RouteKind::Service => run.service(&request, responder),
         };
         run.report(end);
     }
@@ -107,12 +99,30 @@
     }
 }
 
+fn as_upstreams_see_it(request: &CallerRequest, key: Option<&str>) -> CallerRequest {
+    let (mut headers, target) = without_credentials(&request.headers, &request.target, key);
+    headers.retain(|(name, _)| !ROUTER_HEADERS.contains(&name.as_str()));
+    CallerRequest {
+        headers,
+        target,
+        ..request.clone()
+    }
+}
+
 /// One attempt that brought no answer.
 struct FailedAttempt {
     refusal: Refusal,
     may_retry: bool,
 }
 
+/// An answer that was read to its end.
+struct WholeAnswer {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// An admitted request while it is served.
 struct RequestRun<'a> {
     exchange: &'a Exchange,
     started: Instant,
@@ -124,80 +134,6 @@
 }
 
 impl RequestRun<'_> {
-    fn chat(&mut self, original: &CallerRequest, responder: Responder) -> RequestEnd {
-        let chat = match ChatRequest::parse(original, &self.admission.team) {
-            Ok(chat) => chat,
-            Err(refusal) => return refuse(responder, &refusal),
-        };
-        let target = DispatchTarget::Chat {
-            model: chat.model.clone(),
-            chat: chat.chat.clone(),
-        };
-        let mut stream = StreamState::Waiting(responder);
-        for attempt in 1.. {
-            let guard = match self.dispatch(&target, chat.work, stream.delivered() > 0) {
-                Ok(guard) => guard,
-                Err(refusal) => return stream.fail(&refusal),
-            };
-            let failed = match self.call(&guard, &self.chat_headers(&chat, stream.delivered())) {
-                Ok(answer) if is_event_stream(&answer) => match self.relay(guard, answer, stream) {
-                    RelayOutcome::Ended(end) => return end,
-                    RelayOutcome::Broken(broken) => {
-                        stream = broken;
-                        FailedAttempt {
-                            refusal: lost_refusal(),
-                            may_retry: true,
-                        }
-                    }
-                },
-                Ok(answer) => match self.read_whole(guard, answer) {
-                    Ok(whole) => return stream.answer(whole, self.answered()),
-                    Err(failed) => failed,
-                },
-                Err(error) => self.failed_call(guard, &error),
-            };
-            if attempt >= MAX_ATTEMPTS || !failed.may_retry {
-                return stream.fail(&failed.refusal);
-            }
-        }
-        unreachable!("the loop ends by returning")
-    }
-
-    fn service(&mut self, responder: Responder) -> RequestEnd {
-        let Some(service) = self.admission.service.clone() else {
-            unreachable!("the catalogue check requires a service for a service route")
-        };
-        if self.admission.once {
-            let refusal = Refusal::not_run(
-                RefusalKind::OperationUndecided,
-                "operations are not served yet",
-            );
-            return refuse(responder, &refusal);
-        }
-        let target = DispatchTarget::Service(service);
-        let is_idempotent = matches!(self.request.method.as_str(), "GET" | "HEAD" | "OPTIONS");
-        for attempt in 1.. {
-            let guard = match self.dispatch(&target, 1, false) {
-                Ok(guard) => guard,
-                Err(refusal) => return refuse(responder, &refusal),
-            };
-            let failed = match self.call(&guard, &self.service_headers()) {
-                Ok(answer) => match self.read_whole(guard, answer) {
-                    Ok(whole) => {
-                        return StreamState::Waiting(responder).answer(whole, self.answered());
-                    }
-                    Err(failed) => failed,
-                },
-                Err(error) => self.failed_call(guard, &error),
-            };
-            let was_not_sent = failed.refusal.outcome == OutcomeKind::NotRun;
-            if attempt >= MAX_ATTEMPTS || !(is_idempotent || was_not_sent) {
-                return refuse(responder, &failed.refusal);
-            }
-        }
-        unreachable!("the loop ends by returning")
-    }
-
     fn dispatch(
         &self,
         target: &DispatchTarget,
@@ -214,10 +150,12 @@
         })
     }
 
+    /// Sends the request; `reuse_connection` is false for requests that must not run twice.
     fn call(
         &self,
         guard: &DispatchGuard,
         headers: &[(String, String)],
+        reuse_connection: bool,
     ) -> Result<UpstreamAnswer, CallError> {
         // Every attempt has its own id, so that the late answer of an earlier one is recognised.
         let attempt_id = format!("{}.{:016x}", self.request.request_id, rand::random::<u64>());
@@ -228,36 +166,20 @@
             headers,
             body: &self.request.body,
             request_id: &attempt_id,
-            reuse_connection: true,
+            reuse_connection,
             head_timeout: HEAD_TIMEOUT,
         })
     }
 
-    fn chat_headers(&self, chat: &ChatRequest, offset: u64) -> Vec<(String, String)> {
-        let mut headers = self.request.headers.clone();
-        headers.push(("x-priority".into(), self.admission.priority.to_string()));
-        headers.push(("x-chat-id".into(), chat.chat.clone()));
-        if offset > 0 {
-            headers.push(("x-resume-offset".into(), offset.to_string()));
-        }
-        headers
-    }
-
-    fn service_headers(&self) -> Vec<(String, String)> {
-        let mut headers = self.request.headers.clone();
-        headers.push(("x-team".into(), self.admission.team.as_str().to_owned()));
-        headers
-    }
-
     fn failed_call(&mut self, guard: DispatchGuard, error: &CallError) -> FailedAttempt {
         let upstream = guard.grant().upstream.clone();
         tracing::warn!(request_id = %self.request.request_id, %upstream, %error, "call_failed");
         self.tried.push(upstream);
         if let CallError::NotSent(_) = error {
             guard.end(DispatchEnd::NotSent);
-            let refusal =
-                Refusal::not_run(RefusalKind::UpstreamUnreachable, "no upstream was reached")
-                    .retry_after(Duration::from_secs(1));
+            let message = "no upstream was reached";
+            let refusal = Refusal::not_run(RefusalKind::UpstreamUnreachable, message)
+                .retry_after(Duration::from_secs(1));
             FailedAttempt {
                 refusal,
                 may_retry: true,
@@ -276,7 +198,6 @@
         guard: DispatchGuard,
         answer: UpstreamAnswer,
     ) -> Result<WholeAnswer, FailedAttempt> {
-        use std::io::Read;
         let UpstreamAnswer {
             status,
             headers,
@@ -287,7 +208,8 @@
         let read = body.take(MAX_WHOLE_ANSWER_BYTES + 1).read_to_end(&mut text);
         if text.len() as u64 > MAX_WHOLE_ANSWER_BYTES {
             guard.end(DispatchEnd::Abandoned);
-            let refusal = Refusal::unknown(RefusalKind::AnswerTooLarge, "the answer is too large");
+            let message = "the answer is too large";
+            let refusal = Refusal::unknown(RefusalKind::AnswerTooLarge, message);
             return Err(FailedAttempt {
                 refusal,
                 may_retry: false,
@@ -307,59 +229,9 @@
         }
     }
 
-    fn relay(
-        &mut self,
-        guard: DispatchGuard,
-        answer: UpstreamAnswer,
-        stream: StreamState,
-    ) -> RelayOutcome {
-        let UpstreamAnswer {
-            status,
-            headers,
-            incarnation,
-            body,
-        } = answer;
-        let (mut writer, mut delivered) = stream.start(status, &headers);
-        let end = relay_events(body, &mut |events, count| {
-            if delivered == 0 {
-                self.note_first_piece(&guard, incarnation);
-            }
-            writer.write(events)?;
-            delivered += count;
-            Ok(())
-        });
-        match end {
-            RelayEnd::Complete => {
-                guard.end(DispatchEnd::Complete);
-                match writer.finish() {
-                    Ok(()) => RelayOutcome::Ended(self.answered()),
-                    Err(_) => RelayOutcome::Ended(RequestEnd::CallerGone),
-                }
-            }
-            RelayEnd::CallerGone => {
-                guard.end(DispatchEnd::Abandoned);
-                RelayOutcome::Ended(RequestEnd::CallerGone)
-            }
-            RelayEnd::Broken(reason) => {
-                let upstream = guard.grant().upstream.clone();
-                tracing::warn!(
-                    request_id = %self.request.request_id, %upstream, delivered, %reason,
-                    "stream_broken"
-                );
-                self.tried.push(upstream);
-                guard.end(DispatchEnd::Broken);
-                RelayOutcome::Broken(StreamState::Started { writer, delivered })
-            }
-        }
-    }
-
     fn note_first_piece(&mut self, guard: &DispatchGuard, incarnation: Option<u64>) {
         guard.first_piece(incarnation);
-        let elapsed = self
-            .exchange
-            .clock
-            .now()
-            .saturating_duration_since(self.started);
+        let elapsed = self.elapsed();
         self.first_piece.get_or_insert(elapsed);
     }
 
@@ -370,6 +242,11 @@
             .saturating_duration_since(self.started)
     }
 
+    fn answer(&self, responder: Responder, whole: WholeAnswer) -> RequestEnd {
+        responder.answer(whole.status, &whole.headers, OutcomeKind::Ran, whole.body);
+        self.answered()
+    }
+
     fn answered(&self) -> RequestEnd {
         RequestEnd::Answered {
             first_piece: self.first_piece.unwrap_or_else(|| self.elapsed()),
@@ -399,59 +276,6 @@
     }
 }
 
-/// An answer that was read to its end.
-struct WholeAnswer {
-    status: u16,
-    headers: Vec<(String, String)>,
-    body: Vec<u8>,
-}
-
-enum RelayOutcome {
-    Ended(RequestEnd),
-    Broken(StreamState),
-}
-
-/// How much of an answer the caller has.
-enum StreamState {
-    Waiting(Responder),
-    Started { writer: BodyWriter, delivered: u64 },
-}
-
-impl StreamState {
-    fn delivered(&self) -> u64 {
-        match self {
-            Self::Waiting(_) => 0,
-            Self::Started { delivered, .. } => *delivered,
-        }
-    }
-
-    fn start(self, status: u16, headers: &[(String, String)]) -> (BodyWriter, u64) {
-        match self {
-            Self::Waiting(responder) => (responder.start(status, headers, OutcomeKind::Ran), 0),
-            Self::Started { writer, delivered } => (writer, delivered),
-        }
-    }
-
-    /// Refuses the request, or cuts an answer that has begun.
-    fn fail(self, refusal: &Refusal) -> RequestEnd {
-        match self {
-            Self::Waiting(responder) => refuse(responder, refusal),
-            Self::Started { .. } => RequestEnd::Cut,
-        }
-    }
-
-    fn answer(self, whole: WholeAnswer, answered: RequestEnd) -> RequestEnd {
-        match self {
-            Self::Waiting(responder) => {
-                responder.answer(whole.status, &whole.headers, OutcomeKind::Ran, whole.body);
-                answered
-            }
-            // A whole answer cannot continue a stream.
-            Self::Started { .. } => RequestEnd::Cut,
-        }
-    }
-}
-
 fn refuse(responder: Responder, refusal: &Refusal) -> RequestEnd {
     responder.refuse(refusal);
     RequestEnd::Refused {
@@ -461,15 +285,6 @@
 }
 
 fn lost_refusal() -> Refusal {
-    Refusal::unknown(
-        RefusalKind::UpstreamLost,
-        "the upstream did not answer to the end",
-    )
-}
-
-fn is_event_stream(answer: &UpstreamAnswer) -> bool {
-    answer.status == 200
-        && answer
-            .header("content-type")
-            .is_some_and(|it| it.starts_with("text/event-stream"))
+    let message = "the upstream did not answer to the end";
+    Refusal::unknown(RefusalKind::UpstreamLost, message)
 }
--- /dev/null
+++ b/lib/src/exchange/service.rs
@@ -0,0 +1,58 @@
+//! Requests to plain services that may be repeated.
+
+use super::{MAX_ATTEMPTS, RequestRun, refuse};
+use crate::{
+    control::{DispatchTarget, RequestEnd},
+    front::{CallerRequest, OutcomeKind, Refusal, RefusalKind, Responder},
+};
+
+/// Methods whose requests may be repeated after an unknown outcome.
+const IDEMPOTENT_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+impl RequestRun<'_> {
+    /// Serves a request to a service; `original` has the caller's own headers.
+    pub(super) fn service(
+        &mut self,
+        _original: &CallerRequest,
+        responder: Responder,
+    ) -> RequestEnd {
+        let service = self
+            .admission
+            .service
+            .clone()
+            .expect("the catalogue check requires a service");
+        if self.admission.once {
+            let message = "operations are not served yet";
+            let refusal = Refusal::not_run(RefusalKind::OperationUndecided, message);
+            return refuse(responder, &refusal);
+        }
+        let target = DispatchTarget::Service(service);
+        let is_idempotent = IDEMPOTENT_METHODS.contains(&self.request.method.as_str());
+        let mut attempt = 0;
+        loop {
+            attempt += 1;
+            let guard = match self.dispatch(&target, 1, false) {
+                Ok(guard) => guard,
+                Err(refusal) => return refuse(responder, &refusal),
+            };
+            // A reused connection leaves open whether a failed request was read.
+            let failed = match self.call(&guard, &self.service_headers(), is_idempotent) {
+                Ok(answer) => match self.read_whole(guard, answer) {
+                    Ok(whole) => return self.answer(responder, whole),
+                    Err(failed) => failed,
+                },
+                Err(error) => self.failed_call(guard, &error),
+            };
+            let may_repeat = is_idempotent || failed.refusal.outcome == OutcomeKind::NotRun;
+            if attempt >= MAX_ATTEMPTS || !may_repeat || !failed.may_retry {
+                return refuse(responder, &failed.refusal);
+            }
+        }
+    }
+
+    pub(super) fn service_headers(&self) -> Vec<(String, String)> {
+        let mut headers = self.request.headers.clone();
+        headers.push(("x-team".into(), self.admission.team.as_str().to_owned()));
+        headers
+    }
+}
