--- /dev/null
+++ b/cli/tests/command_query.rs
@@ -0,0 +1,47 @@
+//! The query string of `/explain`, which the command writes and the router reads.
+
+use snipepond::status::{ExplainQuery, ExplainQueryError};
+
+fn chat(model: &str, chat: &str) -> ExplainQuery {
+    ExplainQuery {
+        model: Some(model.to_owned()),
+        chat: Some(chat.to_owned()),
+        ..ExplainQuery::default()
+    }
+}
+
+/// A value that is not encoded would change or end another parameter.
+#[test]
+fn queries_survive_the_url() {
+    for text in ["plain", "a&team=b", "a=b", "100%", "a b+c", "é\u{0}\n", ""] {
+        let query = chat(text, text);
+        assert_eq!(ExplainQuery::parse(&query.to_query()), Ok(query));
+    }
+    let service = ExplainQuery {
+        path: Some("/v1/tools?x#y".to_owned()),
+        method: Some("POST".to_owned()),
+        team: Some("t".to_owned()),
+        ..ExplainQuery::default()
+    };
+    assert_eq!(ExplainQuery::parse(&service.to_query()), Ok(service));
+}
+
+/// A misspelt or ambiguous request must not get an answer about another one.
+#[test]
+fn wrong_queries_are_refused() {
+    use ExplainQueryError::{Encoding, Incomplete, Repeated, Unknown};
+    for (query, expected) in [
+        ("", Incomplete),
+        ("chat=c", Incomplete),
+        ("path=/p", Incomplete),
+        ("model=m&path=/p", Incomplete),
+        ("path=/p&method=GET&chat=c", Incomplete),
+        ("model=m&model=n", Repeated("model".to_owned())),
+        ("modle=m", Unknown("modle".to_owned())),
+        ("model=%", Encoding("model".to_owned())),
+        ("model=%zz", Encoding("model".to_owned())),
+        ("model=%ff", Encoding("model".to_owned())),
+    ] {
+        assert_eq!(ExplainQuery::parse(query), Err(expected), "{query}");
+    }
+}
--- a/lib/src/slo/tracker.rs
+++ b/lib/src/slo/tracker.rs
@@ -14,7 +14,8 @@
 /// Length of a bucket.
 ///
 /// A window ends inside the current bucket, so it is up to one bucket shorter than its name:
-/// 290 s to 300 s for the short one. 361 buckets of 32 bytes for 440 teams take 5 MB.
+/// 290 s to 300 s for the short one. A ring that holds the 360 buckets of the long window has 512
+/// slots of 32 bytes, so 440 teams in one class each take 7 MB.
 const BUCKET: Duration = Duration::from_secs(10);
 
 /// How a request ended, as the team sees it.
--- a/lib/src/telemetry/log.rs
+++ b/lib/src/telemetry/log.rs
@@ -77,6 +77,9 @@
     Ok(tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(writer)
+        // The subscriber would report a failed write with `eprintln!`, which panics when standard
+        // error itself is closed.
+        .log_internal_errors(false)
         .event_format(LineFormat::new(clock))
         .finish())
 }
--- a/lib/tests/catalogue_check.rs
+++ b/lib/tests/catalogue_check.rs
@@ -82,278 +82,69 @@
     assert_eq!(problems(&entries(&[])), []);
 }
 
+/// Key of the base entry | text in its value | text put in its place | field | part of the reason.
+const FIELD_RULES: &str = r#"
+class/fast | "priority":0 | "priority":256 |  | invalid value
+class/fast | "deadline_ms":410 | "deadline_ms":0 | deadline_ms | 1 to
+class/fast | "deadline_ms":410 | "deadline_ms":86400001 | deadline_ms | 1 to
+class/fast | "queue_ms":300 | "queue_ms":0 | queue_ms | 1 to
+class/fast | 0.95 | 1.0 | objective | between 0 and 1
+class/fast | 0.95 | 0 | objective | between 0 and 1
+data_centre/a | north |  | region | 1 to 64
+data_centre/a | in_service | down |  | unknown variant
+team/t1 | "owner":"o" | "owner":"" | owner | not be empty
+team/t1 | fast | slow | class | no class "slow"
+team/t1 | "rate":5 | "rate":0 | rate | above 0
+team/t1 | "rate":5 | "rate":1000001 | rate | at most 1000000/s
+team/t1 | "rate":5 | "rate":1e999 |  | out of range
+team/t1 | "burst":10 | "burst":0 | burst | 1 to 1000000
+team/t1 | "burst":10 | "burst":1000001 | burst | 1 to 1000000
+team/t1 | "weight":2 | "weight":0 | weight | above 0
+team/t1 | "weight":2 | "weight":1001 | weight | at most 1000
+key/k1 | t1 | t2 | team | no team "t2"
+key/k1 | ba78 | +a78 | sha256 | 64 hexadecimal
+key/k1 | ba78 | a78 | sha256 | 64 hexadecimal
+key/k1 | ba78 | é78 | sha256 | 64 hexadecimal
+key/k1 | active | gone |  | unknown variant
+route/chat | "owner":"o" | "owner":"" | owner | not be empty
+route/chat | /v1/chat | v1/chat | path | start with '/'
+route/chat | /v1/chat | /v1 chat | path | visible ASCII
+route/chat | /v1/chat | /v1?chat | path | visible ASCII
+route/chat | POST | post | methods | upper-case
+route/chat | "POST" | "" | methods | upper-case
+route/chat | "POST" | "POST","POST" | methods | repeat
+route/chat | "kind":"chat" | "kind":"chat","service":"print" | service | kind "chat"
+route/chat | "kind":"chat" | "kind":"chat","once":true | once | kind "chat"
+route/chat | "kind":"chat" | "kind":"chat","open":true | class | open route
+route/chat | "kind":"chat" | "kind":"chat","class":"slow" | class | no class
+route/chat | "kind":"chat" | "kind":"chat","teams":["t2"] | teams | no team
+route/chat | "kind":"chat" | "kind":"chat","open":true,"class":"fast","teams":["t1"] | teams | open route
+route/print | "service":"print", |  | service | required
+route/print | "service":"print" | "service":"scan" | service | no upstream
+upstream/e1 | "owner":"o" | "owner":"" | owner | not be empty
+upstream/e1 | ["m"] | [] | models | at least one
+upstream/e1 | ["m"] | ["m",""] | models | empty name
+upstream/e1 | "capacity" | "service":"x","capacity" | service | kind "engine"
+upstream/e1 | 127.0.0.1:9000 | engine:9000 |  | socket address
+upstream/e1 | 127.0.0.1:9000 | 127.0.0.1:0 | address | port
+upstream/e1 | "data_centre":"a" | "data_centre":"b" | data_centre | no data centre
+upstream/e1 | "capacity":8,"cold_allowance":2 | "capacity":0,"cold_allowance":0 | capacity | at least 1
+upstream/e1 | "cold_allowance":2 | "cold_allowance":9 | cold_allowance | exceed capacity
+upstream/e1 | "warmup_ms":100 | "warmup_ms":86400001 | warmup_ms | at most
+upstream/e1 | in_service | cold |  | unknown variant
+upstream/s1 | "capacity" | "models":["m"],"capacity" | models | kind "service"
+fleet/settings | 1.5 | 1.0 | skew_multiple | 1.1 to 100
+fleet/settings | 1.5 | 101 | skew_multiple | 1.1 to 100
+"#;
+
 /// A rule that is not enforced lets a value into force that no router can serve.
 #[test]
 fn every_field_rule_has_a_failing_example() {
-    for (key, from, to, field, reason) in [
-        (
-            "class/fast",
-            r#""priority":0"#,
-            r#""priority":256"#,
-            "",
-            "invalid value",
-        ),
-        (
-            "class/fast",
-            r#""deadline_ms":410"#,
-            r#""deadline_ms":0"#,
-            "deadline_ms",
-            "1 to",
-        ),
-        (
-            "class/fast",
-            r#""deadline_ms":410"#,
-            r#""deadline_ms":86400001"#,
-            "deadline_ms",
-            "1 to",
-        ),
-        (
-            "class/fast",
-            r#""queue_ms":300"#,
-            r#""queue_ms":0"#,
-            "queue_ms",
-            "1 to",
-        ),
-        ("class/fast", "0.95", "1.0", "objective", "between 0 and 1"),
-        ("class/fast", "0.95", "0", "objective", "between 0 and 1"),
-        ("data_centre/a", "north", "", "region", "1 to 64"),
-        ("data_centre/a", "in_service", "down", "", "unknown variant"),
-        (
-            "team/t1",
-            r#""owner":"o""#,
-            r#""owner":"""#,
-            "owner",
-            "not be empty",
-        ),
-        ("team/t1", "fast", "slow", "class", "no class \"slow\""),
-        ("team/t1", r#""rate":5"#, r#""rate":0"#, "rate", "above 0"),
-        (
-            "team/t1",
-            r#""rate":5"#,
-            r#""rate":1000001"#,
-            "rate",
-            "at most 1000000/s",
-        ),
-        (
-            "team/t1",
-            r#""rate":5"#,
-            r#""rate":1e999"#,
-            "",
-            "out of range",
-        ),
-        (
-            "team/t1",
-            r#""burst":10"#,
-            r#""burst":0"#,
-            "burst",
-            "1 to 1000000",
-        ),
-        (
-            "team/t1",
-            r#""burst":10"#,
-            r#""burst":1000001"#,
-            "burst",
-            "1 to 1000000",
-        ),
-        (
-            "team/t1",
-            r#""weight":2"#,
-            r#""weight":0"#,
-            "weight",
-            "above 0",
-        ),
-        (
-            "team/t1",
-            r#""weight":2"#,
-            r#""weight":1001"#,
-            "weight",
-            "at most 1000",
-        ),
-        ("key/k1", "t1", "t2", "team", "no team \"t2\""),
-        ("key/k1", "ba78", "+a78", "sha256", "64 hexadecimal"),
-        ("key/k1", "ba78", "a78", "sha256", "64 hexadecimal"),
-        ("key/k1", "ba78", "\u{e9}78", "sha256", "64 hexadecimal"),
-        ("key/k1", "active", "gone", "", "unknown variant"),
-        (
-            "route/chat",
-            r#""owner":"o""#,
-            r#""owner":"""#,
-            "owner",
-            "not be empty",
-        ),
-        (
-            "route/chat",
-            "/v1/chat",
-            "v1/chat",
-            "path",
-            "start with '/'",
-        ),
-        (
-            "route/chat",
-            "/v1/chat",
-            "/v1 chat",
-            "path",
-            "visible ASCII",
-        ),
-        (
-            "route/chat",
-            "/v1/chat",
-            "/v1?chat",
-            "path",
-            "visible ASCII",
-        ),
-        ("route/chat", "POST", "post", "methods", "upper-case"),
-        ("route/chat", r#""POST""#, r#""""#, "methods", "upper-case"),
-        (
-            "route/chat",
-            r#""POST""#,
-            r#""POST","POST""#,
-            "methods",
-            "repeat",
-        ),
-        (
-            "route/chat",
-            r#""kind":"chat""#,
-            r#""kind":"chat","service":"print""#,
-            "service",
-            "kind \"chat\"",
-        ),
-        (
-            "route/chat",
-            r#""kind":"chat""#,
-            r#""kind":"chat","once":true"#,
-            "once",
-            "kind \"chat\"",
-        ),
-        (
-            "route/chat",
-            r#""kind":"chat""#,
-            r#""kind":"chat","open":true"#,
-            "class",
-            "open route",
-        ),
-        (
-            "route/chat",
-            r#""kind":"chat""#,
-            r#""kind":"chat","class":"slow""#,
-            "class",
-            "no class",
-        ),
-        (
-            "route/chat",
-            r#""kind":"chat""#,
-            r#""kind":"chat","teams":["t2"]"#,
-            "teams",
-            "no team",
-        ),
-        (
-            "route/chat",
-            r#""kind":"chat""#,
-            r#""kind":"chat","open":true,"class":"fast","teams":["t1"]"#,
-            "teams",
-            "open route",
-        ),
-        (
-            "route/print",
-            r#""service":"print","#,
-            "",
-            "service",
-            "required",
-        ),
-        (
-            "route/print",
-            r#""service":"print""#,
-            r#""service":"scan""#,
-            "service",
-            "no upstream",
-        ),
-        (
-            "upstream/e1",
-            r#""owner":"o""#,
-            r#""owner":"""#,
-            "owner",
-            "not be empty",
-        ),
-        ("upstream/e1", r#"["m"]"#, "[]", "models", "at least one"),
-        (
-            "upstream/e1",
-            r#"["m"]"#,
-            r#"["m",""]"#,
-            "models",
-            "empty name",
-        ),
-        (
-            "upstream/e1",
-            r#""capacity""#,
-            r#""service":"x","capacity""#,
-            "service",
-            "kind \"engine\"",
-        ),
-        (
-            "upstream/e1",
-            "127.0.0.1:9000",
-            "engine:9000",
-            "",
-            "socket address",
-        ),
-        (
-            "upstream/e1",
-            "127.0.0.1:9000",
-            "127.0.0.1:0",
-            "address",
-            "port",
-        ),
-        (
-            "upstream/e1",
-            r#""data_centre":"a""#,
-            r#""data_centre":"b""#,
-            "data_centre",
-            "no data centre",
-        ),
-        (
-            "upstream/e1",
-            r#""capacity":8,"cold_allowance":2"#,
-            r#""capacity":0,"cold_allowance":0"#,
-            "capacity",
-            "at least 1",
-        ),
-        (
-            "upstream/e1",
-            r#""cold_allowance":2"#,
-            r#""cold_allowance":9"#,
-            "cold_allowance",
-            "exceed capacity",
-        ),
-        (
-            "upstream/e1",
-            r#""warmup_ms":100"#,
-            r#""warmup_ms":86400001"#,
-            "warmup_ms",
-            "at most",
-        ),
-        ("upstream/e1", "in_service", "cold", "", "unknown variant"),
-        (
-            "upstream/s1",
-            r#""capacity""#,
-            r#""models":["m"],"capacity""#,
-            "models",
-            "kind \"service\"",
-        ),
-        (
-            "fleet/settings",
-            "1.5",
-            "1.0",
-            "skew_multiple",
-            "1.1 to 100",
-        ),
-        (
-            "fleet/settings",
-            "1.5",
-            "101",
-            "skew_multiple",
-            "1.1 to 100",
-        ),
-    ] {
+    for line in FIELD_RULES.trim().lines() {
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let [key, from, to, field, reason] = cells[..] else {
+            panic!("a rule has five cells: {line}");
+        };
         assert_single(key, &edited(key, from, to), field, reason);
     }
     // A service upstream without a service also leaves the route to it without an upstream.
--- a/lib/tests/settings_parse.rs
+++ b/lib/tests/settings_parse.rs
@@ -1,6 +1,6 @@
 //! Settings: a wrong value must be refused with a message that tells what to change.
 
-use std::{collections::HashMap, ffi::OsString, time::Duration};
+use std::{collections::HashMap, ffi::OsString, fs, path::Path, time::Duration};
 
 use snipepond::settings::{
     RouterSettings, SETTINGS, SettingsError, SettingsOutcome, ValueOrigin, variable_name,
@@ -154,3 +154,15 @@
         Ok(SettingsOutcome::PrintVersion(text)) if text.starts_with("snipepond-router ")
     ));
 }
+
+/// The page must not fall behind the list of settings.
+#[test]
+fn the_operations_page_lists_every_setting() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operations.md");
+    let page = fs::read_to_string(path).unwrap();
+    for spec in SETTINGS {
+        let default = spec.default.unwrap_or("required");
+        let row = format!("| `{}` | {} | {default} |", spec.name, spec.unit);
+        assert!(page.contains(&row), "{row} is missing");
+    }
+}
