--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod config;
 pub mod membership;
 pub mod names;
+pub mod operation;
 pub mod rendezvous;
--- /dev/null
+++ b/lib/src/operation/ledger.rs
@@ -0,0 +1,771 @@
+//! Records of operations: decisions of this host and copies kept for others.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::{
+    INTENT_LIFETIME, MAX_PAGE_BYTES, MAX_RECORDS, MAX_RESPONSE_BYTES, MAX_STORED_BYTES,
+    MAX_TEAM_RECORDS, RETENTION, UNFINISHED_RETENTION,
+    digest::RequestDigest,
+    forward_window::{ForwardId, ForwardWindow},
+    handover::HandoverTracker,
+    outcome::{DispatchDenied, NotRunReason, OperationDecision, UnknownReason},
+    record::{
+        DispatchId, OperationId, OperationRecord, OperationUpdate, RecordPage, RecordState,
+        StoreReply, StoredResponse,
+    },
+    ticket::{OperationTicket, TicketIssuer, TicketVerdict},
+};
+use crate::{
+    membership::HostList,
+    names::{HostName, TeamName},
+};
+
+/// Estimated bytes of a record on the wire without team name and response.
+const RECORD_BYTES: usize = 128;
+
+/// Records examined by one call of [`OperationLedger::expire`].
+const EXPIRE_STEP: usize = 1_024;
+
+/// Tells whether this host may decide about plain keys.
+pub trait DecisionRights {
+    /// Returns whether this host is the only one that may decide about the operation.
+    fn may_decide(&self, id: &OperationId, now: Instant) -> bool;
+}
+
+/// A call with an operation key.
+#[derive(Clone, Copy, Debug)]
+pub struct OperationCall<'a> {
+    /// Team of the caller.
+    pub team: &'a TeamName,
+    /// The operation key as the caller sent it, a ticket or a plain key.
+    pub key: &'a str,
+    /// Digest of the request.
+    pub digest: RequestDigest,
+    /// Identity of the message if another host forwarded the call.
+    pub forward: Option<ForwardId>,
+}
+
+/// An operation that this process started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperationHandle {
+    id: OperationId,
+    dispatch: DispatchId,
+}
+
+impl OperationHandle {
+    /// The operation.
+    pub fn id(&self) -> &OperationId {
+        &self.id
+    }
+
+    fn removal(&self) -> OperationUpdate {
+        OperationUpdate::Removed {
+            id: self.id.clone(),
+            dispatch: self.dispatch,
+        }
+    }
+}
+
+/// Numbers for status and metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LedgerStatus {
+    /// Records held.
+    pub records: usize,
+    /// Bytes of stored responses.
+    pub stored_bytes: usize,
+    /// Hosts that have not handed over their records yet.
+    pub awaited_hosts: usize,
+}
+
+#[derive(Clone, Debug)]
+struct RecordSlot {
+    dispatch: DispatchId,
+    digest: RequestDigest,
+    state: RecordState,
+    /// Last change of state.
+    changed: Instant,
+    /// Position in the order of changes.
+    sequence: u64,
+    /// Whether a backup holds the intent, or none is needed.
+    is_backed: bool,
+    is_ticket: bool,
+    /// Whether this process decided; a copy that comes back to it must not be dispatched.
+    is_started: bool,
+    /// Another host that holds the record in its present state.
+    holder: Option<HostName>,
+}
+
+impl RecordSlot {
+    fn is_expired(&self, now: Instant) -> bool {
+        let lifetime = match self.state.is_unfinished() {
+            true => UNFINISHED_RETENTION,
+            false => RETENTION,
+        };
+        now.saturating_duration_since(self.changed) >= lifetime
+    }
+
+    fn record(&self, id: &OperationId, now: Instant) -> OperationRecord {
+        let age = now.saturating_duration_since(self.changed);
+        OperationRecord {
+            id: id.clone(),
+            dispatch: self.dispatch,
+            digest: self.digest,
+            state: self.state.clone(),
+            age_ms: age.as_millis() as u64,
+        }
+    }
+}
+
+/// Owner of the operation records of one process.
+#[derive(Debug)]
+pub struct OperationLedger {
+    host: HostName,
+    incarnation: u64,
+    issuer: TicketIssuer,
+    forwards: ForwardWindow,
+    handover: HandoverTracker,
+    slots: HashMap<OperationId, RecordSlot>,
+    /// Records in the order of their last change.
+    order: BTreeMap<u64, OperationId>,
+    /// Records with a stored response, in the order of their last change.
+    bodies: BTreeMap<u64, OperationId>,
+    team_counts: HashMap<TeamName, usize>,
+    stored_bytes: usize,
+    last_sequence: u64,
+    last_dispatch: u64,
+    expire_cursor: u64,
+}
+
+impl OperationLedger {
+    /// Creates the empty ledger of a process; `secret` must be random and stay in this process.
+    pub fn new(now: Instant, host: &HostName, incarnation: u64, secret: [u8; 32]) -> Self {
+        let mut handover = HandoverTracker::default();
+        handover.require(now, &[]);
+        Self {
+            host: host.clone(),
+            incarnation,
+            issuer: TicketIssuer::new(now, host, incarnation, secret),
+            forwards: ForwardWindow::default(),
+            handover,
+            slots: HashMap::new(),
+            order: BTreeMap::new(),
+            bodies: BTreeMap::new(),
+            team_counts: HashMap::new(),
+            stored_bytes: 0,
+            last_sequence: 0,
+            last_dispatch: 0,
+            expire_cursor: 0,
+        }
+    }
+
+    /// Issues a ticket to a team.
+    pub fn issue_ticket(&mut self, now: Instant, team: &TeamName) -> OperationTicket {
+        self.issuer.issue(now, team)
+    }
+
+    /// Returns numbers for status and metrics.
+    pub fn status(&self) -> LedgerStatus {
+        LedgerStatus {
+            records: self.slots.len(),
+            stored_bytes: self.stored_bytes,
+            awaited_hosts: self.handover.waiting().count(),
+        }
+    }
+
+    /// Decides about a call; must be called once per call and once per received message.
+    pub fn decide(
+        &mut self,
+        now: Instant,
+        call: &OperationCall<'_>,
+        rights: &dyn DecisionRights,
+    ) -> OperationDecision {
+        if let Some(forward) = call.forward
+            && !self.forwards.accept(forward)
+        {
+            return OperationDecision::Unknown(UnknownReason::DuplicateMessage);
+        }
+        let is_ticket = OperationTicket::is_ticket(call.key);
+        let mut verdict = TicketVerdict::Valid;
+        if is_ticket {
+            let Some(ticket) = OperationTicket::parse(call.key) else {
+                return OperationDecision::NotRun(NotRunReason::InvalidTicket);
+            };
+            if ticket.host() == &self.host && ticket.incarnation() != self.incarnation {
+                return OperationDecision::Unknown(UnknownReason::IssuerGone);
+            }
+            verdict = self.issuer.check(now, call.team, &ticket);
+            if verdict == TicketVerdict::Invalid {
+                return OperationDecision::NotRun(NotRunReason::InvalidTicket);
+            }
+        }
+
+        let id = OperationId::new(call.team, call.key);
+        if self.slots.get(&id).is_some_and(|it| it.is_expired(now)) {
+            self.remove(&id);
+        }
+        if let Some(slot) = self.slots.get(&id) {
+            if slot.digest != call.digest {
+                return OperationDecision::BodyMismatch;
+            }
+            return self.answer(slot);
+        }
+        if verdict == TicketVerdict::Expired {
+            return OperationDecision::Unknown(UnknownReason::TicketExpired);
+        }
+        if !is_ticket {
+            if !rights.may_decide(&id, now) {
+                return OperationDecision::NotRun(NotRunReason::NotOwner);
+            }
+            if self.is_awaited(now, &id) {
+                return OperationDecision::Unknown(UnknownReason::HandoverIncomplete);
+            }
+        }
+        if !self.has_room(&id.team) {
+            return OperationDecision::NotRun(NotRunReason::LedgerFull);
+        }
+
+        self.last_dispatch += 1;
+        let dispatch = DispatchId {
+            incarnation: self.incarnation,
+            number: self.last_dispatch,
+        };
+        let slot = RecordSlot {
+            dispatch,
+            digest: call.digest,
+            state: RecordState::Intent,
+            changed: now,
+            sequence: 0,
+            is_backed: is_ticket,
+            is_ticket,
+            is_started: true,
+            holder: None,
+        };
+        let record = slot.record(&id, now);
+        self.insert(&id, slot);
+        let handle = OperationHandle { id, dispatch };
+        match is_ticket {
+            true => OperationDecision::Dispatch(handle),
+            false => OperationDecision::AwaitBackup { handle, record },
+        }
+    }
+
+    /// Notes that a backup answered [`StoreReply::Stored`].
+    pub fn backup_acknowledged(&mut self, handle: &OperationHandle, backup: &HostName) {
+        if let Some(slot) = self.started_mut(handle) {
+            slot.is_backed = true;
+            if slot.state == RecordState::Intent {
+                slot.holder = Some(backup.clone());
+            }
+        }
+    }
+
+    /// Allows the dispatch without a backup if this host is the only one on the list.
+    ///
+    /// Returns whether that is so.
+    pub fn waive_backup(&mut self, handle: &OperationHandle, list: &HostList) -> bool {
+        let is_alone = !list.hosts.is_empty() && list.hosts.iter().all(|it| it.name == self.host);
+        if is_alone && let Some(slot) = self.started_mut(handle) {
+            slot.is_backed = true;
+        }
+        is_alone
+    }
+
+    /// Gives the operation up because no backup stored it.
+    ///
+    /// The update goes to every host that was sent the intent.
+    pub fn backup_failed(&mut self, handle: &OperationHandle) -> DispatchDenied {
+        self.give_up(handle, NotRunReason::NoBackup)
+    }
+
+    /// Gives the operation up because a backup answered [`StoreReply::Conflict`].
+    pub fn backup_conflicted(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+        record: &OperationRecord,
+        backup: &HostName,
+    ) -> DispatchDenied {
+        let denied = self.give_up(handle, NotRunReason::NoBackup);
+        self.merge(now, record, backup);
+        match self.slots.get(&handle.id) {
+            Some(slot) => DispatchDenied {
+                decision: self.answer(slot),
+                ..denied
+            },
+            None => denied,
+        }
+    }
+
+    /// Last check directly before the socket write; nothing may come between the two.
+    ///
+    /// Fails if too much time has passed since the decision or the right to act was lost in
+    /// between, so that a process that was paused does not dispatch. An update in the error
+    /// goes to every host that was sent the intent.
+    pub fn begin_dispatch(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+        rights: &dyn DecisionRights,
+    ) -> Result<(), Box<DispatchDenied>> {
+        let is_awaited = self.is_awaited(now, &handle.id);
+        let Some(slot) = self.started_mut(handle) else {
+            return Err(Box::new(self.give_up(handle, NotRunReason::IntentExpired)));
+        };
+        if slot.state != RecordState::Intent {
+            let decision = OperationDecision::Unknown(UnknownReason::InProgress);
+            return Err(Box::new(DispatchDenied {
+                decision,
+                update: None,
+            }));
+        }
+        let reason = if !slot.is_backed {
+            Some(NotRunReason::NoBackup)
+        } else if slot.is_ticket {
+            None
+        } else if now.saturating_duration_since(slot.changed) > INTENT_LIFETIME {
+            Some(NotRunReason::IntentExpired)
+        } else if is_awaited || !rights.may_decide(&handle.id, now) {
+            Some(NotRunReason::NotOwner)
+        } else {
+            None
+        };
+        match reason {
+            Some(reason) => Err(Box::new(self.give_up(handle, reason))),
+            None => {
+                // The backup needs no message: it treats an intent as possibly sent.
+                slot.state = RecordState::Running;
+                slot.changed = now;
+                Ok(())
+            }
+        }
+    }
+
+    /// Stores the response of an operation; `None` if it is too large to store.
+    ///
+    /// Returns the update for the backup.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+        response: Option<StoredResponse>,
+    ) -> Option<OperationUpdate> {
+        let state = match response {
+            Some(response) if response.size() <= MAX_RESPONSE_BYTES => {
+                RecordState::Finished(Arc::new(response))
+            }
+            _ => RecordState::Ran,
+        };
+        self.end(now, handle, state)
+    }
+
+    /// Removes the record of an operation whose request cannot have been read: the connection
+    /// was refused. The outcome is `not_run`.
+    ///
+    /// Returns the update for every host that was sent the intent.
+    pub fn fail_before_send(&mut self, handle: &OperationHandle) -> DispatchDenied {
+        self.give_up(handle, NotRunReason::UpstreamRefused)
+    }
+
+    /// Notes that the request was sent, at least in part, and that its end is not known.
+    ///
+    /// Returns the update for the backup.
+    pub fn fail_after_send(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+    ) -> Option<OperationUpdate> {
+        self.end(now, handle, RecordState::Ambiguous)
+    }
+
+    /// Stores the copy of an intent as the backup of another host.
+    pub fn store_intent(
+        &mut self,
+        now: Instant,
+        record: &OperationRecord,
+        sender: &HostName,
+    ) -> StoreReply {
+        if let Some(slot) = self.slots.get(&record.id) {
+            let is_same_process = slot.dispatch.incarnation == record.dispatch.incarnation;
+            // An intent of this host that was not dispatched yields: its dispatch then fails.
+            if !is_same_process && !self.is_own_intent(slot) && !slot.is_expired(now) {
+                return StoreReply::Conflict(slot.record(&record.id, now));
+            }
+            if is_same_process && slot.dispatch.number > record.dispatch.number {
+                return StoreReply::Stale;
+            }
+            if is_same_process && slot.dispatch == record.dispatch {
+                return StoreReply::Stored;
+            }
+            self.remove(&record.id);
+        } else if !self.has_room(&record.id.team) {
+            return StoreReply::Full;
+        }
+        self.insert_copy(now, record, sender);
+        StoreReply::Stored
+    }
+
+    /// Applies an update from the deciding host or from another holder of the record.
+    ///
+    /// Returns whether this host now knows at least what the sender knows.
+    pub fn update(&mut self, now: Instant, update: &OperationUpdate, sender: &HostName) -> bool {
+        match update {
+            OperationUpdate::Changed(record) => self.merge(now, record, sender),
+            OperationUpdate::Removed { id, dispatch } => {
+                let slot = self.slots.get(id);
+                if slot.is_some_and(|it| it.dispatch == *dispatch && it.state.is_unfinished()) {
+                    self.remove(id);
+                }
+                true
+            }
+        }
+    }
+
+    /// Returns the next page of the plain-key records that `wanted` selects, for a new owner.
+    ///
+    /// A record that changes while the pages are read appears again on a later page.
+    pub fn export_page(
+        &self,
+        now: Instant,
+        cursor: u64,
+        wanted: impl Fn(&OperationId) -> bool,
+    ) -> RecordPage {
+        let mut page = RecordPage::default();
+        let mut size = 0;
+        for (sequence, id) in self.order.range(cursor..) {
+            let Some(slot) = self.slots.get(id) else {
+                continue;
+            };
+            if slot.is_ticket || slot.is_expired(now) || !wanted(id) {
+                continue;
+            }
+            size += RECORD_BYTES + id.team.as_str().len() + slot.state.stored_bytes();
+            if size > MAX_PAGE_BYTES && !page.records.is_empty() {
+                page.next = Some(*sequence);
+                break;
+            }
+            page.records.push(slot.record(id, now));
+        }
+        page
+    }
+
+    /// Notes that from `at` on this host may own keys that it did not own in `earlier_view`.
+    ///
+    /// From then on such keys get `unknown` if they have no record, until a handover that
+    /// started at or after `at` is complete or [`RETENTION`] has passed. The view is empty if
+    /// all keys are affected: after views were unconfirmed or data centres changed. A new
+    /// process begins in this state. To be called when a host leaves the view, before the
+    /// right to its keys takes effect; a host that joins takes keys away and gives none.
+    pub fn require_handover(&mut self, at: Instant, earlier_view: &[HostName]) {
+        self.handover.require(at, earlier_view);
+    }
+
+    /// Returns whether a new handover has to be started.
+    pub fn is_handover_due(&self, now: Instant) -> bool {
+        self.handover.is_due(now)
+    }
+
+    /// Starts a handover from all other listed hosts of the fleet, instead of a running one.
+    ///
+    /// Returns the epoch that pages of this handover carry.
+    pub fn start_handover<'a>(
+        &mut self,
+        now: Instant,
+        sources: impl IntoIterator<Item = &'a HostName>,
+    ) -> u64 {
+        let own = self.host.clone();
+        let others = sources.into_iter().filter(|it| **it != own);
+        self.handover.start(now, others)
+    }
+
+    /// Ends the wait for sources that are no longer listed.
+    ///
+    /// Their records are lost, or other hosts hold copies of them.
+    pub fn retain_sources(&mut self, list: &HostList) {
+        self.handover.retain(|it| list.host(it).is_some());
+    }
+
+    /// Returns the hosts that have not sent their last page, with the cursor of the next page.
+    pub fn awaited_pages(&self) -> impl Iterator<Item = (&HostName, u64)> {
+        self.handover.waiting()
+    }
+
+    /// Imports a page that was requested at `cursor` of `source` during the handover `epoch`.
+    ///
+    /// A page of an earlier handover, or one that came before, changes no progress. A page that
+    /// does not fit leaves its source awaited. Returns the cursor of the next page, if any.
+    pub fn import_page(
+        &mut self,
+        now: Instant,
+        epoch: u64,
+        source: &HostName,
+        cursor: u64,
+        page: &RecordPage,
+    ) -> Option<u64> {
+        let mut is_complete = true;
+        for record in &page.records {
+            is_complete &= self.merge(now, record, source);
+        }
+        if epoch == self.handover.epoch() && self.handover.cursor(source) == Some(cursor) {
+            if is_complete {
+                self.handover.advance(source, page.next);
+            }
+            return self.handover.cursor(source);
+        }
+        None
+    }
+
+    /// Returns records that no second host is known to hold, with the host that should.
+    ///
+    /// `target` names the host for a record: its backup if this host owns the key, else the
+    /// owner. At most one page of records is returned, and the cursor of the next call, which
+    /// is 0 after the last record. A host that is about to stop calls this with a view
+    /// without itself, until nothing is left.
+    pub fn unplaced_records(
+        &self,
+        now: Instant,
+        cursor: u64,
+        target: impl Fn(&OperationId) -> Option<HostName>,
+    ) -> (Vec<(HostName, OperationRecord)>, u64) {
+        let mut unplaced = Vec::new();
+        let mut size = 0;
+        for (sequence, id) in self.order.range(cursor..) {
+            let Some(slot) = self.slots.get(id) else {
+                continue;
+            };
+            if slot.is_ticket || slot.is_expired(now) {
+                continue;
+            }
+            let Some(host) = target(id).filter(|it| Some(it) != slot.holder.as_ref()) else {
+                continue;
+            };
+            size += RECORD_BYTES + id.team.as_str().len() + slot.state.stored_bytes();
+            if size > MAX_PAGE_BYTES && !unplaced.is_empty() {
+                return (unplaced, *sequence);
+            }
+            unplaced.push((host, slot.record(id, now)));
+        }
+        (unplaced, 0)
+    }
+
+    /// Notes that another host holds a record in the state in which it was sent.
+    pub fn copy_stored(&mut self, record: &OperationRecord, holder: &HostName) {
+        if let Some(slot) = self.slots.get_mut(&record.id)
+            && slot.dispatch == record.dispatch
+            && slot.state.rank() <= record.state.rank()
+        {
+            slot.holder = Some(holder.clone());
+        }
+    }
+
+    /// Notes that a host lost its records: it left the list or has a new incarnation.
+    pub fn forget_holder(&mut self, holder: &HostName) {
+        for slot in self.slots.values_mut() {
+            if slot.holder.as_ref() == Some(holder) {
+                slot.holder = None;
+            }
+        }
+    }
+
+    /// Drops expired records; to be called on a timer. Examines a bounded number of records.
+    pub fn expire(&mut self, now: Instant) {
+        let step: Vec<(u64, OperationId)> = self
+            .order
+            .range(self.expire_cursor..)
+            .take(EXPIRE_STEP)
+            .map(|(sequence, id)| (*sequence, id.clone()))
+            .collect();
+        self.expire_cursor = match step.last() {
+            Some((sequence, _)) if step.len() == EXPIRE_STEP => sequence + 1,
+            _ => 0,
+        };
+        for (_, id) in &step {
+            if self.slots.get(id).is_some_and(|it| it.is_expired(now)) {
+                self.remove(id);
+            }
+        }
+    }
+
+    /// Answer to a repeat of the request that the record is about.
+    fn answer(&self, slot: &RecordSlot) -> OperationDecision {
+        match &slot.state {
+            RecordState::Finished(response) => OperationDecision::Replay(response.clone()),
+            RecordState::Ran => OperationDecision::Ran,
+            RecordState::Intent | RecordState::Running
+                if slot.dispatch.incarnation == self.incarnation =>
+            {
+                OperationDecision::Unknown(UnknownReason::InProgress)
+            }
+            _ => OperationDecision::Unknown(UnknownReason::Interrupted),
+        }
+    }
+
+    /// Returns whether the key may have a record that this host has not received.
+    fn is_awaited(&self, now: Instant, id: &OperationId) -> bool {
+        let placement = id.placement();
+        self.handover.blocks(now, &self.host, &placement)
+    }
+
+    fn has_room(&self, team: &TeamName) -> bool {
+        let team_count = self.team_counts.get(team).copied().unwrap_or(0);
+        self.slots.len() < MAX_RECORDS && team_count < MAX_TEAM_RECORDS
+    }
+
+    fn is_own_intent(&self, slot: &RecordSlot) -> bool {
+        slot.dispatch.incarnation == self.incarnation && slot.state == RecordState::Intent
+    }
+
+    fn started_mut(&mut self, handle: &OperationHandle) -> Option<&mut RecordSlot> {
+        self.slots
+            .get_mut(&handle.id)
+            .filter(|it| it.is_started && it.dispatch == handle.dispatch)
+    }
+
+    /// Removes the record of an attempt whose request was not sent and never will be.
+    fn give_up(&mut self, handle: &OperationHandle, reason: NotRunReason) -> DispatchDenied {
+        let mut decision = OperationDecision::NotRun(reason);
+        let mut update = None;
+        match self.slots.get(&handle.id) {
+            Some(slot) if slot.dispatch != handle.dispatch => decision = self.answer(slot),
+            Some(slot) if slot.state.is_unfinished() => {
+                update = (!slot.is_ticket).then(|| handle.removal());
+                self.remove(&handle.id);
+            }
+            Some(slot) => decision = self.answer(slot),
+            // The record is what proves that nothing was sent.
+            None => decision = OperationDecision::Unknown(UnknownReason::Interrupted),
+        }
+        DispatchDenied { decision, update }
+    }
+
+    fn end(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+        state: RecordState,
+    ) -> Option<OperationUpdate> {
+        let slot = self.started_mut(handle)?;
+        if slot.state.rank() >= state.rank() {
+            return None;
+        }
+        let is_ticket = slot.is_ticket;
+        self.change(&handle.id, |slot| {
+            slot.state = state;
+            slot.changed = now;
+            slot.holder = None;
+        });
+        let slot = self.slots.get(&handle.id)?;
+        (!is_ticket).then(|| OperationUpdate::Changed(slot.record(&handle.id, now)))
+    }
+
+    /// Merges a copy into the ledger; the copy that knows more wins, in whatever order the
+    /// copies arrive. Returns false if there is no room.
+    fn merge(&mut self, now: Instant, record: &OperationRecord, sender: &HostName) -> bool {
+        let Some(slot) = self.slots.get(&record.id) else {
+            let is_own = record.dispatch.incarnation == self.incarnation;
+            if is_own && record.state.is_unfinished() {
+                // This process gave the attempt up; the message that says so is on its way.
+                return true;
+            }
+            if self.slots.len() >= MAX_RECORDS {
+                return false;
+            }
+            self.insert_copy(now, record, sender);
+            return true;
+        };
+        let rank_order = record.state.rank().cmp(&slot.state.rank());
+        if slot.dispatch == record.dispatch {
+            if rank_order.is_gt() {
+                let changed = instant_before(now, record.age_ms);
+                self.change(&record.id, |slot| {
+                    slot.state = record.state.clone();
+                    slot.changed = changed;
+                    slot.holder = Some(sender.clone());
+                });
+            }
+            return true;
+        }
+        let is_newer = if slot.dispatch.incarnation == record.dispatch.incarnation {
+            // The process gave the earlier attempt up before it started the later one.
+            record.dispatch.number > slot.dispatch.number
+        } else {
+            self.is_own_intent(slot) || rank_order.is_gt()
+        };
+        if is_newer {
+            self.remove(&record.id);
+            self.insert_copy(now, record, sender);
+        }
+        true
+    }
+
+    fn insert_copy(&mut self, now: Instant, record: &OperationRecord, sender: &HostName) {
+        let slot = RecordSlot {
+            dispatch: record.dispatch,
+            digest: record.digest,
+            state: record.state.clone(),
+            changed: instant_before(now, record.age_ms),
+            sequence: 0,
+            is_backed: false,
+            is_ticket: false,
+            is_started: false,
+            holder: Some(sender.clone()),
+        };
+        self.insert(&record.id, slot);
+    }
+
+    fn insert(&mut self, id: &OperationId, mut slot: RecordSlot) {
+        self.last_sequence += 1;
+        slot.sequence = self.last_sequence;
+        self.order.insert(slot.sequence, id.clone());
+        if let RecordState::Finished(response) = &slot.state {
+            self.stored_bytes += response.size();
+            self.bodies.insert(slot.sequence, id.clone());
+        }
+        *self.team_counts.entry(id.team.clone()).or_default() += 1;
+        self.slots.insert(id.clone(), slot);
+        self.drop_old_bodies();
+    }
+
+    fn remove(&mut self, id: &OperationId) -> Option<RecordSlot> {
+        let slot = self.slots.remove(id)?;
+        self.order.remove(&slot.sequence);
+        if self.bodies.remove(&slot.sequence).is_some() {
+            self.stored_bytes -= slot.state.stored_bytes();
+        }
+        if let Some(count) = self.team_counts.get_mut(&id.team) {
+            *count -= 1;
+            if *count == 0 {
+                self.team_counts.remove(&id.team);
+            }
+        }
+        Some(slot)
+    }
+
+    fn change(&mut self, id: &OperationId, change: impl FnOnce(&mut RecordSlot)) {
+        if let Some(mut slot) = self.remove(id) {
+            change(&mut slot);
+            self.insert(id, slot);
+        }
+    }
+
+    fn drop_old_bodies(&mut self) {
+        while self.stored_bytes > MAX_STORED_BYTES {
+            let Some((_, id)) = self.bodies.pop_first() else {
+                return;
+            };
+            if let Some(slot) = self.slots.get_mut(&id) {
+                self.stored_bytes -= slot.state.stored_bytes();
+                slot.state = RecordState::Ran;
+            }
+        }
+    }
+}
+
+/// Returns the instant `age_ms` before `now`, or `now` if the clock does not reach back so far.
+fn instant_before(now: Instant, age_ms: u64) -> Instant {
+    now.checked_sub(Duration::from_millis(age_ms))
+        .unwrap_or(now)
+}
--- /dev/null
+++ b/lib/src/operation/route.rs
@@ -0,0 +1,213 @@
+//! Which host decides about an operation.
+
+use std::time::Instant;
+
+use super::{
+    ledger::DecisionRights,
+    outcome::{NotRunReason, UnknownReason},
+    record::OperationId,
+    ticket::OperationTicket,
+};
+use crate::{
+    catalogue::Catalogue,
+    membership::{HostList, HostRecord},
+    names::{CentreName, HostName, TeamName},
+    rendezvous,
+};
+
+/// Backup hosts that are tried for one operation.
+const BACKUP_CANDIDATES: usize = 2;
+
+/// Owner hosts inside a data centre; implemented by the view tracker.
+pub trait OwnerLookup {
+    /// Returns the host that this host believes to own the key in a data centre.
+    fn owner_in(&self, centre: &CentreName, key: &str) -> Option<&HostRecord>;
+
+    /// Returns whether this host may act as the only owner of the key in its data centre.
+    fn owns(&self, key: &str, now: Instant) -> bool;
+}
+
+/// Where a call is decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RouteDecision<'a> {
+    /// The ledger of this host decides.
+    Here,
+    /// The ledger of another host decides; the whole call is forwarded to it, once.
+    Forward(&'a HostRecord),
+    /// It is not known whether the operation ran.
+    Unknown(UnknownReason),
+    /// The request was not run.
+    NotRun(NotRunReason),
+}
+
+#[derive(Clone, Debug)]
+struct CentreSet {
+    revision: u64,
+    centres: Vec<CentreName>,
+}
+
+/// Finds the host that decides about an operation.
+///
+/// The home data centre of a plain key depends on the set of data centres. While a change of
+/// the set is not known everywhere, a key that it moves has no deciding host: the old home
+/// stops when it learns of the change, and the new one waits until all have learned of it.
+#[derive(Clone, Debug)]
+pub struct OperationRoute {
+    host: HostName,
+    incarnation: u64,
+    centre: CentreName,
+    /// The newest set last; earlier ones may still be in force elsewhere.
+    sets: Vec<CentreSet>,
+}
+
+impl OperationRoute {
+    /// Creates the route of a process without a catalogue.
+    pub fn new(host: &HostName, incarnation: u64, centre: &CentreName) -> Self {
+        Self {
+            host: host.clone(),
+            incarnation,
+            centre: centre.clone(),
+            sets: Vec::new(),
+        }
+    }
+
+    /// Takes over the data centres of a newly accepted catalogue.
+    pub fn set_catalogue(&mut self, catalogue: &Catalogue) {
+        let centres: Vec<CentreName> = catalogue.sharing_centres().cloned().collect();
+        if self.sets.last().is_none_or(|it| it.centres != centres) {
+            self.sets.push(CentreSet {
+                revision: catalogue.revision(),
+                centres,
+            });
+        }
+    }
+
+    /// Notes that every listed host of every data centre has accepted `revision` or a higher
+    /// one.
+    ///
+    /// Returns whether this host may have gained keys and needs a handover.
+    pub fn settle(&mut self, revision: u64) -> bool {
+        let known = self.sets.iter().rposition(|it| it.revision <= revision);
+        match known {
+            Some(index) if index > 0 => {
+                self.sets.drain(..index);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Finds the deciding host for a call that came from a caller.
+    ///
+    /// A call that another host forwarded is not routed again: the ledger decides about it or
+    /// refuses it.
+    pub fn locate<'a>(
+        &self,
+        team: &TeamName,
+        key: &str,
+        list: &'a HostList,
+        lookup: &'a dyn OwnerLookup,
+    ) -> RouteDecision<'a> {
+        if OperationTicket::is_ticket(key) {
+            return self.locate_issuer(key, list);
+        }
+        let id = OperationId::new(team, key);
+        let placement = id.placement();
+        let Some(home) = self.home(&placement) else {
+            return RouteDecision::NotRun(NotRunReason::NoOwner);
+        };
+        if home == &self.centre && !self.is_settled(&placement) {
+            return RouteDecision::NotRun(NotRunReason::HomeMoving);
+        }
+        match lookup.owner_in(home, &placement) {
+            Some(owner) if owner.name == self.host => RouteDecision::Here,
+            Some(owner) => RouteDecision::Forward(owner),
+            None => RouteDecision::NotRun(NotRunReason::NoOwner),
+        }
+    }
+
+    /// Returns the rights of this host for [`OperationLedger`](super::OperationLedger).
+    pub fn rights<'a>(&'a self, lookup: &'a dyn OwnerLookup) -> RouteRights<'a> {
+        RouteRights {
+            route: self,
+            lookup,
+        }
+    }
+
+    /// Returns the hosts to which the intent is offered, one after the other.
+    ///
+    /// They are the next hosts of the data centre in rendezvous order or, if there are none,
+    /// the first hosts of the next data centre that has any.
+    pub fn backups<'a>(&self, id: &OperationId, list: &'a HostList) -> Vec<&'a HostRecord> {
+        let placement = id.placement();
+        let centres = self.sets.last().map_or(&[][..], |it| &it.centres);
+        let others = rendezvous::rank(&placement, centres.iter().filter(|it| **it != self.centre));
+        std::iter::once(&self.centre)
+            .chain(others)
+            .map(|centre| self.ranked_hosts(&placement, centre, list))
+            .find(|it| !it.is_empty())
+            .unwrap_or_default()
+    }
+
+    fn ranked_hosts<'a>(
+        &self,
+        placement: &str,
+        centre: &CentreName,
+        list: &'a HostList,
+    ) -> Vec<&'a HostRecord> {
+        let names = list
+            .hosts
+            .iter()
+            .filter(|it| it.data_centre == *centre && it.name != self.host)
+            .filter(|it| it.state == crate::membership::HostState::Live)
+            .map(|it| &it.name);
+        rendezvous::rank(placement, names)
+            .into_iter()
+            .take(BACKUP_CANDIDATES)
+            .filter_map(|it| list.host(it))
+            .collect()
+    }
+
+    fn locate_issuer<'a>(&self, key: &str, list: &'a HostList) -> RouteDecision<'a> {
+        let Some(ticket) = OperationTicket::parse(key) else {
+            return RouteDecision::NotRun(NotRunReason::InvalidTicket);
+        };
+        if ticket.host() == &self.host {
+            return match ticket.incarnation() == self.incarnation {
+                true => RouteDecision::Here,
+                false => RouteDecision::Unknown(UnknownReason::IssuerGone),
+            };
+        }
+        match list.host(ticket.host()) {
+            Some(issuer) => RouteDecision::Forward(issuer),
+            None => RouteDecision::Unknown(UnknownReason::IssuerGone),
+        }
+    }
+
+    fn home(&self, placement: &str) -> Option<&CentreName> {
+        rendezvous::first(placement, &self.sets.last()?.centres)
+    }
+
+    /// Returns whether all sets that may be in force agree on the key's home.
+    fn is_settled(&self, placement: &str) -> bool {
+        let home = self.home(placement);
+        let mut sets = self.sets.iter();
+        sets.all(|it| rendezvous::first(placement, &it.centres) == home)
+    }
+}
+
+/// Rights of this host under its route and its view of the hosts.
+#[derive(Clone, Copy)]
+pub struct RouteRights<'a> {
+    route: &'a OperationRoute,
+    lookup: &'a dyn OwnerLookup,
+}
+
+impl DecisionRights for RouteRights<'_> {
+    fn may_decide(&self, id: &OperationId, now: Instant) -> bool {
+        let placement = id.placement();
+        self.route.home(&placement) == Some(&self.route.centre)
+            && self.route.is_settled(&placement)
+            && self.lookup.owns(&placement, now)
+    }
+}
