quarantine: register of requests that broke upstreams

Cause: one request can break every upstream that runs it, and its caller sends it again. Change: CrashRegister with strikes by distinct upstream and incarnation, merged idempotently; a block of 10 min after two prompt strikes, 60 s if one is weak; suspects run apart per host and are cleared when they complete; bounded with eviction. Measured: 3,000 seeded schedules of up to 4 concurrent copies, 5 hosts and 3 sides of a partition: at most c + 1 upstreams lost per side (c + 2 for late losses), and the bound is reached, 2 for one copy. With strikes that arrive 5 steps after the failure the bound is exceeded, so the test can fail. Conclusion: a caller that waits for each failure takes down at most 2 upstreams.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod membership;
 pub mod names;
 pub mod operation;
+pub mod quarantine;
 pub mod rendezvous;
--- /dev/null
+++ b/lib/src/quarantine/crash_register.rs
@@ -0,0 +1,320 @@
+//! Register of strikes against requests.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::{BLOCK_TIME, MAX_ENTRIES, MAX_STRIKES, PROMPT_LOSS, WEAK_BLOCK_TIME};
+use crate::names::{TeamName, UpstreamName};
+
+/// Identifies a request by team and body: the first 128 bits of a SHA-256.
+///
+/// A fast hash is not enough: a team could build a body that collides with that of another
+/// team. It need not be computed for a check while [`CrashRegister::is_empty`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestFingerprint([u8; 16]);
+
+impl RequestFingerprint {
+    /// Fingerprint of a team's request.
+    pub fn of(team: &TeamName, body: &[u8]) -> Self {
+        let hash = Sha256::new()
+            .chain_update((team.as_str().len() as u64).to_be_bytes())
+            .chain_update(team.as_str())
+            .chain_update(body)
+            .finalize();
+        let mut fingerprint = [0; 16];
+        fingerprint.copy_from_slice(&hash[..16]);
+        Self(fingerprint)
+    }
+}
+
+/// A run that ended with the loss of its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenRun<'a> {
+    /// The lost upstream.
+    pub upstream: &'a UpstreamName,
+    /// Its incarnation before the loss, 0 if not known. An upstream that restarts and is lost
+    /// again counts as another one.
+    pub incarnation: u64,
+    /// When the request was sent.
+    pub dispatched: Instant,
+    /// Whether the response had begun.
+    pub has_response: bool,
+}
+
+/// A strike against a request; also the message to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashStrike {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The lost upstream.
+    pub upstream: UpstreamName,
+    /// Its incarnation before the loss, 0 if not known.
+    pub incarnation: u64,
+    /// Whether the loss came soon after the dispatch.
+    pub is_prompt: bool,
+    /// Time since the loss, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Strikes that no longer count because the request completed elsewhere; sent to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashClearance {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// Upstreams and incarnations of the strikes.
+    pub cleared: Vec<(UpstreamName, u64)>,
+}
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashVerdict {
+    /// No strike counts against the request.
+    Clear,
+    /// The request may be sent after [`CrashRegister::reserve_probe`].
+    Suspect,
+    /// The request is refused with `not_run`.
+    Blocked {
+        /// Time until it may be sent again.
+        remaining: Duration,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct StrikeSlot {
+    upstream: UpstreamName,
+    incarnation: u64,
+    is_prompt: bool,
+    at: Instant,
+}
+
+impl StrikeSlot {
+    fn is_of(&self, upstream: &UpstreamName, incarnation: u64) -> bool {
+        self.upstream == *upstream && self.incarnation == incarnation
+    }
+}
+
+/// Strikes against one request, oldest first.
+#[derive(Clone, Debug, Default)]
+struct StrikeList {
+    strikes: Vec<StrikeSlot>,
+}
+
+impl StrikeList {
+    fn add(&mut self, strike: StrikeSlot) {
+        let mut strikes = self.strikes.iter_mut();
+        match strikes.find(|it| it.is_of(&strike.upstream, strike.incarnation)) {
+            // A repeated message must not extend the block.
+            Some(known) => {
+                known.at = known.at.min(strike.at);
+                known.is_prompt |= strike.is_prompt;
+            }
+            None => self.strikes.push(strike),
+        }
+        self.strikes.sort_by_key(|it| it.at);
+        if let Some(newest) = self.newest() {
+            self.strikes
+                .retain(|it| newest.saturating_duration_since(it.at) < BLOCK_TIME);
+        }
+        self.strikes.truncate(MAX_STRIKES);
+    }
+
+    fn newest(&self) -> Option<Instant> {
+        self.strikes.last().map(|it| it.at)
+    }
+
+    fn blocked_until(&self) -> Option<Instant> {
+        let prompt = self.strikes.iter().filter(|it| it.is_prompt).nth(1);
+        let full = [prompt, self.strikes.get(2)];
+        let full = full.into_iter().flatten().map(|it| it.at + BLOCK_TIME);
+        let weak = self.strikes.get(1).map(|it| it.at + WEAK_BLOCK_TIME);
+        full.chain(weak).max()
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        let newest = self.newest();
+        newest.is_none_or(|it| now.saturating_duration_since(it) >= BLOCK_TIME)
+    }
+}
+
+/// Owner of the strikes known to one process.
+#[derive(Debug, Default)]
+pub struct CrashRegister {
+    entries: HashMap<RequestFingerprint, StrikeList>,
+    /// Suspects that run now, by upstream.
+    probes: HashMap<UpstreamName, RequestFingerprint>,
+}
+
+impl CrashRegister {
+    /// Creates a register without strikes.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether no request has a strike.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the number of requests with strikes.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Decides whether a request may be sent; to be called directly before each dispatch.
+    pub fn check(&self, now: Instant, fingerprint: RequestFingerprint) -> CrashVerdict {
+        let list = self.entries.get(&fingerprint);
+        let Some(list) = list.filter(|it| !it.is_expired(now)) else {
+            return CrashVerdict::Clear;
+        };
+        match list.blocked_until().filter(|it| *it > now) {
+            Some(until) => CrashVerdict::Blocked {
+                remaining: until - now,
+            },
+            None => CrashVerdict::Suspect,
+        }
+    }
+
+    /// Reserves an upstream for a suspect.
+    ///
+    /// Returns false if another suspect runs on the upstream, or this one runs on any, from
+    /// this host: then another upstream is tried, or the request waits in the queue.
+    pub fn reserve_probe(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        upstream: &UpstreamName,
+    ) -> bool {
+        if self.probes.contains_key(upstream) || self.probes.values().any(|it| *it == fingerprint) {
+            return false;
+        }
+        self.probes.insert(upstream.clone(), fingerprint);
+        true
+    }
+
+    /// Notes that a suspect completed: the strikes against it no longer count.
+    ///
+    /// Returns the message to peers. A request that is blocked meanwhile stays blocked.
+    pub fn completed(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        upstream: &UpstreamName,
+    ) -> Option<CrashClearance> {
+        self.release_probe(fingerprint, upstream);
+        if self.check(now, fingerprint) != CrashVerdict::Suspect {
+            return None;
+        }
+        let list = self.entries.remove(&fingerprint)?;
+        let strikes = list.strikes.into_iter();
+        Some(CrashClearance {
+            fingerprint,
+            cleared: strikes.map(|it| (it.upstream, it.incarnation)).collect(),
+        })
+    }
+
+    /// Ends a suspect's reservation without a verdict: not sent, cancelled by its caller, or
+    /// ended by a failure that left the upstream running.
+    pub fn release_probe(&mut self, fingerprint: RequestFingerprint, upstream: &UpstreamName) {
+        if self.probes.get(upstream) == Some(&fingerprint) {
+            self.probes.remove(upstream);
+        }
+    }
+
+    /// Notes that a request was lost with its upstream.
+    ///
+    /// The strike has to reach the peers before the caller gets the failure or the request is
+    /// sent to another upstream.
+    pub fn broke(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        run: &BrokenRun<'_>,
+    ) -> CrashStrike {
+        self.release_probe(fingerprint, run.upstream);
+        let elapsed = now.saturating_duration_since(run.dispatched);
+        let strike = CrashStrike {
+            fingerprint,
+            upstream: run.upstream.clone(),
+            incarnation: run.incarnation,
+            is_prompt: !run.has_response || elapsed <= PROMPT_LOSS,
+            age_ms: 0,
+        };
+        self.merge(now, &strike);
+        strike
+    }
+
+    /// Merges a strike from a peer; the order and repetition of messages do not matter.
+    pub fn merge(&mut self, now: Instant, strike: &CrashStrike) {
+        let age = Duration::from_millis(strike.age_ms);
+        let Some(at) = now.checked_sub(age).filter(|_| age < BLOCK_TIME) else {
+            return;
+        };
+        if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&strike.fingerprint) {
+            self.evict(now);
+        }
+        let list = self.entries.entry(strike.fingerprint).or_default();
+        list.add(StrikeSlot {
+            upstream: strike.upstream.clone(),
+            incarnation: strike.incarnation,
+            is_prompt: strike.is_prompt,
+            at,
+        });
+    }
+
+    /// Merges a clearance from a peer.
+    pub fn merge_clearance(&mut self, now: Instant, clearance: &CrashClearance) {
+        if self.check(now, clearance.fingerprint) != CrashVerdict::Suspect {
+            return;
+        }
+        if let Some(list) = self.entries.get_mut(&clearance.fingerprint) {
+            list.strikes.retain(|strike| {
+                let mut cleared = clearance.cleared.iter();
+                !cleared.any(|(upstream, incarnation)| strike.is_of(upstream, *incarnation))
+            });
+            if list.strikes.is_empty() {
+                self.entries.remove(&clearance.fingerprint);
+            }
+        }
+    }
+
+    /// Returns all strikes, for a process that starts; it merges them one by one.
+    pub fn export(&self, now: Instant) -> Vec<CrashStrike> {
+        let entries = self.entries.iter();
+        let live = entries.filter(|(_, list)| !list.is_expired(now));
+        live.flat_map(|(fingerprint, list)| {
+            list.strikes.iter().map(|it| CrashStrike {
+                fingerprint: *fingerprint,
+                upstream: it.upstream.clone(),
+                incarnation: it.incarnation,
+                is_prompt: it.is_prompt,
+                age_ms: now.saturating_duration_since(it.at).as_millis() as u64,
+            })
+        })
+        .collect()
+    }
+
+    /// Drops expired entries; to be called on a timer.
+    pub fn expire(&mut self, now: Instant) {
+        self.entries.retain(|_, list| !list.is_expired(now));
+    }
+
+    /// Makes room: drops expired entries, else the oldest suspect, else the oldest entry.
+    fn evict(&mut self, now: Instant) {
+        self.expire(now);
+        if self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        // A wave of single strikes must not push out the requests that are blocked.
+        let oldest = self.entries.iter().min_by_key(|(fingerprint, list)| {
+            let is_blocked = list.blocked_until().is_some_and(|it| it > now);
+            (is_blocked, list.newest(), **fingerprint)
+        });
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.entries.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/quarantine_register.rs
@@ -0,0 +1,256 @@
+//! How many upstreams one request can take down, and what happens to its companions.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use bolero::{
+    TypeGenerator,
+    generator::bolero_generator::driver::{Options, Rng as SeededDriver},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use snipepond::{
+    names::{TeamName, UpstreamName},
+    quarantine::{
+        BLOCK_TIME, BrokenRun, CrashRegister, CrashStrike, CrashVerdict, MAX_ENTRIES,
+        RequestFingerprint, WEAK_BLOCK_TIME,
+    },
+};
+
+fn fingerprint(body: &str) -> RequestFingerprint {
+    RequestFingerprint::of(&TeamName::new("team"), body.as_bytes())
+}
+
+fn broke(
+    register: &mut CrashRegister,
+    now: Instant,
+    fingerprint: RequestFingerprint,
+    upstream: &str,
+    is_late: bool,
+) -> CrashStrike {
+    let ran = if is_late { 60 } else { 1 };
+    let run = BrokenRun {
+        upstream: &UpstreamName::new(upstream),
+        incarnation: 1,
+        dispatched: now - Duration::from_secs(ran),
+        has_response: is_late,
+    };
+    register.broke(now, fingerprint, &run)
+}
+
+/// One request that breaks every upstream, sent through several hosts.
+#[derive(Clone, Debug, TypeGenerator)]
+struct CrashPlan {
+    #[generator(1..6_usize)]
+    hosts: usize,
+    /// Copies that the caller keeps in flight.
+    #[generator(1..5_usize)]
+    copies: usize,
+    /// Groups of hosts between which no strike passes.
+    #[generator(1..4_usize)]
+    sides: usize,
+    is_late: bool,
+    /// Each step starts a copy at a host or lets the oldest or newest copy break its upstream.
+    #[generator(bolero::produce::<Vec<(u8, bool)>>().with().len(40_usize))]
+    steps: Vec<(u8, bool)>,
+}
+
+/// Returns the number of upstreams lost; `delay` is the number of steps that strikes take to
+/// reach the peers after the caller got the failure, 0 if they come first.
+fn lost_upstreams(plan: &CrashPlan, delay: usize) -> usize {
+    let mut now = Instant::now() + BLOCK_TIME;
+    let request = fingerprint("request");
+    let mut registers: Vec<CrashRegister> = Vec::new();
+    registers.resize_with(plan.hosts, CrashRegister::new);
+    let mut running: Vec<(usize, UpstreamName)> = Vec::new();
+    let mut pending: Vec<(usize, usize, CrashStrike)> = Vec::new();
+    let mut lost = 0;
+    let mut last_upstream = 0;
+    for (step, (choice, is_start)) in plan.steps.iter().enumerate() {
+        now += Duration::from_secs(if plan.is_late { 4 } else { 1 });
+        for (_, host, strike) in pending.iter().filter(|it| it.0 <= step) {
+            registers[*host].merge(now, strike);
+        }
+        pending.retain(|it| it.0 > step);
+        let host = usize::from(*choice) % plan.hosts;
+        if (*is_start || running.is_empty()) && running.len() < plan.copies {
+            last_upstream += 1;
+            let upstream = UpstreamName::new(&format!("upstream-{last_upstream}"));
+            let may_start = match registers[host].check(now, request) {
+                CrashVerdict::Clear => true,
+                CrashVerdict::Suspect => registers[host].reserve_probe(request, &upstream),
+                CrashVerdict::Blocked { .. } => false,
+            };
+            if may_start {
+                running.push((host, upstream));
+            }
+        } else if !running.is_empty() {
+            let (host, upstream) = running.remove(usize::from(*choice) % running.len());
+            lost += 1;
+            let register = &mut registers[host];
+            let strike = broke(register, now, request, upstream.as_str(), plan.is_late);
+            let peers = (0..plan.hosts).filter(|it| it % plan.sides == host % plan.sides);
+            for peer in peers.filter(|it| *it != host) {
+                match delay {
+                    0 => registers[peer].merge(now, &strike),
+                    _ => pending.push((step + delay, peer, strike.clone())),
+                }
+            }
+        }
+    }
+    lost
+}
+
+fn plan(seed: u64) -> CrashPlan {
+    let options = Options::default().with_max_len(4_096);
+    let mut driver = SeededDriver::new(StdRng::seed_from_u64(seed), &options);
+    CrashPlan::generate(&mut driver).expect("driver has enough bytes")
+}
+
+/// Guards the stated bound: `c + 1` upstreams on each side of a partition, `c + 2` if the
+/// request breaks upstreams late; 2 for one copy and no partition.
+#[test]
+fn one_request_takes_down_few_upstreams() {
+    let mut tight = HashSet::new();
+    for seed in 0..3_000 {
+        let plan = plan(seed);
+        let bound = plan.copies + 1 + usize::from(plan.is_late);
+        let sides = plan.sides.min(plan.hosts);
+        let lost = lost_upstreams(&plan, 0);
+        assert!(lost <= bound * sides, "seed {seed}: {lost} lost, {plan:?}");
+        if lost == bound && sides == 1 {
+            tight.insert((plan.copies, plan.is_late));
+        }
+    }
+    // The bound is reached, so a smaller one would be false.
+    assert!(
+        tight.contains(&(1, false)) && tight.contains(&(3, false)),
+        "{tight:?}"
+    );
+    assert!(tight.contains(&(1, true)), "{tight:?}");
+}
+
+/// Shows that the bound depends on peers learning before the caller gets the failure.
+#[test]
+fn late_strikes_exceed_the_bound() {
+    let exceeds = |seed| {
+        let plan = CrashPlan {
+            copies: 1,
+            sides: 1,
+            is_late: false,
+            ..plan(seed)
+        };
+        lost_upstreams(&plan, 5) > 2
+    };
+    assert!((0..200).any(exceeds));
+}
+
+/// Guards against a block that depends on the order or number of strike messages.
+#[test]
+fn strikes_merge_idempotently() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let now = Instant::now() + BLOCK_TIME;
+        let mut strikes: Vec<CrashStrike> = (0..4)
+            .map(|number| CrashStrike {
+                fingerprint: fingerprint("request"),
+                upstream: UpstreamName::new(&format!("upstream-{}", number % 3)),
+                incarnation: 1,
+                is_prompt: rng.random(),
+                age_ms: rng.random_range(0..700_000),
+            })
+            .collect();
+        let mut verdicts = HashSet::new();
+        for _ in 0..8 {
+            let (a, b) = (rng.random_range(0..strikes.len()), rng.random_range(0..4));
+            strikes.swap(a, b);
+            let mut register = CrashRegister::new();
+            for strike in strikes.iter().chain(&strikes) {
+                register.merge(now, strike);
+            }
+            verdicts.insert(format!("{:?}", register.check(now, fingerprint("request"))));
+        }
+        assert_eq!(verdicts.len(), 1, "seed {seed}");
+    }
+}
+
+/// Guards against a long block of a request that shared two losses while it was streaming.
+#[test]
+fn companion_is_not_blocked_for_long() {
+    let start = Instant::now() + BLOCK_TIME;
+    let mut register = CrashRegister::new();
+    let companion = fingerprint("companion");
+    broke(&mut register, start, companion, "a", true);
+    assert_eq!(register.check(start, companion), CrashVerdict::Suspect);
+    broke(&mut register, start, companion, "b", false);
+    let remaining = WEAK_BLOCK_TIME;
+    assert_eq!(
+        register.check(start, companion),
+        CrashVerdict::Blocked { remaining }
+    );
+    assert_eq!(
+        register.check(start + remaining, companion),
+        CrashVerdict::Suspect
+    );
+    let upstream = UpstreamName::new("c");
+    let clearance = register.completed(start + remaining, companion, &upstream);
+    assert_eq!(clearance.map(|it| it.cleared.len()), Some(2));
+    assert_eq!(
+        register.check(start + remaining, companion),
+        CrashVerdict::Clear
+    );
+}
+
+/// Guards against a second strike for companions that are retried together with the cause.
+#[test]
+fn suspects_run_apart() {
+    let mut register = CrashRegister::new();
+    let (cause, companion) = (fingerprint("cause"), fingerprint("companion"));
+    let (b, c) = (UpstreamName::new("b"), UpstreamName::new("c"));
+    assert!(register.reserve_probe(cause, &b));
+    assert!(!register.reserve_probe(companion, &b));
+    assert!(!register.reserve_probe(cause, &c));
+    assert!(register.reserve_probe(companion, &c));
+    register.release_probe(cause, &b);
+    assert!(register.reserve_probe(cause, &b));
+}
+
+/// Guards against unbounded growth, and against a wave of single strikes that unblocks the cause.
+#[test]
+fn register_is_bounded_and_keeps_blocked_requests() {
+    let start = Instant::now() + BLOCK_TIME;
+    let mut register = CrashRegister::new();
+    let cause = fingerprint("cause");
+    broke(&mut register, start, cause, "a", false);
+    broke(&mut register, start, cause, "b", false);
+    for number in 0..MAX_ENTRIES + 100 {
+        let now = start + Duration::from_millis(number as u64);
+        broke(
+            &mut register,
+            now,
+            fingerprint(&number.to_string()),
+            "c",
+            false,
+        );
+    }
+    assert_eq!(register.len(), MAX_ENTRIES);
+    let now = start + Duration::from_secs(10);
+    assert!(matches!(
+        register.check(now, cause),
+        CrashVerdict::Blocked { .. }
+    ));
+    assert_eq!(register.check(now, fingerprint("0")), CrashVerdict::Clear);
+
+    let mut copy = CrashRegister::new();
+    register
+        .export(now)
+        .iter()
+        .for_each(|it| copy.merge(now, it));
+    assert!(matches!(
+        copy.check(now, cause),
+        CrashVerdict::Blocked { .. }
+    ));
+    copy.expire(start + BLOCK_TIME + Duration::from_secs(10));
+    assert!(copy.is_empty());
+}
