--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod names;
 pub mod peer;
 pub mod platform;
+pub mod operation;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod routing;
 pub mod schedule;
