exchange, control: operations that run at most once; register of crashing requests

Cause: once routes refused every call, and a request that breaks engines was repeated. Change: workers ask the control actor where a call is decided, forward it, copy the intent to a backup and check the right to act before the socket write; handovers, placement of copies and tickets (POST /v1/operations); strikes reach the other hosts before the caller gets the failure.

--- a/lib/src/catalogue.rs
+++ b/lib/src/catalogue.rs
@@ -26,7 +26,9 @@
 pub type RawEntries = BTreeMap<Arc<str>, Arc<str>>;
 
 /// SHA-256 of a caller's key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub struct KeyHash([u8; 32]);
 
 impl KeyHash {
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -3,10 +3,12 @@
 mod actor;
 mod admission;
 mod command;
+mod crash;
 mod dispatch;
 mod gossip;
 mod handle;
 mod message;
+mod operations;
 mod report;
 mod state;
 mod timer;
@@ -15,10 +17,14 @@
     actor::ControlThread,
     command::{
         Admission, AdmitOutcome, AdmitRequest, ControlCommand, DispatchEnd, DispatchGrant,
-        DispatchOutcome, DispatchRequest, DispatchTarget, RequestEnd,
+        DispatchOutcome, DispatchRequest, DispatchTarget, ReplySender, RequestEnd,
     },
     dispatch::{LoadRound, LoadTarget},
     handle::{ControlHandle, DispatchGuard},
-    message::{HostDigest, LoadBatch, PeerReply, PeerRequest},
+    message::{ForwardedOperation, HostDigest, LoadBatch, OperationAnswer, PeerReply, PeerRequest},
+    operations::{
+        OperationCommand, OperationEnd, OperationPlace, OperationRequest, OperationStart,
+        OperationVerdict,
+    },
     state::{ControlState, StateSettings},
 };
--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -12,7 +12,7 @@
     state::ControlState,
 };
 use crate::{
-    catalogue::{Catalogue, RouteEntry},
+    catalogue::{Catalogue, KeyHash, RouteEntry},
     front::{Refusal, RefusalKind},
     limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare},
     membership::HostRecord,
@@ -226,7 +226,11 @@
         .retry_after(retry)
     }
 
-    fn check_admission(&self, now: Instant, request: &AdmitRequest) -> Result<Admission, Refusal> {
+    pub(super) fn check_admission(
+        &self,
+        now: Instant,
+        request: &AdmitRequest,
+    ) -> Result<Admission, Refusal> {
         let catalogue = self.catalogue();
         if self.is_draining {
             return Err(
@@ -294,17 +298,26 @@
     if route.open {
         return Ok(TeamName::new(OPEN_TEAM));
     }
-    let key = request
-        .key
-        .ok_or_else(|| Refusal::not_run(RefusalKind::KeyMissing, "this route needs a key"))?;
-    let team = catalogue.team_of_key(&key).ok_or_else(|| {
-        Refusal::not_run(RefusalKind::KeyInvalid, "the key is unknown or withdrawn")
-    })?;
-    if !route.teams.is_empty() && !route.teams.contains(team) {
+    let team = team_of(catalogue, request.key)?;
+    if !route.teams.is_empty() && !route.teams.contains(&team) {
         let message = "the team may not use this route";
         return Err(Refusal::not_run(RefusalKind::RouteForbidden, message));
     }
-    Ok(team.clone())
+    Ok(team)
+}
+
+/// Returns the team of a key.
+pub(super) fn team_of(catalogue: &Catalogue, key: Option<KeyHash>) -> Result<TeamName, Refusal> {
+    let key = key.ok_or_else(|| {
+        Refusal::not_run(
+            RefusalKind::KeyMissing,
+            "a bearer key is needed for this request",
+        )
+    })?;
+    catalogue
+        .team_of_key(&key)
+        .cloned()
+        .ok_or_else(|| Refusal::not_run(RefusalKind::KeyInvalid, "the key is unknown or withdrawn"))
 }
 
 fn send_admission(reply: &ReplySender<AdmitOutcome>, admission: Admission) {
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -9,6 +9,7 @@
 use super::{
     dispatch::LoadRound,
     message::{PeerReply, PeerRequest},
+    operations::OperationCommand,
 };
 use crate::{
     catalogue::{KeyHash, RouteKind},
@@ -17,6 +18,7 @@
     membership::HostList,
     names::{ClassName, ModelName, RouteName, ServiceName, TeamName, UpstreamName},
     peer::{PeerCall, PeerError},
+    quarantine::RequestFingerprint,
     routing::LoadReport,
     slo::BurnReport,
     status::{ExplainQuery, ExplainReport, StatusReport},
@@ -50,6 +52,14 @@
     },
     /// A dispatched request ended.
     DispatchEnded(u64, DispatchEnd),
+    /// A dispatched request was lost with its upstream; the reply comes when the peers know.
+    DispatchBroken(u64, ReplySender<()>),
+    /// A message about an operation.
+    Operation(Box<OperationCommand>),
+    /// Whose key is this?
+    Authenticate(Option<KeyHash>, ReplySender<Result<TeamName, Refusal>>),
+    /// May this request run, apart from the team's limit? Asked for forwarded calls.
+    CheckAdmission(AdmitRequest, ReplySender<Result<Arc<Admission>, Refusal>>),
     /// A caller's request ended.
     RequestEnded(Arc<Admission>, RequestEnd),
     /// The state of this host.
@@ -150,6 +160,8 @@
     pub target: DispatchTarget,
     /// Id of the request; spreads requests without a chat.
     pub request_id: String,
+    /// Identity of team and body, for the register of requests that broke upstreams.
+    pub fingerprint: RequestFingerprint,
     /// Estimated work in tokens; 1 for a service.
     pub work: u64,
     /// Upstreams that failed for this request.
@@ -189,6 +201,8 @@
     NotSent,
     /// The upstream broke off or did not answer.
     Broken,
+    /// The upstream answered wrongly, or that it takes no request; it runs.
+    Faulty,
     /// The caller went away.
     Abandoned,
 }
--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -19,8 +19,10 @@
     front::{Refusal, RefusalKind},
     membership::HostRecord,
     names::UpstreamName,
+    quarantine::{BrokenRun, CrashRegister, CrashVerdict, RequestFingerprint},
     routing::{
-        ColdNotice, FinishKind, LoadReport, PickOutcome, PickRequest, PickTarget, UpstreamPick,
+        ColdNotice, FinishKind, HostSet, LoadReport, PickOutcome, PickRequest, PickTarget,
+        UpstreamPick, UpstreamPicker,
     },
     schedule::{PushOutcome, QueuedRequest, RefusalReason, RefusedRequest},
 };
@@ -50,6 +52,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunningDispatch {
     upstream: UpstreamName,
+    fingerprint: RequestFingerprint,
+    has_response: bool,
     work: u64,
     sent: Instant,
 }
@@ -125,17 +129,20 @@
             let Self {
                 queue,
                 picker,
+                crashes,
                 config,
                 fleets,
                 ..
             } = self;
-            let catalogue = config.catalogue();
+            let mut judge = HeadJudge {
+                now,
+                catalogue: config.catalogue(),
+                picker,
+                crashes,
+                fleets,
+            };
             let started = queue.pop(now, |queued| {
-                verdict = judge(
-                    queued,
-                    |request| picker.pick(now, request, catalogue, fleets),
-                    catalogue,
-                );
+                verdict = judge.judge(&queued.payload.request);
                 verdict.is_some()
             });
             let (Some(started), Some(verdict)) = (started, verdict) else {
@@ -166,6 +173,8 @@
         self.next_dispatch += 1;
         let running = RunningDispatch {
             upstream: pick.upstream.clone(),
+            fingerprint: request.fingerprint,
+            has_response: false,
             work: request.work,
             sent: now,
         };
@@ -181,9 +190,11 @@
 
     /// Notes the first piece of an answer and the incarnation that the answer names.
     pub(super) fn first_piece(&mut self, now: Instant, number: u64, incarnation: Option<u64>) {
-        let Some(running) = self.running.get(&number).cloned() else {
+        let Some(running) = self.running.get_mut(&number) else {
             return;
         };
+        running.has_response = true;
+        let running = running.clone();
         let elapsed = now.saturating_duration_since(running.sent);
         let jump = self.picker.first_token(now, &running.upstream, elapsed);
         let restart =
@@ -194,15 +205,55 @@
     }
 
     pub(super) fn dispatch_ended(&mut self, now: Instant, number: u64, end: DispatchEnd) {
+        if end == DispatchEnd::Broken {
+            return self.end_broken(now, number, None);
+        }
         let Some(running) = self.running.remove(&number) else {
             return;
         };
         let how = match end {
             DispatchEnd::Complete => FinishKind::Complete,
             DispatchEnd::NotSent => FinishKind::Refused,
-            DispatchEnd::Broken => FinishKind::Broken,
-            DispatchEnd::Abandoned => FinishKind::Cancelled,
+            DispatchEnd::Abandoned | DispatchEnd::Faulty | DispatchEnd::Broken => {
+                FinishKind::Cancelled
+            }
         };
+        match end {
+            DispatchEnd::Complete => {
+                self.request_completed(now, running.fingerprint, &running.upstream);
+            }
+            _ => self
+                .crashes
+                .release_probe(running.fingerprint, &running.upstream),
+        }
+        self.finish_dispatch(now, &running, how);
+    }
+
+    /// Ends a dispatch whose upstream broke; `reply` is sent when the peers know the strike.
+    pub(super) fn dispatch_broken(&mut self, now: Instant, number: u64, reply: ReplySender<()>) {
+        self.end_broken(now, number, Some(reply));
+    }
+
+    fn end_broken(&mut self, now: Instant, number: u64, reply: Option<ReplySender<()>>) {
+        let Some(running) = self.running.remove(&number) else {
+            return;
+        };
+        let run = BrokenRun {
+            upstream: &running.upstream,
+            incarnation: self
+                .picker
+                .table()
+                .last_incarnation(&running.upstream)
+                .unwrap_or(0),
+            dispatched: running.sent,
+            has_response: running.has_response,
+        };
+        self.metrics.upstream_error(&running.upstream, "broken");
+        self.request_broke(now, running.fingerprint, &run, reply);
+        self.finish_dispatch(now, &running, FinishKind::Broken);
+    }
+
+    fn finish_dispatch(&mut self, now: Instant, running: &RunningDispatch, how: FinishKind) {
         if let Some(notice) = self
             .picker
             .finished(now, &running.upstream, running.work, how)
@@ -292,41 +343,89 @@
     }
 }
 
-fn judge(
-    queued: &QueuedRequest<QueuedDispatch>,
-    pick: impl FnOnce(&PickRequest<'_>) -> PickOutcome,
-    catalogue: &Catalogue,
-) -> Option<HeadVerdict> {
-    let request = &queued.payload.request;
-    if !is_key_valid(catalogue, &request.admission) {
-        let refusal = Refusal::not_run(RefusalKind::KeyInvalid, "the key was withdrawn");
-        return Some(HeadVerdict::Refuse(refusal));
+/// Decides about the request at the head of the queue.
+struct HeadJudge<'a> {
+    now: Instant,
+    catalogue: &'a Catalogue,
+    picker: &'a mut UpstreamPicker,
+    crashes: &'a mut CrashRegister,
+    fleets: &'a [HostSet],
+}
+
+impl HeadJudge<'_> {
+    /// Returns `None` if the request has to wait.
+    fn judge(&mut self, request: &DispatchRequest) -> Option<HeadVerdict> {
+        if !is_key_valid(self.catalogue, &request.admission) {
+            let refusal = Refusal::not_run(RefusalKind::KeyInvalid, "the key was withdrawn");
+            return Some(HeadVerdict::Refuse(refusal));
+        }
+        let verdict = self.crashes.check(self.now, request.fingerprint);
+        if let CrashVerdict::Blocked { remaining } = verdict {
+            let message = "the request broke several upstreams";
+            let refusal =
+                Refusal::not_run(RefusalKind::Quarantined, message).retry_after(remaining);
+            return Some(HeadVerdict::Refuse(refusal));
+        }
+        let mut excluded = self.excluded(request);
+        loop {
+            let pick = match self.pick(request, &excluded) {
+                PickOutcome::Picked(pick) => pick,
+                PickOutcome::Busy { .. } => return None,
+                PickOutcome::NoneEligible => return self.none_eligible(request, &excluded),
+            };
+            let is_suspect = verdict == CrashVerdict::Suspect;
+            if !is_suspect
+                || self
+                    .crashes
+                    .reserve_probe(request.fingerprint, &pick.upstream)
+            {
+                return Some(HeadVerdict::Send(Box::new(pick)));
+            }
+            excluded.push(pick.upstream);
+        }
     }
-    let mut excluded = request.tried.clone();
-    if request.needs_resume {
-        let unable = catalogue.upstreams().iter().filter(|(_, it)| !it.resume);
-        excluded.extend(unable.map(|(name, _)| name.clone()));
+
+    fn excluded(&self, request: &DispatchRequest) -> Vec<UpstreamName> {
+        let mut excluded = request.tried.clone();
+        if request.needs_resume {
+            let unable = self
+                .catalogue
+                .upstreams()
+                .iter()
+                .filter(|(_, it)| !it.resume);
+            excluded.extend(unable.map(|(name, _)| name.clone()));
+        }
+        excluded
     }
-    let (target, chat) = match &request.target {
-        DispatchTarget::Chat { model, chat } => (PickTarget::Model(model), Some(chat.as_str())),
-        DispatchTarget::Service(service) => (PickTarget::Service(service), None),
-    };
-    let pick_request = PickRequest {
-        target,
-        chat,
-        request: &request.request_id,
-        work: request.work,
-        tried: &excluded,
-    };
-    match pick(&pick_request) {
-        PickOutcome::Picked(pick) => Some(HeadVerdict::Send(Box::new(pick))),
-        PickOutcome::Busy { .. } => None,
-        PickOutcome::NoneEligible => {
-            let message = "no upstream takes such requests at present";
-            let refusal =
-                Refusal::not_run(RefusalKind::NoUpstream, message).retry_after(BUSY_RETRY);
-            Some(HeadVerdict::Refuse(refusal))
+
+    fn pick(&mut self, request: &DispatchRequest, excluded: &[UpstreamName]) -> PickOutcome {
+        let (target, chat) = match &request.target {
+            DispatchTarget::Chat { model, chat } => (PickTarget::Model(model), Some(chat.as_str())),
+            DispatchTarget::Service(service) => (PickTarget::Service(service), None),
+        };
+        let pick_request = PickRequest {
+            target,
+            chat,
+            request: &request.request_id,
+            work: request.work,
+            tried: excluded,
+        };
+        self.picker
+            .pick(self.now, &pick_request, self.catalogue, self.fleets)
+    }
+
+    /// A suspect that finds every upstream in use by another suspect waits; others are refused.
+    fn none_eligible(
+        &mut self,
+        request: &DispatchRequest,
+        excluded: &[UpstreamName],
+    ) -> Option<HeadVerdict> {
+        if excluded.len() > self.excluded(request).len() {
+            return None;
         }
+        let message = "no upstream takes such requests at present";
+        let refusal = Refusal::not_run(RefusalKind::NoUpstream, message).retry_after(BUSY_RETRY);
+        Some(HeadVerdict::Refuse(refusal))
     }
 }
 
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -130,6 +130,9 @@
         for peer in &asked {
             self.tell(now, peer, PeerRequest::Digest(self.digest()));
         }
+        if let Some(peer) = asked.first() {
+            self.tell(now, peer, PeerRequest::StrikeList);
+        }
         self.sync = match asked.len() {
             0 => StartSync::Done,
             pending => StartSync::Asked {
@@ -164,13 +167,15 @@
     /// Returns whether a pull was ordered.
     pub(super) fn hear_digest(&mut self, now: Instant, digest: &HostDigest) -> bool {
         self.note_revision(&digest.host, digest.accepted);
-        if digest.seen <= self.config.seen_revision() {
+        self.note_incarnation(&digest.host, digest.incarnation);
+        let accepted = self.config.accepted_revision();
+        if digest.accepted <= accepted && digest.seen <= self.config.seen_revision() {
             return false;
         }
         let Some(peer) = self.views.hosts().host(&digest.host).cloned() else {
             return false;
         };
-        let request = PeerRequest::ConfigSince(self.config.seen_revision());
+        let request = PeerRequest::ConfigSince(accepted);
         self.call(now, &peer, request, CONFIG_TIMEOUT);
         true
     }
@@ -201,7 +206,10 @@
                 PeerReply::Heartbeat(self.views.hear(now, &heartbeat))
             }
             PeerRequest::Release(release) => {
+                self.watch_gains(now, now + self.timing.takeover_wait());
                 self.views.released(now, &release.host, release.incarnation);
+                // A released owner decides nothing more, so its keys can be taken over at once.
+                self.watch_gains(now, now);
                 PeerReply::Done
             }
             PeerRequest::Digest(digest) => {
@@ -215,6 +223,26 @@
                 self.picker.notice(now, &notice);
                 PeerReply::Done
             }
+            PeerRequest::Strikes { strikes, .. } => {
+                self.merge_strikes(now, &strikes);
+                PeerReply::Done
+            }
+            PeerRequest::Cleared(clearance) => {
+                self.merge_clearance(now, &clearance);
+                PeerReply::Done
+            }
+            PeerRequest::StrikeList => PeerReply::Strikes(self.export_strikes(now)),
+            PeerRequest::StoreIntent { sender, record } => {
+                PeerReply::Stored(self.store_intent(now, &sender, &record))
+            }
+            PeerRequest::UpdateRecord { sender, update, .. } => {
+                PeerReply::Updated(self.update_record(now, &sender, &update))
+            }
+            PeerRequest::Records { centre, cursor, .. } => {
+                PeerReply::Records(self.record_page(now, &centre, cursor))
+            }
+            // A worker thread handles forwarded calls, because they take as long as the service.
+            PeerRequest::Operation(_) => PeerReply::Unavailable,
             PeerRequest::Loads(batch) => {
                 self.take_loads(now, &batch.reports);
                 PeerReply::Done
--- a/lib/src/control/handle.rs
+++ b/lib/src/control/handle.rs
@@ -87,13 +87,21 @@
     }
 
     /// Ends the dispatch.
+    ///
+    /// If the upstream broke, this waits a bounded time until the other hosts know it, so that
+    /// the caller cannot repeat the request through a host that does not.
     pub fn end(mut self, end: DispatchEnd) {
+        if end == DispatchEnd::Broken {
+            self.handle
+                .ask(|reply| ControlCommand::DispatchBroken(self.grant.number, reply));
+        }
         self.end = end;
     }
 }
 
 impl Drop for DispatchGuard {
     fn drop(&mut self) {
+        // After a reported break this finds no dispatch any more and has no effect.
         self.handle
             .send(ControlCommand::DispatchEnded(self.grant.number, self.end));
     }
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -8,11 +8,13 @@
 };
 
 use super::{
-    admission::TokenQueue,
+    admission::{TokenQueue, team_of},
     command::ControlCommand,
+    crash::SpreadTable,
     dispatch::{QueuedDispatch, RunningDispatch},
     gossip::StartSync,
     message::{PeerReply, PeerRequest},
+    operations::SeenView,
     report::TeamCountTable,
     timer::PeriodTimer,
 };
@@ -22,7 +24,9 @@
     limits::{BucketTable, ShareGate, WalletTable},
     membership::{HostList, HostRecord, ViewTiming, ViewTracker},
     names::{CentreName, HostName, TeamName, UpstreamName},
+    operation::{OperationLedger, OperationRoute},
     peer::{PeerCall, PeerCaller, PeerError},
+    quarantine::CrashRegister,
     routing::{HostSet, RoutingSettings, UpstreamPicker},
     schedule::{FairQueue, QueueSettings},
     slo::BurnTracker,
@@ -100,6 +104,17 @@
     pub(super) running: HashMap<u64, RunningDispatch>,
     pub(super) next_dispatch: u64,
 
+    pub(super) crashes: CrashRegister,
+    pub(super) spreads: SpreadTable,
+
+    pub(super) operation_route: OperationRoute,
+    pub(super) ledger: OperationLedger,
+    pub(super) last_forward: u64,
+    pub(super) incarnations: BTreeMap<HostName, u64>,
+    pub(super) seen_view: SeenView,
+    pub(super) is_placement_due: bool,
+    pub(super) placement_cursor: u64,
+
     pub(super) metrics: Arc<RouterMetrics>,
     pub(super) burn: BurnTracker,
     pub(super) counts: TeamCountTable,
@@ -153,12 +168,21 @@
             wallets: WalletTable::new(host.clone(), incarnation, centre.clone()),
             tokens: BTreeMap::new(),
             grant_calls: HashMap::new(),
-            picker: UpstreamPicker::new(routing, host, centre),
+            picker: UpstreamPicker::new(routing, host.clone(), centre.clone()),
             fleets: Vec::new(),
             reported: HashMap::new(),
             queue: FairQueue::new(queue),
             running: HashMap::new(),
             next_dispatch: 0,
+            crashes: CrashRegister::new(),
+            spreads: SpreadTable::default(),
+            operation_route: OperationRoute::new(&host, incarnation, &centre),
+            ledger: OperationLedger::new(now, &host, incarnation, rand::random()),
+            last_forward: 0,
+            incarnations: BTreeMap::new(),
+            seen_view: SeenView::default(),
+            is_placement_due: false,
+            placement_cursor: 0,
             metrics,
             burn: BurnTracker::new(now),
             counts: TeamCountTable::new(),
@@ -169,6 +193,12 @@
 
     /// Handles one command.
     pub fn handle(&mut self, now: Instant, command: ControlCommand) {
+        self.handle_command(now, command);
+        // The right to new keys begins when a view changes, so each change is noticed at once.
+        self.watch_gains(now, now + self.timing.takeover_wait());
+    }
+
+    fn handle_command(&mut self, now: Instant, command: ControlCommand) {
         match command {
             ControlCommand::ConfigRead(change) => {
                 self.apply_config(now, &change);
@@ -183,6 +213,17 @@
                 self.first_piece(now, number, incarnation);
             }
             ControlCommand::DispatchEnded(number, end) => self.dispatch_ended(now, number, end),
+            ControlCommand::DispatchBroken(number, reply) => {
+                self.dispatch_broken(now, number, reply);
+            }
+            ControlCommand::Operation(command) => self.handle_operation(now, *command),
+            ControlCommand::Authenticate(key, reply) => {
+                let _ = reply.send(team_of(self.catalogue(), key));
+            }
+            ControlCommand::CheckAdmission(request, reply) => {
+                let checked = self.check_admission(now, &request);
+                let _ = reply.send(checked.map(Arc::new));
+            }
             ControlCommand::RequestEnded(admission, end) => {
                 self.request_ended(now, &admission, end);
             }
@@ -222,10 +263,12 @@
     /// Does the periodic work.
     pub fn tick(&mut self, now: Instant) {
         self.views.tick(now);
+        self.watch_gains(now, now + self.timing.takeover_wait());
         for (centre, request) in self.wallets.due(now) {
             self.send_grant_request(now, &centre, request);
         }
         self.serve_all_waiting(now);
+        self.spreads.expire(now);
         if self.timers.queue.is_due(now) {
             self.serve_queue(now);
         }
@@ -255,6 +298,8 @@
         self.expire_sync(now);
         self.update_fleets(now);
         self.update_gauges();
+        self.tick_operations(now);
+        self.crashes.expire(now);
     }
 
     /// Returns whether the host takes new requests.
@@ -273,6 +318,7 @@
                 tracing::info!(revision = catalogue.revision(), "config_accepted");
                 self.metrics.set_catalogue(&catalogue);
                 self.gate.on_catalogue(&catalogue);
+                self.operation_route.set_catalogue(&catalogue);
                 self.note_revision(&self.identity.name.clone(), catalogue.revision());
                 self.picker.adopt(now, &catalogue);
                 self.serve_queue(now);
@@ -349,6 +395,24 @@
             (PeerRequest::Grant(request), result) => {
                 self.grant_ended(now, &request, result);
             }
+            (PeerRequest::Strikes { number, .. }, _) => self.spreads.step(number),
+            (PeerRequest::StrikeList, Ok(PeerReply::Strikes(strikes))) => {
+                self.merge_strikes(now, &strikes);
+            }
+            (PeerRequest::UpdateRecord { target, update, .. }, result) => {
+                self.update_ended(&target, &update, result);
+            }
+            (
+                PeerRequest::Records {
+                    source,
+                    epoch,
+                    cursor,
+                    ..
+                },
+                result,
+            ) => {
+                self.page_ended(now, &source, epoch, cursor, result);
+            }
             _ => {}
         }
     }
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -76,14 +76,16 @@
         let stop = StopSignal::new();
         let threads = ThreadGroup::new();
         start_watches(&ports, &control.handle(), &stop, &threads)?;
-        let admin = AdminServer::start(admin_listener, control.handle(), metrics)
-            .context("cannot start the administration server")?;
-        let exchange = Exchange::new(
+        let exchange = Arc::new(Exchange::new(
             control.handle(),
             ports.upstream.clone(),
             ports.clock.clone(),
-        );
-        let front = FrontServer::start(caller_listener, limits(&settings), Arc::new(exchange))
+            ports.peers.clone(),
+            settings.host.clone(),
+        ));
+        let admin = AdminServer::start(admin_listener, control.handle(), metrics, exchange.clone())
+            .context("cannot start the administration server")?;
+        let front = FrontServer::start(caller_listener, limits(&settings), exchange.clone())
             .context("cannot start the caller interface")?;
         Ok(Self {
             settings,
--- a/lib/src/daemon/admin.rs
+++ b/lib/src/daemon/admin.rs
@@ -10,7 +10,8 @@
 use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::{
-    control::{ControlCommand, ControlHandle, PeerReply, PeerRequest},
+    control::{ControlCommand, ControlHandle, ForwardedOperation, PeerReply, PeerRequest},
+    exchange::Exchange,
     peer::{decode_message, encode_message},
     status::ExplainQuery,
     telemetry::RouterMetrics,
@@ -20,11 +21,15 @@
 /// Threads that answer requests; none of them waits for an upstream.
 const ADMIN_THREADS: usize = 4;
 
+/// Forwarded calls at the same time; each has a thread.
+const MAX_OPERATIONS: usize = 256;
+
 /// The running server.
 pub(super) struct AdminServer {
     address: SocketAddr,
     server: Arc<Server>,
     threads: ThreadGroup,
+    operations: Arc<ThreadGroup>,
 }
 
 /// What the answers are made from.
@@ -32,6 +37,8 @@
 struct AdminState {
     control: ControlHandle,
     metrics: Arc<RouterMetrics>,
+    exchange: Arc<Exchange>,
+    operations: Arc<ThreadGroup>,
 }
 
 /// Status, content type and body of an answer.
@@ -50,6 +57,15 @@
         }
     }
 
+    fn message(reply: &PeerReply) -> Self {
+        let body = encode_message(reply);
+        Self {
+            status: 200,
+            content_type: "application/vnd.msgpack",
+            body,
+        }
+    }
+
     fn json<T: Serialize>(value: Option<T>) -> Self {
         match value.map(|it| serde_json::to_vec(&it)) {
             Some(Ok(body)) => Self {
@@ -68,11 +84,18 @@
         listener: TcpListener,
         control: ControlHandle,
         metrics: Arc<RouterMetrics>,
+        exchange: Arc<Exchange>,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
-        let state = AdminState { control, metrics };
+        let operations = Arc::new(ThreadGroup::new());
+        let state = AdminState {
+            control,
+            metrics,
+            exchange,
+            operations: operations.clone(),
+        };
         let threads = ThreadGroup::new();
         for _ in 0..ADMIN_THREADS {
             let (server, state) = (server.clone(), state.clone());
@@ -86,6 +109,7 @@
             address,
             server,
             threads,
+            operations,
         })
     }
 
@@ -98,26 +122,55 @@
             self.server.unblock();
         }
         self.threads.join();
+        self.operations.join();
     }
 }
 
 impl AdminState {
     fn serve(&self, mut request: Request) {
         let answer = match request.method() {
-            Method::Post if request.url() == "/peer" => self.peer(request.as_reader()),
+            Method::Post if request.url() == "/peer" => {
+                match decode_message::<PeerRequest>(request.as_reader()) {
+                    Ok(PeerRequest::Operation(operation)) => {
+                        return self.start_operation(*operation, request);
+                    }
+                    Ok(message) => self.peer(message),
+                    Err(error) => {
+                        tracing::warn!(%error, "peer_message_invalid");
+                        AdminAnswer::text(400, "invalid message\n")
+                    }
+                }
+            }
             Method::Get => self.get(request.url()),
             _ => AdminAnswer::text(405, "this port is read only\n"),
         };
-        let kind =
-            Header::from_bytes("content-type", answer.content_type).expect("the header is valid");
-        let response = Response::from_data(answer.body)
-            .with_status_code(answer.status)
-            .with_header(kind);
-        if let Err(error) = request.respond(response) {
-            tracing::debug!(%error, "admin_answer_failed");
+        respond(request, answer);
+    }
+
+    /// Serves a forwarded call on a thread of its own, as it takes as long as the service.
+    fn start_operation(&self, operation: ForwardedOperation, request: Request) {
+        if self.operations.running() >= MAX_OPERATIONS {
+            return respond(request, AdminAnswer::message(&PeerReply::Unavailable));
+        }
+        let exchange = self.exchange.clone();
+        let run = move || {
+            let answer = exchange.serve_forwarded(operation);
+            respond(request, AdminAnswer::message(&PeerReply::Operation(answer)));
+        };
+        if let Err(error) = self.operations.spawn("operation", run) {
+            // The request was dropped with the closure, which closes its connection.
+            tracing::error!(%error, "operation_thread_failed");
         }
     }
 
+    fn peer(&self, message: PeerRequest) -> AdminAnswer {
+        let reply = self
+            .control
+            .ask(|reply| ControlCommand::Peer(Box::new(message), reply))
+            .unwrap_or(PeerReply::Unavailable);
+        AdminAnswer::message(&reply)
+    }
+
     fn get(&self, url: &str) -> AdminAnswer {
         let (path, query) = url.split_once('?').unwrap_or((url, ""));
         match path {
@@ -141,25 +194,15 @@
             _ => AdminAnswer::text(404, "not found\n"),
         }
     }
+}
 
-    fn peer(&self, reader: &mut dyn io::Read) -> AdminAnswer {
-        match decode_message::<PeerRequest>(reader) {
-            Ok(message) => {
-                let reply = self
-                    .control
-                    .ask(|reply| ControlCommand::Peer(Box::new(message), reply))
-                    .unwrap_or(PeerReply::Unavailable);
-                let body = encode_message(&reply);
-                AdminAnswer {
-                    status: 200,
-                    content_type: "application/vnd.msgpack",
-                    body,
-                }
-            }
-            Err(error) => {
-                tracing::warn!(%error, "peer_message_invalid");
-                AdminAnswer::text(400, "invalid message\n")
-            }
-        }
+fn respond(request: Request, answer: AdminAnswer) {
+    let kind =
+        Header::from_bytes("content-type", answer.content_type).expect("the header is valid");
+    let response = Response::from_data(answer.body)
+        .with_status_code(answer.status)
+        .with_header(kind);
+    if let Err(error) = request.respond(response) {
+        tracing::debug!(%error, "admin_answer_failed");
     }
 }
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod chat;
 mod events;
+mod operation;
 mod relay;
 mod service;
 
@@ -17,16 +18,21 @@
     clock::ClockSource,
     control::{
         Admission, AdmitOutcome, AdmitRequest, ControlCommand, ControlHandle, DispatchEnd,
-        DispatchGuard, DispatchRequest, DispatchTarget, RequestEnd,
+        DispatchGuard, DispatchRequest, DispatchTarget, PeerReply, PeerRequest, RequestEnd,
     },
     front::{
         CallerRequest, OutcomeKind, Refusal, RefusalKind, RequestHandler, Responder, bearer_key,
         without_credentials,
     },
-    names::UpstreamName,
+    names::{HostName, UpstreamName},
+    peer::PeerTransport,
+    quarantine::RequestFingerprint,
     upstream::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient},
 };
 
+/// Path on which callers get operation tickets.
+const TICKET_PATH: &str = "/v1/operations";
+
 /// Upstreams that one request is sent to at most.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -50,6 +56,8 @@
     control: ControlHandle,
     upstream: Arc<dyn UpstreamClient>,
     clock: Arc<dyn ClockSource>,
+    peers: Arc<dyn PeerTransport<PeerRequest, PeerReply>>,
+    host: HostName,
 }
 
 impl Exchange {
@@ -58,11 +66,15 @@
         control: ControlHandle,
         upstream: Arc<dyn UpstreamClient>,
         clock: Arc<dyn ClockSource>,
+        peers: Arc<dyn PeerTransport<PeerRequest, PeerReply>>,
+        host: HostName,
     ) -> Self {
         Self {
             control,
             upstream,
             clock,
+            peers,
+            host,
         }
     }
 }
@@ -70,6 +82,9 @@
 impl RequestHandler for Exchange {
     fn handle(&self, request: CallerRequest, responder: Responder) {
         let key = bearer_key(&request.headers).map(str::to_owned);
+        if request.path() == TICKET_PATH {
+            return self.ticket(&request, key.as_deref(), responder);
+        }
         let admit = AdmitRequest {
             key: key.as_deref().map(KeyHash::of),
             method: request.method.clone(),
@@ -145,6 +160,7 @@
             target: target.clone(),
             request_id: self.request.request_id.clone(),
             work,
+            fingerprint: RequestFingerprint::of(&self.admission.team, &self.request.body),
             tried: self.tried.clone(),
             needs_resume,
         })
--- /dev/null
+++ b/lib/src/exchange/operation.rs
@@ -0,0 +1,383 @@
+//! Requests that may run at most once.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{Exchange, RequestRun, WholeAnswer, refuse};
+use crate::{
+    catalogue::KeyHash,
+    control::{
+        Admission, AdmitRequest, ControlCommand, DispatchEnd, DispatchTarget, ForwardedOperation,
+        OperationAnswer, OperationCommand, OperationEnd, OperationPlace, OperationRequest,
+        OperationStart, OperationVerdict, PeerReply, PeerRequest, RequestEnd,
+    },
+    front::{CallerRequest, OutcomeKind, Refusal, RefusalKind, Responder},
+    membership::HostRecord,
+    names::HostName,
+    operation::{
+        ByteString, ForwardId, OperationHandle, OperationRecord, RequestDigest, StoreReply,
+        StoredResponse,
+    },
+    peer::PeerError,
+    upstream::CallError,
+};
+
+/// Header that carries the operation key.
+const OPERATION_KEY: &str = "idempotency-key";
+
+/// Longest operation key, in bytes.
+const MAX_OPERATION_KEY_BYTES: usize = 256;
+
+/// Time until a backup has stored an intent.
+const BACKUP_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time until the deciding host has answered a forwarded call.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(330);
+
+/// Header by which a caller sees that the operation ran on an earlier call.
+const REPLAYED: &str = "x-replayed";
+
+impl RequestRun<'_> {
+    /// Serves a call on a route whose requests run at most once.
+    pub(super) fn operation(
+        &mut self,
+        original: &CallerRequest,
+        responder: Responder,
+    ) -> RequestEnd {
+        let key = match operation_key(original) {
+            Ok(key) => key.to_owned(),
+            Err(refusal) => return refuse(responder, &refusal),
+        };
+        let team = self.admission.team.clone();
+        let place = self.ask(|reply| OperationCommand::Locate(team, key.clone(), reply));
+        let answer = match place {
+            Some(OperationPlace::Here) => self.run_operation(&key, None),
+            Some(OperationPlace::Forward { host, id }) => self.forward(&host, key, id),
+            Some(OperationPlace::Refused(refusal)) => OperationAnswer::Refused(refusal),
+            None => OperationAnswer::Refused(stopping()),
+        };
+        match answer {
+            OperationAnswer::Ran {
+                response,
+                is_replay,
+            } => self.send_response(responder, &response, is_replay),
+            OperationAnswer::Refused(refusal) => refuse(responder, &refusal),
+        }
+    }
+
+    fn send_response(
+        &self,
+        responder: Responder,
+        response: &StoredResponse,
+        is_replay: bool,
+    ) -> RequestEnd {
+        let mut headers = response.headers.clone();
+        if is_replay {
+            headers.push((REPLAYED.to_owned(), "true".to_owned()));
+        }
+        let status = if response.status == 0 {
+            200
+        } else {
+            response.status
+        };
+        responder.answer(status, &headers, OutcomeKind::Ran, response.body.0.clone());
+        self.answered()
+    }
+
+    fn forward(&self, host: &HostRecord, key: String, id: ForwardId) -> OperationAnswer {
+        let operation = ForwardedOperation {
+            request: self.request.clone(),
+            caller_key: self.admission.key,
+            operation_key: key,
+            id,
+        };
+        let request = PeerRequest::Operation(Box::new(operation));
+        match self
+            .exchange
+            .peers
+            .call(host.address, &request, FORWARD_TIMEOUT)
+        {
+            Ok(PeerReply::Operation(answer)) => answer,
+            Ok(_) => OperationAnswer::Refused(undecided("the deciding host takes no calls")),
+            Err(PeerError::NotSent(_)) => {
+                OperationAnswer::Refused(undecided("the deciding host was not reached"))
+            }
+            Err(PeerError::Lost(_)) => OperationAnswer::Refused(Refusal::unknown(
+                RefusalKind::OperationUnknown,
+                "the answer of the deciding host was lost",
+            )),
+        }
+    }
+
+    /// Decides about a call on this host and runs it if it may run.
+    fn run_operation(&mut self, key: &str, forward: Option<ForwardId>) -> OperationAnswer {
+        let request = OperationRequest {
+            team: self.admission.team.clone(),
+            key: key.to_owned(),
+            digest: RequestDigest::of(
+                &self.request.method,
+                &self.request.target,
+                &self.request.body,
+            ),
+            forward,
+        };
+        match self.ask(|reply| OperationCommand::Decide(request, reply)) {
+            Some(OperationStart::Dispatch(handle)) => self.dispatch_operation(handle, Vec::new()),
+            Some(OperationStart::OfferBackup {
+                handle,
+                record,
+                backups,
+            }) => match self.offer(&handle, &record, &backups) {
+                Ok(offered) => self.dispatch_operation(handle, offered),
+                Err(answer) => answer,
+            },
+            Some(OperationStart::End(verdict)) => answer_of(verdict),
+            None => OperationAnswer::Refused(stopping()),
+        }
+    }
+
+    /// Copies the intent to one backup; returns the hosts that may hold it.
+    fn offer(
+        &self,
+        handle: &OperationHandle,
+        record: &OperationRecord,
+        backups: &[HostRecord],
+    ) -> Result<Vec<HostName>, OperationAnswer> {
+        let mut offered = Vec::new();
+        let mut conflict = None;
+        for backup in backups {
+            let request = PeerRequest::StoreIntent {
+                sender: self.exchange.host.clone(),
+                record: Box::new(record.clone()),
+            };
+            offered.push(backup.name.clone());
+            match self
+                .exchange
+                .peers
+                .call(backup.address, &request, BACKUP_TIMEOUT)
+            {
+                Ok(PeerReply::Stored(StoreReply::Stored)) => {
+                    let command = OperationCommand::Backed(handle.clone(), backup.name.clone());
+                    self.tell(command);
+                    return Ok(offered);
+                }
+                Ok(PeerReply::Stored(StoreReply::Conflict(record))) => {
+                    conflict = Some((Box::new(record), backup.name.clone()));
+                    break;
+                }
+                Ok(_) | Err(PeerError::Lost(_)) => {}
+                Err(PeerError::NotSent(_)) => {
+                    offered.pop();
+                }
+            }
+        }
+        let verdict = self.ask(|reply| OperationCommand::NotBacked {
+            handle: handle.clone(),
+            offered,
+            conflict,
+            reply,
+        });
+        Err(verdict.map_or_else(|| OperationAnswer::Refused(stopping()), answer_of))
+    }
+
+    fn dispatch_operation(
+        &mut self,
+        handle: OperationHandle,
+        offered: Vec<HostName>,
+    ) -> OperationAnswer {
+        let service = self
+            .admission
+            .service
+            .clone()
+            .expect("the catalogue check requires a service");
+        let guard = match self.dispatch(&DispatchTarget::Service(service), 1, false) {
+            Ok(guard) => guard,
+            Err(refusal) => {
+                self.end_operation(handle, offered, OperationEnd::BeforeSend);
+                return OperationAnswer::Refused(refusal);
+            }
+        };
+        let headers = self.service_headers();
+        let begun = self.ask(|reply| OperationCommand::Begin {
+            handle: handle.clone(),
+            offered: offered.clone(),
+            reply,
+        });
+        match begun {
+            Some(None) => {}
+            Some(Some(verdict)) => {
+                guard.end(DispatchEnd::Abandoned);
+                return answer_of(verdict);
+            }
+            None => {
+                guard.end(DispatchEnd::Abandoned);
+                return OperationAnswer::Refused(stopping());
+            }
+        }
+        let whole = match self.call(&guard, &headers, false) {
+            Ok(answer) => self.read_whole(guard, answer).map_err(|it| it.refusal),
+            Err(error) => {
+                let is_not_sent = matches!(error, CallError::NotSent(_));
+                let failed = self.failed_call(guard, &error);
+                if is_not_sent {
+                    self.end_operation(handle, offered, OperationEnd::BeforeSend);
+                    return OperationAnswer::Refused(failed.refusal);
+                }
+                Err(failed.refusal)
+            }
+        };
+        match whole {
+            Ok(whole) => {
+                let response = stored_response(whole);
+                let end = OperationEnd::Finished(Some(response.clone()));
+                self.end_operation(handle, offered, end);
+                OperationAnswer::Ran {
+                    response: Arc::new(response),
+                    is_replay: false,
+                }
+            }
+            Err(refusal) => {
+                self.end_operation(handle, offered, OperationEnd::AfterSend);
+                OperationAnswer::Refused(refusal)
+            }
+        }
+    }
+
+    fn end_operation(&self, handle: OperationHandle, offered: Vec<HostName>, end: OperationEnd) {
+        self.tell(OperationCommand::Ended {
+            handle,
+            offered,
+            end,
+        });
+    }
+
+    fn tell(&self, command: OperationCommand) {
+        self.exchange
+            .control
+            .send(ControlCommand::Operation(Box::new(command)));
+    }
+
+    fn ask<T>(
+        &self,
+        command: impl FnOnce(crate::control::ReplySender<T>) -> OperationCommand,
+    ) -> Option<T> {
+        self.exchange
+            .control
+            .ask(|reply| ControlCommand::Operation(Box::new(command(reply))))
+    }
+}
+
+impl Exchange {
+    /// Issues an operation ticket to the team of the caller's key.
+    pub(super) fn ticket(&self, request: &CallerRequest, key: Option<&str>, responder: Responder) {
+        if request.method != "POST" {
+            let message = "tickets are issued on POST";
+            return responder.refuse(&Refusal::not_run(RefusalKind::MethodNotAllowed, message));
+        }
+        let key = key.map(KeyHash::of);
+        let team = self
+            .control
+            .ask(|reply| ControlCommand::Authenticate(key, reply));
+        let team = match team {
+            Some(Ok(team)) => team,
+            Some(Err(refusal)) => return responder.refuse(&refusal),
+            None => return responder.refuse(&stopping()),
+        };
+        let ticket = self.control.ask(|reply| {
+            ControlCommand::Operation(Box::new(OperationCommand::Ticket(team, reply)))
+        });
+        let Some(ticket) = ticket else {
+            return responder.refuse(&stopping());
+        };
+        let headers = [("content-type".to_owned(), "application/json".to_owned())];
+        let body = serde_json::json!({ "idempotency_key": ticket }).to_string();
+        responder.answer(201, &headers, OutcomeKind::Ran, body.into_bytes());
+    }
+
+    /// Serves a call that another host forwarded because this one decides about it.
+    pub fn serve_forwarded(&self, operation: ForwardedOperation) -> OperationAnswer {
+        let ForwardedOperation {
+            request,
+            caller_key,
+            operation_key,
+            id,
+        } = operation;
+        let admission = match self.check_forwarded(&request, caller_key) {
+            Ok(admission) => admission,
+            Err(refusal) => return OperationAnswer::Refused(refusal),
+        };
+        if !admission.once {
+            return OperationAnswer::Refused(undecided("the hosts' configurations differ"));
+        }
+        let mut run = RequestRun {
+            exchange: self,
+            started: self.clock.now(),
+            request,
+            admission,
+            tried: Vec::new(),
+            first_piece: None,
+        };
+        run.run_operation(&operation_key, Some(id))
+    }
+
+    fn check_forwarded(
+        &self,
+        request: &CallerRequest,
+        key: Option<KeyHash>,
+    ) -> Result<Arc<Admission>, Refusal> {
+        let admit = AdmitRequest {
+            key,
+            method: request.method.clone(),
+            path: request.path().to_owned(),
+        };
+        self.control
+            .ask(|reply| ControlCommand::CheckAdmission(admit, reply))
+            .unwrap_or_else(|| Err(stopping()))
+    }
+}
+
+fn operation_key(request: &CallerRequest) -> Result<&str, Refusal> {
+    let key = request.header(OPERATION_KEY).ok_or_else(|| {
+        let message = "this route needs an Idempotency-Key; POST /v1/operations issues one";
+        Refusal::not_run(RefusalKind::OperationKeyMissing, message)
+    })?;
+    if key.is_empty() || key.len() > MAX_OPERATION_KEY_BYTES {
+        let message = format!("Idempotency-Key must have 1 to {MAX_OPERATION_KEY_BYTES} bytes");
+        return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
+    }
+    Ok(key)
+}
+
+fn stored_response(whole: WholeAnswer) -> StoredResponse {
+    let WholeAnswer {
+        status,
+        headers,
+        body,
+    } = whole;
+    StoredResponse {
+        status,
+        headers,
+        body: ByteString(body),
+    }
+}
+
+fn answer_of(verdict: OperationVerdict) -> OperationAnswer {
+    match verdict {
+        OperationVerdict::Replay(response) => OperationAnswer::Ran {
+            response,
+            is_replay: true,
+        },
+        OperationVerdict::Ran => OperationAnswer::Ran {
+            response: Arc::default(),
+            is_replay: true,
+        },
+        OperationVerdict::Refused(refusal) => OperationAnswer::Refused(refusal),
+    }
+}
+
+fn undecided(message: &str) -> Refusal {
+    Refusal::not_run(RefusalKind::OperationUndecided, message).retry_after(Duration::from_secs(1))
+}
+
+fn stopping() -> Refusal {
+    Refusal::not_run(RefusalKind::Stopping, "the host is stopping")
+}
--- a/lib/src/exchange/service.rs
+++ b/lib/src/exchange/service.rs
@@ -3,7 +3,7 @@
 use super::{MAX_ATTEMPTS, RequestRun, refuse};
 use crate::{
     control::{DispatchTarget, RequestEnd},
-    front::{CallerRequest, OutcomeKind, Refusal, RefusalKind, Responder},
+    front::{CallerRequest, OutcomeKind, Responder},
 };
 
 /// Methods whose requests may be repeated after an unknown outcome.
@@ -11,20 +11,14 @@
 
 impl RequestRun<'_> {
     /// Serves a request to a service; `original` has the caller's own headers.
-    pub(super) fn service(
-        &mut self,
-        _original: &CallerRequest,
-        responder: Responder,
-    ) -> RequestEnd {
+    pub(super) fn service(&mut self, original: &CallerRequest, responder: Responder) -> RequestEnd {
         let service = self
             .admission
             .service
             .clone()
             .expect("the catalogue check requires a service");
         if self.admission.once {
-            let message = "operations are not served yet";
-            let refusal = Refusal::not_run(RefusalKind::OperationUndecided, message);
-            return refuse(responder, &refusal);
+            return self.operation(original, responder);
         }
         let target = DispatchTarget::Service(service);
         let is_idempotent = IDEMPOTENT_METHODS.contains(&self.request.method.as_str());
--- a/lib/src/front/refusal.rs
+++ b/lib/src/front/refusal.rs
@@ -86,6 +86,8 @@
     OperationMismatch,
     /// An earlier request with the operation key is running.
     OperationRunning,
+    /// The ticket is too old, or the process that issued it is gone.
+    OperationExpired,
     /// What became of the operation is not known.
     OperationUnknown,
     /// The host that decides about the operation cannot decide at present.
@@ -125,6 +127,7 @@
             Self::OperationKeyInvalid => "operation_key_invalid",
             Self::OperationMismatch => "operation_mismatch",
             Self::OperationRunning => "operation_running",
+            Self::OperationExpired => "operation_expired",
             Self::OperationUnknown => "operation_unknown",
             Self::OperationUndecided => "operation_undecided",
             Self::InternalError => "internal_error",
@@ -141,6 +144,7 @@
             Self::MethodNotAllowed => 405,
             Self::BodyTimeout => 408,
             Self::OperationRunning => 409,
+            Self::OperationExpired => 410,
             Self::BodyTooLarge => 413,
             Self::Quarantined | Self::OperationMismatch => 422,
             Self::OverRate => 429,
--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -227,6 +227,11 @@
             .collect()
     }
 
+    /// Returns the hosts of the current view.
+    pub fn members(&self) -> &BTreeSet<HostName> {
+        &self.view().names
+    }
+
     /// Takes a heartbeat and returns the answer to it.
     pub fn hear(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatReply {
         self.detect_pause(now);
--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -488,6 +488,11 @@
         self.handover.retain(|it| list.host(it).is_some());
     }
 
+    /// Returns the epoch of the newest handover.
+    pub fn handover_epoch(&self) -> u64 {
+        self.handover.epoch()
+    }
+
     /// Returns the hosts that have not sent their last page, with the cursor of the next page.
     pub fn awaited_pages(&self) -> impl Iterator<Item = (&HostName, u64)> {
         self.handover.waiting()
--- a/lib/src/operation/route.rs
+++ b/lib/src/operation/route.rs
@@ -126,6 +126,21 @@
         }
     }
 
+    /// Returns whether a data centre is the home of an operation's key.
+    pub fn is_home(&self, id: &OperationId, centre: &CentreName) -> bool {
+        self.home(&id.placement()) == Some(centre)
+    }
+
+    /// Returns the host that decides about an operation with a plain key.
+    pub fn owner<'a>(
+        &self,
+        id: &OperationId,
+        lookup: &'a dyn OwnerLookup,
+    ) -> Option<&'a HostRecord> {
+        let placement = id.placement();
+        lookup.owner_in(self.home(&placement)?, &placement)
+    }
+
     /// Returns the rights of this host for [`OperationLedger`](super::OperationLedger).
     pub fn rights<'a>(&'a self, lookup: &'a dyn OwnerLookup) -> RouteRights<'a> {
         RouteRights {
