operation: tests of ledger and route; check before a second upstream

Cause: after a refused connection another upstream may be tried, and that write needs the last check as well. Change: retry_dispatch; tests of tickets, repeats, the last check, messages out of order, handover, bounds, duplicated calls, a moving home data centre, issuer and backup choice.

--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -310,12 +310,36 @@
         now: Instant,
         handle: &OperationHandle,
         rights: &dyn DecisionRights,
+    ) -> Result<(), Box<DispatchDenied>> {
+        self.check_dispatch(now, handle, rights, RecordState::Intent)
+    }
+
+    /// The last check again, after the upstream of the first dispatch refused the connection and
+    /// before the write to another one.
+    ///
+    /// The time limit counts from the earlier check.
+    pub fn retry_dispatch(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+        rights: &dyn DecisionRights,
+    ) -> Result<(), Box<DispatchDenied>> {
+        self.check_dispatch(now, handle, rights, RecordState::Running)
+    }
+
+    fn check_dispatch(
+        &mut self,
+        now: Instant,
+        handle: &OperationHandle,
+        rights: &dyn DecisionRights,
+        expected: RecordState,
     ) -> Result<(), Box<DispatchDenied>> {
         let is_awaited = self.is_awaited(now, &handle.id);
         let Some(slot) = self.started_mut(handle) else {
             return Err(Box::new(self.give_up(handle, NotRunReason::IntentExpired)));
         };
-        if slot.state != RecordState::Intent {
+        if slot.state != expected {
+            // An acknowledgement that arrives twice must not cause two dispatches.
             let decision = OperationDecision::Unknown(UnknownReason::InProgress);
             return Err(Box::new(DispatchDenied {
                 decision,
@@ -363,9 +387,9 @@
     }
 
     /// Removes the record of an operation whose request cannot have been read: the connection
-    /// was refused. The outcome is `not_run`.
+    /// was refused, or the request was given up before its dispatch. The outcome is `not_run`.
     ///
-    /// Returns the update for every host that was sent the intent.
+    /// The update goes to every host that was sent the intent.
     pub fn fail_before_send(&mut self, handle: &OperationHandle) -> DispatchDenied {
         self.give_up(handle, NotRunReason::UpstreamRefused)
     }
--- /dev/null
+++ b/lib/tests/operation_ledger.rs
@@ -0,0 +1,553 @@
+//! Tickets, the ledger's limits, messages out of order, and the choice of the deciding host.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use snipepond::{
+    catalogue::{Catalogue, RawEntries},
+    membership::{HostList, HostRecord, HostState},
+    names::{CentreName, HostName, TeamName},
+    operation::{
+        ByteString, DecisionRights, ForwardId, INTENT_LIFETIME, MAX_PAGE_BYTES, MAX_RECORDS,
+        MAX_RESPONSE_BYTES, MAX_STORED_BYTES, MAX_TEAM_RECORDS, NotRunReason, OperationCall,
+        OperationDecision, OperationHandle, OperationId, OperationLedger, OperationRecord,
+        OperationRoute, OperationTicket, OperationUpdate, OwnerLookup, RETENTION, RecordState,
+        RequestDigest, RouteDecision, StoreReply, StoredResponse, TICKET_LIFETIME, UnknownReason,
+    },
+    rendezvous,
+};
+
+struct FixedRights(bool);
+
+impl DecisionRights for FixedRights {
+    fn may_decide(&self, _: &OperationId, _: Instant) -> bool {
+        self.0
+    }
+}
+
+const OWNER: FixedRights = FixedRights(true);
+
+fn host(name: &str) -> HostName {
+    HostName::new(name)
+}
+
+fn team() -> TeamName {
+    TeamName::new("team")
+}
+
+/// A ledger that has taken over everything there is.
+fn ledger(now: Instant, name: &str, incarnation: u64) -> OperationLedger {
+    let mut ledger = OperationLedger::new(now, &host(name), incarnation, [incarnation as u8; 32]);
+    ledger.start_handover(now, []);
+    ledger
+}
+
+fn decide(ledger: &mut OperationLedger, now: Instant, key: &str, body: &str) -> OperationDecision {
+    let call = OperationCall {
+        team: &team(),
+        key,
+        digest: RequestDigest::of("POST", "/print", body.as_bytes()),
+        forward: None,
+    };
+    ledger.decide(now, &call, &OWNER)
+}
+
+fn begin(
+    ledger: &mut OperationLedger,
+    now: Instant,
+    key: &str,
+) -> (OperationHandle, OperationRecord) {
+    match decide(ledger, now, key, "body") {
+        OperationDecision::AwaitBackup { handle, record } => (handle, record),
+        decision => panic!("unexpected {decision:?}"),
+    }
+}
+
+fn run(ledger: &mut OperationLedger, now: Instant, key: &str, size: usize) -> OperationUpdate {
+    let (handle, _) = begin(ledger, now, key);
+    ledger.backup_acknowledged(&handle, &host("backup"));
+    ledger
+        .begin_dispatch(now, &handle, &OWNER)
+        .expect("dispatch is allowed");
+    let body = ByteString(vec![7; size]);
+    let response = StoredResponse {
+        status: 201,
+        body,
+        ..StoredResponse::default()
+    };
+    ledger
+        .finish(now, &handle, Some(response))
+        .expect("state changes")
+}
+
+fn unknown(reason: UnknownReason) -> OperationDecision {
+    OperationDecision::Unknown(reason)
+}
+
+fn not_run(reason: NotRunReason) -> OperationDecision {
+    OperationDecision::NotRun(reason)
+}
+
+/// Guards against forged tickets, tickets of other teams and second spellings of one ticket.
+#[test]
+fn ticket_is_bound_to_team_and_process() {
+    let now = Instant::now();
+    let mut issuer = OperationLedger::new(now, &host("a.1"), 10, [1; 32]);
+    let ticket = issuer.issue_ticket(now, &team()).to_string();
+    assert_eq!(
+        OperationTicket::parse(&ticket).map(|it| it.host().clone()),
+        Some(host("a.1"))
+    );
+    assert!(ticket.starts_with("spt1.a.1.a.1."), "{ticket}");
+
+    let upper = format!("spt1.{}", ticket[5..].to_uppercase());
+    let padded = ticket.replace(".a.1.a.1.", ".a.1.0a.1.");
+    let other_number = ticket.replace(".a.1.a.1.", ".a.1.a.2.");
+    for forged in [
+        &upper,
+        &padded,
+        &other_number,
+        &ticket[..ticket.len() - 1],
+        "spt1.",
+        "spt1.é",
+    ] {
+        let decision = decide(&mut issuer, now, forged, "body");
+        assert_eq!(decision, not_run(NotRunReason::InvalidTicket), "{forged}");
+    }
+    let call = OperationCall {
+        team: &TeamName::new("other"),
+        key: &ticket,
+        digest: RequestDigest::of("POST", "/print", b"body"),
+        forward: None,
+    };
+    let decision = issuer.decide(now, &call, &OWNER);
+    assert_eq!(decision, not_run(NotRunReason::InvalidTicket));
+    let mut successor = OperationLedger::new(now, &host("a.1"), 11, [1; 32]);
+    let decision = decide(&mut successor, now, &ticket, "body");
+    assert_eq!(decision, unknown(UnknownReason::IssuerGone));
+    // No backup, no rights and no handover are needed.
+    let decision = decide(&mut issuer, now, &ticket, "body");
+    assert!(
+        matches!(decision, OperationDecision::Dispatch(_)),
+        "{decision:?}"
+    );
+}
+
+/// Guards against a ticket that runs again after its record was dropped.
+#[test]
+fn ticket_never_runs_again() {
+    let start = Instant::now();
+    let mut issuer = ledger(start, "a", 1);
+    let used = issuer.issue_ticket(start, &team()).to_string();
+    let OperationDecision::Dispatch(handle) = decide(&mut issuer, start, &used, "body") else {
+        panic!("ticket is valid");
+    };
+    issuer
+        .begin_dispatch(start, &handle, &FixedRights(false))
+        .expect("needs no rights");
+    assert!(
+        issuer.finish(start, &handle, None).is_none(),
+        "ticket needs no backup"
+    );
+    assert_eq!(
+        decide(&mut issuer, start, &used, "body"),
+        OperationDecision::Ran
+    );
+
+    let late = start + RETENTION.max(TICKET_LIFETIME);
+    issuer.expire(late);
+    assert_eq!(issuer.status().records, 0);
+    assert_eq!(
+        decide(&mut issuer, late, &used, "body"),
+        unknown(UnknownReason::TicketExpired)
+    );
+}
+
+/// Guards the answers to repeats.
+#[test]
+fn repeats_are_answered_from_the_record() {
+    let now = Instant::now();
+    let mut owner = ledger(now, "a", 1);
+    let (handle, _) = begin(&mut owner, now, "key");
+    assert_eq!(
+        decide(&mut owner, now, "key", "body"),
+        unknown(UnknownReason::InProgress)
+    );
+    assert_eq!(
+        decide(&mut owner, now, "key", "other"),
+        OperationDecision::BodyMismatch
+    );
+    owner.backup_acknowledged(&handle, &host("b"));
+    owner
+        .begin_dispatch(now, &handle, &OWNER)
+        .expect("dispatch is allowed");
+    let second = owner
+        .begin_dispatch(now, &handle, &OWNER)
+        .expect_err("acknowledged twice");
+    assert_eq!(second.decision, unknown(UnknownReason::InProgress));
+    owner.fail_after_send(now, &handle);
+    assert_eq!(
+        decide(&mut owner, now, "key", "body"),
+        unknown(UnknownReason::Interrupted)
+    );
+
+    run(&mut owner, now, "small", 100);
+    let decision = decide(&mut owner, now, "small", "body");
+    assert_eq!(
+        (decision.status(), decision.outcome()),
+        (Some(201), Some("ran"))
+    );
+    run(&mut owner, now, "large", MAX_RESPONSE_BYTES + 1);
+    assert_eq!(
+        decide(&mut owner, now, "large", "body"),
+        OperationDecision::Ran
+    );
+
+    let (handle, _) = begin(&mut owner, now, "refused");
+    let denied = owner.fail_before_send(&handle);
+    assert_eq!(denied.decision, not_run(NotRunReason::UpstreamRefused));
+    assert!(matches!(
+        denied.update,
+        Some(OperationUpdate::Removed { .. })
+    ));
+    begin(&mut owner, now, "refused");
+}
+
+/// Guards against a dispatch after a pause, after a lost right, or without a backup.
+#[test]
+fn last_check_denies_stale_decisions() {
+    let now = Instant::now();
+    let mut owner = ledger(now, "a", 1);
+    let cases = [
+        (false, INTENT_LIFETIME, true, NotRunReason::NoBackup),
+        (
+            true,
+            INTENT_LIFETIME + Duration::from_millis(1),
+            true,
+            NotRunReason::IntentExpired,
+        ),
+        (true, Duration::ZERO, false, NotRunReason::NotOwner),
+    ];
+    for (is_backed, pause, rights, reason) in cases {
+        let (handle, _) = begin(&mut owner, now, "key");
+        if is_backed {
+            owner.backup_acknowledged(&handle, &host("b"));
+        }
+        let denied = owner.begin_dispatch(now + pause, &handle, &FixedRights(rights));
+        let denied = denied.expect_err("check fails");
+        assert_eq!(denied.decision, not_run(reason));
+        assert!(denied.update.is_some(), "the backup must drop its copy");
+        // A late acknowledgement must not revive the attempt.
+        owner.backup_acknowledged(&handle, &host("b"));
+        owner
+            .begin_dispatch(now, &handle, &OWNER)
+            .expect_err("attempt was given up");
+    }
+    let list = |names: &[&str]| HostList {
+        version: 1,
+        hosts: names.iter().map(record).collect(),
+    };
+    let (handle, _) = begin(&mut owner, now, "alone");
+    assert!(!owner.waive_backup(&handle, &list(&["a", "b"])));
+    assert!(!owner.waive_backup(&handle, &list(&[])));
+    assert!(owner.waive_backup(&handle, &list(&["a"])));
+    owner
+        .begin_dispatch(now, &handle, &OWNER)
+        .expect("the only host needs no backup");
+}
+
+fn record(name: &&str) -> HostRecord {
+    HostRecord {
+        name: host(name),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: CentreName::new(&name[..1]),
+        state: HostState::Live,
+    }
+}
+
+/// Guards against messages out of order: a late removal must not delete a later attempt, and a
+/// late intent must not replace a result or another owner's record.
+#[test]
+fn backup_orders_messages_by_attempt() {
+    let now = Instant::now();
+    let (mut owner, mut backup) = (ledger(now, "a", 1), ledger(now, "b", 2));
+    let a = host("a");
+    let (first, first_record) = begin(&mut owner, now, "key");
+    let removal = owner
+        .backup_failed(&first)
+        .update
+        .expect("backup may hold a copy");
+    let (_, second_record) = begin(&mut owner, now, "key");
+    assert_eq!(
+        backup.store_intent(now, &second_record, &a),
+        StoreReply::Stored
+    );
+    assert_eq!(
+        backup.store_intent(now, &first_record, &a),
+        StoreReply::Stale
+    );
+    backup.update(now, &removal, &a);
+    assert_eq!(
+        decide(&mut backup, now, "key", "body"),
+        unknown(UnknownReason::Interrupted)
+    );
+    // A copy of a given-up attempt that comes back to its owner stays without effect.
+    owner.update(now, &OperationUpdate::Changed(first_record), &host("b"));
+    owner
+        .begin_dispatch(now, &first, &OWNER)
+        .expect_err("attempt was given up");
+
+    let (_, intent) = begin(&mut owner, now, "other");
+    let result = run(&mut owner, now, "third", 10);
+    backup.update(now, &result, &a);
+    let OperationUpdate::Changed(mut late) = result else {
+        panic!("result is a change")
+    };
+    late.state = RecordState::Intent;
+    backup.store_intent(now, &late, &a);
+    backup.update(now, &OperationUpdate::Changed(late), &a);
+    assert_eq!(
+        decide(&mut backup, now, "third", "body").outcome(),
+        Some("ran")
+    );
+
+    let mut stranger = ledger(now, "c", 3);
+    assert_eq!(backup.store_intent(now, &intent, &a), StoreReply::Stored);
+    let (handle, record) = begin(&mut stranger, now, "other");
+    let StoreReply::Conflict(known) = backup.store_intent(now, &record, &host("c")) else {
+        panic!("backup knows the intent of another process");
+    };
+    let denied = stranger.backup_conflicted(now, &handle, &known, &host("b"));
+    assert_eq!(denied.decision, unknown(UnknownReason::Interrupted));
+}
+
+/// Guards against a new owner that decides before all records arrived, and against a handover
+/// that blocks keys which did not change their owner.
+#[test]
+fn keys_wait_for_their_handover() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(1);
+    let (mut old, mut owner) = (ledger(start, "a1", 1), ledger(start, "a2", 2));
+    let keys: Vec<String> = (0..400).map(|it| format!("key-{it}")).collect();
+    for key in &keys {
+        run(&mut old, now, key, 1_000);
+    }
+    let view = [host("a1"), host("a2")];
+    owner.require_handover(now, &view);
+    assert!(owner.is_handover_due(now));
+    let epoch = owner.start_handover(now, [&host("a1"), &host("a2"), &host("b1")]);
+    let is_kept = |key: &String| {
+        rendezvous::first(&OperationId::new(&team(), key).placement(), &view) == Some(&view[1])
+    };
+    let fresh = (0..50).map(|it| format!("fresh-{it}"));
+    let (kept, gained): (Vec<_>, Vec<_>) = fresh.partition(is_kept);
+    begin(&mut owner, now, &kept[0]);
+    let waiting = unknown(UnknownReason::HandoverIncomplete);
+    assert_eq!(decide(&mut owner, now, &gained[0], "body"), waiting);
+
+    let mut cursor = Some(0);
+    let mut pages = 0;
+    while let Some(at) = cursor {
+        let page = old.export_page(now, at, |_| true);
+        let bytes = rmp_serde::to_vec(&page).expect("page is serializable");
+        assert!(
+            bytes.len() < MAX_PAGE_BYTES * 5 / 4,
+            "{} bytes",
+            bytes.len()
+        );
+        let page = rmp_serde::from_slice(&bytes).expect("page is readable");
+        owner.import_page(now, epoch - 1, &host("a1"), at, &page);
+        cursor = owner.import_page(now, epoch, &host("a1"), at, &page);
+        pages += 1;
+    }
+    assert!(pages > 5, "{pages} pages");
+    assert_eq!(
+        decide(&mut owner, now, &keys[399], "body").outcome(),
+        Some("ran")
+    );
+    // Another data centre still owes its records.
+    assert_eq!(decide(&mut owner, now, &gained[0], "body"), waiting);
+    let late = now + RETENTION;
+    assert!(matches!(
+        decide(&mut owner, late, &gained[1], "body"),
+        OperationDecision::AwaitBackup { .. }
+    ));
+    owner.retain_sources(&HostList {
+        version: 1,
+        hosts: vec![record(&"a1"), record(&"a2")],
+    });
+    begin(&mut owner, now, &gained[0]);
+}
+
+/// Guards the memory bounds: of one team, of the whole ledger, and of stored responses.
+#[test]
+fn ledger_is_bounded() {
+    let now = Instant::now();
+    let mut owner = ledger(now, "a", 1);
+    let (_, mut record) = begin(&mut owner, now, "first");
+    record.dispatch.incarnation = 9;
+    let mut replies: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 0..MAX_RECORDS + 10 {
+        let name = format!("team-{}", number % 5);
+        record.id = OperationId::new(&TeamName::new(&name), &number.to_string());
+        let reply = owner.store_intent(now, &record, &host("b"));
+        *replies.entry(format!("{reply:?}")).or_default() += 1;
+    }
+    assert_eq!(replies["Full"], 11);
+    assert_eq!(
+        decide(&mut owner, now, "new", "body"),
+        not_run(NotRunReason::LedgerFull)
+    );
+    assert_eq!(
+        decide(&mut owner, now, "first", "body"),
+        unknown(UnknownReason::InProgress)
+    );
+
+    let mut owner = ledger(now, "a", 1);
+    for number in 0..MAX_STORED_BYTES / MAX_RESPONSE_BYTES + 5 {
+        run(&mut owner, now, &number.to_string(), MAX_RESPONSE_BYTES);
+    }
+    assert!(owner.status().stored_bytes <= MAX_STORED_BYTES);
+    assert_eq!(decide(&mut owner, now, "0", "body"), OperationDecision::Ran);
+    assert!(matches!(
+        decide(&mut owner, now, "1000", "body"),
+        OperationDecision::Replay(_)
+    ));
+    for number in owner.status().records..MAX_TEAM_RECORDS {
+        begin(&mut owner, now, &format!("intent-{number}"));
+    }
+    assert_eq!(
+        decide(&mut owner, now, "new", "body"),
+        not_run(NotRunReason::LedgerFull)
+    );
+}
+
+/// Guards against a second dispatch by a duplicated message, also far out of order.
+#[test]
+fn forwarded_call_is_accepted_once() {
+    let now = Instant::now();
+    let mut owner = ledger(now, "a", 1);
+    let mut accept = |number| {
+        let forward = ForwardId {
+            incarnation: 5,
+            number,
+        };
+        let call = OperationCall {
+            team: &team(),
+            key: "key",
+            digest: RequestDigest::of("POST", "/print", b"body"),
+            forward: Some(forward),
+        };
+        let decision = owner.decide(now, &call, &FixedRights(false));
+        decision == not_run(NotRunReason::NotOwner)
+    };
+    let numbers = [
+        5, 6, 5, 4, 4, 1_029, 6, 5, 7, 7, 5_000, 1_030, 4_999, 4_999, 5_000,
+    ];
+    let accepted = [
+        true, true, false, true, false, true, false, false, true, false, true, false, true, false,
+        false,
+    ];
+    assert_eq!(numbers.map(&mut accept), accepted);
+}
+
+struct CentreOwners(HostList);
+
+impl OwnerLookup for CentreOwners {
+    fn owner_in(&self, centre: &CentreName, _: &str) -> Option<&HostRecord> {
+        self.0.hosts.iter().find(|it| it.data_centre == *centre)
+    }
+
+    fn owns(&self, _: &str, _: Instant) -> bool {
+        true
+    }
+}
+
+fn catalogue(revision: u64, centres: &[&str]) -> Catalogue {
+    let value = r#"{"region":"r","state":"in_service"}"#;
+    let entries: RawEntries = centres
+        .iter()
+        .map(|it| (format!("data_centre/{it}").into(), value.into()))
+        .collect();
+    Catalogue::parse(revision, &entries).expect("catalogue is valid")
+}
+
+/// Guards against two deciding hosts while a data centre is added.
+#[test]
+fn moving_key_has_one_deciding_host() {
+    let now = Instant::now();
+    let list = HostList {
+        version: 1,
+        hosts: ["a1", "b1"].iter().map(record).collect(),
+    };
+    let lookup = CentreOwners(list.clone());
+    let route = |name: &str| {
+        let mut route = OperationRoute::new(&host(name), 1, &CentreName::new(&name[..1]));
+        route.set_catalogue(&catalogue(1, &["a"]));
+        route
+    };
+    let (mut old, mut new) = (route("a1"), route("b1"));
+    let mut has_moved = 0;
+    for number in 0..100 {
+        let key = format!("key-{number}");
+        let id = OperationId::new(&team(), &key);
+        let decides = |old: &OperationRoute, new: &OperationRoute| {
+            let holders = [old, new].map(|it| it.rights(&lookup).may_decide(&id, now));
+            assert_ne!(holders, [true, true], "{key}");
+            holders
+        };
+        assert_eq!(decides(&old, &new), [true, false]);
+        new.set_catalogue(&catalogue(2, &["a", "b"]));
+        assert_eq!(decides(&old, &new), [true, false]);
+        if new.locate(&team(), &key, &list, &lookup)
+            == RouteDecision::NotRun(NotRunReason::HomeMoving)
+        {
+            has_moved += 1;
+            old.set_catalogue(&catalogue(2, &["a", "b"]));
+            assert_eq!(decides(&old, &new), [false, false]);
+            assert!(!new.settle(1), "the change is not known everywhere");
+            assert!(new.settle(2), "a handover is needed");
+            assert_eq!(decides(&old, &new), [false, true]);
+        }
+        (old, new) = (route("a1"), route("b1"));
+    }
+    assert!(
+        (30..70).contains(&has_moved),
+        "{has_moved} of 100 keys moved"
+    );
+}
+
+/// Guards the choice of the issuer for tickets and of backups in and outside the data centre.
+#[test]
+fn route_finds_issuer_and_backups() {
+    let now = Instant::now();
+    let ticket = OperationLedger::new(now, &host("a2"), 7, [0; 32]).issue_ticket(now, &team());
+    let key = ticket.to_string();
+    let lookup = CentreOwners(HostList::default());
+    let list = |names: &[&str]| HostList {
+        version: 1,
+        hosts: names.iter().map(record).collect(),
+    };
+    let mut route = OperationRoute::new(&host("a1"), 1, &CentreName::new("a"));
+    let full = list(&["a1", "a2", "a3", "a4", "b1"]);
+    let located = route.locate(&team(), &key, &full, &lookup);
+    assert_eq!(located, RouteDecision::Forward(&full.hosts[1]));
+    let short = list(&["a1", "b1"]);
+    let located = route.locate(&team(), &key, &short, &lookup);
+    assert_eq!(located, RouteDecision::Unknown(UnknownReason::IssuerGone));
+    let issuer = OperationRoute::new(&host("a2"), 7, &CentreName::new("a"));
+    assert_eq!(
+        issuer.locate(&team(), &key, &full, &lookup),
+        RouteDecision::Here
+    );
+
+    route.set_catalogue(&catalogue(1, &["a", "b"]));
+    let id = OperationId::new(&team(), "key");
+    let backups = route.backups(&id, &full);
+    assert!(backups.len() == 2 && backups.iter().all(|it| it.data_centre.as_str() == "a"));
+    assert!(backups.iter().all(|it| it.name != host("a1")));
+    assert_eq!(route.backups(&id, &short), [&short.hosts[1]]);
+    assert!(route.backups(&id, &list(&["a1"])).is_empty());
+}
--- a/lib/tests/operation_simulation.rs
+++ b/lib/tests/operation_simulation.rs
@@ -753,8 +753,18 @@
     fn write(&mut self, operation: usize) {
         let started = &self.started[operation];
         let (index, attempt, handle) = (started.host, started.attempt, started.handle.clone());
+        let fate = self.rng.random_range(0..100);
         if self.chance(10) {
-            let denied = self.hosts[index].ledger.fail_before_send(&handle);
+            let now = self.now();
+            let host = &mut self.hosts[index];
+            let rights = host.route.rights(&host.view);
+            let denied = match host.ledger.retry_dispatch(now, &handle, &rights) {
+                Ok(()) if fate < 50 => host.ledger.fail_before_send(&handle),
+                Ok(()) => {
+                    return self.at(self.now_ms + 2, Some(index), move |w| w.write(operation));
+                }
+                Err(denied) => *denied,
+            };
             return self.deny(operation, denied);
         }
         self.attempts[attempt].runs += 1;
@@ -762,7 +772,6 @@
             .runs
             .entry(self.attempts[attempt].key.clone())
             .or_default() += 1;
-        let fate = self.rng.random_range(0..100);
         let delay = self.rng.random_range(5..2_000);
         self.at(self.now_ms + delay, Some(index), move |world| {
             let now = world.now();
