limits, membership: tests of each rule on single state machines

Change: compact tests drive one tracker, bucket, wallet or gate through each of these cases. The separate check of the process age is dropped: the evidence begins after the start.

--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -132,7 +132,6 @@
     host: HostRecord,
     incarnation: u64,
     timing: ViewTiming,
-    started: Instant,
     last_call: Instant,
     list: HostList,
     /// Start of the last list read that contained this host as live.
@@ -155,7 +154,6 @@
             host,
             incarnation,
             timing,
-            started: now,
             last_call: now,
             list: HostList::default(),
             list_read: None,
@@ -342,7 +340,7 @@
         !self.is_released
             && now.saturating_duration_since(self.last_call) <= self.timing.validity
             && self.is_confirmed(now)
-            && now.saturating_duration_since(self.started) >= wait
+            // The evidence begins after the start, so that the process is as old as well.
             && self
                 .evidence
                 .is_some_and(|it| now.saturating_duration_since(it.from) >= wait)
--- /dev/null
+++ b/lib/tests/limits_state.rs
@@ -0,0 +1,225 @@
+//! The rules that the limit rests on, at one bucket, one wallet and one gate.
+
+mod limits_support;
+
+use std::time::Instant;
+
+use snipepond::{
+    limits::{
+        CentreShare, GrantAccount, GrantReply, GrantRequest, ShareGate, TakeOutcome, TeamBucket,
+        TeamShare, UNITS_PER_TOKEN, WalletTable,
+    },
+    membership::{HostList, HostRecord, HostState},
+    names::{CentreName, TeamName},
+};
+
+use limits_support::{catalogue, ms, secs};
+
+const SHARE: CentreShare = CentreShare {
+    rate: 10.0,
+    burst: 5 * UNITS_PER_TOKEN,
+};
+
+fn ask(sequence: u64, tokens: u64, accounts: Vec<GrantAccount>) -> GrantRequest {
+    GrantRequest {
+        team: "t0".into(),
+        borrower: "h1".into(),
+        incarnation: 1,
+        sequence,
+        wanted: tokens * UNITS_PER_TOKEN,
+        spare: 0,
+        accounts,
+    }
+}
+
+/// Returns a bucket that is full at the returned time.
+fn full_bucket(start: Instant) -> (TeamBucket, Instant) {
+    let mut bucket = TeamBucket::new(start);
+    for second in 0..=3 {
+        bucket.observe(start + secs(second), true, SHARE);
+    }
+    assert_eq!(bucket.level(), SHARE.burst);
+    (bucket, start + secs(3))
+}
+
+/// Guards against: refill on top of unspent grants that an earlier owner made.
+#[test]
+fn new_owner_waits_for_earlier_grants() {
+    let start = Instant::now();
+    let (mut bucket, now) = full_bucket(start);
+    bucket.observe(now, false, SHARE);
+    assert_eq!((bucket.level(), bucket.outstanding()), (0, 0));
+    bucket.observe(now, true, SHARE);
+    bucket.observe(now + ms(1_240), true, SHARE);
+    assert_eq!(bucket.level(), 0);
+    bucket.observe(now + ms(1_450), true, SHARE);
+    assert_eq!(bucket.level(), 2 * UNITS_PER_TOKEN);
+
+    // Another host may have been owner while nothing was observed.
+    let (mut bucket, now) = full_bucket(start);
+    bucket.observe(now + ms(5_001), true, SHARE);
+    assert_eq!(bucket.level(), 0);
+}
+
+/// Guards against: a repeated or overtaken request that is granted a second time.
+#[test]
+fn repeated_request_gets_the_same_reply() {
+    let (mut bucket, now) = full_bucket(Instant::now());
+    let first = bucket.grant(now, true, SHARE, &ask(7, 2, vec![]));
+    assert_eq!(first.granted, 2 * UNITS_PER_TOKEN);
+    assert_eq!(bucket.grant(now, true, SHARE, &ask(7, 2, vec![])), first);
+    assert_eq!(
+        bucket.grant(now, true, SHARE, &ask(6, 2, vec![])).granted,
+        0
+    );
+    assert_eq!(bucket.level(), 3 * UNITS_PER_TOKEN);
+    assert_eq!(bucket.outstanding(), 2 * UNITS_PER_TOKEN);
+}
+
+/// Guards against: refill beyond the burst while grants are unspent, and refill that is lost
+/// because the spending is reported late.
+#[test]
+fn refill_counts_outstanding_grants_and_late_reports() {
+    let (mut bucket, now) = full_bucket(Instant::now());
+    bucket.grant(now, true, SHARE, &ask(1, 2, vec![]));
+    let now = now + ms(500);
+    bucket.observe(now, true, SHARE);
+    assert_eq!(bucket.level(), 3 * UNITS_PER_TOKEN);
+    // One token was spent 200 ms ago; the refill since then fits afterwards, no more than one.
+    let account = GrantAccount {
+        sequence: 1,
+        spent: UNITS_PER_TOKEN,
+        returned: 0,
+        age_ms: 200,
+    };
+    bucket.grant(now, true, SHARE, &ask(2, 0, vec![account]));
+    assert_eq!(bucket.level(), 4 * UNITS_PER_TOKEN);
+    // The same total again, or an account of an unknown grant, changes nothing.
+    let unknown = GrantAccount {
+        sequence: 9,
+        ..account
+    };
+    bucket.grant(now, true, SHARE, &ask(3, 0, vec![account, unknown]));
+    assert_eq!(bucket.level() + bucket.outstanding(), SHARE.burst);
+    // A returned token is available again.
+    let returned = GrantAccount {
+        returned: UNITS_PER_TOKEN,
+        ..account
+    };
+    bucket.grant(now, true, SHARE, &ask(4, 0, vec![returned]));
+    assert_eq!((bucket.level(), bucket.outstanding()), (SHARE.burst, 0));
+}
+
+/// Guards against: a share of zero whose idle time is credited at the later rate.
+#[test]
+fn changed_share_applies_from_now_on() {
+    let start = Instant::now();
+    let mut bucket = TeamBucket::new(start);
+    for second in 0..=3 {
+        bucket.observe(start + secs(second), true, CentreShare::default());
+    }
+    bucket.observe(start + secs(4), true, SHARE);
+    assert_eq!(bucket.level(), 0);
+    bucket.observe(start + secs(5), true, SHARE);
+    assert_eq!(bucket.level(), SHARE.burst);
+    let half = CentreShare {
+        rate: 5.0,
+        burst: 2 * UNITS_PER_TOKEN,
+    };
+    bucket.observe(start + secs(5), true, half);
+    assert_eq!(bucket.level(), 2 * UNITS_PER_TOKEN);
+}
+
+/// Guards against: spending a grant after the owner may have forgotten it, or twice.
+#[test]
+fn wallet_spends_each_grant_once_and_in_time() {
+    let now = Instant::now();
+    let team = TeamName::new("t0");
+    let centre = CentreName::new("c0");
+    let share = TeamShare::of(&catalogue(1, &["in_service"], &[(10.0, 5)]), &team).unwrap();
+    let mut wallets = WalletTable::new("h1".into(), 1, centre.clone());
+    let ask = TakeOutcome::Ask(vec![centre.clone()]);
+    assert_eq!(wallets.take(now, now, &team, &share), ask);
+    let request = wallets.request(now, &team, &centre, 1).unwrap();
+    assert!(
+        wallets.request(now, &team, &centre, 1).is_none(),
+        "one request at a time"
+    );
+    let reply = GrantReply {
+        team: team.clone(),
+        sequence: request.sequence,
+        is_owner: true,
+        granted: 3 * UNITS_PER_TOKEN,
+        lifetime_ms: 1_000,
+        retry_ms: 0,
+        is_tight: false,
+    };
+    // The answer is late, but the grant is still valid; the repeat of the answer is void.
+    wallets.on_lost(now + ms(100), &team, &centre, request.sequence);
+    wallets.on_reply(now + ms(600), &centre, &reply);
+    wallets.on_reply(now + ms(600), &centre, &reply);
+    assert_eq!(
+        wallets.wallet(&team).unwrap().held(now + ms(999)),
+        3 * UNITS_PER_TOKEN
+    );
+    assert_eq!(
+        wallets.take(now + ms(999), now, &team, &share),
+        TakeOutcome::Taken
+    );
+    let late = now + secs(1);
+    assert_ne!(wallets.take(late, late, &team, &share), TakeOutcome::Taken);
+    // Unused tokens are debited before they are returned.
+    let later = now + ms(900);
+    let (_, request) = wallets.due(later).pop().expect("tokens are returned");
+    assert_eq!(request.accounts[0].returned, 2 * UNITS_PER_TOKEN);
+    assert_eq!(wallets.wallet(&team).unwrap().held(later), 0);
+}
+
+/// Guards against: shares that add up to more than the limits while hosts are at different
+/// revisions.
+#[test]
+fn growing_share_waits_for_every_host() {
+    let start = Instant::now();
+    let team = TeamName::new("t0");
+    let record = |centre: usize| HostRecord {
+        name: format!("h{centre}").as_str().into(),
+        address: ([10, 0, 0, 1], 7_000).into(),
+        data_centre: format!("c{centre}").as_str().into(),
+        state: HostState::Live,
+    };
+    let hosts = HostList {
+        version: 1,
+        hosts: (0..3).map(record).collect(),
+    };
+    let live = "in_service";
+    // Burst 3 to 2 takes the share from one data centre and raises the rate of the others.
+    let old = catalogue(1, &[live; 3], &[(12.0, 3)]);
+    let new = catalogue(2, &[live; 3], &[(12.0, 2)]);
+    let mut gates: Vec<ShareGate> = (0..3)
+        .map(|it| ShareGate::new(&record(it), secs(17)))
+        .collect();
+    for gate in &mut gates {
+        gate.on_catalogue(&old);
+        gate.update(start, &hosts);
+    }
+    let total = |gates: &[ShareGate]| -> f64 { gates.iter().map(|it| it.share(&team).rate).sum() };
+    for index in 0..3 {
+        gates[index].on_catalogue(&new);
+        for (gate, second) in gates.iter_mut().zip(0..) {
+            let now = start + secs(10 * index as u64 + second);
+            for host in 0..=index {
+                gate.confirm(&format!("h{host}").as_str().into(), 2);
+            }
+            gate.update(now, &hosts);
+        }
+        assert!(total(&gates) <= 12.0, "after {index}");
+    }
+    assert!(total(&gates) < 9.0, "old grants may be unspent");
+    for gate in &mut gates {
+        gate.update(start + secs(30), &hosts);
+    }
+    assert_eq!(total(&gates), 12.0);
+    // A higher rate takes nothing from anyone and is in force at once.
+    gates[0].on_catalogue(&catalogue(3, &[live; 3], &[(24.0, 2)]));
+    assert!(total(&gates) > 12.0 || gates[0].share(&team).rate == 0.0);
+}
--- /dev/null
+++ b/lib/tests/membership_views.rs
@@ -0,0 +1,239 @@
+//! When a host may act as owner: every case in which it must not, and the planned stop.
+
+use std::time::{Duration, Instant};
+
+use snipepond::{
+    membership::{
+        Heartbeat, HeartbeatReply, HostList, HostRecord, HostState, ViewTiming, ViewTracker,
+    },
+    names::HostName,
+};
+
+const KEYS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+
+fn secs(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs)
+}
+
+fn record(name: &str) -> HostRecord {
+    HostRecord {
+        name: name.into(),
+        address: ([10, 0, 0, 1], 7_000).into(),
+        data_centre: "c0".into(),
+        state: HostState::Live,
+    }
+}
+
+fn list(version: u64, names: &[&str]) -> HostList {
+    HostList {
+        version,
+        hosts: names.iter().map(|it| record(it)).collect(),
+    }
+}
+
+fn tracker(name: &str, start: Instant) -> ViewTracker {
+    ViewTracker::new(record(name), 1, ViewTiming::default(), start)
+}
+
+/// Reads the list every two seconds in `[from, to]`.
+fn read(views: &mut ViewTracker, start: Instant, from: u32, to: u32, list: &HostList) {
+    for at in (from..=to).step_by(2) {
+        let now = start + secs(at.into());
+        views.read_list(now, now, list);
+    }
+}
+
+fn beat(from: &mut ViewTracker, to: &mut ViewTracker, to_name: &str, now: Instant) {
+    let reply = to.hear(now, &from.heartbeat(now));
+    from.confirm(now, now, &to_name.into(), &reply);
+}
+
+fn owned(views: &ViewTracker, now: Instant) -> usize {
+    KEYS.iter().filter(|it| views.owns(it, now)).count()
+}
+
+/// Guards against: a restarted process that acts beside the host that took over from it, and a
+/// cut-off host that acts on an old list.
+#[test]
+fn acts_only_on_uninterrupted_recent_evidence() {
+    let start = Instant::now();
+    let at = |time: f64| start + secs(time);
+    let mut views = tracker("h1", start);
+    let hosts = list(1, &["h1", "h2"]);
+    read(&mut views, start, 0, 16, &hosts);
+    assert_eq!(owned(&views, at(16.9)), 0);
+    read(&mut views, start, 18, 20, &hosts);
+    assert!(owned(&views, at(20.0)) > 0);
+
+    // Ticks are no evidence, and neither is a list from a stale replica.
+    for time in 21..=27 {
+        views.tick(at(time.into()));
+        views.read_list(at(time.into()), at(time.into()), &list(0, &["h1"]));
+    }
+    assert!(views.is_confirmed(at(25.9)));
+    assert_eq!(owned(&views, at(26.1)), 0);
+
+    // Another host may have taken over meanwhile, so the wait begins again.
+    read(&mut views, start, 28, 44, &hosts);
+    assert_eq!(owned(&views, at(44.9)), 0);
+    read(&mut views, start, 46, 46, &hosts);
+    assert!(owned(&views, at(46.0)) > 0);
+}
+
+/// Guards against: a process that resumes after its place was taken over and given back.
+#[test]
+fn pause_discards_evidence() {
+    let start = Instant::now();
+    let at = |time: f64| start + secs(time);
+    let mut views = tracker("h1", start);
+    let hosts = list(1, &["h1", "h2"]);
+    read(&mut views, start, 0, 20, &hosts);
+    assert!(owned(&views, at(20.0)) > 0);
+    // The clock was read after the pause, but no call has noticed the pause yet.
+    assert_eq!(owned(&views, at(60.0)), 0);
+    // An answer to a read from before the pause is old.
+    views.read_list(at(20.0), at(60.0), &hosts);
+    assert!(!views.is_confirmed(at(60.0)));
+    read(&mut views, start, 60, 76, &hosts);
+    assert_eq!(owned(&views, at(76.9)), 0);
+}
+
+/// Guards against: a host that acts while the platform lists it as leaving or not at all.
+#[test]
+fn unlisted_host_owns_nothing() {
+    let start = Instant::now();
+    let mut views = tracker("h1", start);
+    read(&mut views, start, 0, 20, &list(1, &["h1"]));
+    let now = start + secs(20.0);
+    views.read_list(now, now, &list(2, &["h2"]));
+    assert!(!views.is_confirmed(now));
+    assert_eq!(views.heartbeat(now).host.state, HostState::Leaving);
+    assert_eq!(owned(&views, now), 0);
+}
+
+/// Guards against: taking over from a host that the list no longer shows but that still runs.
+#[test]
+fn heard_host_stays_in_the_view() {
+    let start = Instant::now();
+    let mut views = tracker("h1", start);
+    read(&mut views, start, 0, 20, &list(1, &["h1", "h2"]));
+    let before = owned(&views, start + secs(20.0));
+    let only = list(2, &["h1"]);
+    for time in (21..60).step_by(2) {
+        let now = start + secs(time.into());
+        views.read_list(now, now, &only);
+        // A peer names h2; h1 itself hears nothing from it.
+        let reply = HeartbeatReply {
+            host: record("h3"),
+            incarnation: 3,
+            view_hash: 0,
+            heard: vec![snipepond::membership::HeardHost {
+                host: record("h2"),
+                incarnation: 2,
+            }],
+        };
+        views.confirm(now, now, &"h3".into(), &reply);
+        assert!(owned(&views, now) <= before);
+    }
+    // After 6 s of silence both leave the view, and `takeover_wait` later h1 owns their keys.
+    read(&mut views, start, 60, 82, &only);
+    assert!(owned(&views, start + secs(82.0)) <= before);
+    read(&mut views, start, 84, 84, &only);
+    assert_eq!(owned(&views, start + secs(84.0)), KEYS.len());
+}
+
+/// Guards against: a platform outage that stops owners, and a peer that vanishes in it.
+#[test]
+fn peers_confirm_views_without_the_platform() {
+    let start = Instant::now();
+    let hosts = list(1, &["h1", "h2"]);
+    let (mut one, mut two) = (tracker("h1", start), tracker("h2", start));
+    for time in 0..60 {
+        let now = start + secs(time.into());
+        if time <= 20 {
+            one.read_list(now, now, &hosts);
+            two.read_list(now, now, &hosts);
+        }
+        beat(&mut one, &mut two, "h2", now);
+        beat(&mut two, &mut one, "h1", now);
+        let all = owned(&one, now) + owned(&two, now);
+        assert_eq!(all, if time <= 17 { 0 } else { KEYS.len() }, "at {time} s");
+    }
+    for time in 60..100 {
+        one.tick(start + secs(time.into()));
+    }
+    assert_eq!(owned(&one, start + secs(99.0)), 0);
+}
+
+/// Guards against: a planned stop that causes a wait, and a released process that acts.
+#[test]
+fn release_hands_over_without_a_wait() {
+    let start = Instant::now();
+    let hosts = list(1, &["h1", "h2"]);
+    let (mut one, mut two) = (tracker("h1", start), tracker("h2", start));
+    for time in 0..=20 {
+        let now = start + secs(time.into());
+        one.read_list(now, now, &hosts);
+        two.read_list(now, now, &hosts);
+        beat(&mut one, &mut two, "h2", now);
+    }
+    let now = start + secs(20.5);
+    let release = two.release();
+    assert_eq!(owned(&two, now), 0);
+    one.released(now, &release.host, release.incarnation);
+    assert_eq!(owned(&one, now), KEYS.len());
+    // A delayed heartbeat of the released process changes nothing.
+    let late = Heartbeat {
+        host: record("h2"),
+        incarnation: release.incarnation,
+        list_version: 1,
+    };
+    one.hear(now, &late);
+    assert_eq!(owned(&one, now), KEYS.len());
+    // The next process on the host belongs into the view again.
+    one.hear(
+        now,
+        &Heartbeat {
+            incarnation: 2,
+            ..late
+        },
+    );
+    assert!(owned(&one, now) < KEYS.len());
+}
+
+/// Guards against: a late release of an earlier process that excludes its running successor.
+#[test]
+fn release_without_a_recent_answer_is_ignored() {
+    let start = Instant::now();
+    let hosts = list(1, &["h1", "h2"]);
+    let (mut one, mut two) = (tracker("h1", start), tracker("h2", start));
+    read(&mut one, start, 0, 20, &hosts);
+    let now = start + secs(20.0);
+    let release = two.release();
+    one.released(now, &release.host, release.incarnation);
+    assert!(owned(&one, now) < KEYS.len(), "never answered");
+    beat(&mut one, &mut two, "h2", now);
+    read(&mut one, start, 22, 36, &hosts);
+    one.released(start + secs(36.5), &release.host, release.incarnation);
+    assert!(
+        owned(&one, start + secs(36.5)) < KEYS.len(),
+        "answered too long ago"
+    );
+}
+
+/// Guards against: a cold split over fewer hosts than another host still counts.
+#[test]
+fn recent_fleets_keep_replaced_lists() {
+    let start = Instant::now();
+    let at = |time: f64| start + secs(time);
+    let mut views = tracker("h1", start);
+    views.read_list(at(0.0), at(0.0), &list(1, &["h1", "h2"]));
+    views.read_list(at(20.0), at(20.0), &list(2, &["h1"]));
+    let sizes = |now| -> Vec<usize> {
+        let fleets = views.recent_fleets(now);
+        fleets.iter().map(|it| it.len()).collect()
+    };
+    assert_eq!(sizes(at(36.9)), [2, 1]);
+    assert_eq!(sizes(at(37.1)), [1]);
+    assert!(views.hosts().host(&HostName::new("h1")).is_some());
+}
