standin: tokens do not wait for acknowledgements on kept connections

Cause: sockets accepted by tiny_http kept Nagle's algorithm. On a connection that was used before, the first token of a stream waited for the delayed acknowledgement of the answer's head.

Change: the listening socket sets TCP_NODELAY, which accepted sockets inherit. The engine also counts runs by the text of the last message, because routers send upstream request ids of their own.

No test guards it: only arrival times would show the fault.

--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -33,6 +33,12 @@
 /// Length of the list of request ids in the order of their runs.
 const MAX_RUN_ORDER: usize = 4_096;
 
+/// Different last messages whose runs are counted.
+const MAX_TEXTS: usize = 4_096;
+
+/// Longest part of a last message that is kept, in characters.
+const MAX_TEXT_CHARS: usize = 200;
+
 /// How an engine behaves.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -182,6 +188,8 @@
     runs: BTreeMap<String, u64>,
     /// Request ids in the order in which they began to run, the first ones only.
     run_order: Vec<String>,
+    /// Runs by the text of the last message.
+    texts: BTreeMap<String, u64>,
     received: u64,
     completed: u64,
     cancelled: u64,
@@ -266,6 +274,7 @@
             "cache_tokens_used": state.cache.used_tokens(),
             "runs": state.totals.runs,
             "run_order": state.totals.run_order,
+            "texts": state.totals.texts,
             "headers": state.log.headers,
             "targets": state.log.targets,
             "dropped_values": state.log.dropped,
@@ -363,6 +372,9 @@
         let started = {
             let mut state = lock(&self.state);
             count_run(&mut state, &call);
+            if state.totals.texts.len() < MAX_TEXTS || state.totals.texts.contains_key(&job.text) {
+                *state.totals.texts.entry(job.text.clone()).or_default() += 1;
+            }
             let cached = state.cache.cached_tokens(&job.chat, &job.prompt);
             let prompt: u64 = job.prompt.iter().map(|it| it.1).sum();
             state.totals.prompt_tokens += prompt;
@@ -614,6 +626,8 @@
 
 struct ChatJob {
     request_id: Option<String>,
+    /// Beginning of the last message.
+    text: String,
     priority: u64,
     chat: String,
     model: String,
@@ -653,6 +667,11 @@
         };
         Self {
             request_id: call.header("x-request-id").map(str::to_owned),
+            text: request
+                .messages
+                .last()
+                .map(|it| it.text().chars().take(MAX_TEXT_CHARS).collect())
+                .unwrap_or_default(),
             priority: number("x-priority").unwrap_or(u64::MAX),
             chat,
             seed: answer_seed(&request.model, prompt.iter().map(|it| it.0)),
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     io::{self, Read, Write},
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -250,7 +250,11 @@
         listen: SocketAddr,
         make_handler: impl FnOnce(Arc<TcpLink>) -> H,
     ) -> io::Result<Self> {
-        let server = tiny_http::Server::http((Ipv4Addr::LOCALHOST, 0)).map_err(io::Error::other)?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        // Accepted sockets inherit the option on Linux. Without it a token waits up to 40 ms for
+        // the delayed acknowledgement of the one before, and tokens arrive in clusters.
+        socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
+        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let inner_address = server
             .server_addr()
--- a/standin/tests/engine.rs
+++ b/standin/tests/engine.rs
@@ -6,8 +6,8 @@
 
 use serde_json::json;
 use snipepond_standin::{
-    AnswerEnd, AnswerFault, AnswerMode, CallerAnswer, CallerRequest, EngineServer, EngineSettings,
-    expected_text, expected_tokens,
+    AnswerEnd, AnswerFault, AnswerMode, CallerAnswer, CallerConnection, CallerRequest,
+    EngineServer, EngineSettings, expected_text, expected_tokens,
 };
 
 use self::support::{control, get, wait_for};
@@ -63,6 +63,7 @@
     // One chunk for each token and one for the end: nothing was collected on the way.
     assert_eq!(answer.piece_count, 6);
     assert_eq!(engine.stats()["runs"]["r1"], 1);
+    assert_eq!(engine.stats()["texts"]["hello"], 1);
 }
 
 /// Guards against a first event that is sent only together with the last one.
@@ -180,7 +181,7 @@
         .start(engine.address())
         .unwrap();
     blocker.read_events(1);
-    let mut waiting = snipepond_standin::CallerConnection::open(engine.address()).unwrap();
+    let mut waiting = CallerConnection::open(engine.address()).unwrap();
     let request = CallerRequest::chat("m", "waiting", 1, true).header("x-request-id", "gone");
     waiting
         .send_raw(&request.to_bytes(engine.address()))
@@ -356,7 +357,7 @@
         .unwrap();
     reader.read_events(1);
     let second = CallerRequest::chat("m", "second", 10, true);
-    let mut connection = snipepond_standin::CallerConnection::open(engine.address()).unwrap();
+    let mut connection = CallerConnection::open(engine.address()).unwrap();
     connection
         .send_raw(&second.to_bytes(engine.address()))
         .unwrap();
