cli tests: the path of a request and keys

Cause: only whole processes show that pieces, keys and refusals arrive at callers and upstreams as the design page says.

The engine of a chat is found by the text of its last message.

--- a/cli/tests/support/fleet.rs
+++ b/cli/tests/support/fleet.rs
@@ -279,11 +279,14 @@
         }
     }
 
-    /// Returns the index of the engine that ran the request with `id`.
-    pub fn engine_of(&self, id: &str) -> Option<usize> {
+    /// Returns the index of the engine that ran a request whose last message is `text`.
+    ///
+    /// The text identifies a request, because routers need not pass on the request id of a caller:
+    /// two callers may use the same one.
+    pub fn engine_of(&self, text: &str) -> Option<usize> {
         self.engines
             .iter()
-            .position(|it| it.server.stats()["runs"][id].as_u64().unwrap_or(0) > 0)
+            .position(|it| it.server.stats()["texts"][text].as_u64().unwrap_or(0) > 0)
     }
 
     /// Returns how often any service upstream ran a call with `key`.
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -91,3 +91,21 @@
         .header("Content-Type", "text/plain")
         .body("two cups")
 }
+
+/// Returns a ticket that the host at `address` issues to the team of `key`.
+pub fn ticket(address: SocketAddr, key: &str) -> String {
+    let request = CallerRequest::new("POST", "/v1/operations").key(key);
+    let mut ticket = String::new();
+    wait_for("a ticket", || {
+        let Ok(answer) = request.call(address) else {
+            return false;
+        };
+        let text = answer.text();
+        let found = text
+            .split(['"', ' ', '\n'])
+            .find(|it| it.starts_with("spt1."));
+        ticket = found.unwrap_or_default().to_owned();
+        answer.status < 300 && !ticket.is_empty()
+    });
+    ticket
+}
