cli: demo command (does not finish yet)

Cause: a new user needs one command that shows the main job. Change: two routers with stand-ins in one process; chat, look-up, checkout, withdrawn key. Measured: the first run stopped: stakker's default build allows one instance per process, and the failed start then waited for threads that nobody had told to end.

--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -8,7 +8,7 @@
 
 use serde::Serialize;
 
-use crate::{check, explain, key, slo, status};
+use crate::{check, demo, explain, key, slo, status};
 
 /// Exit status of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,6 +98,12 @@
 
 /// All commands in the order of the help text.
 const COMMANDS: &[CommandSpec] = &[
+    CommandSpec {
+        name: "demo",
+        usage: "demo",
+        summary: "run two routers with stand-ins in one process and show what they decide",
+        run: demo::run,
+    },
     CommandSpec {
         name: "check",
         usage: "check FILE [--json]",
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod command;
+mod demo;
 mod explain;
 mod fetch;
 mod key;
