routing: usual load of each upstream, shares of cold ones in the mean

A late report was blended with the mean of all upstreams. With short requests this ignored every report, also about a lasting load. It is now blended with the upstream's own running mean.

A cold or returning upstream counted in the mean with its whole capacity, so that the others were over the bound and their overflow went to it. It now counts with the share that it takes.

A chat is hot from its third request within 8 s at a host instead of the second, because requests that follow one another should keep their engine.

The least-loaded baseline of the measurement now uses the plain rule, last report plus own work sent since.

--- a/lib/examples/routing_measure.rs
+++ b/lib/examples/routing_measure.rs
@@ -16,8 +16,8 @@
     names::{HostName, ModelName, UpstreamName},
     rendezvous,
     routing::{
-        ColdGate, FinishKind, HostSet, LoadReport, LoadSettings, LoadTable, PickOutcome,
-        PickRequest, PickTarget, RoutingSettings, UpstreamPicker,
+        ColdGate, FinishKind, HostSet, LoadReport, LoadTable, PickOutcome, PickRequest, PickTarget,
+        RoutingSettings, UpstreamPicker,
     },
 };
 
@@ -143,7 +143,8 @@
     engines: Vec<Engine>,
     catalogue: Catalogue,
     pickers: Vec<UpstreamPicker>,
-    tables: Vec<LoadTable>,
+    /// For least-loaded, by host and engine: last report plus own work sent since.
+    loads: Vec<Vec<u64>>,
     fleets: Vec<HostSet>,
     chats: HashMap<u64, Chat>,
     next_chat: u64,
@@ -189,7 +190,7 @@
             pickers: (0..scenario.hosts)
                 .map(|it| UpstreamPicker::new(RoutingSettings::default(), host(it), "dc".into()))
                 .collect(),
-            tables: vec![LoadTable::new(LoadSettings::default()); scenario.hosts],
+            loads: vec![vec![0; scenario.engines]; scenario.hosts],
             fleets: vec![(0..scenario.hosts).map(host).collect()],
             scenario,
             strategy,
@@ -356,16 +357,13 @@
                 }
             }
             Strategy::LeastLoaded => {
-                let table = &mut self.tables[host];
-                let summary =
-                    table.summary(now, taking.iter().map(|it| (&self.engines[*it].name, 1.0)));
                 // Ties are broken at random, or all hosts would prefer the first names.
-                let chosen = taking.into_iter().min_by_key(|it| {
-                    let name = &self.engines[*it].name;
-                    let work = table.estimate(now, name, 1.0, &summary).work;
-                    (work as u64, self.rng.random::<u32>())
-                })?;
-                table.started(now, &self.engines[chosen].name, work);
+                let loads = &mut self.loads[host];
+                let rng = &mut self.rng;
+                let chosen = taking
+                    .into_iter()
+                    .min_by_key(|it| (loads[*it], rng.random::<u32>()))?;
+                loads[chosen] += work;
                 Some(chosen)
             }
             Strategy::Modulo => {
@@ -406,8 +404,7 @@
                     self.tell(now, host, &notice);
                 }
             }
-            Strategy::LeastLoaded => self.tables[host].finished(now, &name, work),
-            Strategy::Modulo => {}
+            Strategy::LeastLoaded | Strategy::Modulo => {}
         }
     }
 
@@ -450,9 +447,7 @@
                             self.tell(now, host, &notice);
                         }
                     }
-                    Strategy::LeastLoaded => {
-                        self.tables[host].report(now, &name, &report);
-                    }
+                    Strategy::LeastLoaded => self.loads[host][index] = work_tokens,
                     Strategy::Modulo => {}
                 }
             }
--- a/lib/src/routing/cold.rs
+++ b/lib/src/routing/cold.rs
@@ -101,6 +101,8 @@
     ramp: Duration,
     settle: Duration,
     records: HashMap<UpstreamName, GateRecord>,
+    /// Upstreams that may not take all their chats; it contains all others at most for a while.
+    limited: HashSet<UpstreamName>,
 }
 
 /// Returns the slots of host `own` in the cold allowance of an upstream.
@@ -152,6 +154,7 @@
             ramp,
             settle,
             records: HashMap::new(),
+            limited: HashSet::new(),
         }
     }
 
@@ -168,7 +171,7 @@
     /// Notes that the upstream takes new work again after an absence.
     pub fn returned(&mut self, now: Instant, upstream: &UpstreamName, absence: Duration) {
         let ramp = self.ramp.min(absence);
-        let record = self.record(upstream);
+        let record = self.limited_record(upstream);
         if let GateState::Warm { .. } = record.state {
             // After a short absence its cache still holds most chats, so the ramp-up is no longer
             // than the absence.
@@ -183,7 +186,7 @@
         incarnation: Option<u64>,
         reason: ColdReason,
     ) -> Option<ColdNotice> {
-        let record = self.record(upstream);
+        let record = self.limited_record(upstream);
         if record.start(incarnation, reason) {
             Some(ColdNotice {
                 upstream: upstream.clone(),
@@ -273,7 +276,7 @@
     ///
     /// It is limited like a cold one until a report that must be younger than the break.
     pub fn broken(&mut self, now: Instant, upstream: &UpstreamName) {
-        let record = self.record(upstream);
+        let record = self.limited_record(upstream);
         if let GateState::Warm { .. } | GateState::Unknown { .. } = record.state {
             record.state = GateState::Unknown {
                 broken_at: Some(now),
@@ -283,7 +286,7 @@
 
     /// Takes a peer's notice.
     pub fn notice(&mut self, now: Instant, notice: &ColdNotice) {
-        let record = self.record(&notice.upstream);
+        let record = self.limited_record(&notice.upstream);
         match notice.change {
             ColdChange::Started(reason) => {
                 let is_late = notice.incarnation.is_some() && notice.incarnation == record.warmed;
@@ -343,7 +346,7 @@
         {
             record.warm(responded + warmup, ramp);
         }
-        match record.state {
+        let phase = match record.state {
             GateState::Unknown { .. } => ColdPhase::Unknown,
             GateState::Cold { reason, .. } => ColdPhase::Cold(reason),
             GateState::Warm { from, ramp } => {
@@ -355,7 +358,16 @@
                     ColdPhase::Warm(RAMP_FLOOR + (1.0 - RAMP_FLOOR) * progress)
                 }
             }
+        };
+        if phase == ColdPhase::Warm(1.0) {
+            self.limited.remove(upstream);
         }
+        phase
+    }
+
+    /// Returns whether an upstream may have a share of its chats below 1; cheap if none has.
+    pub fn is_limited(&self, upstream: &UpstreamName) -> bool {
+        !self.limited.is_empty() && self.limited.contains(upstream)
     }
 
     /// Returns when the upstream last refused a connection, unless it became warm since.
@@ -377,6 +389,8 @@
     /// Removes upstreams that `keep` rejects.
     pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamName) -> bool) {
         self.records.retain(|name, _| keep(name));
+        let records = &self.records;
+        self.limited.retain(|it| records.contains_key(it));
     }
 
     /// Bytes of state per upstream, without its name and the hash table's overhead.
@@ -384,7 +398,16 @@
         size_of::<(UpstreamName, GateRecord)>()
     }
 
+    /// Returns the record of an upstream whose share may fall below 1.
+    fn limited_record(&mut self, upstream: &UpstreamName) -> &mut GateRecord {
+        self.limited.insert(upstream.clone());
+        self.record(upstream)
+    }
+
     fn record(&mut self, upstream: &UpstreamName) -> &mut GateRecord {
+        if !self.records.contains_key(upstream) {
+            self.limited.insert(upstream.clone());
+        }
         self.records.entry(upstream.clone()).or_insert(GateRecord {
             state: GateState::Unknown { broken_at: None },
             incarnation: None,
--- a/lib/src/routing/load.rs
+++ b/lib/src/routing/load.rs
@@ -21,6 +21,10 @@
 /// A first-token time above this multiple of the running median is a jump.
 const JUMP_MULTIPLE: f64 = 4.0;
 
+/// Time constant of an upstream's usual load, and of the trust in it without reports. It is longer
+/// than usual requests, so that the usual load does not follow their random ups and downs.
+const USUAL_LOAD_TIME: Duration = Duration::from_secs(20);
+
 /// Weight of the assumed duration of a request, as a number of requests.
 const ASSUMED_REQUESTS: f64 = 10.0;
 
@@ -79,6 +83,14 @@
 }
 
 impl LoadAmount {
+    /// Returns `weight` of this amount plus the rest of `other`.
+    fn blend(self, weight: f64, other: Self) -> Self {
+        Self {
+            tokens: weight * self.tokens + (1.0 - weight) * other.tokens,
+            requests: weight * self.requests + (1.0 - weight) * other.requests,
+        }
+    }
+
     fn max(self, other: Self) -> Self {
         Self {
             tokens: self.tokens.max(other.tokens),
@@ -212,6 +224,8 @@
     arrival: Instant,
     incarnation: u64,
     others: LoadAmount,
+    /// Running mean of `others`.
+    usual: LoadAmount,
 }
 
 #[derive(Clone, Debug)]
@@ -302,6 +316,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LoadIndex(usize);
 
+/// Part that remains after `age` of what fades with the time constant `time`.
+fn fading(age: Duration, time: Duration) -> f64 {
+    (-age.as_secs_f64() / time.as_secs_f64().max(1e-3)).exp()
+}
+
 /// Last report and own requests of every upstream.
 ///
 /// The estimate is the work of other hosts plus the own work in flight. The work of other hosts is
@@ -398,13 +417,23 @@
             report.work_tokens as f64
         };
         record.take_incarnation(effect, report.incarnation);
+        let others = LoadAmount {
+            tokens: (tokens - own.tokens).max(0.0),
+            requests: (requests - own.requests).max(0.0),
+        };
+        let usual = match &record.held {
+            Some(held) if effect == ReportEffect::Same => {
+                let interval = now.saturating_duration_since(held.arrival);
+                let weight = fading(interval, USUAL_LOAD_TIME);
+                held.usual.blend(weight, others)
+            }
+            _ => others,
+        };
         record.held = Some(HeldReport {
             arrival: now,
             incarnation: report.incarnation,
-            others: LoadAmount {
-                tokens: (tokens - own.tokens).max(0.0),
-                requests: (requests - own.requests).max(0.0),
-            },
+            others,
+            usual,
         });
         effect
     }
@@ -424,6 +453,7 @@
                 // The new process has none of the work that the old one reported.
                 held.incarnation = incarnation;
                 held.others = LoadAmount::default();
+                held.usual = LoadAmount::default();
             }
         }
         effect
@@ -527,9 +557,9 @@
         summary.own.tokens += record.window.current.tokens;
         summary.own.requests += record.window.current.requests;
         if let Some(held) = &record.held {
-            let weight = self.report_weight(now, held);
-            summary.reported.tokens += weight * held.others.tokens;
-            summary.reported.requests += weight * held.others.requests;
+            let (others, weight) = self.expected_others(now, held);
+            summary.reported.tokens += weight * others.tokens;
+            summary.reported.requests += weight * others.requests;
             summary.reported_capacity += weight * capacity;
         }
     }
@@ -543,16 +573,21 @@
     ) -> LoadEstimate {
         let record = &self.records[index.0];
         let own = record.window.current;
-        let usual = summary.others();
-        let (others, weight) = match &record.held {
-            Some(held) => (held.others, self.report_weight(now, held)),
-            None => (LoadAmount::default(), 0.0),
+        let mean = summary.others();
+        let mean = LoadAmount {
+            tokens: mean.tokens * capacity,
+            requests: mean.requests * capacity,
+        };
+        let others = match &record.held {
+            Some(held) => {
+                let (others, weight) = self.expected_others(now, held);
+                others.blend(weight, mean)
+            }
+            None => mean,
         };
-        let blend =
-            |reported: f64, usual: f64| weight * reported + (1.0 - weight) * usual * capacity;
         LoadEstimate {
-            work: blend(others.tokens, usual.tokens) + own.tokens,
-            requests: blend(others.requests, usual.requests) + own.requests,
+            work: others.tokens + own.tokens,
+            requests: others.requests + own.requests,
             own_requests: own.requests as u32,
             report_age: record
                 .held
@@ -560,13 +595,18 @@
         }
     }
 
-    /// How far a report still says more about the upstream than the mean does.
+    /// Returns the expected work of other hosts, and how far it counts against the mean of all
+    /// upstreams.
     ///
     /// Requests that ran at the moment of the report have ended by now with a probability that
-    /// follows from their usual duration; what replaced them is on average the mean load.
-    fn report_weight(&self, now: Instant, held: &HeldReport) -> f64 {
-        let age = now.saturating_duration_since(held.arrival) + self.settings.report_lag / 2;
-        (-age.as_secs_f64() / self.durations.mean().max(1e-3)).exp()
+    /// follows from their usual duration; what replaced them is on average the usual load of the
+    /// upstream. Without new reports the usual load itself becomes doubtful.
+    fn expected_others(&self, now: Instant, held: &HeldReport) -> (LoadAmount, f64) {
+        let age = now.saturating_duration_since(held.arrival);
+        let lag = self.settings.report_lag / 2;
+        let duration = Duration::from_secs_f64(self.durations.mean());
+        let others = held.others.blend(fading(age + lag, duration), held.usual);
+        (others, fading(age, USUAL_LOAD_TIME))
     }
 
     fn bucket_width(&self) -> Duration {
--- a/lib/src/routing/pick.rs
+++ b/lib/src/routing/pick.rs
@@ -47,7 +47,9 @@
     pub ramp_up: Duration,
     /// An upstream that refused a connection is not tried again before this time.
     pub refusal_pause: Duration,
-    /// A chat that comes again at this host within this time counts as hot.
+    /// A chat with three requests at this host within this time counts as hot.
+    ///
+    /// A chat whose requests follow one another rarely has so many.
     pub hot_window: Duration,
 }
 
@@ -216,23 +218,33 @@
     since: Instant,
 }
 
+/// A chat and its last two requests at this host, the later one first.
+#[derive(Clone, Copy, Debug)]
+struct RecentChat {
+    hash: u64,
+    requests: [Option<Instant>; 2],
+}
+
 /// Chats that came a moment ago, by hash; a later chat of the same slot replaces an earlier one.
 #[derive(Clone, Debug, Default)]
 struct RecentChats {
-    slots: Vec<Option<(u64, Instant)>>,
+    slots: Vec<Option<RecentChat>>,
 }
 
 impl RecentChats {
-    /// Notes a request of a chat and returns whether the last one was less than `window` ago.
-    fn note(&mut self, now: Instant, chat_hash: u64, window: Duration) -> bool {
+    /// Notes a request of a chat and returns whether it is the third within `window`.
+    fn note(&mut self, now: Instant, hash: u64, window: Duration) -> bool {
         if self.slots.is_empty() {
             self.slots.resize(RECENT_CHATS, None);
         }
-        let slot = &mut self.slots[chat_hash as usize % RECENT_CHATS];
-        let last = slot.replace((chat_hash, now));
-        last.is_some_and(|(hash, at)| {
-            hash == chat_hash && now.saturating_duration_since(at) < window
-        })
+        let slot = &mut self.slots[hash as usize % RECENT_CHATS];
+        let [last, before] = match slot {
+            Some(chat) if chat.hash == hash => chat.requests,
+            _ => [None, None],
+        };
+        let requests = [Some(now), last];
+        *slot = Some(RecentChat { hash, requests });
+        before.is_some_and(|it| now.saturating_duration_since(it) < window)
     }
 }
 
@@ -527,9 +539,9 @@
 }
 
 impl JudgedCandidate<'_> {
-    /// Load per unit of capacity.
+    /// Load per unit of the capacity that is open to it.
     fn relative_load(&self, load: f64) -> f64 {
-        load / self.candidate.capacity
+        load / (self.candidate.capacity * self.phase.chat_share())
     }
 
     /// Whether the request may run there although the verdict is negative.
@@ -550,8 +562,9 @@
         scratch.clear();
         let mut summary = LoadSummary::default();
         for (position, candidate) in group.iter().enumerate() {
+            let capacity = candidate.capacity * self.share_of(candidate);
             self.table
-                .add_to_summary(self.now, candidate.index, candidate.capacity, &mut summary);
+                .add_to_summary(self.now, candidate.index, capacity, &mut summary);
             scratch.push(OrderedCandidate {
                 score: rendezvous::hashed_score(self.key_hash, candidate.hash, candidate.capacity),
                 position,
@@ -615,6 +628,17 @@
         Some(self.pick_of(judged, PickReason::LeastLoaded))
     }
 
+    /// Share of its load that a candidate takes.
+    fn share_of(&mut self, candidate: &CandidateUpstream) -> f64 {
+        if self.gate.is_limited(&candidate.name) {
+            self.gate
+                .phase(self.now, &candidate.name, candidate.warmup)
+                .chat_share()
+        } else {
+            1.0
+        }
+    }
+
     fn judge<'a>(
         &mut self,
         candidate: &'a CandidateUpstream,
@@ -626,7 +650,10 @@
         let rank = self.rank;
         self.rank += 1;
         let phase = self.gate.phase(self.now, &candidate.name, candidate.warmup);
-        let mean = candidate.capacity
+        // The others carry what a cold or returning upstream does not take yet, and its own load
+        // rises with its share.
+        let capacity = candidate.capacity * phase.chat_share();
+        let mean = capacity
             * match self.request.target {
                 PickTarget::Model(_) => summary.mean_work(),
                 PickTarget::Service(_) => summary.mean_requests(),
@@ -638,7 +665,7 @@
             estimate,
             phase,
             mean,
-            own_mean: candidate.capacity * summary.mean_own_requests(),
+            own_mean: capacity * summary.mean_own_requests(),
             bound,
             verdict: Ok(()),
         };
@@ -677,6 +704,9 @@
         {
             return Err(SkipReason::RampUp(share));
         }
+        if estimate.own_requests == 0 && estimate.requests < self.idle_requests(candidate) {
+            return Ok(());
+        }
         if self.is_hot && f64::from(estimate.own_requests) >= self.hot_quota(judged) {
             return Err(SkipReason::HotChat);
         }
@@ -684,9 +714,6 @@
         if load + self.request_load() <= judged.bound || load <= judged.mean {
             return Ok(());
         }
-        if estimate.own_requests == 0 && estimate.requests < self.idle_requests(candidate) {
-            return Ok(());
-        }
         Err(SkipReason::OverBound)
     }
 
--- a/lib/tests/routing_picker.rs
+++ b/lib/tests/routing_picker.rs
@@ -161,11 +161,11 @@
         let summary = table.summary(now, both);
         table.estimate(now, name, 1.0, &summary).work
     };
-    assert!(work(&table, &busy, now) > 650.0);
-    assert!((50.0..200.0).contains(&work(&table, &idle, now)));
+    assert_eq!(work(&table, &busy, now), 800.0);
+    assert_eq!(work(&table, &idle, now), 50.0);
     // The report about `idle` stays fresh; the one about `busy` loses its weight.
     let mut last = work(&table, &busy, now);
-    for age in 4..60 {
+    for age in 1..200 {
         let later = now + age * SECOND;
         table.report(later, &idle, &report(1, 50));
         let aged = work(&table, &busy, later);
@@ -175,6 +175,33 @@
     assert!(last < 1.0, "an old report still counts {last}");
 }
 
+/// Guards against a late report that is taken for the present although its requests are over, and
+/// against a lasting load that is ignored for the same reason.
+#[test]
+fn short_requests_make_a_single_report_doubtful() {
+    let start = Instant::now();
+    let mut table = LoadTable::new(LoadSettings::default());
+    let [steady, spiky] = ["steady", "spiky"].map(UpstreamName::new);
+    for step in 0..1_000 {
+        // Own requests of 50 ms show how long requests take.
+        table.started(start + step * 60 * MS, &steady, 10);
+        table.finished(start + (step * 60 + 50) * MS, &steady, 10);
+    }
+    let estimates = |spike: u32, table: &mut LoadTable, second: u32| {
+        let now = start + second * SECOND;
+        table.report(now, &steady, &report(8, 800));
+        table.report(now, &spiky, &report(spike, u64::from(spike) * 100));
+        let summary = table.summary(now, [(&steady, 1.0), (&spiky, 1.0)]);
+        [&steady, &spiky].map(|it| table.estimate(now, it, 1.0, &summary).work)
+    };
+    for second in 60..120 {
+        estimates(2, &mut table, second);
+    }
+    let [steady_work, spiky_work] = estimates(20, &mut table, 120);
+    assert!(steady_work > 750.0, "{steady_work}");
+    assert!(spiky_work < 350.0, "{spiky_work}");
+}
+
 /// Guards against an unannounced restart or a jump of first-token time that stays unnoticed, and
 /// against a late report of a replaced process that is taken for another restart.
 #[test]
