--- a/lib/src/routing/cold.rs
+++ b/lib/src/routing/cold.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    fmt,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -35,6 +36,18 @@
     Joined,
 }
 
+impl fmt::Display for ColdReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Announced => "announced",
+            Self::NewIncarnation => "new incarnation",
+            Self::RefusedConnection => "refused a connection",
+            Self::FirstTokenJump => "first-token time jumped",
+            Self::Joined => "joined",
+        })
+    }
+}
+
 /// What happened to a cold upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -103,6 +116,7 @@
     records: HashMap<UpstreamName, GateRecord>,
     /// Upstreams that may not take all their chats; it contains all others at most for a while.
     limited: HashSet<UpstreamName>,
+    union: Option<FleetUnion>,
 }
 
 /// Returns the slots of host `own` in the cold allowance of an upstream.
@@ -120,27 +134,53 @@
     allowance: u32,
     fleets: &[HostSet],
 ) -> u32 {
-    if fleets.is_empty() || !fleets.iter().all(|it| it.contains(own)) {
-        return 0;
-    }
-    let upstream_hash = rendezvous::hash_parts(&[upstream.as_str()]);
-    let order =
-        |host: &HostName| rendezvous::mix(upstream_hash, rendezvous::hash_parts(&[host.as_str()]));
-    let own_order = order(own);
-    let mut seen = HashSet::new();
-    let mut hosts = 0;
-    let mut rank = 0;
-    for host in fleets.iter().flat_map(|it| it.iter()) {
-        if !seen.insert(host) {
-            continue;
+    FleetUnion::new(own, fleets).share(upstream, allowance)
+}
+
+/// Union of the host sets in force, prepared for the shares of many upstreams.
+#[derive(Clone, Debug)]
+struct FleetUnion {
+    fleets: Vec<HostSet>,
+    own_hash: u64,
+    /// Whether the own host is in every set.
+    is_member: bool,
+    host_hashes: Vec<u64>,
+}
+
+impl FleetUnion {
+    fn new(own: &HostName, fleets: &[HostSet]) -> Self {
+        let hash = |host: &HostName| rendezvous::hash_parts(&[host.as_str()]);
+        let mut host_hashes: Vec<u64> = fleets.iter().flat_map(|it| it.iter()).map(hash).collect();
+        host_hashes.sort_unstable();
+        host_hashes.dedup();
+        Self {
+            fleets: fleets.to_vec(),
+            own_hash: hash(own),
+            is_member: !fleets.is_empty() && fleets.iter().all(|it| it.contains(own)),
+            host_hashes,
         }
-        hosts += 1;
-        let host_order = order(host);
-        if host_order > own_order || (host_order == own_order && host < own) {
-            rank += 1;
+    }
+
+    fn is_of(&self, fleets: &[HostSet]) -> bool {
+        self.fleets.len() == fleets.len()
+            && self
+                .fleets
+                .iter()
+                .zip(fleets)
+                .all(|(a, b)| Arc::ptr_eq(a, b))
+    }
+
+    fn share(&self, upstream: &UpstreamName, allowance: u32) -> u32 {
+        if !self.is_member {
+            return 0;
         }
+        let upstream_hash = rendezvous::hash_parts(&[upstream.as_str()]);
+        let own_order = rendezvous::mix(upstream_hash, self.own_hash);
+        let before = |it: &&u64| rendezvous::mix(upstream_hash, **it) > own_order;
+        let rank = self.host_hashes.iter().filter(before).count() as u32;
+        let hosts = self.host_hashes.len() as u32;
+        allowance / hosts + u32::from(rank < allowance % hosts)
     }
-    allowance / hosts + u32::from(rank < allowance % hosts)
 }
 
 impl ColdGate {
@@ -155,6 +195,7 @@
             settle,
             records: HashMap::new(),
             limited: HashSet::new(),
+            union: None,
         }
     }
 
@@ -377,13 +418,20 @@
 
     /// Returns whether a cold upstream may take one more request, given the own ones in flight.
     pub fn has_slot(
-        &self,
+        &mut self,
         upstream: &UpstreamName,
         allowance: u32,
         in_flight: u32,
         fleets: &[HostSet],
     ) -> bool {
-        in_flight < cold_share(&self.own, upstream, allowance, fleets)
+        if !self.union.as_ref().is_some_and(|it| it.is_of(fleets)) {
+            self.union = None;
+        }
+        let own = &self.own;
+        let union = self
+            .union
+            .get_or_insert_with(|| FleetUnion::new(own, fleets));
+        in_flight < union.share(upstream, allowance)
     }
 
     /// Removes upstreams that `keep` rejects.
--- a/lib/src/routing/pick.rs
+++ b/lib/src/routing/pick.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BinaryHeap, HashMap},
+    fmt,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -99,6 +100,16 @@
     LeastLoaded,
 }
 
+impl fmt::Display for PickReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::ChatOrder => "first acceptable one in the order of the chat",
+            Self::LessLoaded => "less loaded of the first two acceptable ones",
+            Self::LeastLoaded => "least loaded, none is within its bound",
+        })
+    }
+}
+
 /// Why an upstream was not picked.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum SkipReason {
@@ -120,6 +131,26 @@
     MoreLoaded,
 }
 
+impl fmt::Display for SkipReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Tried => f.write_str("already tried for this request"),
+            Self::Refused => f.write_str("refused a connection a moment ago"),
+            Self::NoColdSlot(ColdPhase::Cold(reason)) => {
+                write!(f, "cold ({reason}) and no free slot of this host")
+            }
+            Self::NoColdSlot(_) => f.write_str("state unknown and no free slot of this host"),
+            Self::Full => f.write_str("at capacity"),
+            Self::RampUp(share) => {
+                write!(f, "takes {:.0}% of its chats, not this one", share * 100.0)
+            }
+            Self::OverBound => f.write_str("over the load bound"),
+            Self::HotChat => f.write_str("hot chat and no free place of this host"),
+            Self::MoreLoaded => f.write_str("more loaded than the other choice"),
+        }
+    }
+}
+
 /// An upstream that was not picked.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SkippedUpstream {
--- a/lib/src/schedule/queue.rs
+++ b/lib/src/schedule/queue.rs
@@ -3,6 +3,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, VecDeque},
+    fmt,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -103,6 +104,17 @@
     DeadlinePassed,
 }
 
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::QueueFull => "queue full",
+            Self::Shed => "shed for another request",
+            Self::WaitedTooLong => "waited too long in the queue",
+            Self::DeadlinePassed => "deadline passed in the queue",
+        })
+    }
+}
+
 /// A request that leaves the queue without a start.
 #[derive(Clone, Debug)]
 pub struct RefusedRequest<T> {
