--- a/lib/src/routing/cold.rs
+++ b/lib/src/routing/cold.rs
@@ -15,6 +15,8 @@
 };
 
 /// Live hosts of the fleet in one host list, in any order.
+///
+/// Pass the same `Arc` for the same list: the gate prepares the sets again when an `Arc` changes.
 pub type HostSet = Arc<[HostName]>;
 
 /// Share of the chats that a cold upstream, or one at the start of its ramp-up, takes.
