--- a/lib/src/routing/cold.rs
+++ b/lib/src/routing/cold.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    fmt,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -14,6 +15,8 @@
 };
 
 /// Live hosts of the fleet in one host list, in any order.
+///
+/// Pass the same `Arc` for the same list: the gate prepares the sets again when an `Arc` changes.
 pub type HostSet = Arc<[HostName]>;
 
 /// Share of the chats that a cold upstream, or one at the start of its ramp-up, takes.
@@ -35,6 +38,18 @@
     Joined,
 }
 
+impl fmt::Display for ColdReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Announced => "announced",
+            Self::NewIncarnation => "new incarnation",
+            Self::RefusedConnection => "refused a connection",
+            Self::FirstTokenJump => "first-token time jumped",
+            Self::Joined => "joined",
+        })
+    }
+}
+
 /// What happened to a cold upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -72,6 +87,7 @@
     /// No report since process start or, if set, since a connection broke.
     Unknown {
         broken_at: Option<Instant>,
+        responded: Option<Instant>,
     },
     Cold {
         reason: ColdReason,
@@ -101,6 +117,9 @@
     ramp: Duration,
     settle: Duration,
     records: HashMap<UpstreamName, GateRecord>,
+    /// Upstreams that may not take all their chats; it contains all others at most for a while.
+    limited: HashSet<UpstreamName>,
+    union: Option<FleetUnion>,
 }
 
 /// Returns the slots of host `own` in the cold allowance of an upstream.
@@ -118,27 +137,53 @@
     allowance: u32,
     fleets: &[HostSet],
 ) -> u32 {
-    if fleets.is_empty() || !fleets.iter().all(|it| it.contains(own)) {
-        return 0;
-    }
-    let upstream_hash = rendezvous::hash_parts(&[upstream.as_str()]);
-    let order =
-        |host: &HostName| rendezvous::mix(upstream_hash, rendezvous::hash_parts(&[host.as_str()]));
-    let own_order = order(own);
-    let mut seen = HashSet::new();
-    let mut hosts = 0;
-    let mut rank = 0;
-    for host in fleets.iter().flat_map(|it| it.iter()) {
-        if !seen.insert(host) {
-            continue;
+    FleetUnion::new(own, fleets).share(upstream, allowance)
+}
+
+/// Union of the host sets in force, prepared for the shares of many upstreams.
+#[derive(Clone, Debug)]
+struct FleetUnion {
+    fleets: Vec<HostSet>,
+    own_hash: u64,
+    /// Whether the own host is in every set.
+    is_member: bool,
+    host_hashes: Vec<u64>,
+}
+
+impl FleetUnion {
+    fn new(own: &HostName, fleets: &[HostSet]) -> Self {
+        let hash = |host: &HostName| rendezvous::hash_parts(&[host.as_str()]);
+        let mut host_hashes: Vec<u64> = fleets.iter().flat_map(|it| it.iter()).map(hash).collect();
+        host_hashes.sort_unstable();
+        host_hashes.dedup();
+        Self {
+            fleets: fleets.to_vec(),
+            own_hash: hash(own),
+            is_member: !fleets.is_empty() && fleets.iter().all(|it| it.contains(own)),
+            host_hashes,
         }
-        hosts += 1;
-        let host_order = order(host);
-        if host_order > own_order || (host_order == own_order && host < own) {
-            rank += 1;
+    }
+
+    fn is_of(&self, fleets: &[HostSet]) -> bool {
+        self.fleets.len() == fleets.len()
+            && self
+                .fleets
+                .iter()
+                .zip(fleets)
+                .all(|(a, b)| Arc::ptr_eq(a, b))
+    }
+
+    fn share(&self, upstream: &UpstreamName, allowance: u32) -> u32 {
+        if !self.is_member {
+            return 0;
         }
+        let upstream_hash = rendezvous::hash_parts(&[upstream.as_str()]);
+        let own_order = rendezvous::mix(upstream_hash, self.own_hash);
+        let before = |it: &&u64| rendezvous::mix(upstream_hash, **it) > own_order;
+        let rank = self.host_hashes.iter().filter(before).count() as u32;
+        let hosts = self.host_hashes.len() as u32;
+        allowance / hosts + u32::from(rank < allowance % hosts)
     }
-    allowance / hosts + u32::from(rank < allowance % hosts)
 }
 
 impl ColdGate {
@@ -152,6 +197,8 @@
             ramp,
             settle,
             records: HashMap::new(),
+            limited: HashSet::new(),
+            union: None,
         }
     }
 
@@ -168,7 +215,7 @@
     /// Notes that the upstream takes new work again after an absence.
     pub fn returned(&mut self, now: Instant, upstream: &UpstreamName, absence: Duration) {
         let ramp = self.ramp.min(absence);
-        let record = self.record(upstream);
+        let record = self.limited_record(upstream);
         if let GateState::Warm { .. } = record.state {
             // After a short absence its cache still holds most chats, so the ramp-up is no longer
             // than the absence.
@@ -183,7 +230,7 @@
         incarnation: Option<u64>,
         reason: ColdReason,
     ) -> Option<ColdNotice> {
-        let record = self.record(upstream);
+        let record = self.limited_record(upstream);
         if record.start(incarnation, reason) {
             Some(ColdNotice {
                 upstream: upstream.clone(),
@@ -218,7 +265,7 @@
         let record = self.record(upstream);
         record.incarnation = Some(incarnation);
         match record.state {
-            GateState::Unknown { broken_at } => {
+            GateState::Unknown { broken_at, .. } => {
                 // A report that may be older than the break proves nothing.
                 if broken_at.is_none_or(|it| now.saturating_duration_since(it) >= settle) {
                     record.state = GateState::Warm {
@@ -241,13 +288,10 @@
         let record = self.record(upstream);
         match &mut record.state {
             GateState::Cold { responded, .. } if responded.is_none() => *responded = Some(now),
-            GateState::Unknown { .. } => {
-                // Without reports this is the only sign; the warm-up time applies all the same.
-                record.state = GateState::Cold {
-                    reason: ColdReason::Joined,
-                    announced: false,
-                    responded: Some(now),
-                };
+            // Without reports this is the only sign, and the warm-up time applies all the same.
+            GateState::Unknown { responded, .. } => {
+                responded.get_or_insert(now);
+                return None;
             }
             GateState::Cold { .. } | GateState::Warm { .. } => return None,
         }
@@ -273,17 +317,18 @@
     ///
     /// It is limited like a cold one until a report that must be younger than the break.
     pub fn broken(&mut self, now: Instant, upstream: &UpstreamName) {
-        let record = self.record(upstream);
+        let record = self.limited_record(upstream);
         if let GateState::Warm { .. } | GateState::Unknown { .. } = record.state {
             record.state = GateState::Unknown {
                 broken_at: Some(now),
+                responded: None,
             };
         }
     }
 
     /// Takes a peer's notice.
     pub fn notice(&mut self, now: Instant, notice: &ColdNotice) {
-        let record = self.record(&notice.upstream);
+        let record = self.limited_record(&notice.upstream);
         match notice.change {
             ColdChange::Started(reason) => {
                 let is_late = notice.incarnation.is_some() && notice.incarnation == record.warmed;
@@ -338,12 +383,16 @@
         if let GateState::Cold {
             responded: Some(responded),
             ..
+        }
+        | GateState::Unknown {
+            responded: Some(responded),
+            ..
         } = record.state
             && now.saturating_duration_since(responded) >= warmup
         {
             record.warm(responded + warmup, ramp);
         }
-        match record.state {
+        let phase = match record.state {
             GateState::Unknown { .. } => ColdPhase::Unknown,
             GateState::Cold { reason, .. } => ColdPhase::Cold(reason),
             GateState::Warm { from, ramp } => {
@@ -355,7 +404,16 @@
                     ColdPhase::Warm(RAMP_FLOOR + (1.0 - RAMP_FLOOR) * progress)
                 }
             }
+        };
+        if phase == ColdPhase::Warm(1.0) {
+            self.limited.remove(upstream);
         }
+        phase
+    }
+
+    /// Returns whether an upstream may have a share of its chats below 1; cheap if none has.
+    pub fn is_limited(&self, upstream: &UpstreamName) -> bool {
+        !self.limited.is_empty() && self.limited.contains(upstream)
     }
 
     /// Returns when the upstream last refused a connection, unless it became warm since.
@@ -365,18 +423,27 @@
 
     /// Returns whether a cold upstream may take one more request, given the own ones in flight.
     pub fn has_slot(
-        &self,
+        &mut self,
         upstream: &UpstreamName,
         allowance: u32,
         in_flight: u32,
         fleets: &[HostSet],
     ) -> bool {
-        in_flight < cold_share(&self.own, upstream, allowance, fleets)
+        if !self.union.as_ref().is_some_and(|it| it.is_of(fleets)) {
+            self.union = None;
+        }
+        let own = &self.own;
+        let union = self
+            .union
+            .get_or_insert_with(|| FleetUnion::new(own, fleets));
+        in_flight < union.share(upstream, allowance)
     }
 
     /// Removes upstreams that `keep` rejects.
     pub fn retain(&mut self, mut keep: impl FnMut(&UpstreamName) -> bool) {
         self.records.retain(|name, _| keep(name));
+        let records = &self.records;
+        self.limited.retain(|it| records.contains_key(it));
     }
 
     /// Bytes of state per upstream, without its name and the hash table's overhead.
@@ -384,9 +451,21 @@
         size_of::<(UpstreamName, GateRecord)>()
     }
 
+    /// Returns the record of an upstream whose share may fall below 1.
+    fn limited_record(&mut self, upstream: &UpstreamName) -> &mut GateRecord {
+        self.limited.insert(upstream.clone());
+        self.record(upstream)
+    }
+
     fn record(&mut self, upstream: &UpstreamName) -> &mut GateRecord {
+        if !self.records.contains_key(upstream) {
+            self.limited.insert(upstream.clone());
+        }
         self.records.entry(upstream.clone()).or_insert(GateRecord {
-            state: GateState::Unknown { broken_at: None },
+            state: GateState::Unknown {
+                broken_at: None,
+                responded: None,
+            },
             incarnation: None,
             warmed: None,
             refused_at: None,
--- a/lib/src/routing/load.rs
+++ b/lib/src/routing/load.rs
@@ -21,6 +21,16 @@
 /// A first-token time above this multiple of the running median is a jump.
 const JUMP_MULTIPLE: f64 = 4.0;
 
+/// Time constant of an upstream's usual load, and of the trust in it without reports. It is longer
+/// than usual requests, so that the usual load does not follow their random ups and downs.
+const USUAL_LOAD_TIME: Duration = Duration::from_secs(20);
+
+/// Weight of the assumed duration of a request, as a number of requests.
+const ASSUMED_REQUESTS: f64 = 10.0;
+
+/// Finished requests after which earlier durations count half.
+const FADING_REQUESTS: f64 = 1_000.0;
+
 /// Weight of a new request in the running mean of work per request.
 const WORK_MEAN_WEIGHT: f64 = 0.05;
 
@@ -49,10 +59,8 @@
 pub struct LoadSettings {
     /// Upper limit of a report's lag: a report describes a moment of this span before its arrival.
     pub report_lag: Duration,
-    /// Age up to which a report counts in full.
-    pub fresh_age: Duration,
-    /// Further age after which a report counts half.
-    pub half_life: Duration,
+    /// Usual duration of a request, assumed until own requests show it.
+    pub usual_duration: Duration,
     /// A shorter first-token time is never a jump, however small the median is.
     pub min_jump: Duration,
 }
@@ -61,8 +69,7 @@
     fn default() -> Self {
         Self {
             report_lag: Duration::from_secs(2),
-            fresh_age: Duration::from_secs(3),
-            half_life: Duration::from_secs(3),
+            usual_duration: Duration::from_secs(4),
             min_jump: Duration::from_millis(100),
         }
     }
@@ -76,6 +83,14 @@
 }
 
 impl LoadAmount {
+    /// Returns `weight` of this amount plus the rest of `other`.
+    fn blend(self, weight: f64, other: Self) -> Self {
+        Self {
+            tokens: weight * self.tokens + (1.0 - weight) * other.tokens,
+            requests: weight * self.requests + (1.0 - weight) * other.requests,
+        }
+    }
+
     fn max(self, other: Self) -> Self {
         Self {
             tokens: self.tokens.max(other.tokens),
@@ -163,12 +178,54 @@
     }
 }
 
+/// Mean duration of the own requests by Little's law: time in flight over requests finished.
+#[derive(Clone, Copy, Debug)]
+struct DurationMean {
+    in_flight: f64,
+    /// Seconds in flight and finished requests; both fade.
+    seconds: f64,
+    finished: f64,
+    updated: Option<Instant>,
+}
+
+impl DurationMean {
+    fn new(assumed: Duration) -> Self {
+        Self {
+            in_flight: 0.0,
+            seconds: assumed.as_secs_f64() * ASSUMED_REQUESTS,
+            finished: ASSUMED_REQUESTS,
+            updated: None,
+        }
+    }
+
+    fn change(&mut self, now: Instant, requests: f64) {
+        if let Some(updated) = self.updated {
+            self.seconds += self.in_flight * now.saturating_duration_since(updated).as_secs_f64();
+        }
+        self.updated = Some(now);
+        self.in_flight = (self.in_flight + requests).max(0.0);
+        if requests < 0.0 {
+            self.finished += 1.0;
+            if self.finished > FADING_REQUESTS {
+                self.finished /= 2.0;
+                self.seconds /= 2.0;
+            }
+        }
+    }
+
+    fn mean(&self) -> f64 {
+        self.seconds / self.finished
+    }
+}
+
 /// What the last report says about work that is not the host's own.
 #[derive(Clone, Copy, Debug)]
 struct HeldReport {
     arrival: Instant,
     incarnation: u64,
     others: LoadAmount,
+    /// Running mean of `others`.
+    usual: LoadAmount,
 }
 
 #[derive(Clone, Debug)]
@@ -236,6 +293,15 @@
         }
     }
 
+    /// Mean of the host's own requests per unit of capacity.
+    pub fn mean_own_requests(&self) -> f64 {
+        if self.capacity > 0.0 {
+            self.own.requests / self.capacity
+        } else {
+            0.0
+        }
+    }
+
     /// Mean estimated requests per unit of capacity.
     pub fn mean_requests(&self) -> f64 {
         if self.capacity > 0.0 {
@@ -250,6 +316,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LoadIndex(usize);
 
+/// Part that remains after `age` of what fades with the time constant `time`.
+fn fading(age: Duration, time: Duration) -> f64 {
+    (-age.as_secs_f64() / time.as_secs_f64().max(1e-3)).exp()
+}
+
 /// Last report and own requests of every upstream.
 ///
 /// The estimate is the work of other hosts plus the own work in flight. The work of other hosts is
@@ -262,6 +333,7 @@
     records: Vec<LoadRecord>,
     /// Running mean of tokens per own request, for upstreams that do not count tokens.
     mean_tokens: f64,
+    durations: DurationMean,
 }
 
 impl LoadTable {
@@ -272,6 +344,7 @@
             indices: HashMap::new(),
             records: Vec::new(),
             mean_tokens: 0.0,
+            durations: DurationMean::new(settings.usual_duration),
         }
     }
 
@@ -283,6 +356,7 @@
         } else {
             self.mean_tokens + WORK_MEAN_WEIGHT * (work - self.mean_tokens)
         };
+        self.durations.change(now, 1.0);
         let width = self.bucket_width();
         self.record(now, upstream)
             .window
@@ -291,6 +365,7 @@
 
     /// Notes the end of an own request; `work` is the value given to [`LoadTable::started`].
     pub fn finished(&mut self, now: Instant, upstream: &UpstreamName, work: u64) {
+        self.durations.change(now, -1.0);
         let width = self.bucket_width();
         self.record(now, upstream)
             .window
@@ -342,13 +417,23 @@
             report.work_tokens as f64
         };
         record.take_incarnation(effect, report.incarnation);
+        let others = LoadAmount {
+            tokens: (tokens - own.tokens).max(0.0),
+            requests: (requests - own.requests).max(0.0),
+        };
+        let usual = match &record.held {
+            Some(held) if effect == ReportEffect::Same => {
+                let interval = now.saturating_duration_since(held.arrival);
+                let weight = fading(interval, USUAL_LOAD_TIME);
+                held.usual.blend(weight, others)
+            }
+            _ => others,
+        };
         record.held = Some(HeldReport {
             arrival: now,
             incarnation: report.incarnation,
-            others: LoadAmount {
-                tokens: (tokens - own.tokens).max(0.0),
-                requests: (requests - own.requests).max(0.0),
-            },
+            others,
+            usual,
         });
         effect
     }
@@ -368,6 +453,7 @@
                 // The new process has none of the work that the old one reported.
                 held.incarnation = incarnation;
                 held.others = LoadAmount::default();
+                held.usual = LoadAmount::default();
             }
         }
         effect
@@ -471,9 +557,9 @@
         summary.own.tokens += record.window.current.tokens;
         summary.own.requests += record.window.current.requests;
         if let Some(held) = &record.held {
-            let weight = self.report_weight(now, held);
-            summary.reported.tokens += weight * held.others.tokens;
-            summary.reported.requests += weight * held.others.requests;
+            let (others, weight) = self.expected_others(now, held);
+            summary.reported.tokens += weight * others.tokens;
+            summary.reported.requests += weight * others.requests;
             summary.reported_capacity += weight * capacity;
         }
     }
@@ -487,16 +573,21 @@
     ) -> LoadEstimate {
         let record = &self.records[index.0];
         let own = record.window.current;
-        let usual = summary.others();
-        let (others, weight) = match &record.held {
-            Some(held) => (held.others, self.report_weight(now, held)),
-            None => (LoadAmount::default(), 0.0),
+        let mean = summary.others();
+        let mean = LoadAmount {
+            tokens: mean.tokens * capacity,
+            requests: mean.requests * capacity,
+        };
+        let others = match &record.held {
+            Some(held) => {
+                let (others, weight) = self.expected_others(now, held);
+                others.blend(weight, mean)
+            }
+            None => mean,
         };
-        let blend =
-            |reported: f64, usual: f64| weight * reported + (1.0 - weight) * usual * capacity;
         LoadEstimate {
-            work: blend(others.tokens, usual.tokens) + own.tokens,
-            requests: blend(others.requests, usual.requests) + own.requests,
+            work: others.tokens + own.tokens,
+            requests: others.requests + own.requests,
             own_requests: own.requests as u32,
             report_age: record
                 .held
@@ -504,14 +595,18 @@
         }
     }
 
-    fn report_weight(&self, now: Instant, held: &HeldReport) -> f64 {
+    /// Returns the expected work of other hosts, and how far it counts against the mean of all
+    /// upstreams.
+    ///
+    /// Requests that ran at the moment of the report have ended by now with a probability that
+    /// follows from their usual duration; what replaced them is on average the usual load of the
+    /// upstream. Without new reports the usual load itself becomes doubtful.
+    fn expected_others(&self, now: Instant, held: &HeldReport) -> (LoadAmount, f64) {
         let age = now.saturating_duration_since(held.arrival);
-        match age.checked_sub(self.settings.fresh_age) {
-            None | Some(Duration::ZERO) => 1.0,
-            Some(excess) => {
-                (-excess.as_secs_f64() / self.settings.half_life.as_secs_f64().max(1e-9)).exp2()
-            }
-        }
+        let lag = self.settings.report_lag / 2;
+        let duration = Duration::from_secs_f64(self.durations.mean());
+        let others = held.others.blend(fading(age + lag, duration), held.usual);
+        (others, fading(age, USUAL_LOAD_TIME))
     }
 
     fn bucket_width(&self) -> Duration {
