cli, daemon: demo finishes; every part ends when it is dropped

Cause: the demo's second router panicked (stakker allows one instance per process unless built with multi-thread) and the failed start then hung, because threads were only told to stop by an explicit shutdown.

--- a/lib/src/control/actor.rs
+++ b/lib/src/control/actor.rs
@@ -66,7 +66,7 @@
     Stop,
 }
 
-/// The thread of the control actor; [`ControlThread::stop`] ends and joins it.
+/// The thread of the control actor; dropping it ends the actor and joins the thread.
 pub struct ControlThread {
     handle: ControlHandle,
     signal: SyncSender<ThreadSignal>,
@@ -101,9 +101,10 @@
     pub fn handle(&self) -> ControlHandle {
         self.handle.clone()
     }
+}
 
-    /// Ends the actor and joins its thread.
-    pub fn stop(mut self) {
+impl Drop for ControlThread {
+    fn drop(&mut self) {
         let _ = self.signal.send(ThreadSignal::Stop);
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
--- a/lib/src/control/report.rs
+++ b/lib/src/control/report.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     catalogue::{RouteEntry, RouteKind, UpstreamKind},
-    front::{OutcomeKind, RefusalKind},
+    front::{OutcomeKind, RefusalKind, chat_identity},
     names::{ModelName, TeamName, UpstreamName},
     routing::{
         ColdPhase, LoadSummary, PickOutcome, PickRequest, PickTarget, SkippedUpstream, UpstreamPick,
@@ -207,9 +207,11 @@
             (None, Some(service)) => PickTarget::Service(service),
             (None, None) => return refuse(RefusalKind::NoRoute),
         };
+        let team = TeamName::new(query.team.as_deref().unwrap_or(OPEN_TEAM));
+        let chat = query.chat.as_deref().map(|it| chat_identity(&team, it));
         let request = PickRequest {
             target,
-            chat: query.chat.as_deref(),
+            chat: chat.as_deref(),
             request: "explain",
             work: 1,
             tried: &[],
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -28,7 +28,7 @@
     platform::PlatformSource,
     settings::RouterSettings,
     telemetry::RouterMetrics,
-    threads::{StopSignal, ThreadGroup},
+    threads::{StopGuard, StopSignal, ThreadGroup},
     upstream::UpstreamClient,
 };
 
@@ -58,11 +58,12 @@
 /// A running router.
 pub struct RouterDaemon {
     settings: RouterSettings,
-    control: ControlThread,
+    // Fields are dropped in this order: callers first, and the control thread last.
     front: FrontServer,
+    _stop: StopGuard,
+    _threads: ThreadGroup,
     admin: AdminServer,
-    stop: StopSignal,
-    threads: ThreadGroup,
+    control: ControlThread,
 }
 
 impl RouterDaemon {
@@ -73,9 +74,9 @@
         let metrics = Arc::new(RouterMetrics::new());
         let address = admin_listener.local_addr()?;
         let control = start_control(&settings, &ports, address, &metrics)?;
-        let stop = StopSignal::new();
+        let stop = StopGuard::new();
         let threads = ThreadGroup::new();
-        start_watches(&ports, &control.handle(), &stop, &threads)?;
+        start_watches(&ports, &control.handle(), stop.signal(), &threads)?;
         let exchange = Arc::new(Exchange::new(
             control.handle(),
             ports.upstream.clone(),
@@ -92,8 +93,8 @@
             control,
             front,
             admin,
-            stop,
-            threads,
+            _stop: stop,
+            _threads: threads,
         })
     }
 
@@ -129,11 +130,6 @@
             }
             std::thread::sleep(DRAIN_POLL);
         }
-        self.front.stop();
-        self.stop.set();
-        self.threads.join();
-        self.admin.stop();
-        self.control.stop();
         is_drained
     }
 }
--- a/lib/src/daemon/admin.rs
+++ b/lib/src/daemon/admin.rs
@@ -24,7 +24,7 @@
 /// Forwarded calls at the same time; each has a thread.
 const MAX_OPERATIONS: usize = 256;
 
-/// The running server.
+/// The running server; dropping it ends it and joins its threads.
 pub(super) struct AdminServer {
     address: SocketAddr,
     server: Arc<Server>,
@@ -116,8 +116,10 @@
     pub(super) fn address(&self) -> SocketAddr {
         self.address
     }
+}
 
-    pub(super) fn stop(self) {
+impl Drop for AdminServer {
+    fn drop(&mut self) {
         for _ in 0..ADMIN_THREADS {
             self.server.unblock();
         }
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -9,7 +9,7 @@
 pub use self::{
     credentials::{bearer_key, without_credentials},
     refusal::{OutcomeKind, Refusal, RefusalKind},
-    request::{CallerRequest, ChatRequest},
+    request::{CallerRequest, ChatRequest, chat_identity},
     respond::{BodyWriter, CallerGone, Responder},
     server::{FrontLimits, FrontServer, RequestHandler},
 };
--- a/lib/src/front/request.rs
+++ b/lib/src/front/request.rs
@@ -128,13 +128,18 @@
         };
         Ok(Self {
             model: ModelName::new(model),
-            chat: format!("{:016x}", hash_parts(&[team.as_str(), &chat])),
+            chat: chat_identity(team, &chat),
             stream,
             work: request.body.len() as u64 / BYTES_PER_TOKEN + answer,
         })
     }
 }
 
+/// Returns the identity under which a team's chat is routed.
+pub fn chat_identity(team: &TeamName, chat: &str) -> String {
+    format!("{:016x}", hash_parts(&[team.as_str(), chat]))
+}
+
 /// Returns the messages up to the first one of the user, which stay the same during a chat.
 fn opening_of(messages: &[Value]) -> String {
     let is_user = |it: &Value| it.get("role").and_then(Value::as_str) == Some("user");
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -78,7 +78,7 @@
     stop: watch::Sender<bool>,
 }
 
-/// The running server; [`FrontServer::stop`] ends it and joins its thread.
+/// The running server; dropping it ends it and joins its thread.
 pub struct FrontServer {
     address: SocketAddr,
     state: Arc<FrontState>,
@@ -134,13 +134,17 @@
     pub fn drain(&self) {
         self.state.draining.store(true, Ordering::Release);
     }
+}
 
+impl Drop for FrontServer {
     /// Closes idle connections, waits a bounded time for answers that are still being sent, and
     /// ends the server.
-    pub fn stop(mut self) {
+    fn drop(&mut self) {
         self.state.stop.send_replace(true);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            tracing::error!("front_thread_panicked");
         }
     }
 }
--- a/lib/src/threads.rs
+++ b/lib/src/threads.rs
@@ -48,6 +48,28 @@
     }
 }
 
+/// Sets a [`StopSignal`] when it is dropped, so that a failed start ends its threads.
+#[derive(Debug, Default)]
+pub struct StopGuard(StopSignal);
+
+impl StopGuard {
+    /// Creates a guard of a new signal.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the signal.
+    pub fn signal(&self) -> &StopSignal {
+        &self.0
+    }
+}
+
+impl Drop for StopGuard {
+    fn drop(&mut self) {
+        self.0.set();
+    }
+}
+
 /// Threads with one owner; dropping the group joins them.
 #[derive(Debug, Default)]
 pub struct ThreadGroup {
