operation: bound scans and free keys of forgotten attempts

Cause: a page of a handover examined all records in one call on the control thread, and an attempt that was decided and then forgotten blocked its key for 48 h. Change: a call examines at most 4,096 records; an intent that can no longer be dispatched is removed at the next call. Shorter ledger tests with the same checks.

--- a/lib/src/operation.rs
+++ b/lib/src/operation.rs
@@ -58,7 +58,7 @@
 
 /// Most records of one process, its own and copies for others.
 ///
-/// A record without a body takes about 400 bytes with its index entries, so 25 MB in total.
+/// Estimate: 400 bytes per record without a body, with its index entries; 25 MB in total.
 pub const MAX_RECORDS: usize = 65_536;
 
 /// Most records of one team, so that no team can fill the ledger alone.
--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -28,8 +28,8 @@
 /// Estimated bytes of a record on the wire without team name and response.
 const RECORD_BYTES: usize = 128;
 
-/// Records examined by one call of [`OperationLedger::expire`].
-const EXPIRE_STEP: usize = 1_024;
+/// Records examined by one call, so that no call holds up the control thread.
+const SCAN_STEP: usize = 4_096;
 
 /// Tells whether this host may decide about plain keys.
 pub trait DecisionRights {
@@ -218,7 +218,8 @@
         }
 
         let id = OperationId::new(call.team, call.key);
-        if self.slots.get(&id).is_some_and(|it| it.is_expired(now)) {
+        let is_stale = |it: &RecordSlot| it.is_expired(now) || self.is_abandoned(it, now);
+        if self.slots.get(&id).is_some_and(is_stale) {
             self.remove(&id);
         }
         if let Some(slot) = self.slots.get(&id) {
@@ -476,7 +477,11 @@
             page.losses = self.losses.export(now);
         }
         let mut size = 0;
-        for (sequence, id) in self.order.range(cursor..) {
+        for (count, (sequence, id)) in self.order.range(cursor..).enumerate() {
+            if count == SCAN_STEP {
+                page.next = Some(*sequence);
+                break;
+            }
             let Some(slot) = self.slots.get(id) else {
                 continue;
             };
@@ -583,7 +588,10 @@
     ) -> (Vec<(HostName, OperationRecord)>, u64) {
         let mut unplaced = Vec::new();
         let mut size = 0;
-        for (sequence, id) in self.order.range(cursor..) {
+        for (count, (sequence, id)) in self.order.range(cursor..).enumerate() {
+            if count == SCAN_STEP {
+                return (unplaced, *sequence);
+            }
             let Some(slot) = self.slots.get(id) else {
                 continue;
             };
@@ -653,11 +661,11 @@
         let step: Vec<(u64, OperationId)> = self
             .order
             .range(self.expire_cursor..)
-            .take(EXPIRE_STEP)
+            .take(SCAN_STEP)
             .map(|(sequence, id)| (*sequence, id.clone()))
             .collect();
         self.expire_cursor = match step.last() {
-            Some((sequence, _)) if step.len() == EXPIRE_STEP => sequence + 1,
+            Some((sequence, _)) if step.len() == SCAN_STEP => sequence + 1,
             _ => 0,
         };
         for (_, id) in &step {
@@ -702,6 +710,12 @@
         slot.dispatch.incarnation == self.incarnation && slot.state == RecordState::Intent
     }
 
+    /// Returns whether this process decided and can no longer dispatch, and nobody said so.
+    fn is_abandoned(&self, slot: &RecordSlot, now: Instant) -> bool {
+        let age = now.saturating_duration_since(slot.changed);
+        self.is_own_intent(slot) && !slot.is_ticket && age > INTENT_LIFETIME
+    }
+
     fn started_mut(&mut self, handle: &OperationHandle) -> Option<&mut RecordSlot> {
         self.slots
             .get_mut(&handle.id)
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -37,7 +37,7 @@
 /// The first token is due after 0.41 s; the rest allows for queueing on the engine.
 pub const PROMPT_LOSS: Duration = Duration::from_secs(10);
 
-/// Most requests in the register, about 1.5 MB.
+/// Most requests in the register. Estimate: 1.5 MB.
 ///
 /// The loss of a data centre strikes all its requests at once, at the target size about 2,000.
 pub const MAX_ENTRIES: usize = 4_096;
--- a/lib/tests/operation_ledger.rs
+++ b/lib/tests/operation_ledger.rs
@@ -10,11 +10,15 @@
     membership::{HostList, HostRecord, HostState},
     names::{CentreName, HostName, TeamName},
     operation::{
-        ByteString, DecisionRights, ForwardId, INTENT_LIFETIME, MAX_PAGE_BYTES, MAX_RECORDS,
-        MAX_RESPONSE_BYTES, MAX_STORED_BYTES, MAX_TEAM_RECORDS, NotRunReason, OperationCall,
-        OperationDecision, OperationHandle, OperationId, OperationLedger, OperationRecord,
-        OperationRoute, OperationTicket, OperationUpdate, OwnerLookup, RETENTION, RecordState,
-        RequestDigest, RouteDecision, StoreReply, StoredResponse, TICKET_LIFETIME, UnknownReason,
+        ByteString, DecisionRights, DispatchDenied, ForwardId, INTENT_LIFETIME, MAX_PAGE_BYTES,
+        MAX_RECORDS, MAX_RESPONSE_BYTES, MAX_STORED_BYTES, MAX_TEAM_RECORDS, NotRunReason,
+        OperationCall,
+        OperationDecision::{
+            self, AwaitBackup, BodyMismatch, Dispatch, NotRun, Ran, Replay, Unknown,
+        },
+        OperationHandle, OperationId, OperationLedger, OperationRecord, OperationRoute,
+        OperationTicket, OperationUpdate, OwnerLookup, RETENTION, RecordState, RequestDigest,
+        RouteDecision, StoreReply, StoredResponse, TICKET_LIFETIME, UnknownReason,
     },
     rendezvous,
 };
@@ -50,14 +54,19 @@
     ledger
 }
 
-fn decide(ledger: &mut OperationLedger, now: Instant, key: &str, body: &str) -> OperationDecision {
-    let call = OperationCall {
-        team: &team(),
+fn call<'a>(team: &'a TeamName, key: &'a str, body: &str) -> OperationCall<'a> {
+    let digest = RequestDigest::of("POST", "/print", body.as_bytes());
+    let forward = None;
+    OperationCall {
+        team,
         key,
-        digest: RequestDigest::of("POST", "/print", body.as_bytes()),
-        forward: None,
-    };
-    ledger.decide(now, &call, &OWNER)
+        digest,
+        forward,
+    }
+}
+
+fn decide(ledger: &mut OperationLedger, now: Instant, key: &str, body: &str) -> OperationDecision {
+    ledger.decide(now, &call(&team(), key, body), &OWNER)
 }
 
 fn begin(
@@ -66,17 +75,23 @@
     key: &str,
 ) -> (OperationHandle, OperationRecord) {
     match decide(ledger, now, key, "body") {
-        OperationDecision::AwaitBackup { handle, record } => (handle, record),
+        AwaitBackup { handle, record } => (handle, record),
         decision => panic!("unexpected {decision:?}"),
     }
 }
 
+fn dispatch(
+    ledger: &mut OperationLedger,
+    now: Instant,
+    handle: &OperationHandle,
+) -> Result<(), Box<DispatchDenied>> {
+    ledger.begin_dispatch(now, handle, &OWNER)
+}
+
 fn run(ledger: &mut OperationLedger, now: Instant, key: &str, size: usize) -> OperationUpdate {
     let (handle, _) = begin(ledger, now, key);
     ledger.backup_acknowledged(&handle, &host("backup"));
-    ledger
-        .begin_dispatch(now, &handle, &OWNER)
-        .expect("dispatch is allowed");
+    dispatch(ledger, now, &handle).expect("dispatch is allowed");
     let body = ByteString(vec![7; size]);
     let response = StoredResponse {
         status: 201,
@@ -88,12 +103,24 @@
         .expect("state changes")
 }
 
-fn unknown(reason: UnknownReason) -> OperationDecision {
-    OperationDecision::Unknown(reason)
+#[track_caller]
+fn answers(ledger: &mut OperationLedger, now: Instant, key: &str, expected: OperationDecision) {
+    assert_eq!(decide(ledger, now, key, "body"), expected, "{key}");
+}
+
+fn has_run(ledger: &mut OperationLedger, now: Instant, key: &str) -> bool {
+    decide(ledger, now, key, "body").outcome() == Some("ran")
 }
 
-fn not_run(reason: NotRunReason) -> OperationDecision {
-    OperationDecision::NotRun(reason)
+fn list(names: &[&str]) -> HostList {
+    let hosts = names.iter().map(|name| HostRecord {
+        name: host(name),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: CentreName::new(&name[..1]),
+        state: HostState::Live,
+    });
+    let hosts = hosts.collect();
+    HostList { version: 1, hosts }
 }
 
 /// Guards against forged tickets, tickets of other teams and second spellings of one ticket.
@@ -111,34 +138,20 @@
     let upper = format!("spt1.{}", ticket[5..].to_uppercase());
     let padded = ticket.replace(".a.1.a.1.", ".a.1.0a.1.");
     let other_number = ticket.replace(".a.1.a.1.", ".a.1.a.2.");
-    for forged in [
-        &upper,
-        &padded,
-        &other_number,
-        &ticket[..ticket.len() - 1],
-        "spt1.",
-        "spt1.é",
-    ] {
+    let short = &ticket[..ticket.len() - 1];
+    for forged in [&upper, &padded, &other_number, short, "spt1.", "spt1.é"] {
         let decision = decide(&mut issuer, now, forged, "body");
-        assert_eq!(decision, not_run(NotRunReason::InvalidTicket), "{forged}");
+        assert_eq!(decision, NotRun(NotRunReason::InvalidTicket), "{forged}");
     }
-    let call = OperationCall {
-        team: &TeamName::new("other"),
-        key: &ticket,
-        digest: RequestDigest::of("POST", "/print", b"body"),
-        forward: None,
-    };
-    let decision = issuer.decide(now, &call, &OWNER);
-    assert_eq!(decision, not_run(NotRunReason::InvalidTicket));
+    let other = TeamName::new("other");
+    let decision = issuer.decide(now, &call(&other, &ticket, "body"), &OWNER);
+    assert_eq!(decision, NotRun(NotRunReason::InvalidTicket));
     let mut successor = OperationLedger::new(now, &host("a.1"), &CentreName::new("a"), 11, [1; 32]);
     let decision = decide(&mut successor, now, &ticket, "body");
-    assert_eq!(decision, unknown(UnknownReason::IssuerGone));
+    assert_eq!(decision, Unknown(UnknownReason::IssuerGone));
     // No backup, no rights and no handover are needed.
     let decision = decide(&mut issuer, now, &ticket, "body");
-    assert!(
-        matches!(decision, OperationDecision::Dispatch(_)),
-        "{decision:?}"
-    );
+    assert!(matches!(decision, Dispatch(_)), "{decision:?}");
 }
 
 /// Guards against a ticket that runs again after its record was dropped.
@@ -147,27 +160,24 @@
     let start = Instant::now();
     let mut issuer = ledger(start, "a", 1);
     let used = issuer.issue_ticket(start, &team()).to_string();
-    let OperationDecision::Dispatch(handle) = decide(&mut issuer, start, &used, "body") else {
+    let Dispatch(handle) = decide(&mut issuer, start, &used, "body") else {
         panic!("ticket is valid");
     };
     issuer
         .begin_dispatch(start, &handle, &FixedRights(false))
         .expect("needs no rights");
-    assert!(
-        issuer.finish(start, &handle, None).is_none(),
-        "ticket needs no backup"
-    );
-    assert_eq!(
-        decide(&mut issuer, start, &used, "body"),
-        OperationDecision::Ran
-    );
+    let update = issuer.finish(start, &handle, None);
+    assert_eq!(update, None, "ticket needs no backup");
+    answers(&mut issuer, start, &used, Ran);
 
     let late = start + RETENTION.max(TICKET_LIFETIME);
     issuer.expire(late);
     assert_eq!(issuer.status().records, 0);
-    assert_eq!(
-        decide(&mut issuer, late, &used, "body"),
-        unknown(UnknownReason::TicketExpired)
+    answers(
+        &mut issuer,
+        late,
+        &used,
+        Unknown(UnknownReason::TicketExpired),
     );
 }
 
@@ -177,47 +187,27 @@
     let now = Instant::now();
     let mut owner = ledger(now, "a", 1);
     let (handle, _) = begin(&mut owner, now, "key");
-    assert_eq!(
-        decide(&mut owner, now, "key", "body"),
-        unknown(UnknownReason::InProgress)
-    );
-    assert_eq!(
-        decide(&mut owner, now, "key", "other"),
-        OperationDecision::BodyMismatch
-    );
+    answers(&mut owner, now, "key", Unknown(UnknownReason::InProgress));
+    assert_eq!(decide(&mut owner, now, "key", "other"), BodyMismatch);
     owner.backup_acknowledged(&handle, &host("b"));
-    owner
-        .begin_dispatch(now, &handle, &OWNER)
-        .expect("dispatch is allowed");
-    let second = owner
-        .begin_dispatch(now, &handle, &OWNER)
-        .expect_err("acknowledged twice");
-    assert_eq!(second.decision, unknown(UnknownReason::InProgress));
+    dispatch(&mut owner, now, &handle).expect("dispatch is allowed");
+    let second = dispatch(&mut owner, now, &handle).expect_err("acknowledged twice");
+    assert_eq!(second.decision, Unknown(UnknownReason::InProgress));
     owner.fail_after_send(now, &handle);
-    assert_eq!(
-        decide(&mut owner, now, "key", "body"),
-        unknown(UnknownReason::Interrupted)
-    );
+    answers(&mut owner, now, "key", Unknown(UnknownReason::Interrupted));
 
     run(&mut owner, now, "small", 100);
     let decision = decide(&mut owner, now, "small", "body");
-    assert_eq!(
-        (decision.status(), decision.outcome()),
-        (Some(201), Some("ran"))
-    );
+    assert_eq!(decision.status(), Some(201));
+    assert_eq!(decision.outcome(), Some("ran"));
     run(&mut owner, now, "large", MAX_RESPONSE_BYTES + 1);
-    assert_eq!(
-        decide(&mut owner, now, "large", "body"),
-        OperationDecision::Ran
-    );
+    answers(&mut owner, now, "large", Ran);
 
     let (handle, _) = begin(&mut owner, now, "refused");
     let denied = owner.fail_before_send(&handle);
-    assert_eq!(denied.decision, not_run(NotRunReason::UpstreamRefused));
-    assert!(matches!(
-        denied.update,
-        Some(OperationUpdate::Removed { .. })
-    ));
+    assert_eq!(denied.decision, NotRun(NotRunReason::UpstreamRefused));
+    let update = denied.update.expect("the backup must drop its copy");
+    assert!(matches!(update, OperationUpdate::Removed { .. }));
     begin(&mut owner, now, "refused");
 }
 
@@ -226,14 +216,10 @@
 fn last_check_denies_stale_decisions() {
     let now = Instant::now();
     let mut owner = ledger(now, "a", 1);
+    let too_long = INTENT_LIFETIME + Duration::from_millis(1);
     let cases = [
         (false, INTENT_LIFETIME, true, NotRunReason::NoBackup),
-        (
-            true,
-            INTENT_LIFETIME + Duration::from_millis(1),
-            true,
-            NotRunReason::IntentExpired,
-        ),
+        (true, too_long, true, NotRunReason::IntentExpired),
         (true, Duration::ZERO, false, NotRunReason::NotOwner),
     ];
     for (is_backed, pause, rights, reason) in cases {
@@ -243,34 +229,22 @@
         }
         let denied = owner.begin_dispatch(now + pause, &handle, &FixedRights(rights));
         let denied = denied.expect_err("check fails");
-        assert_eq!(denied.decision, not_run(reason));
+        assert_eq!(denied.decision, NotRun(reason));
         assert!(denied.update.is_some(), "the backup must drop its copy");
         // A late acknowledgement must not revive the attempt.
         owner.backup_acknowledged(&handle, &host("b"));
-        owner
-            .begin_dispatch(now, &handle, &OWNER)
-            .expect_err("attempt was given up");
+        dispatch(&mut owner, now, &handle).expect_err("attempt was given up");
     }
-    let list = |names: &[&str]| HostList {
-        version: 1,
-        hosts: names.iter().map(record).collect(),
-    };
+    // An attempt that was forgotten does not block its key.
+    let (forgotten, _) = begin(&mut owner, now, "forgotten");
+    owner.backup_acknowledged(&forgotten, &host("b"));
+    begin(&mut owner, now + too_long, "forgotten");
+    dispatch(&mut owner, now, &forgotten).expect_err("attempt was replaced");
     let (handle, _) = begin(&mut owner, now, "alone");
     assert!(!owner.waive_backup(&handle, &list(&["a", "b"])));
     assert!(!owner.waive_backup(&handle, &list(&[])));
     assert!(owner.waive_backup(&handle, &list(&["a"])));
-    owner
-        .begin_dispatch(now, &handle, &OWNER)
-        .expect("the only host needs no backup");
-}
-
-fn record(name: &&str) -> HostRecord {
-    HostRecord {
-        name: host(name),
-        address: ([127, 0, 0, 1], 1).into(),
-        data_centre: CentreName::new(&name[..1]),
-        state: HostState::Live,
-    }
+    dispatch(&mut owner, now, &handle).expect("dispatch is allowed");
 }
 
 /// Guards against messages out of order: a late removal must not delete a later attempt, and a
@@ -281,29 +255,16 @@
     let (mut owner, mut backup) = (ledger(now, "a", 1), ledger(now, "b", 2));
     let a = host("a");
     let (first, first_record) = begin(&mut owner, now, "key");
-    let removal = owner
-        .backup_failed(&first)
-        .update
-        .expect("backup may hold a copy");
+    let removal = owner.backup_failed(&first).update;
+    let removal = removal.expect("backup may hold a copy");
     let (_, second_record) = begin(&mut owner, now, "key");
-    assert_eq!(
-        backup.store_intent(now, &second_record, &a),
-        StoreReply::Stored
-    );
-    assert_eq!(
-        backup.store_intent(now, &first_record, &a),
-        StoreReply::Stale
-    );
+    let replies = [&second_record, &first_record].map(|it| backup.store_intent(now, it, &a));
+    assert_eq!(replies, [StoreReply::Stored, StoreReply::Stale]);
     backup.update(now, &removal, &a);
-    assert_eq!(
-        decide(&mut backup, now, "key", "body"),
-        unknown(UnknownReason::Interrupted)
-    );
+    answers(&mut backup, now, "key", Unknown(UnknownReason::Interrupted));
     // A copy of a given-up attempt that comes back to its owner stays without effect.
     owner.update(now, &OperationUpdate::Changed(first_record), &host("b"));
-    owner
-        .begin_dispatch(now, &first, &OWNER)
-        .expect_err("attempt was given up");
+    dispatch(&mut owner, now, &first).expect_err("attempt was given up");
 
     let (_, intent) = begin(&mut owner, now, "other");
     let result = run(&mut owner, now, "third", 10);
@@ -314,10 +275,7 @@
     late.state = RecordState::Intent;
     backup.store_intent(now, &late, &a);
     backup.update(now, &OperationUpdate::Changed(late), &a);
-    assert_eq!(
-        decide(&mut backup, now, "third", "body").outcome(),
-        Some("ran")
-    );
+    assert!(has_run(&mut backup, now, "third"));
 
     let mut stranger = ledger(now, "c", 3);
     assert_eq!(backup.store_intent(now, &intent, &a), StoreReply::Stored);
@@ -326,7 +284,7 @@
         panic!("backup knows the intent of another process");
     };
     let denied = stranger.backup_conflicted(now, &handle, &known, &host("b"));
-    assert_eq!(denied.decision, unknown(UnknownReason::Interrupted));
+    assert_eq!(denied.decision, Unknown(UnknownReason::Interrupted));
 }
 
 /// Guards against a new owner that decides before all records arrived, and against a handover
@@ -350,40 +308,30 @@
     let fresh = (0..50).map(|it| format!("fresh-{it}"));
     let (kept, gained): (Vec<_>, Vec<_>) = fresh.partition(is_kept);
     begin(&mut owner, now, &kept[0]);
-    let waiting = unknown(UnknownReason::HandoverIncomplete);
-    assert_eq!(decide(&mut owner, now, &gained[0], "body"), waiting);
+    let waiting = Unknown(UnknownReason::HandoverIncomplete);
+    answers(&mut owner, now, &gained[0], waiting.clone());
 
     let mut cursor = Some(0);
     let mut pages = 0;
     while let Some(at) = cursor {
         let page = old.export_page(now, at, |_| true);
         let bytes = rmp_serde::to_vec(&page).expect("page is serializable");
-        assert!(
-            bytes.len() < MAX_PAGE_BYTES * 5 / 4,
-            "{} bytes",
-            bytes.len()
-        );
+        assert!(bytes.len() < MAX_PAGE_BYTES * 5 / 4, "page is too large");
         let page = rmp_serde::from_slice(&bytes).expect("page is readable");
         owner.import_page(now, epoch - 1, &host("a1"), at, &page);
         cursor = owner.import_page(now, epoch, &host("a1"), at, &page);
         pages += 1;
     }
     assert!(pages > 5, "{pages} pages");
-    assert_eq!(
-        decide(&mut owner, now, &keys[399], "body").outcome(),
-        Some("ran")
-    );
+    assert!(has_run(&mut owner, now, &keys[399]));
     // Another data centre still owes its records.
-    assert_eq!(decide(&mut owner, now, &gained[0], "body"), waiting);
+    answers(&mut owner, now, &gained[0], waiting);
     let late = now + RETENTION;
     assert!(matches!(
         decide(&mut owner, late, &gained[1], "body"),
-        OperationDecision::AwaitBackup { .. }
+        AwaitBackup { .. }
     ));
-    owner.retain_sources(&HostList {
-        version: 1,
-        hosts: vec![record(&"a1"), record(&"a2")],
-    });
+    owner.retain_sources(&list(&["a1", "a2"]));
     begin(&mut owner, now, &gained[0]);
 }
 
@@ -402,52 +350,39 @@
         *replies.entry(format!("{reply:?}")).or_default() += 1;
     }
     assert_eq!(replies["Full"], 11);
-    assert_eq!(
-        decide(&mut owner, now, "new", "body"),
-        not_run(NotRunReason::LedgerFull)
-    );
-    assert_eq!(
-        decide(&mut owner, now, "first", "body"),
-        unknown(UnknownReason::InProgress)
-    );
+    answers(&mut owner, now, "new", NotRun(NotRunReason::LedgerFull));
+    answers(&mut owner, now, "first", Unknown(UnknownReason::InProgress));
 
     let mut owner = ledger(now, "a", 1);
     for number in 0..MAX_STORED_BYTES / MAX_RESPONSE_BYTES + 5 {
         run(&mut owner, now, &number.to_string(), MAX_RESPONSE_BYTES);
     }
     assert!(owner.status().stored_bytes <= MAX_STORED_BYTES);
-    assert_eq!(decide(&mut owner, now, "0", "body"), OperationDecision::Ran);
-    assert!(matches!(
-        decide(&mut owner, now, "1000", "body"),
-        OperationDecision::Replay(_)
-    ));
+    answers(&mut owner, now, "0", Ran);
+    assert!(matches!(decide(&mut owner, now, "1000", "body"), Replay(_)));
     for number in owner.status().records..MAX_TEAM_RECORDS {
         begin(&mut owner, now, &format!("intent-{number}"));
     }
-    assert_eq!(
-        decide(&mut owner, now, "new", "body"),
-        not_run(NotRunReason::LedgerFull)
-    );
+    answers(&mut owner, now, "new", NotRun(NotRunReason::LedgerFull));
 }
 
 /// Guards against a second dispatch by a duplicated message, also far out of order.
 #[test]
 fn forwarded_call_is_accepted_once() {
     let now = Instant::now();
-    let mut owner = ledger(now, "a", 1);
+    let (mut owner, team) = (ledger(now, "a", 1), team());
     let mut accept = |number| {
-        let forward = ForwardId {
-            incarnation: 5,
+        let incarnation = 5;
+        let forward = Some(ForwardId {
+            incarnation,
             number,
-        };
+        });
         let call = OperationCall {
-            team: &team(),
-            key: "key",
-            digest: RequestDigest::of("POST", "/print", b"body"),
-            forward: Some(forward),
+            forward,
+            ..call(&team, "key", "body")
         };
         let decision = owner.decide(now, &call, &FixedRights(false));
-        decision == not_run(NotRunReason::NotOwner)
+        decision == NotRun(NotRunReason::NotOwner)
     };
     let numbers = [
         5, 6, 5, 4, 4, 1_029, 6, 5, 7, 7, 5_000, 1_030, 4_999, 4_999, 5_000,
@@ -484,10 +419,7 @@
 #[test]
 fn moving_key_has_one_deciding_host() {
     let now = Instant::now();
-    let list = HostList {
-        version: 1,
-        hosts: ["a1", "b1"].iter().map(record).collect(),
-    };
+    let list = list(&["a1", "b1"]);
     let lookup = CentreOwners(list.clone());
     let route = |name: &str| {
         let mut route = OperationRoute::new(&host(name), 1, &CentreName::new(&name[..1]));
@@ -507,9 +439,8 @@
         assert_eq!(decides(&old, &new), [true, false]);
         new.set_catalogue(&catalogue(2, &["a", "b"]));
         assert_eq!(decides(&old, &new), [true, false]);
-        if new.locate(&team(), &key, &list, &lookup)
-            == RouteDecision::NotRun(NotRunReason::HomeMoving)
-        {
+        let moving = RouteDecision::NotRun(NotRunReason::HomeMoving);
+        if new.locate(&team(), &key, &list, &lookup) == moving {
             has_moved += 1;
             old.set_catalogue(&catalogue(2, &["a", "b"]));
             assert_eq!(decides(&old, &new), [false, false]);
@@ -519,10 +450,7 @@
         }
         (old, new) = (route("a1"), route("b1"));
     }
-    assert!(
-        (30..70).contains(&has_moved),
-        "{has_moved} of 100 keys moved"
-    );
+    assert!((30..70).contains(&has_moved), "{has_moved} moved");
 }
 
 /// Guards the choice of the issuer for tickets and of backups in and outside the data centre.
@@ -533,10 +461,6 @@
         .issue_ticket(now, &team());
     let key = ticket.to_string();
     let lookup = CentreOwners(HostList::default());
-    let list = |names: &[&str]| HostList {
-        version: 1,
-        hosts: names.iter().map(record).collect(),
-    };
     let mut route = OperationRoute::new(&host("a1"), 1, &CentreName::new("a"));
     let full = list(&["a1", "a2", "a3", "a4", "b1"]);
     let located = route.locate(&team(), &key, &full, &lookup);
