--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -12,6 +12,7 @@
     digest::RequestDigest,
     forward_window::{ForwardId, ForwardWindow},
     handover::HandoverTracker,
+    loss::{LossTracker, LostProcess},
     outcome::{DispatchDenied, NotRunReason, OperationDecision, UnknownReason},
     record::{
         DispatchId, OperationId, OperationRecord, OperationUpdate, RecordPage, RecordState,
@@ -21,14 +22,14 @@
 };
 use crate::{
     membership::HostList,
-    names::{HostName, TeamName},
+    names::{CentreName, HostName, TeamName},
 };
 
 /// Estimated bytes of a record on the wire without team name and response.
 const RECORD_BYTES: usize = 128;
 
-/// Records examined by one call of [`OperationLedger::expire`].
-const EXPIRE_STEP: usize = 1_024;
+/// Records examined by one call, so that no call holds up the control thread.
+const SCAN_STEP: usize = 4_096;
 
 /// Tells whether this host may decide about plain keys.
 pub trait DecisionRights {
@@ -124,10 +125,14 @@
 #[derive(Debug)]
 pub struct OperationLedger {
     host: HostName,
+    centre: CentreName,
     incarnation: u64,
     issuer: TicketIssuer,
     forwards: ForwardWindow,
     handover: HandoverTracker,
+    losses: LossTracker,
+    /// Whether no other host of the data centre is listed.
+    is_alone: bool,
     slots: HashMap<OperationId, RecordSlot>,
     /// Records in the order of their last change.
     order: BTreeMap<u64, OperationId>,
@@ -142,15 +147,24 @@
 
 impl OperationLedger {
     /// Creates the empty ledger of a process; `secret` must be random and stay in this process.
-    pub fn new(now: Instant, host: &HostName, incarnation: u64, secret: [u8; 32]) -> Self {
+    pub fn new(
+        now: Instant,
+        host: &HostName,
+        centre: &CentreName,
+        incarnation: u64,
+        secret: [u8; 32],
+    ) -> Self {
         let mut handover = HandoverTracker::default();
         handover.require(now, &[]);
         Self {
             host: host.clone(),
+            centre: centre.clone(),
             incarnation,
             issuer: TicketIssuer::new(now, host, incarnation, secret),
             forwards: ForwardWindow::default(),
             handover,
+            losses: LossTracker::default(),
+            is_alone: false,
             slots: HashMap::new(),
             order: BTreeMap::new(),
             bodies: BTreeMap::new(),
@@ -204,7 +218,8 @@
         }
 
         let id = OperationId::new(call.team, call.key);
-        if self.slots.get(&id).is_some_and(|it| it.is_expired(now)) {
+        let is_stale = |it: &RecordSlot| it.is_expired(now) || self.is_abandoned(it, now);
+        if self.slots.get(&id).is_some_and(is_stale) {
             self.remove(&id);
         }
         if let Some(slot) = self.slots.get(&id) {
@@ -220,8 +235,8 @@
             if !rights.may_decide(&id, now) {
                 return OperationDecision::NotRun(NotRunReason::NotOwner);
             }
-            if self.is_awaited(now, &id) {
-                return OperationDecision::Unknown(UnknownReason::HandoverIncomplete);
+            if let Some(reason) = self.missing_record(now, &id) {
+                return OperationDecision::Unknown(reason);
             }
         }
         if !self.has_room(&id.team) {
@@ -334,7 +349,7 @@
         rights: &dyn DecisionRights,
         expected: RecordState,
     ) -> Result<(), Box<DispatchDenied>> {
-        let is_awaited = self.is_awaited(now, &handle.id);
+        let is_awaited = self.missing_record(now, &handle.id).is_some();
         let Some(slot) = self.started_mut(handle) else {
             return Err(Box::new(self.give_up(handle, NotRunReason::IntentExpired)));
         };
@@ -458,8 +473,15 @@
         wanted: impl Fn(&OperationId) -> bool,
     ) -> RecordPage {
         let mut page = RecordPage::default();
+        if cursor == 0 {
+            page.losses = self.losses.export(now);
+        }
         let mut size = 0;
-        for (sequence, id) in self.order.range(cursor..) {
+        for (count, (sequence, id)) in self.order.range(cursor..).enumerate() {
+            if count == SCAN_STEP {
+                page.next = Some(*sequence);
+                break;
+            }
             let Some(slot) = self.slots.get(id) else {
                 continue;
             };
@@ -502,14 +524,20 @@
     ) -> u64 {
         let own = self.host.clone();
         let others = sources.into_iter().filter(|it| **it != own);
-        self.handover.start(now, others)
+        self.handover.start(now, others, self.is_alone)
     }
 
     /// Ends the wait for sources that are no longer listed.
     ///
-    /// Their records are lost, or other hosts hold copies of them.
+    /// Other hosts of the data centre hold copies of their records. A data centre with a single
+    /// host has its copies elsewhere, on hosts that may be unlisted only because they are cut
+    /// off: there, the wait goes on until the source returns or [`RETENTION`] has passed.
     pub fn retain_sources(&mut self, list: &HostList) {
-        self.handover.retain(|it| list.host(it).is_some());
+        let mut others = list.hosts.iter().filter(|it| it.name != self.host);
+        self.is_alone = !others.any(|it| it.data_centre == self.centre);
+        if !self.is_alone {
+            self.handover.retain(|it| list.host(it).is_some());
+        }
     }
 
     /// Returns the epoch of the newest handover.
@@ -534,6 +562,10 @@
         cursor: u64,
         page: &RecordPage,
     ) -> Option<u64> {
+        for marker in &page.losses {
+            self.losses.import(now, marker);
+        }
+        self.losses.withdraw(&self.host, self.incarnation);
         let mut is_complete = true;
         for record in &page.records {
             is_complete &= self.merge(now, record, source);
@@ -561,7 +593,10 @@
     ) -> (Vec<(HostName, OperationRecord)>, u64) {
         let mut unplaced = Vec::new();
         let mut size = 0;
-        for (sequence, id) in self.order.range(cursor..) {
+        for (count, (sequence, id)) in self.order.range(cursor..).enumerate() {
+            if count == SCAN_STEP {
+                return (unplaced, *sequence);
+            }
             let Some(slot) = self.slots.get(id) else {
                 continue;
             };
@@ -590,7 +625,33 @@
         }
     }
 
-    /// Notes that a host lost its records: it left the list or has a new incarnation.
+    /// Notes that processes of a data centre lost their records: their host left its view
+    /// without a release, or was seen with a new incarnation. `view` is the view before.
+    ///
+    /// If an owner and its backup are lost within [`REPAIR_TIME`](super::REPAIR_TIME), keys
+    /// without a record that were theirs get `unknown` until [`RETENTION`] has passed. To be
+    /// called for every data centre: if all hosts of one are replaced, only hosts of the others
+    /// can tell the new ones.
+    pub fn records_lost(
+        &mut self,
+        now: Instant,
+        centre: &CentreName,
+        view: &[HostName],
+        lost: &[LostProcess],
+    ) {
+        self.losses.note(now, centre, view, lost);
+        for process in lost {
+            self.forget_holder(&process.host);
+        }
+    }
+
+    /// Notes that a process runs, so that it did not lose its records; to be called when a peer
+    /// answers.
+    pub fn still_running(&mut self, host: &HostName, incarnation: u64) {
+        self.losses.withdraw(host, incarnation);
+    }
+
+    /// Notes that a host holds no copies any more, so that its records are copied elsewhere.
     pub fn forget_holder(&mut self, holder: &HostName) {
         for slot in self.slots.values_mut() {
             if slot.holder.as_ref() == Some(holder) {
@@ -601,14 +662,15 @@
 
     /// Drops expired records; to be called on a timer. Examines a bounded number of records.
     pub fn expire(&mut self, now: Instant) {
+        self.losses.expire(now);
         let step: Vec<(u64, OperationId)> = self
             .order
             .range(self.expire_cursor..)
-            .take(EXPIRE_STEP)
+            .take(SCAN_STEP)
             .map(|(sequence, id)| (*sequence, id.clone()))
             .collect();
         self.expire_cursor = match step.last() {
-            Some((sequence, _)) if step.len() == EXPIRE_STEP => sequence + 1,
+            Some((sequence, _)) if step.len() == SCAN_STEP => sequence + 1,
             _ => 0,
         };
         for (_, id) in &step {
@@ -632,10 +694,16 @@
         }
     }
 
-    /// Returns whether the key may have a record that this host has not received.
-    fn is_awaited(&self, now: Instant, id: &OperationId) -> bool {
+    /// Returns why a key without a record here may have one elsewhere, or may have had one.
+    fn missing_record(&self, now: Instant, id: &OperationId) -> Option<UnknownReason> {
         let placement = id.placement();
-        self.handover.blocks(now, &self.host, &placement)
+        if self.handover.blocks(now, &self.host, &placement) {
+            Some(UnknownReason::HandoverIncomplete)
+        } else if self.losses.affects(now, &self.centre, &placement) {
+            Some(UnknownReason::RecordsLost)
+        } else {
+            None
+        }
     }
 
     fn has_room(&self, team: &TeamName) -> bool {
@@ -647,6 +715,12 @@
         slot.dispatch.incarnation == self.incarnation && slot.state == RecordState::Intent
     }
 
+    /// Returns whether this process decided and can no longer dispatch, and nobody said so.
+    fn is_abandoned(&self, slot: &RecordSlot, now: Instant) -> bool {
+        let age = now.saturating_duration_since(slot.changed);
+        self.is_own_intent(slot) && !slot.is_ticket && age > INTENT_LIFETIME
+    }
+
     fn started_mut(&mut self, handle: &OperationHandle) -> Option<&mut RecordSlot> {
         self.slots
             .get_mut(&handle.id)
