limits: combine parts of tokens; measure refusals against rate/n per host

Cause: a team whose burst share is one token per data centre loses the refill of every bucket that is full while another one is not. Hosts that compete for a surging team's tokens asked for each refilled token. Change: if no data centre has a whole token but all together have one, the wallet asks for parts. The example limits_measure compares with a bucket of rate/n per host. Conclusion: what remains for small teams is the split into buckets of one token.

--- /dev/null
+++ b/lib/examples/limits_measure.rs
@@ -0,0 +1,157 @@
+//! Measures refusals and messages of the team limits, for a bucket of rate/n per host and for
+//! the design, in a simulated fleet: `cargo run --release -p snipepond --example limits_measure`.
+//!
+//! Wrongful refusals: part of the requests of teams within their rate that were refused although
+//! a central bucket, debited by the requests admitted before, had a token. Served: admitted
+//! requests per request that a central bucket admits from the same arrivals. Worst window: requests
+//! above rate * t + burst in the worst window of any team.
+
+#[path = "../tests/limits_support/mod.rs"]
+mod limits_support;
+
+use std::time::Duration;
+
+use limits_support::{FleetSim, Scheme, TeamStats, secs};
+use snipepond::membership::ViewTiming;
+
+/// 7 hosts in 4 data centres.
+const CENTRES: [usize; 4] = [2, 2, 2, 1];
+
+/// Rate in requests/s and burst; two teams are large, the last ones are small.
+const TEAMS: [(f64, u32); 10] = [
+    (120.0, 120),
+    (80.0, 80),
+    (20.0, 20),
+    (15.0, 15),
+    (10.0, 20),
+    (8.0, 8),
+    (5.0, 10),
+    (4.0, 4),
+    (2.0, 4),
+    (1.0, 2),
+];
+
+/// Part of its rate that each team offers unless a case says otherwise.
+const LOAD: f64 = 0.7;
+
+/// Faults begin here; owners act from about 19 s on.
+const BEGIN: Duration = secs(30);
+const END: Duration = secs(90);
+
+/// Runs per case.
+const SEEDS: std::ops::Range<u64> = 1..9;
+
+type Setup = fn(&mut FleetSim);
+
+fn surge(sim: &mut FleetSim) {
+    sim.at(BEGIN, |sim| sim.teams[0].offered = 10.0 * sim.teams[0].rate);
+}
+
+fn skew(sim: &mut FleetSim) {
+    for (index, team) in sim.teams.iter_mut().enumerate() {
+        team.skew = (index % 7, 0.8);
+    }
+}
+
+fn main() {
+    let cases: [(&str, Setup); 9] = [
+        ("even balancing", |_| ()),
+        ("80% of a team to one host", skew),
+        ("one host lost", |sim| {
+            sim.at(BEGIN, |sim| sim.kill(0, secs(3)));
+        }),
+        ("one host stopped as planned", |sim| {
+            sim.at(BEGIN, |sim| sim.stop(0, secs(3)));
+        }),
+        ("data centre lost", |sim| {
+            sim.at(BEGIN, |sim| {
+                for host in sim.in_centre(0) {
+                    sim.kill(host, secs(3));
+                }
+            });
+        }),
+        ("data centre cut off", |sim| {
+            sim.at(BEGIN, |sim| {
+                let group = sim.in_centre(0);
+                sim.cut(&group, true);
+                for host in group {
+                    sim.hosts[host].reads_platform = false;
+                }
+            });
+        }),
+        ("platform down", |sim| {
+            sim.at(BEGIN, |sim| sim.platform_up = false)
+        }),
+        ("one team at 10 times its rate", surge),
+        ("10 times, 80% to one host", |sim| {
+            skew(sim);
+            surge(sim);
+        }),
+    ];
+    println!(
+        "| case | scheme | wrongful refusals | worst-served team | team beyond its rate | \
+         messages/admitted | bytes/admitted | heartbeat bytes/s/host | mean wait | worst window |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for (name, setup) in cases {
+        for scheme in [Scheme::PerHost(1.0 / 7.0), Scheme::Fleet] {
+            report(name, scheme, setup);
+        }
+    }
+}
+
+/// Sums over several runs, because the small teams have few requests in one.
+fn report(name: &str, scheme: Scheme, setup: Setup) {
+    let mut teams: Vec<TeamStats> = vec![TeamStats::default(); TEAMS.len()];
+    let mut is_within = vec![true; TEAMS.len()];
+    let (mut messages, mut bytes, mut beat_bytes, mut host_seconds) = (0, 0, 0, 0.0);
+    let mut excess = f64::NEG_INFINITY;
+    for seed in SEEDS {
+        let mut sim = FleetSim::new(seed, &CENTRES, &TEAMS, ViewTiming::default());
+        sim.scheme = scheme;
+        for team in &mut sim.teams {
+            team.offered = team.rate * LOAD;
+        }
+        setup(&mut sim);
+        sim.run_until(BEGIN);
+        sim.reset_stats();
+        sim.run_until(END);
+        for (index, team) in sim.teams.iter().enumerate() {
+            teams[index] += team.stats;
+            is_within[index] = team.offered <= team.rate;
+        }
+        messages += sim.token_traffic.0;
+        bytes += sim.token_traffic.1;
+        beat_bytes += sim.beat_traffic.1;
+        host_seconds += sim.hosts.len() as f64 * (END - BEGIN).as_secs_f64();
+        excess = excess.max(sim.worst_excess());
+    }
+    let served = |team: usize| teams[team].admitted as f64 / teams[team].entitled.max(1) as f64;
+    let within = (0..TEAMS.len()).filter(|it| is_within[*it]);
+    let worst = within
+        .clone()
+        .min_by(|a, b| served(*a).total_cmp(&served(*b)));
+    let worst = worst.expect("some team is within its rate");
+    let offered: u64 = within.clone().map(|it| teams[it].offered).sum();
+    let wrongful: u64 = within.map(|it| teams[it].wrongful).sum();
+    let beyond = (0..TEAMS.len())
+        .find(|it| !is_within[*it])
+        .map_or("-".into(), |it| format!("{:.1}%", 100.0 * served(it)));
+    let mut sum = TeamStats::default();
+    teams.iter().for_each(|it| sum += *it);
+    let admitted = sum.admitted.max(1) as f64;
+    let scheme = match scheme {
+        Scheme::Fleet => "design",
+        Scheme::PerHost(_) => "rate/n",
+    };
+    println!(
+        "| {name} | {scheme} | {:.2}% | {:.1}% (t{worst}) | {beyond} | {:.2} | {:.0} | {:.0} | {:.2} ms | {:+.2} |",
+        100.0 * wrongful as f64 / offered as f64,
+        100.0 * served(worst),
+        messages as f64 / admitted,
+        bytes as f64 / admitted,
+        beat_bytes as f64 / host_seconds,
+        sum.wait.as_secs_f64() * 1_000.0 / sum.offered as f64,
+        excess,
+    );
+}
--- a/lib/src/limits/bucket.rs
+++ b/lib/src/limits/bucket.rs
@@ -59,6 +59,8 @@
     pub wanted: u64,
     /// Units wanted in advance; granted only from a well-filled bucket.
     pub spare: u64,
+    /// Whether part of a token is of use, because the rest can come from elsewhere.
+    pub is_partial: bool,
     /// Accounts that changed since the owner last acknowledged them.
     pub accounts: Vec<GrantAccount>,
 }
@@ -72,8 +74,10 @@
     pub sequence: u64,
     /// Whether the answering host is the owner; otherwise nothing is granted.
     pub is_owner: bool,
-    /// Units granted; whole tokens.
+    /// Units granted; whole tokens unless the request was for part of one.
     pub granted: u64,
+    /// Units left in the bucket.
+    pub level: u64,
     /// Lifetime of the grant, counted from sending the request, in milliseconds.
     pub lifetime_ms: u32,
     /// Time until a token can be expected if less than wanted was granted, in milliseconds.
@@ -193,6 +197,7 @@
             sequence: request.sequence,
             is_owner: owns,
             granted: 0,
+            level: 0,
             lifetime_ms: GRANT_LIFETIME.as_millis() as u32,
             retry_ms: 0,
             is_tight: false,
@@ -214,14 +219,20 @@
             self.settle(now, &key, account);
         }
         let whole = |units: u64| units - units % UNITS_PER_TOKEN;
-        let needed = whole(request.wanted.min(self.level));
+        let available = request.wanted.min(self.level);
+        let needed = if request.is_partial {
+            available
+        } else {
+            whole(available)
+        };
         let excess = (self.level - needed).saturating_sub(share.burst / 2);
         let spare = whole(request.spare.min(excess / SPARE_DIVISOR));
         reply.granted = needed + spare;
         self.level -= reply.granted;
         self.outstanding += reply.granted;
         reply.is_tight = self.outstanding > share.burst / TIGHT_DIVISOR;
-        if needed < whole(request.wanted) {
+        reply.level = self.level;
+        if needed < request.wanted {
             reply.retry_ms = self.retry_time(now).as_millis() as u32;
         }
         let expires = now + GRANT_LIFETIME + GRANT_MARGIN;
--- a/lib/src/limits/wallet.rs
+++ b/lib/src/limits/wallet.rs
@@ -11,7 +11,8 @@
 /// Time for which tokens are requested in advance of the recent demand.
 const ADVANCE: Duration = Duration::from_millis(50);
 
-/// Demand below which nothing is requested in advance, in requests per second.
+/// Demand from which tokens are requested in advance, in requests per second. From there on,
+/// parts of a token are not worth their messages.
 const MIN_ADVANCE_RATE: f64 = 20.0;
 
 /// Time constant of the demand estimate.
@@ -19,6 +20,7 @@
 
 /// Age from which unspent tokens are returned.
 const RETURN_AGE: Duration = Duration::from_millis(250);
+const PART_RETURN_AGE: Duration = Duration::from_millis(50);
 
 /// Age from which spent tokens are reported, also without another reason for a message.
 const REPORT_AGE: Duration = Duration::from_millis(250);
@@ -83,6 +85,7 @@
     sequence: u64,
     sent: Instant,
     accounts: Vec<GrantAccount>,
+    is_partial: bool,
     is_lost: bool,
 }
 
@@ -95,6 +98,12 @@
     closed_until: Option<Instant>,
     /// Sending time of the last request that was answered or lost.
     asked: Option<Instant>,
+    /// As `asked`, for requests for part of a token.
+    asked_for_part: Option<Instant>,
+    /// Units that the owner had left after its last answer.
+    level: u64,
+    /// Consecutive answers without a token.
+    misses: u32,
     is_suspect: bool,
     is_tight: bool,
 }
@@ -104,6 +113,11 @@
         self.flights.iter().find(|it| !it.is_lost)
     }
 
+    /// Whether the owner is known to have no whole token, or cannot be reached.
+    fn is_closed(&self, now: Instant) -> bool {
+        self.closed_until.is_some_and(|it| now < it)
+    }
+
     fn is_slow(&self, now: Instant) -> bool {
         self.pending()
             .is_some_and(|it| now.saturating_duration_since(it.sent) >= SLOW_ANSWER)
@@ -190,16 +204,41 @@
                 let Some(lender) = self.lenders.get(*centre) else {
                     return Some((false, *centre));
                 };
-                let is_closed = lender.closed_until.is_some_and(|it| now < it);
                 let was_asked = lender.asked.is_some_and(|it| it >= arrived);
                 let is_last = lender.is_suspect || lender.is_slow(now);
-                (!is_closed && !was_asked).then_some((is_last, *centre))
+                (!lender.is_closed(now) && !was_asked).then_some((is_last, *centre))
             })
             .collect();
+        if candidates.is_empty() {
+            return self.part_candidates(now, arrived);
+        }
         candidates.sort_by_key(|it| it.0);
         candidates.into_iter().map(|it| it.1.clone()).collect()
     }
 
+    /// Data centres that together have a token although none of them has a whole one.
+    ///
+    /// Without this, a team whose burst share is one token loses the refill of every data
+    /// centre that is full while another one is not.
+    fn part_candidates(&self, now: Instant, arrived: Instant) -> Vec<CentreName> {
+        if self.demand.rate(now) >= MIN_ADVANCE_RATE {
+            return Vec::new();
+        }
+        let mut candidates: Vec<(u64, &CentreName)> = self
+            .lenders
+            .iter()
+            .filter(|(_, it)| it.level > 0 && it.is_closed(now) && !it.is_suspect)
+            .filter(|(_, it)| it.asked_for_part.is_none_or(|at| at < arrived))
+            .map(|(centre, it)| (it.level, centre))
+            .collect();
+        let levels: u64 = candidates.iter().map(|it| it.0).sum();
+        if levels + self.held(now) < UNITS_PER_TOKEN {
+            return Vec::new();
+        }
+        candidates.sort_by_key(|it| std::cmp::Reverse(it.0));
+        candidates.into_iter().map(|it| it.1.clone()).collect()
+    }
+
     fn retry_time(&self, now: Instant) -> Duration {
         self.lenders
             .values()
@@ -230,11 +269,21 @@
         }
     }
 
+    /// Age from which unspent tokens are returned; parts of a token are of little use here.
+    fn return_age(&self, now: Instant) -> Duration {
+        if self.held(now) < UNITS_PER_TOKEN {
+            PART_RETURN_AGE
+        } else {
+            RETURN_AGE
+        }
+    }
+
     /// Accounts of the grants of a data centre of which the owner does not know.
     fn accounts(&mut self, now: Instant, centre: &CentreName) -> Vec<GrantAccount> {
         let mut accounts = Vec::new();
+        let return_age = self.return_age(now);
         for grant in self.grants.iter_mut().filter(|it| it.centre == *centre) {
-            if now.saturating_duration_since(grant.received) >= RETURN_AGE {
+            if now.saturating_duration_since(grant.received) >= return_age {
                 // Debited before the message is sent, so that a returned unit cannot be spent.
                 grant.returned += std::mem::take(&mut grant.left);
             }
@@ -253,6 +302,7 @@
 
     /// Whether the owner in a data centre should hear from this host without a request waiting.
     fn is_report_due(&self, now: Instant, centre: &CentreName, is_tight: bool) -> bool {
+        let return_age = self.return_age(now);
         let report_age = if is_tight {
             TIGHT_REPORT_AGE
         } else {
@@ -263,7 +313,7 @@
             .filter(|it| it.centre == *centre && now < it.expires)
             .any(|it| {
                 let is_unused =
-                    it.left > 0 && now.saturating_duration_since(it.received) >= RETURN_AGE;
+                    it.left > 0 && now.saturating_duration_since(it.received) >= return_age;
                 let is_unreported = !it.is_settled()
                     && it.spent_between.is_some_and(|(first, _)| {
                         now.saturating_duration_since(first) >= report_age
@@ -286,14 +336,25 @@
         };
         let flight = lender.flights.remove(index);
         lender.asked = lender.asked.max(Some(flight.sent));
+        if flight.is_partial {
+            lender.asked_for_part = lender.asked_for_part.max(Some(flight.sent));
+        }
         lender.is_suspect = false;
         lender.is_tight = reply.is_tight;
+        lender.level = reply.level;
         if !reply.is_owner {
             lender.closed_until = Some(now + NOT_OWNER_PAUSE);
             return;
         }
+        lender.misses = if reply.granted > 0 || reply.retry_ms == 0 {
+            0
+        } else {
+            lender.misses + 1
+        };
+        // Hosts that compete for each token back off; the refill meanwhile stays in the bucket.
         let retry = Duration::from_millis(reply.retry_ms.into());
-        lender.closed_until = (reply.retry_ms > 0).then(|| now + retry.clamp(MIN_EMPTY, MAX_EMPTY));
+        let pause = retry.saturating_mul(1 << lender.misses.min(6));
+        lender.closed_until = (reply.retry_ms > 0).then(|| now + pause.clamp(MIN_EMPTY, MAX_EMPTY));
         for account in &flight.accounts {
             if let Some(grant) = self
                 .grants
@@ -404,12 +465,18 @@
         } else {
             0
         };
+        let is_partial = waiting > 0 && wallet.lenders[centre].is_closed(now);
+        let mut wanted = u64::from(waiting) * UNITS_PER_TOKEN;
+        if is_partial {
+            wanted = wanted.saturating_sub(wallet.held(now));
+        }
         self.sequence += 1;
         let lender = wallet.lenders.entry(centre.clone()).or_default();
         lender.flights.push(GrantFlight {
             sequence: self.sequence,
             sent: now,
             accounts: accounts.clone(),
+            is_partial,
             is_lost: false,
         });
         Some(GrantRequest {
@@ -417,8 +484,9 @@
             borrower: self.host.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
-            wanted: u64::from(waiting) * UNITS_PER_TOKEN,
+            wanted,
             spare,
+            is_partial,
             accounts,
         })
     }
@@ -443,6 +511,7 @@
             flight.is_lost = true;
             lender.asked = lender.asked.max(Some(flight.sent));
             lender.is_suspect = true;
+            lender.level = 0;
             lender.closed_until = Some(now + LOST_PAUSE);
         }
     }
--- a/lib/tests/limits_state.rs
+++ b/lib/tests/limits_state.rs
@@ -28,6 +28,7 @@
         sequence,
         wanted: tokens * UNITS_PER_TOKEN,
         spare: 0,
+        is_partial: false,
         accounts,
     }
 }
@@ -150,6 +151,7 @@
         sequence: request.sequence,
         is_owner: true,
         granted: 3 * UNITS_PER_TOKEN,
+        level: 0,
         lifetime_ms: 1_000,
         retry_ms: 0,
         is_tight: false,
--- a/lib/tests/limits_support/mod.rs
+++ b/lib/tests/limits_support/mod.rs
@@ -148,6 +148,17 @@
     pub wait: Duration,
 }
 
+impl std::ops::AddAssign for TeamStats {
+    fn add_assign(&mut self, other: Self) {
+        self.offered += other.offered;
+        self.admitted += other.admitted;
+        self.refused += other.refused;
+        self.wrongful += other.wrongful;
+        self.entitled += other.entitled;
+        self.wait += other.wait;
+    }
+}
+
 pub struct FleetSim {
     pub scheme: Scheme,
     pub net: NetSettings,
@@ -380,30 +391,6 @@
         self.beat_traffic = (0, 0);
     }
 
-    /// Returns the team index, sums and share of entitled requests of the worst-served team.
-    pub fn totals(&self) -> (TeamStats, f64) {
-        let mut sum = TeamStats::default();
-        let mut worst = f64::INFINITY;
-        for TeamStats {
-            offered,
-            admitted,
-            refused,
-            wrongful,
-            entitled,
-            wait,
-        } in self.teams.iter().map(|it| it.stats)
-        {
-            sum.offered += offered;
-            sum.admitted += admitted;
-            sum.refused += refused;
-            sum.wrongful += wrongful;
-            sum.entitled += entitled;
-            sum.wait += wait;
-            worst = worst.min(admitted as f64 / entitled.max(1) as f64);
-        }
-        (sum, worst)
-    }
-
     // The run.
 
     pub fn run_until(&mut self, end: Duration) {
