membership: sample heartbeats, remember hosts that run but are not listed

Cause: heartbeats to all hosts of a data centre of 67 exceed the control traffic allowed. Change: heartbeats go to three changing hosts and to all that left the list, and to all hosts once the list read is about to expire. Without the list, a host that was heard from as live must confirm as well. A statement that a host owns nothing ends with the next heartbeat as live, and listed hosts are always asked.

--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -16,6 +16,10 @@
     rendezvous,
 };
 
+/// Hosts that get a heartbeat while the host list confirms the view. Heartbeats to all hosts of
+/// a data centre of 67 would take several times the control traffic that a host may cause.
+const PEER_SAMPLE: usize = 3;
+
 /// Times on which ownership depends; the same on every host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ViewTiming {
@@ -93,8 +97,10 @@
     /// The host as it last described itself.
     record: HostRecord,
     incarnation: u64,
-    /// Time at which the host was last heard from directly.
+    /// Time at which the host was last heard from directly, as live.
     heard: Option<Instant>,
+    /// Time at which it last said that it owns nothing, unless it was heard as live since.
+    leaving: Option<Instant>,
     /// Time at which a peer last reported to have heard from the host.
     reported: Option<Instant>,
     /// Hash that the host last confirmed and the time at which it was asked.
@@ -132,11 +138,17 @@
     host: HostRecord,
     incarnation: u64,
     timing: ViewTiming,
+    started: Instant,
     last_call: Instant,
     list: HostList,
+    /// Hosts of the data centre in recent views that the list does not contain any more.
+    unlisted: BTreeMap<HostName, HostRecord>,
     /// Start of the last list read that contained this host as live.
     list_read: Option<Instant>,
     peers: BTreeMap<HostName, PeerState>,
+    /// Hosts that ran as live at a time that the list may not show yet. Without the list, the
+    /// view is not confirmed as long as one of them is silent.
+    witnessed: BTreeMap<HostName, Instant>,
     /// Incarnations that own nothing any more, with the end of their exclusion from views.
     releases: BTreeMap<HostName, (u64, Instant)>,
     /// Views in force during the last `takeover_wait`, oldest first; never empty.
@@ -154,10 +166,13 @@
             host,
             incarnation,
             timing,
+            started: now,
             last_call: now,
             list: HostList::default(),
+            unlisted: BTreeMap::new(),
             list_read: None,
             peers: BTreeMap::new(),
+            witnessed: BTreeMap::new(),
             releases: BTreeMap::new(),
             views: vec![View::new(now, BTreeSet::new())],
             fleets: vec![View::new(now, BTreeSet::new())],
@@ -174,7 +189,13 @@
         self.detect_pause(now);
         if list.version >= self.list.version {
             if list.version > self.list.version {
-                self.list = list.clone();
+                let earlier = std::mem::replace(&mut self.list, list.clone());
+                for host in earlier
+                    .live_in(&self.host.data_centre)
+                    .filter(|it| list.host(&it.name).is_none())
+                {
+                    self.unlisted.insert(host.name.clone(), host.clone());
+                }
                 let live = self
                     .list
                     .hosts
@@ -183,7 +204,7 @@
                 let fleet = live.map(|it| it.name.clone()).collect();
                 push_view(&mut self.fleets, now, self.timing.takeover_wait(), fleet);
             }
-            self.list_read = self.is_listed().then_some(started);
+            self.note_read(started);
         }
         self.update(now);
     }
@@ -191,7 +212,7 @@
     /// Notes that a read that began at `started` found no newer list.
     pub fn list_unchanged(&mut self, started: Instant, now: Instant) {
         self.detect_pause(now);
-        self.list_read = self.is_listed().then_some(started);
+        self.note_read(started);
         self.update(now);
     }
 
@@ -213,11 +234,47 @@
         }
     }
 
-    /// Returns the other hosts of the data centre in any view of the last `takeover_wait`.
+    /// Returns the hosts to which the next heartbeat goes; to be called once per second.
     ///
-    /// Hosts that were just removed from the list are included because they may still run.
-    pub fn peers(&self) -> Vec<&HostRecord> {
-        let names: BTreeSet<&HostName> = self.views.iter().flat_map(|it| &it.names).collect();
+    /// These are all other hosts of the data centre in the views of the last `takeover_wait`
+    /// while the list read is about to expire, because then only peers can confirm the view.
+    /// Otherwise, all hosts that left the list, because they may still run, and a changing
+    /// sample of the others.
+    pub fn peers(&self, now: Instant) -> Vec<HostRecord> {
+        let (listed, unlisted): (Vec<_>, Vec<_>) = self
+            .neighbours()
+            .into_iter()
+            .partition(|it| self.listed_state(&it.name) == Some(HostState::Live));
+        let is_list_fresh = self
+            .list_read
+            .is_some_and(|it| now.saturating_duration_since(it) < self.timing.validity * 3 / 4);
+        let count = if is_list_fresh {
+            listed.len().min(PEER_SAMPLE)
+        } else {
+            listed.len()
+        };
+        let second = now.saturating_duration_since(self.started).as_secs() as usize;
+        let sample = listed
+            .iter()
+            .cycle()
+            .skip(second * count % listed.len().max(1));
+        unlisted
+            .iter()
+            .chain(sample.take(count))
+            .map(|it| (*it).clone())
+            .collect()
+    }
+
+    /// Returns the other hosts of the data centre in the list or in any view of the last
+    /// `takeover_wait`; a release goes to all of them.
+    pub fn neighbours(&self) -> Vec<&HostRecord> {
+        let listed = self.list.live_in(&self.host.data_centre);
+        let names: BTreeSet<&HostName> = self
+            .views
+            .iter()
+            .flat_map(|it| &it.names)
+            .chain(listed.map(|it| &it.name))
+            .collect();
         names
             .into_iter()
             .filter(|it| **it != self.host.name)
@@ -240,7 +297,7 @@
             .peers
             .values()
             .filter(|it| it.record.name != heartbeat.host.name)
-            .filter(|it| self.is_fresh(it.heard, now) && it.record.state == HostState::Live)
+            .filter(|it| self.is_fresh(it.heard, now))
             .filter(|it| {
                 !(same_list && self.listed_state(&it.record.name) == Some(HostState::Live))
             })
@@ -288,31 +345,33 @@
         }
     }
 
-    /// Takes the release of another process.
+    /// Takes the release of another process and returns whether it is accepted.
     ///
-    /// It is ignored unless that incarnation answered a heartbeat recently. A later process on
-    /// the same host acts at the earliest `takeover_wait` after that answer, and the exclusion
-    /// from the views ends before that, so that a late release cannot exclude the new process.
-    pub fn released(&mut self, now: Instant, host: &HostName, incarnation: u64) {
+    /// It is ignored unless that incarnation answered a heartbeat recently; the caller may send
+    /// a heartbeat and repeat the call. A later process on the same host acts at the earliest
+    /// `takeover_wait` after that answer, and the exclusion from the views ends before that, so
+    /// that a late release cannot exclude the new process.
+    pub fn released(&mut self, now: Instant, host: &HostName, incarnation: u64) -> bool {
         self.detect_pause(now);
-        let alive = self
+        let until = self
             .peers
             .get(host)
             .filter(|it| it.incarnation == incarnation)
-            .and_then(|it| it.alive);
-        if let Some(alive) = alive {
-            let until = alive + self.timing.takeover_wait() - self.timing.margin;
-            if now < until {
-                self.releases.insert(host.clone(), (incarnation, until));
-                self.peers.remove(host);
-                for view in &mut self.views {
-                    if view.names.remove(host) {
-                        *view = View::new(view.from, std::mem::take(&mut view.names));
-                    }
+            .and_then(|it| it.alive)
+            .map(|it| it + self.timing.takeover_wait() - self.timing.margin)
+            .filter(|it| now < *it);
+        if let Some(until) = until {
+            self.releases.insert(host.clone(), (incarnation, until));
+            self.peers.remove(host);
+            self.witnessed.remove(host);
+            for view in &mut self.views {
+                if view.names.remove(host) {
+                    *view = View::new(view.from, std::mem::take(&mut view.names));
                 }
             }
         }
         self.update(now);
+        until.is_some()
     }
 
     /// Returns whether there is recent evidence that the current view is complete.
@@ -402,6 +461,13 @@
         self.list
             .host(name)
             .or_else(|| self.peers.get(name).map(|it| &it.record))
+            .or_else(|| self.unlisted.get(name))
+    }
+
+    fn note_read(&mut self, started: Instant) {
+        self.list_read = self.is_listed().then_some(started);
+        let lag = self.timing.list_lag;
+        self.witnessed.retain(|_, at| *at + lag >= started);
     }
 
     fn detect_pause(&mut self, now: Instant) {
@@ -427,6 +493,12 @@
         }
         // Another incarnation runs, so the host belongs into the views again.
         self.releases.remove(&record.name);
+        if record.state == HostState::Live {
+            let witnessed = self.witnessed.entry(record.name.clone()).or_insert(at);
+            *witnessed = at.max(*witnessed);
+        } else if via == HeardVia::Reply {
+            self.witnessed.remove(&record.name);
+        }
         let peer = self
             .peers
             .entry(record.name.clone())
@@ -434,6 +506,7 @@
                 record: record.clone(),
                 incarnation,
                 heard: None,
+                leaving: None,
                 reported: None,
                 confirmed: None,
                 alive: None,
@@ -444,15 +517,22 @@
         }
         // A reply proves which incarnation ran after the request was sent; a heartbeat may be
         // old and replaces no incarnation that is known to have run.
-        if via == HeardVia::Reply && peer.alive.is_none_or(|it| at >= it) {
-            peer.incarnation = incarnation;
+        let is_newest = via == HeardVia::Reply && peer.alive.is_none_or(|it| at >= it);
+        if is_newest {
             peer.alive = Some(at);
-            peer.record = record.clone();
-        } else if peer.incarnation == incarnation || peer.alive.is_none() {
+        }
+        let is_known = is_newest || peer.incarnation == incarnation || peer.alive.is_none();
+        if is_known {
             peer.incarnation = incarnation;
             peer.record = record.clone();
         }
-        peer.heard = peer.heard.max(Some(at));
+        if record.state == HostState::Live {
+            // Even if the incarnation is unknown: a host too many in the view does no harm.
+            peer.heard = peer.heard.max(Some(at));
+            peer.leaving = None;
+        } else if is_known {
+            peer.leaving = peer.leaving.max(Some(at));
+        }
     }
 
     /// Latest time up to which the current view is confirmed.
@@ -462,9 +542,11 @@
             return None;
         }
         let by_list = self.list_read;
+        let witnessed = self.witnessed.keys();
         let by_peers = view
             .names
             .iter()
+            .chain(witnessed)
             .filter(|it| **it != self.host.name)
             .map(|it| {
                 let confirmed = self.peers.get(it)?.confirmed?;
@@ -482,15 +564,14 @@
             .map(|it| &it.name)
             .filter(|it| {
                 // A host that says itself that it owns nothing leaves the view.
-                !self.peers.get(*it).is_some_and(|peer| {
-                    peer.record.state == HostState::Leaving && self.is_fresh(peer.heard, now)
-                })
+                let peer = self.peers.get(*it);
+                !peer.is_some_and(|peer| self.is_fresh(peer.leaving, now))
             });
         let heard = self
             .peers
             .values()
-            .filter(|it| it.record.state == HostState::Live)
             .filter(|it| self.is_fresh(it.heard, now) || self.is_fresh(it.reported, now))
+            .filter(|it| !self.is_fresh(it.leaving, now))
             .map(|it| &it.record.name)
             .filter(|it| self.listed_state(it) != Some(HostState::Leaving));
         listed
@@ -506,12 +587,16 @@
         let memory = wait + self.timing.validity;
         self.peers.retain(|_, it| {
             it.heard
+                .max(it.leaving)
                 .max(it.reported)
                 .max(it.alive)
                 .is_some_and(|at| now.saturating_duration_since(at) <= memory)
         });
         let names = self.current_names(now);
         push_view(&mut self.views, now, wait, names);
+        let views = &self.views;
+        self.unlisted
+            .retain(|name, _| views.iter().any(|it| it.names.contains(name)));
         // Other hosts cannot have taken over before the end of the margin, so that a shorter
         // lapse of the evidence does not hide a removal of this host from their views.
         let until = self.confirmed_until();
--- a/lib/tests/membership_views.rs
+++ b/lib/tests/membership_views.rs
@@ -1,6 +1,9 @@
 //! When a host may act as owner: every case in which it must not, and the planned stop.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use snipepond::{
     membership::{
@@ -237,3 +240,57 @@
     assert_eq!(sizes(at(37.1)), [1]);
     assert!(views.hosts().host(&HostName::new("h1")).is_some());
 }
+
+/// Guards against: heartbeats that grow with the square of the data centre, and hosts that are
+/// not asked although their answer decides.
+#[test]
+fn heartbeats_go_to_a_sample_while_the_list_is_fresh() {
+    let start = Instant::now();
+    let at = |time: f64| start + secs(time);
+    let names: Vec<String> = (1..=20).map(|it| format!("h{it}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut views = tracker("h1", start);
+    views.read_list(at(0.0), at(0.0), &list(1, &names));
+    assert_eq!(views.neighbours().len(), 19);
+    let asked = |from: u32, views: &ViewTracker| -> HashSet<HostName> {
+        let times = from..from + 4;
+        times
+            .flat_map(|it| views.peers(at(it.into())))
+            .map(|it| it.name)
+            .collect()
+    };
+    assert_eq!(views.peers(at(0.0)).len(), 3);
+    assert_eq!(asked(0, &views).len(), 12, "the sample changes");
+    // Before the list read expires, every host is asked.
+    assert_eq!(views.peers(at(4.5)).len(), 19);
+    // A host that left the list may still run.
+    views.read_list(at(6.0), at(6.0), &list(2, &names[..19]));
+    assert!((6..10).all(|it| views.peers(at(it.into())).contains(&record("h20"))));
+}
+
+/// Guards against: a restarted host that stays excluded because its earlier process, or itself
+/// before its first list read, said that it owns nothing.
+#[test]
+fn restarted_host_returns_to_the_view() {
+    let start = Instant::now();
+    let hosts = list(1, &["h1", "h2"]);
+    let mut one = tracker("h1", start);
+    read(&mut one, start, 0, 20, &hosts);
+    let before = owned(&one, start + secs(20.0));
+    // Each process on h2 answers one heartbeat before it has read the list.
+    for (time, incarnation) in [(20.0, 2), (24.0, 3)] {
+        let now = start + secs(time);
+        let mut two = ViewTracker::new(record("h2"), incarnation, ViewTiming::default(), now);
+        beat(&mut one, &mut two, "h2", now);
+        assert_eq!(one.owner("a").map(|it| &it.name), Some(&"h1".into()));
+        assert!(one.peers(now).contains(&record("h2")), "asked again");
+        two.read_list(now, now, &hosts);
+        one.hear(now, &two.heartbeat(now));
+    }
+    // The second process is alone in saying that it runs; its heartbeat is enough.
+    let mut three = ViewTracker::new(record("h2"), 4, ViewTiming::default(), start);
+    three.read_list(start + secs(25.0), start + secs(25.0), &hosts);
+    one.hear(start + secs(25.0), &three.heartbeat(start + secs(25.0)));
+    read(&mut one, start, 26, 60, &hosts);
+    assert_eq!(owned(&one, start + secs(60.0)), before);
+}
