--- a/lib/tests/limits_support/mod.rs
+++ b/lib/tests/limits_support/mod.rs
@@ -148,6 +148,17 @@
     pub wait: Duration,
 }
 
+impl std::ops::AddAssign for TeamStats {
+    fn add_assign(&mut self, other: Self) {
+        self.offered += other.offered;
+        self.admitted += other.admitted;
+        self.refused += other.refused;
+        self.wrongful += other.wrongful;
+        self.entitled += other.entitled;
+        self.wait += other.wait;
+    }
+}
+
 pub struct FleetSim {
     pub scheme: Scheme,
     pub net: NetSettings,
@@ -285,7 +296,13 @@
     /// Stops a host as planned: release, then end, while the list lags.
     pub fn stop(&mut self, host: usize, delay: Duration) {
         let release = self.hosts[host].views.release();
-        for to in self.peers(host) {
+        let neighbours = self.hosts[host].views.neighbours();
+        let neighbours: Vec<_> = neighbours.iter().map(|it| it.name.clone()).collect();
+        for to in neighbours
+            .iter()
+            .filter_map(|it| self.index_of(it))
+            .collect::<Vec<_>>()
+        {
             self.send(host, to, Message::Release(release.clone()));
         }
         self.at(self.now + secs(1), move |sim| sim.kill(host, delay));
@@ -380,30 +397,6 @@
         self.beat_traffic = (0, 0);
     }
 
-    /// Returns the team index, sums and share of entitled requests of the worst-served team.
-    pub fn totals(&self) -> (TeamStats, f64) {
-        let mut sum = TeamStats::default();
-        let mut worst = f64::INFINITY;
-        for TeamStats {
-            offered,
-            admitted,
-            refused,
-            wrongful,
-            entitled,
-            wait,
-        } in self.teams.iter().map(|it| it.stats)
-        {
-            sum.offered += offered;
-            sum.admitted += admitted;
-            sum.refused += refused;
-            sum.wrongful += wrongful;
-            sum.entitled += entitled;
-            sum.wait += wait;
-            worst = worst.min(admitted as f64 / entitled.max(1) as f64);
-        }
-        (sum, worst)
-    }
-
     // The run.
 
     pub fn run_until(&mut self, end: Duration) {
@@ -587,7 +580,7 @@
     }
 
     fn peers(&self, host: usize) -> Vec<usize> {
-        let peers = self.hosts[host].views.peers();
+        let peers = self.hosts[host].views.peers(self.instant(self.now));
         peers
             .iter()
             .filter_map(|it| self.index_of(&it.name))
@@ -654,7 +647,7 @@
                 }
             }
             Message::Release(release) => {
-                host.views.released(now, &release.host, release.incarnation);
+                let _ = host.views.released(now, &release.host, release.incarnation);
             }
             Message::Grant(request) => {
                 let team = request.team.clone();
