control: losses of records are noted; a planned stop hands over its records

Cause: the ledger needs to know which processes lost their records, and a stopping process gave up its rights before its records had a second holder. Change: a table of the processes on each host notes losses and releases; the stop hands over when no request is in flight and releases to all hosts; operations wait in the queue before the decision.

--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -9,6 +9,7 @@
 mod handle;
 mod message;
 mod operations;
+mod processes;
 mod report;
 mod state;
 mod timer;
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -82,8 +82,10 @@
     ListVersion(ReplySender<u64>),
     /// Whether the host takes new requests.
     IsReady(ReplySender<bool>),
-    /// A planned stop has begun.
+    /// A planned stop has begun; new requests are refused.
     Drain,
+    /// No request is in flight any more: hand over what this process owns, then give it up.
+    HandOver(ReplySender<()>),
 }
 
 /// A request before admission.
--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -288,7 +288,7 @@
         if reports.is_empty() {
             return;
         }
-        let peers: Vec<HostRecord> = self.views.peers().into_iter().cloned().collect();
+        let peers: Vec<HostRecord> = self.views.peers(now);
         for peer in &peers {
             let batch = LoadBatch {
                 reports: reports.clone(),
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -83,7 +83,7 @@
     /// While the platform is silent every host of the view has to confirm it, so all are asked.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let heartbeat = self.views.heartbeat(now);
-        let peers: Vec<HostRecord> = self.views.peers().into_iter().cloned().collect();
+        let peers: Vec<HostRecord> = self.views.peers(now);
         if peers.is_empty() {
             return;
         }
@@ -167,7 +167,7 @@
     /// Returns whether a pull was ordered.
     pub(super) fn hear_digest(&mut self, now: Instant, digest: &HostDigest) -> bool {
         self.note_revision(&digest.host, digest.accepted);
-        self.note_incarnation(&digest.host, digest.incarnation);
+        self.note_process(now, &digest.host, digest.incarnation);
         let accepted = self.config.accepted_revision();
         if digest.accepted <= accepted && digest.seen <= self.config.seen_revision() {
             return false;
@@ -190,10 +190,10 @@
         self.config.change_since(base)
     }
 
-    /// Gives up every right of this process and tells the hosts of the data centre.
+    /// Gives up every right of this process and tells all hosts.
     pub(super) fn release(&mut self, now: Instant) {
         let release: HostRelease = self.views.release();
-        let peers: Vec<HostRecord> = self.views.peers().into_iter().cloned().collect();
+        let peers: Vec<HostRecord> = self.other_hosts().cloned().collect();
         for peer in &peers {
             self.tell(now, peer, PeerRequest::Release(release.clone()));
         }
@@ -203,9 +203,11 @@
     pub(super) fn hear(&mut self, now: Instant, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Heartbeat(heartbeat) => {
+                self.note_process(now, &heartbeat.host.name, heartbeat.incarnation);
                 PeerReply::Heartbeat(self.views.hear(now, &heartbeat))
             }
             PeerRequest::Release(release) => {
+                self.processes.note_release(&release);
                 self.watch_gains(now, now + self.timing.takeover_wait());
                 self.views.released(now, &release.host, release.incarnation);
                 // A released owner decides nothing more, so its keys can be taken over at once.
--- a/lib/src/control/operations.rs
+++ b/lib/src/control/operations.rs
@@ -370,42 +370,12 @@
         self.call(now, source, request, PAGE_TIMEOUT);
     }
 
-    /// Notes that the records at a host are lost, because a new process runs there.
-    pub(super) fn note_incarnation(&mut self, host: &HostName, incarnation: u64) {
-        if self
-            .incarnations
-            .insert(host.clone(), incarnation)
-            .is_some_and(|it| it != incarnation)
-        {
-            self.ledger.forget_holder(host);
-            self.is_placement_due = true;
-        }
-    }
-
     /// Does the periodic work for operations.
     pub(super) fn tick_operations(&mut self, now: Instant) {
         let settled = self.lowest_revision();
         if self.operation_route.settle(settled) {
             self.ledger.require_handover(now, &[]);
         }
-        let listed: BTreeSet<HostName> = self
-            .views
-            .hosts()
-            .hosts
-            .iter()
-            .map(|it| it.name.clone())
-            .collect();
-        let gone: Vec<HostName> = self
-            .incarnations
-            .keys()
-            .filter(|it| !listed.contains(*it))
-            .cloned()
-            .collect();
-        for host in gone {
-            self.incarnations.remove(&host);
-            self.ledger.forget_holder(&host);
-            self.is_placement_due = true;
-        }
         self.ledger.retain_sources(self.views.hosts());
         self.continue_handover(now);
         self.place_records(now);
@@ -455,7 +425,7 @@
     }
 
     /// Gives records without a second holder to the host that should hold them.
-    fn place_records(&mut self, now: Instant) {
+    pub(super) fn place_records(&mut self, now: Instant) {
         if !self.is_placement_due {
             return;
         }
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -15,6 +15,7 @@
     gossip::StartSync,
     message::{PeerReply, PeerRequest},
     operations::SeenView,
+    processes::ProcessTable,
     report::TeamCountTable,
     timer::PeriodTimer,
 };
@@ -110,7 +111,7 @@
     pub(super) operation_route: OperationRoute,
     pub(super) ledger: OperationLedger,
     pub(super) last_forward: u64,
-    pub(super) incarnations: BTreeMap<HostName, u64>,
+    pub(super) processes: ProcessTable,
     pub(super) seen_view: SeenView,
     pub(super) is_placement_due: bool,
     pub(super) placement_cursor: u64,
@@ -177,9 +178,9 @@
             crashes: CrashRegister::new(),
             spreads: SpreadTable::default(),
             operation_route: OperationRoute::new(&host, incarnation, &centre),
-            ledger: OperationLedger::new(now, &host, incarnation, rand::random()),
+            ledger: OperationLedger::new(now, &host, &centre, incarnation, rand::random()),
             last_forward: 0,
-            incarnations: BTreeMap::new(),
+            processes: ProcessTable::default(),
             seen_view: SeenView::default(),
             is_placement_due: false,
             placement_cursor: 0,
@@ -253,10 +254,8 @@
             ControlCommand::IsReady(reply) => {
                 let _ = reply.send(self.is_ready());
             }
-            ControlCommand::Drain => {
-                self.is_draining = true;
-                self.release(now);
-            }
+            ControlCommand::Drain => self.is_draining = true,
+            ControlCommand::HandOver(reply) => self.hand_over(now, reply),
         }
     }
 
@@ -271,6 +270,7 @@
         self.spreads.expire(now);
         if self.timers.queue.is_due(now) {
             self.serve_queue(now);
+            self.continue_hand_over(now);
         }
         if self.timers.heartbeat.is_due(now) {
             self.send_heartbeats(now);
@@ -354,6 +354,7 @@
             None => self.views.list_unchanged(started, now),
         }
         self.update_fleets(now);
+        self.note_listed(now);
         self.start_sync(now);
     }
 
@@ -379,6 +380,7 @@
         match (call.request, result) {
             (PeerRequest::Heartbeat(_), Ok(PeerReply::Heartbeat(reply))) => {
                 let peer = reply.host.name.clone();
+                self.note_process(now, &peer, reply.incarnation);
                 self.views.confirm(call.ordered, now, &peer, &reply);
             }
             (PeerRequest::Digest(_), Ok(PeerReply::Digest(digest))) => {
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -38,6 +38,9 @@
 /// Interval at which a stopping process looks for requests in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time for the last messages of a stopping process.
+const RELEASE_NOTICE: Duration = Duration::from_millis(100);
+
 /// Time during which a stopping process still refuses new requests, so that the load balancer
 /// sees that it is not ready.
 const DRAIN_NOTICE: Duration = Duration::from_millis(500);
@@ -130,6 +133,9 @@
             }
             std::thread::sleep(DRAIN_POLL);
         }
+        handle.ask(ControlCommand::HandOver);
+        // The releases are on their way in other threads; one that is lost only costs a wait.
+        std::thread::sleep(RELEASE_NOTICE);
         is_drained
     }
 }
--- a/lib/src/exchange/operation.rs
+++ b/lib/src/exchange/operation.rs
@@ -6,9 +6,9 @@
 use crate::{
     catalogue::KeyHash,
     control::{
-        Admission, AdmitRequest, ControlCommand, DispatchEnd, DispatchTarget, ForwardedOperation,
-        OperationAnswer, OperationCommand, OperationEnd, OperationPlace, OperationRequest,
-        OperationStart, OperationVerdict, PeerReply, PeerRequest, RequestEnd,
+        Admission, AdmitRequest, ControlCommand, DispatchEnd, DispatchGuard, DispatchTarget,
+        ForwardedOperation, OperationAnswer, OperationCommand, OperationEnd, OperationPlace,
+        OperationRequest, OperationStart, OperationVerdict, PeerReply, PeerRequest, RequestEnd,
     },
     front::{CallerRequest, OutcomeKind, Refusal, RefusalKind, Responder},
     membership::HostRecord,
@@ -18,7 +18,6 @@
         StoredResponse,
     },
     peer::PeerError,
-    upstream::CallError,
 };
 
 /// Header that carries the operation key.
@@ -36,6 +35,13 @@
 /// Header by which a caller sees that the operation ran on an earlier call.
 const REPLAYED: &str = "x-replayed";
 
+/// An operation that passed the last check.
+struct BegunOperation {
+    handle: OperationHandle,
+    /// Hosts that may hold a copy of the intent.
+    offered: Vec<HostName>,
+}
+
 impl RequestRun<'_> {
     /// Serves a call on a route whose requests run at most once.
     pub(super) fn operation(
@@ -109,7 +115,19 @@
     }
 
     /// Decides about a call on this host and runs it if it may run.
+    ///
+    /// The call waits for an upstream before the decision, because a decision is valid for a
+    /// few seconds only.
     fn run_operation(&mut self, key: &str, forward: Option<ForwardId>) -> OperationAnswer {
+        let service = self
+            .admission
+            .service
+            .clone()
+            .expect("the catalogue check requires a service");
+        let guard = match self.dispatch(&DispatchTarget::Service(service), 1, false) {
+            Ok(guard) => guard,
+            Err(refusal) => return OperationAnswer::Refused(refusal),
+        };
         let request = OperationRequest {
             team: self.admission.team.clone(),
             key: key.to_owned(),
@@ -120,18 +138,24 @@
             ),
             forward,
         };
-        match self.ask(|reply| OperationCommand::Decide(request, reply)) {
-            Some(OperationStart::Dispatch(handle)) => self.dispatch_operation(handle, Vec::new()),
+        let begun = match self.ask(|reply| OperationCommand::Decide(request, reply)) {
+            Some(OperationStart::Dispatch(handle)) => self.begin(handle, Vec::new()),
             Some(OperationStart::OfferBackup {
                 handle,
                 record,
                 backups,
-            }) => match self.offer(&handle, &record, &backups) {
-                Ok(offered) => self.dispatch_operation(handle, offered),
-                Err(answer) => answer,
-            },
-            Some(OperationStart::End(verdict)) => answer_of(verdict),
-            None => OperationAnswer::Refused(stopping()),
+            }) => self
+                .offer(&handle, &record, &backups)
+                .and_then(|offered| self.begin(handle, offered)),
+            Some(OperationStart::End(verdict)) => Err(answer_of(verdict)),
+            None => Err(OperationAnswer::Refused(stopping())),
+        };
+        match begun {
+            Ok(begun) => self.send_operation(guard, begun),
+            Err(answer) => {
+                guard.end(DispatchEnd::Abandoned);
+                answer
+            }
         }
     }
 
@@ -179,75 +203,53 @@
         Err(verdict.map_or_else(|| OperationAnswer::Refused(stopping()), answer_of))
     }
 
-    fn dispatch_operation(
-        &mut self,
+    /// The last check before the socket write.
+    fn begin(
+        &self,
         handle: OperationHandle,
         offered: Vec<HostName>,
-    ) -> OperationAnswer {
-        let service = self
-            .admission
-            .service
-            .clone()
-            .expect("the catalogue check requires a service");
-        let guard = match self.dispatch(&DispatchTarget::Service(service), 1, false) {
-            Ok(guard) => guard,
-            Err(refusal) => {
-                self.end_operation(handle, offered, OperationEnd::BeforeSend);
-                return OperationAnswer::Refused(refusal);
-            }
-        };
-        let headers = self.service_headers();
-        let begun = self.ask(|reply| OperationCommand::Begin {
+    ) -> Result<BegunOperation, OperationAnswer> {
+        let verdict = self.ask(|reply| OperationCommand::Begin {
             handle: handle.clone(),
             offered: offered.clone(),
             reply,
         });
-        match begun {
-            Some(None) => {}
-            Some(Some(verdict)) => {
-                guard.end(DispatchEnd::Abandoned);
-                return answer_of(verdict);
-            }
-            None => {
-                guard.end(DispatchEnd::Abandoned);
-                return OperationAnswer::Refused(stopping());
-            }
+        match verdict {
+            Some(None) => Ok(BegunOperation { handle, offered }),
+            Some(Some(verdict)) => Err(answer_of(verdict)),
+            None => Err(OperationAnswer::Refused(stopping())),
         }
-        let whole = match self.call(&guard, &headers, false) {
+    }
+
+    fn send_operation(&mut self, guard: DispatchGuard, begun: BegunOperation) -> OperationAnswer {
+        let answer = match self.call(&guard, &self.service_headers(), false) {
             Ok(answer) => self.read_whole(guard, answer).map_err(|it| it.refusal),
-            Err(error) => {
-                let is_not_sent = matches!(error, CallError::NotSent(_));
-                let failed = self.failed_call(guard, &error);
-                if is_not_sent {
-                    self.end_operation(handle, offered, OperationEnd::BeforeSend);
-                    return OperationAnswer::Refused(failed.refusal);
-                }
-                Err(failed.refusal)
-            }
+            Err(error) => Err(self.failed_call(guard, &error).refusal),
         };
-        match whole {
+        let (end, answer) = match answer {
             Ok(whole) => {
                 let response = stored_response(whole);
                 let end = OperationEnd::Finished(Some(response.clone()));
-                self.end_operation(handle, offered, end);
-                OperationAnswer::Ran {
-                    response: Arc::new(response),
-                    is_replay: false,
-                }
+                (
+                    end,
+                    OperationAnswer::Ran {
+                        response: Arc::new(response),
+                        is_replay: false,
+                    },
+                )
             }
-            Err(refusal) => {
-                self.end_operation(handle, offered, OperationEnd::AfterSend);
-                OperationAnswer::Refused(refusal)
+            Err(refusal) if refusal.outcome == OutcomeKind::NotRun => {
+                (OperationEnd::BeforeSend, OperationAnswer::Refused(refusal))
             }
-        }
-    }
-
-    fn end_operation(&self, handle: OperationHandle, offered: Vec<HostName>, end: OperationEnd) {
+            Err(refusal) => (OperationEnd::AfterSend, OperationAnswer::Refused(refusal)),
+        };
+        let BegunOperation { handle, offered } = begun;
         self.tell(OperationCommand::Ended {
             handle,
             offered,
             end,
         });
+        answer
     }
 
     fn tell(&self, command: OperationCommand) {
