control, settings: wait for a token, seed peers, the missing metrics

Cause: a request within its team's rate was refused when it came some milliseconds before its token; a process that starts during a platform outage knew no peer; queue wait, chunk gap and grant metrics were defined and never recorded.

--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -14,7 +14,7 @@
 use crate::{
     catalogue::{Catalogue, KeyHash, RouteEntry},
     front::{Refusal, RefusalKind},
-    limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare},
+    limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare, UNITS_PER_TOKEN},
     membership::HostRecord,
     names::{CentreName, TeamName},
     peer::PeerError,
@@ -29,7 +29,15 @@
 /// Longest wait of a request for a token.
 const TOKEN_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Requests of one team that wait for a token at the same time.
+/// Time for which a request waits for the bucket to refill before it is refused.
+///
+/// Tokens arrive in small batches from several owners, so that a request within its team's rate
+/// can come some milliseconds before its token.
+const TOKEN_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Requests of one team, and of all teams, that wait for a token at the same time. Each holds a
+/// worker thread, and teams over their rate must leave the others enough of them.
+const MAX_TEAM_WAITING: usize = 32;
 const MAX_WAITING: usize = 256;
 
 /// Age up to which an owner's answer that its bucket is empty explains a refusal.
@@ -39,6 +47,8 @@
 pub(super) struct WaitingAdmission {
     admission: Admission,
     arrived: Instant,
+    /// Answers of owners to requests sent earlier do not count for this one.
+    asked_since: Instant,
     reply: ReplySender<AdmitOutcome>,
 }
 
@@ -46,6 +56,8 @@
 #[derive(Default)]
 pub(super) struct TokenQueue {
     waiting: VecDeque<WaitingAdmission>,
+    /// Time before which no token can be expected.
+    not_before: Option<Instant>,
     /// When an owner last said that its bucket is empty.
     empty_at: Option<Instant>,
 }
@@ -72,15 +84,17 @@
             return send_admission(&reply, admission);
         }
         let team = admission.team.clone();
+        let all_waiting: usize = self.tokens.values().map(|it| it.waiting.len()).sum();
         let queue = self.tokens.entry(team.clone()).or_default();
-        if queue.waiting.len() >= MAX_WAITING {
-            let message = "too many requests of the team wait for a token";
-            let refusal = Refusal::not_run(RefusalKind::OverRate, message).retry_after(TOKEN_WAIT);
+        if queue.waiting.len() >= MAX_TEAM_WAITING || all_waiting >= MAX_WAITING {
+            let refusal = self.token_refusal(now, &team, TOKEN_WAIT);
+            self.count_refusal(now, &admission, refusal.kind);
             return send_refusal(&reply, refusal);
         }
         queue.waiting.push_back(WaitingAdmission {
             admission,
             arrived: now,
+            asked_since: now,
             reply,
         });
         self.serve_waiting(now, &team);
@@ -102,26 +116,33 @@
             .retain(|team, it| !it.waiting.is_empty() || catalogue.team(team).is_some());
     }
 
-    /// Serves the waiting requests of a team in order, until one has to wait for an answer.
+    /// Serves the waiting requests of a team in order, until one has to wait for an answer or for
+    /// the bucket to refill.
     pub(super) fn serve_waiting(&mut self, now: Instant, team: &TeamName) {
         let share = TeamShare::of(self.catalogue(), team).unwrap_or_default();
-        while let Some(arrived) = self.first_waiting(team) {
-            match self.wallets.take(now, arrived, team, &share) {
+        while let Some((arrived, asked_since)) = self.first_waiting(now, team) {
+            let waited = now.saturating_duration_since(arrived);
+            match self.wallets.take(now, asked_since, team, &share) {
                 TakeOutcome::Taken => {
                     self.count_admission(team);
                     if let Some(first) = self.pop_waiting(team) {
                         send_admission(&first.reply, first.admission);
                     }
                 }
+                TakeOutcome::Refused { retry } if waited + retry <= TOKEN_PATIENCE => {
+                    self.postpone_first(now, team, retry);
+                    return;
+                }
                 TakeOutcome::Refused { retry } => {
                     let refusal = self.token_refusal(now, team, retry);
                     self.refuse_first(now, team, refusal);
                 }
+                TakeOutcome::Ask(_) if waited >= TOKEN_WAIT => {
+                    let refusal = self.token_refusal(now, team, TOKEN_WAIT);
+                    self.refuse_first(now, team, refusal);
+                }
                 TakeOutcome::Ask(centres) => {
-                    if now.saturating_duration_since(arrived) >= TOKEN_WAIT {
-                        let refusal = self.token_refusal(now, team, TOKEN_WAIT);
-                        self.refuse_first(now, team, refusal);
-                    } else if !self.ask_owner(now, team, &centres) {
+                    if !self.ask_owner(now, team, &centres) {
                         return;
                     }
                 }
@@ -129,6 +150,17 @@
         }
     }
 
+    /// Lets the first request wait until a token can be expected.
+    fn postpone_first(&mut self, now: Instant, team: &TeamName, delay: Duration) {
+        let Some(queue) = self.tokens.get_mut(team) else {
+            return;
+        };
+        queue.not_before = Some(now + delay);
+        if let Some(first) = queue.waiting.front_mut() {
+            first.asked_since = now;
+        }
+    }
+
     /// Asks the first data centre that can be asked; returns whether the answer is already here.
     fn ask_owner(&mut self, now: Instant, team: &TeamName, centres: &[CentreName]) -> bool {
         let waiting = self.tokens.get(team).map_or(0, |it| it.waiting.len());
@@ -187,6 +219,13 @@
 
     /// Takes an owner's answer.
     pub(super) fn take_grant(&mut self, now: Instant, centre: &CentreName, reply: &GrantReply) {
+        let outcome = match (reply.is_owner, reply.granted) {
+            (false, _) => "not_owner",
+            (true, 0) => "empty",
+            (true, _) => "granted",
+        };
+        self.metrics
+            .grant(outcome, reply.granted as f64 / UNITS_PER_TOKEN as f64);
         if reply.is_owner
             && reply.retry_ms > 0
             && let Some(queue) = self.tokens.get_mut(&reply.team)
@@ -196,8 +235,13 @@
         self.wallets.on_reply(now, centre, reply);
     }
 
-    fn first_waiting(&self, team: &TeamName) -> Option<Instant> {
-        self.tokens.get(team)?.waiting.front().map(|it| it.arrived)
+    /// Returns the times of the first request, unless no token can be expected yet.
+    fn first_waiting(&self, now: Instant, team: &TeamName) -> Option<(Instant, Instant)> {
+        let queue = self.tokens.get(team)?;
+        if queue.not_before.is_some_and(|it| now < it) {
+            return None;
+        }
+        queue.waiting.front().map(|it| (it.arrived, it.asked_since))
     }
 
     fn pop_waiting(&mut self, team: &TeamName) -> Option<WaitingAdmission> {
@@ -342,6 +386,7 @@
         match result {
             Ok(PeerReply::Grant(reply)) => self.take_grant(now, &centre, &reply),
             Ok(_) | Err(_) => {
+                self.metrics.grant("lost", 0.0);
                 self.wallets
                     .on_lost(now, &request.team, &centre, request.sequence);
             }
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -39,6 +39,8 @@
         /// The list, if it changed.
         list: Option<HostList>,
     },
+    /// A host list from another host; it says nothing about the present state.
+    HostsLearned(HostList),
     /// May this request run, and as what?
     Admit(AdmitRequest, ReplySender<AdmitOutcome>),
     /// To which upstream does an admitted request go?
--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -148,6 +148,8 @@
             let (Some(started), Some(verdict)) = (started, verdict) else {
                 return;
             };
+            self.metrics
+                .queue_wait(&started.request.class, started.wait);
             let QueuedDispatch { request, reply } = started.request.payload;
             let outcome = match verdict {
                 HeadVerdict::Refuse(refusal) => DispatchOutcome::Refused(refusal),
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -205,6 +205,7 @@
                 self.apply_config(now, &change);
             }
             ControlCommand::HostsRead { started, list } => self.hosts_read(now, started, list),
+            ControlCommand::HostsLearned(list) => self.hosts_learned(now, &list),
             ControlCommand::Admit(request, reply) => self.admit(now, &request, reply),
             ControlCommand::Dispatch(request, reply) => self.dispatch(now, *request, reply),
             ControlCommand::FirstPiece {
@@ -358,6 +359,20 @@
         self.start_sync(now);
     }
 
+    /// Takes a host list from another host, if the platform has given none.
+    fn hosts_learned(&mut self, now: Instant, list: &HostList) {
+        if self.views.hosts().version == 0 {
+            tracing::info!(
+                version = list.version,
+                hosts = list.hosts.len(),
+                "host_list_learned"
+            );
+            self.views.read_list(self.started, now, list);
+            self.note_listed(now);
+            self.start_sync(now);
+        }
+    }
+
     /// A process younger than `takeover_wait` does not know the sets in force before its start.
     fn update_fleets(&mut self, now: Instant) {
         self.fleets.clear();
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -17,7 +17,7 @@
 use self::{
     admin::AdminServer,
     peers::SplitCaller,
-    watch::{read_loads, watch_config, watch_hosts},
+    watch::{learn_from_seeds, read_loads, watch_config, watch_hosts},
 };
 use crate::{
     clock::ClockSource,
@@ -79,13 +79,20 @@
         let control = start_control(&settings, &ports, address, &metrics)?;
         let stop = StopGuard::new();
         let threads = ThreadGroup::new();
-        start_watches(&ports, &control.handle(), stop.signal(), &threads)?;
+        start_watches(
+            &settings,
+            &ports,
+            &control.handle(),
+            stop.signal(),
+            &threads,
+        )?;
         let exchange = Arc::new(Exchange::new(
             control.handle(),
             ports.upstream.clone(),
             ports.clock.clone(),
             ports.peers.clone(),
             settings.host.clone(),
+            metrics.clone(),
         ));
         let admin = AdminServer::start(admin_listener, control.handle(), metrics, exchange.clone())
             .context("cannot start the administration server")?;
@@ -173,7 +180,8 @@
         list_lag: settings.list_lag,
         margin: settings.margin,
     };
-    let max_queued = settings.max_queued;
+    // Each waiting request holds a worker, and the rest of the workers serves running ones.
+    let max_queued = settings.max_queued.min(settings.max_active / 2).max(1);
     let metrics = metrics.clone();
     let (transport, clock) = (ports.peers.clone(), ports.clock.clone());
     ControlThread::start(ports.clock.clone(), move |now, handle| {
@@ -193,6 +201,7 @@
 }
 
 fn start_watches(
+    settings: &RouterSettings,
     ports: &RouterPorts,
     control: &ControlHandle,
     stop: &StopSignal,
@@ -209,6 +218,13 @@
     })?;
     let (upstream, handle, signal) = (ports.upstream.clone(), control.clone(), stop.clone());
     let clock = ports.clock.clone();
+    if !settings.seed_peers.is_empty() {
+        let (transport, handle, signal) = (ports.peers.clone(), control.clone(), stop.clone());
+        let seeds = settings.seed_peers.clone();
+        threads.spawn("seed", move || {
+            learn_from_seeds(&*transport, &seeds, &handle, &signal)
+        })?;
+    }
     threads.spawn("read-loads", move || {
         read_loads(&*upstream, &*clock, &handle, &signal)
     })
--- a/lib/src/daemon/watch.rs
+++ b/lib/src/daemon/watch.rs
@@ -1,10 +1,11 @@
 //! Threads that watch the platform.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
+use super::RouterTransport;
 use crate::{
     clock::ClockSource,
-    control::{ControlCommand, ControlHandle},
+    control::{ControlCommand, ControlHandle, PeerReply, PeerRequest},
     platform::{PlatformError, PlatformSource},
     threads::StopSignal,
     upstream::UpstreamClient,
@@ -25,6 +26,12 @@
 /// Longest pause after failed reads; with 400 hosts 80 calls/s reach a platform in trouble.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
+/// Pause before the seeds are asked, and between two rounds of asking them.
+const SEED_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time until a seed has sent its configuration.
+const SEED_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Pause between load rounds while there is no upstream.
 const EMPTY_ROUND: Duration = Duration::from_millis(50);
 
@@ -109,6 +116,37 @@
     pause.wait(stop);
 }
 
+/// Learns the host list and the configuration from other hosts while the platform is silent.
+///
+/// Without this a process that starts during a platform outage would know no peer to ask.
+pub(super) fn learn_from_seeds(
+    transport: &RouterTransport,
+    seeds: &[SocketAddr],
+    control: &ControlHandle,
+    stop: &StopSignal,
+) {
+    // A platform that answers is the better source, so it gets the first chance.
+    while !stop.wait(SEED_PAUSE) {
+        match control.ask(ControlCommand::ListVersion) {
+            Some(0) => {}
+            Some(_) | None => return,
+        }
+        for seed in seeds {
+            let list = transport.call(*seed, &PeerRequest::HostList, SEED_TIMEOUT);
+            let config = transport.call(*seed, &PeerRequest::ConfigSince(0), SEED_TIMEOUT);
+            if let Ok(PeerReply::Config(change)) = config {
+                control.send(ControlCommand::ConfigRead(change));
+            }
+            if let Ok(PeerReply::HostList(list)) = list
+                && list.version > 0
+            {
+                control.send(ControlCommand::HostsLearned(list));
+                return;
+            }
+        }
+    }
+}
+
 /// Reads load reports until the stop.
 pub(super) fn read_loads(
     upstream: &dyn UpstreamClient,
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -27,6 +27,7 @@
     names::{HostName, UpstreamName},
     peer::PeerTransport,
     quarantine::RequestFingerprint,
+    telemetry::RouterMetrics,
     upstream::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient},
 };
 
@@ -58,6 +59,7 @@
     clock: Arc<dyn ClockSource>,
     peers: Arc<dyn PeerTransport<PeerRequest, PeerReply>>,
     host: HostName,
+    metrics: Arc<RouterMetrics>,
 }
 
 impl Exchange {
@@ -68,6 +70,7 @@
         clock: Arc<dyn ClockSource>,
         peers: Arc<dyn PeerTransport<PeerRequest, PeerReply>>,
         host: HostName,
+        metrics: Arc<RouterMetrics>,
     ) -> Self {
         Self {
             control,
@@ -75,6 +78,7 @@
             clock,
             peers,
             host,
+            metrics,
         }
     }
 }
--- a/lib/src/exchange/chat.rs
+++ b/lib/src/exchange/chat.rs
@@ -1,5 +1,7 @@
 //! Chat requests: streamed answers, retries and resumption.
 
+use std::time::Instant;
+
 use super::{
     FailedAttempt, MAX_ATTEMPTS, RequestRun, WholeAnswer, lost_refusal, refuse,
     relay::{RelayEnd, relay_events},
@@ -97,7 +99,14 @@
             body,
         } = answer;
         let (mut writer, mut delivered) = stream.start(status, &headers);
+        let clock = self.exchange.clock.clone();
+        let mut last_piece: Option<Instant> = None;
         let end = relay_events(body, &mut |events, count| {
+            let now = clock.now();
+            if let Some(last) = last_piece.replace(now) {
+                let gap = now.saturating_duration_since(last);
+                self.exchange.metrics.chunk_gap(&self.admission.class, gap);
+            }
             if delivered == 0 {
                 self.note_first_piece(&guard, incarnation);
             }
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -28,6 +28,8 @@
     pub admin_listen: SocketAddr,
     /// Base URL of the platform, `http://IP:PORT[/PATH]` without a slash at the end.
     pub platform: String,
+    /// Administration addresses of other hosts, asked at the start while the platform is silent.
+    pub seed_peers: Vec<SocketAddr>,
     /// Time for which a host list or a confirmation counts after it was read.
     pub validity: Duration,
     /// Longest lag of the platform's host list.
@@ -210,6 +212,7 @@
             listen: self.read("listen", |it| it.parse().ok())?,
             admin_listen: self.read("admin-listen", |it| it.parse().ok())?,
             platform: self.read("platform", platform_url)?,
+            seed_peers: self.read("seed-peers", address_list)?,
             validity: self.milliseconds("validity-ms")?,
             list_lag: self.milliseconds("list-lag-ms")?,
             margin: self.milliseconds("margin-ms")?,
@@ -304,6 +307,13 @@
     (!value.is_empty() && EnvFilter::try_new(value).is_ok()).then(|| value.to_owned())
 }
 
+fn address_list(value: &str) -> Option<Vec<SocketAddr>> {
+    let parts = value.split(',').filter(|_| !value.is_empty());
+    parts
+        .map(|it| it.parse().ok().filter(|it: &SocketAddr| it.port() != 0))
+        .collect()
+}
+
 fn platform_url(value: &str) -> Option<String> {
     let rest = value.strip_prefix("http://")?;
     let (authority, path) = rest.split_once('/').unwrap_or((rest, ""));
--- a/lib/src/settings/spec.rs
+++ b/lib/src/settings/spec.rs
@@ -102,6 +102,13 @@
         "http://IP:PORT with an optional path",
         "platform from which the catalogue and the host list are read",
     ),
+    text(
+        "seed-peers",
+        "IP:PORT,...",
+        Some(""),
+        "IP:PORT of other hosts, separated by commas, or nothing",
+        "hosts asked for both at the start while the platform is silent",
+    ),
     number(
         "validity-ms",
         "ms",
