exchange: refusals stay true after an attempt that may have run; retry budget

Cause: after an engine had broken off, a refusal of the next attempt said not_run although the first engine may have run the request; all look-ups of a team had the same fingerprint (team and empty body), so two lost services would have blocked all of them for 10 min; nothing bounded retries; a service that hangs held a look-up for 300 s. Change: later refusals become unknown; the fingerprint of service requests includes method and target; retries are bounded to a tenth of the requests; the time until the head of a service's answer follows the deadline of the class (2 to 60 s), 120 s for engines; idle connections close after 3 s; a wrong request id is no longer taken for a crash.

--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -42,6 +42,37 @@
 /// Probe intervals without a report after which a host probes an upstream itself.
 const MISSED_PROBES: u32 = 3;
 
+/// Retries that each first attempt pays for.
+const RETRY_SHARE: f64 = 0.1;
+
+/// Retries that a host may make at once; an engine that is lost breaks about so many streams of one
+/// host at the target size.
+const MAX_RETRIES: f64 = 100.0;
+
+/// Bounds retries to a share of the requests, so that retries do not multiply the load on
+/// upstreams that are already in trouble.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RetryBudget(f64);
+
+impl RetryBudget {
+    pub(super) fn new() -> Self {
+        Self(MAX_RETRIES)
+    }
+
+    /// Takes one attempt; returns whether it may be made.
+    fn take(&mut self, is_retry: bool) -> bool {
+        if !is_retry {
+            self.0 = (self.0 + RETRY_SHARE).min(MAX_RETRIES);
+            return true;
+        }
+        let may_retry = self.0 >= 1.0;
+        if may_retry {
+            self.0 -= 1.0;
+        }
+        may_retry
+    }
+}
+
 /// A dispatch request in the queue.
 pub(super) struct QueuedDispatch {
     request: DispatchRequest,
@@ -90,6 +121,13 @@
         request: DispatchRequest,
         reply: ReplySender<DispatchOutcome>,
     ) {
+        if !self.retries.take(!request.tried.is_empty()) {
+            let message = "too many requests are being repeated";
+            let refusal =
+                Refusal::not_run(RefusalKind::RetryLimit, message).retry_after(BUSY_RETRY);
+            let _ = reply.send(DispatchOutcome::Refused(refusal));
+            return;
+        }
         let admission = request.admission.clone();
         let target: Arc<str> = match &request.target {
             DispatchTarget::Chat { model, .. } => model.as_str().into(),
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -37,8 +37,13 @@
 /// Upstreams that one request is sent to at most.
 const MAX_ATTEMPTS: usize = 3;
 
-/// Time until the head of an answer; long prompts and a cold engine take minutes.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(300);
+/// Time until the head of an engine's answer; long prompts on a cold engine take this long.
+const CHAT_HEAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Deadlines of the class until the head of a service's answer, and the bounds of that time.
+const SERVICE_HEAD_DEADLINES: u32 = 20;
+const MIN_SERVICE_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_SERVICE_HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Largest answer that is not streamed.
 const MAX_WHOLE_ANSWER_BYTES: u64 = 16 << 20;
@@ -104,6 +109,7 @@
             request: as_upstreams_see_it(&request, key.as_deref()),
             admission,
             tried: Vec::new(),
+            may_have_run: false,
             first_piece: None,
         };
         let end = match run.admission.kind {
@@ -149,6 +155,8 @@
     request: CallerRequest,
     admission: Arc<Admission>,
     tried: Vec<UpstreamName>,
+    /// Whether an earlier attempt may have been run by an upstream.
+    may_have_run: bool,
     first_piece: Option<Duration>,
 }
 
@@ -159,15 +167,52 @@
         work: u64,
         needs_resume: bool,
     ) -> Result<DispatchGuard, Refusal> {
-        self.exchange.control.dispatch(DispatchRequest {
+        let request = DispatchRequest {
             admission: self.admission.clone(),
             target: target.clone(),
             request_id: self.request.request_id.clone(),
             work,
-            fingerprint: RequestFingerprint::of(&self.admission.team, &self.request.body),
+            fingerprint: self.fingerprint(),
             tried: self.tried.clone(),
             needs_resume,
-        })
+        };
+        self.exchange
+            .control
+            .dispatch(request)
+            .map_err(|it| self.settled(it))
+    }
+
+    /// Identifies the request in the register of requests that broke upstreams.
+    fn fingerprint(&self) -> RequestFingerprint {
+        let team = &self.admission.team;
+        match self.admission.kind {
+            RouteKind::Chat => RequestFingerprint::of(team, &self.request.body),
+            RouteKind::Service => {
+                // Look-ups have no body, and only those of the same target are the same request.
+                let head = format!("{} {}\n", self.request.method, self.request.target);
+                RequestFingerprint::of(team, &[head.as_bytes(), &self.request.body].concat())
+            }
+        }
+    }
+
+    /// Keeps a refusal true after an earlier attempt that an upstream may have run.
+    fn settled(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run && refusal.outcome == OutcomeKind::NotRun {
+            return Refusal {
+                outcome: OutcomeKind::Unknown,
+                ..refusal
+            };
+        }
+        refusal
+    }
+
+    /// Time until the head of an answer.
+    fn head_timeout(&self) -> Duration {
+        match self.admission.kind {
+            RouteKind::Chat => CHAT_HEAD_TIMEOUT,
+            RouteKind::Service => (self.admission.deadline * SERVICE_HEAD_DEADLINES)
+                .clamp(MIN_SERVICE_HEAD_TIMEOUT, MAX_SERVICE_HEAD_TIMEOUT),
+        }
     }
 
     /// Sends the request; `reuse_connection` is false for requests that must not run twice.
@@ -187,7 +232,7 @@
             body: &self.request.body,
             request_id: &attempt_id,
             reuse_connection,
-            head_timeout: HEAD_TIMEOUT,
+            head_timeout: self.head_timeout(),
         })
     }
 
@@ -195,21 +240,27 @@
         let upstream = guard.grant().upstream.clone();
         tracing::warn!(request_id = %self.request.request_id, %upstream, %error, "call_failed");
         self.tried.push(upstream);
-        if let CallError::NotSent(_) = error {
-            guard.end(DispatchEnd::NotSent);
-            let message = "no upstream was reached";
-            let refusal = Refusal::not_run(RefusalKind::UpstreamUnreachable, message)
-                .retry_after(Duration::from_secs(1));
-            FailedAttempt {
-                refusal,
-                may_retry: true,
+        let refusal = match error {
+            CallError::NotSent(_) => {
+                guard.end(DispatchEnd::NotSent);
+                let message = "no upstream was reached";
+                Refusal::not_run(RefusalKind::UpstreamUnreachable, message)
+                    .retry_after(Duration::from_secs(1))
             }
-        } else {
-            guard.end(DispatchEnd::Broken);
-            FailedAttempt {
-                refusal: lost_refusal(),
-                may_retry: true,
+            CallError::WrongAnswer { .. } => {
+                guard.end(DispatchEnd::Faulty);
+                self.may_have_run = true;
+                lost_refusal()
             }
+            CallError::Ambiguous(_) => {
+                guard.end(DispatchEnd::Broken);
+                self.may_have_run = true;
+                lost_refusal()
+            }
+        };
+        FailedAttempt {
+            refusal: self.settled(refusal),
+            may_retry: true,
         }
     }
 
--- a/lib/src/exchange/chat.rs
+++ b/lib/src/exchange/chat.rs
@@ -133,6 +133,7 @@
                     "stream_broken"
                 );
                 self.tried.push(upstream);
+                self.may_have_run = true;
                 guard.end(DispatchEnd::Broken);
                 RelayOutcome::Broken(StreamState::Started { writer, delivered })
             }
--- a/lib/src/exchange/operation.rs
+++ b/lib/src/exchange/operation.rs
@@ -316,6 +316,7 @@
             request,
             admission,
             tried: Vec::new(),
+            may_have_run: false,
             first_piece: None,
         };
         run.run_operation(&operation_key, Some(id))
--- a/lib/src/front/refusal.rs
+++ b/lib/src/front/refusal.rs
@@ -72,6 +72,8 @@
     NoUpstream,
     /// No upstream was reached.
     UpstreamUnreachable,
+    /// Too many requests are being sent again.
+    RetryLimit,
     /// An upstream did not answer to the end.
     UpstreamLost,
     /// The answer is too large to be delivered whole.
@@ -120,6 +122,7 @@
             Self::QueueTimeout => "queue_timeout",
             Self::NoUpstream => "no_upstream",
             Self::UpstreamUnreachable => "upstream_unreachable",
+            Self::RetryLimit => "retry_limit",
             Self::UpstreamLost => "upstream_lost",
             Self::AnswerTooLarge => "answer_too_large",
             Self::Quarantined => "quarantined",
@@ -159,6 +162,7 @@
             | Self::QueueFull
             | Self::Shed
             | Self::QueueTimeout
+            | Self::RetryLimit
             | Self::NoUpstream
             | Self::UpstreamUnreachable
             | Self::OperationUndecided => 503,
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -33,8 +33,9 @@
 /// Idle connections kept in total.
 const MAX_IDLE: usize = 512;
 
-/// Age at which an idle connection is closed.
-const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
+/// Age at which an idle connection is closed. It is below the usual idle times of servers, so that
+/// a request is rarely sent on a connection that the upstream is closing.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(3);
 
 /// Header that carries the request id in both directions.
 const REQUEST_ID: &str = "x-request-id";
