--- /dev/null
+++ b/cli/tests/faults.rs
@@ -0,0 +1,546 @@
+//! Faults of the platform, of hosts, of upstreams and of the network.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use snipepond_standin::{
+    AnswerEnd, AnswerFault, AnswerMode, CallerConnection, CallerRequest, EngineSettings, LinkMode,
+    PlatformMode, PlatformSettings, TcpLink, expected_text, expected_tokens,
+};
+
+use self::support::{
+    Fleet, FleetPlan, KEY_ONE, KEY_TWO, MODEL, assert_not_run, call, call_until_run, chat,
+    fleet::{ANY_PORT, TAKEOVER_WAIT, quick_engine, quick_service, reserve_address},
+    order, outcome_of,
+    router::Signal,
+    ticket, wait_for,
+};
+
+fn lookup(target: &str, key: &str) -> CallerRequest {
+    CallerRequest::new("GET", target).key(key)
+}
+
+fn status_of(fleet: &Fleet, index: usize, key: &str) -> Option<u16> {
+    lookup("/items/1", key)
+        .call(fleet.address(index))
+        .ok()
+        .map(|it| it.status)
+}
+
+fn two_hosts() -> FleetPlan {
+    FleetPlan {
+        hosts: vec![("h1", "a"), ("h2", "a")],
+        services: vec![("s1", "a", quick_service())],
+        ..FleetPlan::default()
+    }
+}
+
+/// Guards against a fleet that stops, or falls back to an earlier configuration, while the
+/// platform is down.
+#[test]
+fn platform_down_changes_nothing() {
+    let fleet = Fleet::start(two_hosts());
+    fleet.wait_until_lookups_work();
+    fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
+    for index in 0..2 {
+        wait_for("the key to be refused", || {
+            status_of(&fleet, index, KEY_TWO) == Some(401)
+        });
+    }
+    fleet.platform.set_mode(PlatformMode {
+        down: true,
+        ..PlatformMode::default()
+    });
+    // Longer than any right that depends on a read of the host list.
+    for _ in 0..30 {
+        for index in 0..2 {
+            let answer = call(fleet.address(index), &lookup("/items/1", KEY_ONE));
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            let answer = call(fleet.address(index), &lookup("/items/1", KEY_TWO));
+            assert_not_run(&answer, &[401]);
+        }
+        thread::sleep(TAKEOVER_WAIT / 10);
+    }
+    // Orders need an owner with a confirmed view; the peers confirm it.
+    fleet.wait_until_orders_work();
+    // A change after the outage arrives.
+    fleet.set_key_state("k2", "two", KEY_TWO, "active");
+    fleet.platform.set_mode(PlatformMode::default());
+    for index in 0..2 {
+        wait_for("the key to work", || {
+            status_of(&fleet, index, KEY_TWO) == Some(200)
+        });
+    }
+}
+
+/// Guards against a host behind a stale replica that goes without what its peers know, and
+/// against a new process that starts from the stale replica although peers run.
+#[test]
+fn stale_replica_does_not_hide_what_peers_know() {
+    let mut fleet = Fleet::start_without_routers(two_hosts());
+    let replica = fleet
+        .platform
+        .start_replica(PlatformSettings::default())
+        .unwrap();
+    let newest = fleet.platform.address();
+    fleet.add_router("h1", "a", newest);
+    fleet.add_router("h2", "a", replica.address());
+    fleet.publish_hosts();
+    for router in &fleet.routers {
+        router.wait_until_ready();
+    }
+    fleet.wait_until_lookups_work();
+    for index in 0..2 {
+        wait_for("the key to work", || {
+            status_of(&fleet, index, KEY_TWO) == Some(200)
+        });
+    }
+    // The stale replica lists the third host before it starts, so its port is needed in advance.
+    let third = reserve_address();
+    let mut hosts = fleet.host_entries();
+    let mut entry = hosts[0].clone();
+    entry.name = "h3".to_owned();
+    entry.address = third.to_string();
+    hosts.push(entry);
+    fleet.platform.set_hosts(hosts);
+    replica.set_mode(PlatformMode {
+        frozen: true,
+        serve_older: true,
+        ..PlatformMode::default()
+    });
+    fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
+    for index in 0..2 {
+        wait_for(
+            "the withdrawal to arrive from the platform or a peer",
+            || status_of(&fleet, index, KEY_TWO) == Some(401),
+        );
+    }
+    fleet.add_router_at("h3", "a", replica.address(), third);
+    fleet.routers[2].wait_until_ready();
+    // Ready means that it knows at least what its peers had accepted.
+    for _ in 0..50 {
+        let answer = call(fleet.address(2), &lookup("/items/1", KEY_TWO));
+        assert_ne!(answer.status, 200, "an earlier configuration is in force");
+    }
+    for index in 0..3 {
+        assert_eq!(status_of(&fleet, index, KEY_TWO), Some(401));
+    }
+}
+
+/// Guards against a rollback when a reader is led to a replica that is behind it.
+#[test]
+fn older_replica_does_not_roll_back() {
+    let mut fleet = Fleet::start_without_routers(two_hosts());
+    let replica = fleet
+        .platform
+        .start_replica(PlatformSettings::default())
+        .unwrap();
+    let link = TcpLink::start(ANY_PORT.into(), fleet.platform.address()).unwrap();
+    fleet.add_router("h1", "a", link.address());
+    fleet.publish_hosts();
+    fleet.routers[0].wait_until_ready();
+    fleet.wait_until_lookups_work();
+    replica.set_mode(PlatformMode {
+        frozen: true,
+        serve_older: true,
+        ..PlatformMode::default()
+    });
+    fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
+    wait_for("the key to be refused", || {
+        status_of(&fleet, 0, KEY_TWO) == Some(401)
+    });
+    link.set_target(replica.address());
+    link.set_mode(LinkMode::Reset);
+    link.set_mode(LinkMode::Open);
+    wait_for("answers of the older replica", || {
+        assert_eq!(status_of(&fleet, 0, KEY_TWO), Some(401), "rolled back");
+        replica.stats()["older_answers"].as_u64() >= Some(3)
+    });
+}
+
+/// Guards against an invalid configuration that replaces a valid one or stops later ones.
+#[test]
+fn rejected_revision_leaves_the_last_one_in_force() {
+    let fleet = Fleet::start(two_hosts());
+    fleet.wait_until_lookups_work();
+    fleet
+        .platform
+        .set_raw_entry("team/one", r#"{"class":"no such class"}"#);
+    fleet.platform.set_raw_entry("route/broken", "no JSON");
+    for _ in 0..20 {
+        for index in 0..2 {
+            assert_eq!(status_of(&fleet, index, KEY_ONE), Some(200));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    fleet.platform.remove_entry("route/broken");
+    let team = serde_json::json!({
+        "owner": "platform", "class": "interactive", "rate": 1000.0, "burst": 1000,
+    });
+    fleet.platform.set_entry("team/one", team);
+    fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
+    for index in 0..2 {
+        wait_for("the next valid revision", || {
+            status_of(&fleet, index, KEY_TWO) == Some(401)
+        });
+    }
+}
+
+/// Guards against a paused process that goes on with what it owned when it resumes.
+#[test]
+fn paused_host_does_not_run_orders_again() {
+    let mut fleet = Fleet::start(FleetPlan {
+        hosts: vec![("h1", "a"), ("h2", "a"), ("h3", "a")],
+        ..two_hosts()
+    });
+    fleet.wait_until_orders_work();
+    let keys: Vec<_> = (0..30).map(|it| format!("pause-{it}")).collect();
+    let paused = fleet.address(0);
+    fleet.routers[0].signal(Signal::Stop);
+    // These orders wait in the sockets of the paused process.
+    let waiting: Vec<_> = keys
+        .iter()
+        .map(|key| {
+            let mut connection = CallerConnection::open(paused).unwrap();
+            connection
+                .send_raw(&order(key).to_bytes(paused))
+                .expect("the socket takes the order");
+            connection
+        })
+        .collect();
+    let others = fleet.host_entries()[1..].to_vec();
+    fleet.platform.set_hosts(others);
+    // The other hosts take over, and the callers send their orders to them.
+    thread::sleep(TAKEOVER_WAIT);
+    for key in &keys {
+        let answer = call(fleet.address(1), &order(key));
+        assert!(
+            answer.status == 200 || ["unknown", "not_run"].contains(&&*outcome_of(&answer)),
+            "{}",
+            answer.text()
+        );
+    }
+    fleet.routers[0].signal(Signal::Continue);
+    for connection in waiting {
+        // An answer or a broken connection; what counts is what ran.
+        if let Ok(reader) = connection.read_head(false) {
+            reader.finish();
+        }
+    }
+    for key in &keys {
+        for index in 0..3 {
+            call(fleet.address(index), &order(key));
+        }
+        assert!(fleet.runs(key) <= 1, "{key} ran {} times", fleet.runs(key));
+    }
+    fleet.publish_hosts();
+    fleet.wait_until_orders_work();
+}
+
+/// Guards against a data centre that is of no use while it is cut off, and against an order that
+/// runs on both sides of a partition.
+#[test]
+fn partitioned_data_centres_serve_what_they_can() {
+    let fleet = Fleet::start(FleetPlan {
+        centres: vec!["a", "b"],
+        hosts: vec![("h1", "a"), ("h2", "b")],
+        engines: vec![("e1", "a", quick_engine()), ("e2", "b", quick_engine())],
+        services: vec![("s1", "a", quick_service()), ("s2", "b", quick_service())],
+        linked: true,
+        ..FleetPlan::default()
+    });
+    fleet.wait_until_chats_work();
+    fleet.wait_until_orders_work();
+    for link in &fleet.links {
+        link.set_mode(LinkMode::Held);
+    }
+    for index in 0..2 {
+        wait_for("a chat during the partition", || {
+            chat(&format!("cut off {index}"), 2)
+                .call(fleet.address(index))
+                .is_ok_and(|it| it.status == 200 && it.is_whole())
+        });
+    }
+    // Every order goes through both sides at once. With one host in each data centre, the backup of
+    // an order is on the other side, so plain keys may all be refused. A caller that gets no answer in time knows as
+    // little as with `unknown`.
+    let keys: Vec<_> = (0..6).map(|it| format!("partition-{it}")).collect();
+    let outcomes: Vec<Vec<String>> = thread::scope(|scope| {
+        let senders: Vec<Vec<_>> = keys
+            .iter()
+            .map(|key| {
+                (0..2)
+                    .map(|index| {
+                        let address = fleet.address(index);
+                        scope.spawn(move || match order(key).call(address) {
+                            Ok(answer) if answer.status == 200 => "ran".to_owned(),
+                            Ok(answer) => outcome_of(&answer),
+                            Err(_) => "unknown".to_owned(),
+                        })
+                    })
+                    .collect()
+            })
+            .collect();
+        senders
+            .into_iter()
+            .map(|it| it.into_iter().map(|it| it.join().unwrap()).collect())
+            .collect()
+    });
+    for (key, outcomes) in keys.iter().zip(&outcomes) {
+        for outcome in outcomes {
+            assert!(
+                ["ran", "unknown", "not_run"].contains(&outcome.as_str()),
+                "{key}: {outcomes:?}"
+            );
+        }
+        let limit = u64::from(outcomes.iter().any(|it| it != "not_run"));
+        let runs = fleet.runs(key);
+        assert!(runs <= limit, "{key} ran {runs} times: {outcomes:?}");
+    }
+    // A ticket of a host is good for orders on its side of the partition.
+    for index in 0..2 {
+        let issued = ticket(fleet.address(index), KEY_ONE);
+        let answer = call(fleet.address(index), &order(&issued));
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(fleet.runs(&issued), 1);
+    }
+    for link in &fleet.links {
+        link.set_mode(LinkMode::Open);
+    }
+    fleet.wait_until_orders_work();
+    for key in &keys {
+        for index in 0..2 {
+            call(fleet.address(index), &order(key));
+        }
+        assert!(fleet.runs(key) <= 1, "{key} ran {} times", fleet.runs(key));
+    }
+}
+
+/// Guards against a stream that ends early although another engine could continue it, and
+/// against a continuation that repeats or skips tokens.
+#[test]
+fn stream_is_resumed_on_another_engine() {
+    let fleet = Fleet::start(FleetPlan {
+        engines: vec![("e1", "a", quick_engine()), ("e2", "a", quick_engine())],
+        ..FleetPlan::default()
+    });
+    fleet.wait_until_chats_work();
+    for (number, tokens) in [1_u64, 7, 19].into_iter().enumerate() {
+        let text = format!("resume {number}");
+        let question = [("user", text.as_str())];
+        // A chat has one engine; a shorter request of the chat shows which.
+        assert_eq!(call(fleet.address(0), &chat(&text, 1)).status, 200);
+        let engine = fleet.engine_of(&text).expect("an engine ran the chat");
+        fleet.engines[engine].server.die_after(tokens, 1);
+        let answer = call(fleet.address(0), &chat(&text, 20));
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert!(answer.is_whole(), "ended with {:?}", answer.end);
+        assert_eq!(answer.chat_text(), expected_text(MODEL, &question, 20));
+    }
+}
+
+/// Guards against a truncated stream that looks complete.
+#[test]
+fn stream_without_resume_is_visibly_truncated() {
+    let fleet = Fleet::start(FleetPlan {
+        engines: vec![
+            (
+                "e1",
+                "a",
+                EngineSettings {
+                    resume: false,
+                    ..quick_engine()
+                },
+            ),
+            (
+                "e2",
+                "a",
+                EngineSettings {
+                    resume: false,
+                    ..quick_engine()
+                },
+            ),
+        ],
+        resume: false,
+        ..FleetPlan::default()
+    });
+    fleet.wait_until_chats_work();
+    let expected = expected_tokens(MODEL, &[("user", "cut me")], 20);
+    for engine in &fleet.engines {
+        engine.server.die_after(5, 1);
+    }
+    let answer = call(fleet.address(0), &chat("cut me", 20));
+    assert!(
+        matches!(answer.end, AnswerEnd::Broken(_)),
+        "{:?}",
+        answer.end
+    );
+    let tokens = answer.tokens();
+    assert!(expected.starts_with(&tokens), "{tokens:?}");
+    // An engine that ends its answer with valid framing but without `[DONE]` is not complete
+    // either.
+    for engine in &fleet.engines {
+        engine.server.die_after(0, 0);
+        engine.server.set_fault(AnswerFault {
+            mode: AnswerMode::ShortFramed,
+            count: 1,
+            delay_ms: 0,
+        });
+    }
+    let answer = call(fleet.address(0), &chat("cut me too", 20));
+    assert!(
+        matches!(answer.end, AnswerEnd::Broken(_)),
+        "{:?}",
+        answer.end
+    );
+    let expected = expected_tokens(MODEL, &[("user", "cut me too")], 20);
+    assert!(expected.starts_with(&answer.tokens()));
+}
+
+/// Guards against a caller that receives the answer to another request.
+#[test]
+fn answer_to_another_request_is_never_delivered() {
+    let fleet = Fleet::start(FleetPlan {
+        engines: vec![("e1", "a", quick_engine()), ("e2", "a", quick_engine())],
+        ..two_hosts()
+    });
+    fleet.wait_until_chats_work();
+    fleet.wait_until_lookups_work();
+    for mode in [AnswerMode::WrongId, AnswerMode::WrongIdOnly] {
+        let fault = AnswerFault {
+            mode,
+            count: 1_000,
+            delay_ms: 0,
+        };
+        for engine in &fleet.engines {
+            engine.server.set_fault(fault);
+        }
+        fleet.services[0].server.set_fault(fault);
+        for number in 0..4 {
+            let text = format!("mine {number}");
+            let requests = [
+                CallerRequest::chat(MODEL, &text, 4, true).key(KEY_ONE),
+                CallerRequest::chat(MODEL, &text, 4, false).key(KEY_ONE),
+                lookup(&format!("/items/{number}"), KEY_ONE),
+            ];
+            for request in requests {
+                if let Ok(answer) = request.call(fleet.address(number % 2)) {
+                    let text = answer.text();
+                    assert!(!text.contains("foreign"), "{text}");
+                    // The router may also refuse a request that failed on several upstreams.
+                    assert!(answer.status >= 400 || !answer.is_whole(), "{text}");
+                }
+            }
+        }
+    }
+    for engine in &fleet.engines {
+        engine.server.set_fault(AnswerFault::default());
+    }
+    fleet.services[0].server.set_fault(AnswerFault::default());
+    // The next answers are right: no late or foreign bytes wait on a pooled connection.
+    wait_for("look-ups to work again", || {
+        status_of(&fleet, 0, KEY_ONE) == Some(200)
+    });
+    for number in 0..10 {
+        let target = format!("/items/after-{number}");
+        let answer = call_until_run(fleet.address(0), &lookup(&target, KEY_ONE));
+        assert_eq!(answer.json()["target"], target.as_str());
+    }
+}
+
+/// Guards against a request that breaks one engine after the other because its caller repeats it.
+#[test]
+fn crashing_request_is_not_sent_on_forever() {
+    let fleet = Fleet::start(FleetPlan {
+        engines: vec![
+            ("e1", "a", quick_engine()),
+            ("e2", "a", quick_engine()),
+            ("e3", "a", quick_engine()),
+        ],
+        ..two_hosts()
+    });
+    fleet.wait_until_chats_work();
+    for round in 0..6 {
+        let request = chat("please [[crash]]", 4);
+        if let Ok(answer) = request.call(fleet.address(round % 2)) {
+            assert!(answer.status >= 400 || !answer.is_whole());
+        }
+    }
+    let crashes: u64 = fleet
+        .engines
+        .iter()
+        .map(|it| it.server.stats()["crashes"].as_u64().unwrap())
+        .sum();
+    assert!(crashes >= 1);
+    assert!(crashes <= 2, "one request broke {crashes} engines");
+    // Other requests are served.
+    fleet.wait_until_chats_work();
+}
+
+/// Guards against a cold engine that falls over because two hosts each use its whole allowance.
+#[test]
+fn cold_engine_receives_no_more_than_its_allowance() {
+    let cold = EngineSettings {
+        cold: true,
+        cold_allowance: 2,
+        token: Duration::from_millis(20),
+        warmup: Duration::from_secs(600),
+        ..quick_engine()
+    };
+    let warm = EngineSettings {
+        token: Duration::from_millis(20),
+        capacity: 64,
+        ..quick_engine()
+    };
+    let fleet = Fleet::start(FleetPlan {
+        engines: vec![("e1", "a", cold), ("e2", "a", warm)],
+        skew_multiple: 100.0,
+        ..two_hosts()
+    });
+    fleet.wait_until_chats_work();
+    thread::scope(|scope| {
+        for number in 0..20 {
+            let address = fleet.address(number % 2);
+            scope.spawn(move || {
+                for turn in 0..3 {
+                    let text = format!("caller {number} turn {turn}");
+                    let answer = call_until_run(address, &chat(&text, 10));
+                    assert_eq!(answer.status, 200, "{}", answer.text());
+                }
+            });
+        }
+    });
+    let stats = fleet.engines[0].server.stats();
+    assert_eq!(stats["falls"], 0, "peak {}", stats["peak_cold"]);
+    assert!(stats["peak_cold"].as_u64().unwrap() <= 2);
+}
+
+/// Guards against an answer that arrives after its request was given up and is delivered to the
+/// next request on the same connection.
+#[test]
+fn late_answer_does_not_reach_the_next_request() {
+    let fleet = Fleet::start(two_hosts());
+    fleet.wait_until_lookups_work();
+    for round in 0..10 {
+        fleet.services[0].server.set_fault(AnswerFault {
+            mode: AnswerMode::Late,
+            count: 1,
+            delay_ms: 100,
+        });
+        let address = fleet.address(0);
+        let abandoned = lookup(&format!("/items/abandoned-{round}"), KEY_ONE);
+        let mut connection = CallerConnection::open(address).unwrap();
+        connection.send_raw(&abandoned.to_bytes(address)).unwrap();
+        wait_for("the call to reach the service", || {
+            fleet.services[0].server.stats()["in_flight"] == 1
+        });
+        drop(connection);
+        for number in 0..4 {
+            let target = format!("/items/next-{round}-{number}");
+            let answer = call_until_run(address, &lookup(&target, KEY_ONE));
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            assert_eq!(answer.json()["target"], target.as_str());
+        }
+    }
+}
--- /dev/null
+++ b/cli/tests/limits.rs
@@ -0,0 +1,72 @@
+//! Rates and bursts of teams over all hosts.
+
+mod support;
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use snipepond_standin::CallerRequest;
+
+use self::support::{Fleet, FleetPlan, KEY_ONE, assert_not_run, call, fleet::quick_service};
+
+fn plan() -> FleetPlan {
+    FleetPlan {
+        hosts: vec![("h1", "a"), ("h2", "a"), ("h3", "a")],
+        services: vec![("s1", "a", quick_service())],
+        ..FleetPlan::default()
+    }
+}
+
+fn lookup() -> CallerRequest {
+    CallerRequest::new("GET", "/items/1").key(KEY_ONE)
+}
+
+/// Guards against a team that receives more than its rate and burst by using several hosts.
+#[test]
+fn team_receives_no_more_than_its_rate_over_all_hosts() {
+    const RATE: f64 = 20.0;
+    const BURST: u32 = 10;
+    let fleet = Fleet::start(FleetPlan {
+        centres: vec!["a", "b"],
+        hosts: vec![("h1", "a"), ("h2", "a"), ("h3", "b"), ("h4", "b")],
+        rate: RATE,
+        burst: BURST,
+        ..plan()
+    });
+    fleet.wait_until_lookups_work();
+    // Only the time from the first request to the last answer is used, so a slow machine makes
+    // the bound wider and never tighter than it is.
+    let started = Instant::now();
+    let admitted = AtomicU64::new(0);
+    let refused = AtomicU64::new(0);
+    thread::scope(|scope| {
+        for router in &fleet.routers {
+            for _ in 0..2 {
+                let (admitted, refused) = (&admitted, &refused);
+                scope.spawn(move || {
+                    while started.elapsed() < Duration::from_secs(3) {
+                        let answer = call(router.address, &lookup());
+                        if answer.status == 200 {
+                            admitted.fetch_add(1, Ordering::SeqCst);
+                        } else {
+                            assert_not_run(&answer, &[429, 503]);
+                            refused.fetch_add(1, Ordering::SeqCst);
+                        }
+                    }
+                });
+            }
+        }
+    });
+    let elapsed = started.elapsed().as_secs_f64();
+    let limit = RATE * elapsed + f64::from(BURST);
+    let admitted = admitted.into_inner();
+    assert!(
+        admitted as f64 <= limit,
+        "{admitted} requests in {elapsed:.2} s, limit {limit:.1}"
+    );
+    assert!(refused.into_inner() > 0, "the team did not reach its limit");
+    assert!(admitted > 0, "the team received nothing");
+}
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -78,6 +78,19 @@
     }
 }
 
+/// Sends a request again as long as it is refused with `not_run`, as a caller may do.
+#[track_caller]
+pub fn call_until_run(address: SocketAddr, request: &CallerRequest) -> CallerAnswer {
+    let mut last = None;
+    wait_for("a request to run", || {
+        let answer = call(address, request);
+        let is_refused = outcome_of(&answer) == "not_run";
+        last = Some(answer);
+        !is_refused
+    });
+    last.expect("an answer")
+}
+
 /// Returns a chat request of team one.
 pub fn chat(text: &str, tokens: u64) -> CallerRequest {
     CallerRequest::chat(MODEL, text, tokens, true).key(KEY_ONE)
