cli tests: four faults that the router shows now

Change and what was seen: - operations repeat_of_a_lost_order_is_not_called_not_run: the repeat of an order that ran is refused as quarantined with not_run. - faults short_plain_answer_is_not_passed_on_as_whole: a request that an upstream received is answered with no_upstream and not_run, because the refusal of the next attempt replaces the outcome of the first one. - limits requests_within_the_rate_are_not_refused and planned_stop_causes_no_refusals: limit_unavailable for a team within its rate of 1,000/s and burst of 1,000.

--- a/cli/tests/faults.rs
+++ b/cli/tests/faults.rs
@@ -398,6 +398,53 @@
     assert!(expected.starts_with(&answer.tokens()));
 }
 
+/// Guards against plain answers that are cut short and look complete.
+#[test]
+fn short_plain_answer_is_not_passed_on_as_whole() {
+    let fleet = Fleet::start(FleetPlan {
+        engines: vec![("e1", "a", quick_engine())],
+        ..two_hosts()
+    });
+    fleet.wait_until_chats_work();
+    fleet.wait_until_lookups_work();
+    let fault = AnswerFault {
+        mode: AnswerMode::Short,
+        count: 100,
+        delay_ms: 0,
+    };
+    fleet.engines[0].server.set_fault(fault);
+    fleet.services[0].server.set_fault(fault);
+    let requests = [
+        CallerRequest::chat(MODEL, "cut", 20, false).key(KEY_ONE),
+        lookup("/items/cut", KEY_ONE),
+        CallerRequest::new("PUT", "/items/cut-write")
+            .key(KEY_ONE)
+            .body("x"),
+    ];
+    for request in requests {
+        let was_seen = || {
+            fleet.engine_of("cut").is_some() && request.target.starts_with("/v1/")
+                || fleet.services[0]
+                    .server
+                    .header_log()
+                    .targets
+                    .contains(&request.target)
+        };
+        if let Ok(answer) = request.call(fleet.address(0)) {
+            assert!(
+                answer.status >= 500 || !answer.is_whole(),
+                "a short answer looks complete: {}",
+                answer.text()
+            );
+            // After the earlier failures the router may send nothing more to the upstream.
+            if outcome_of(&answer) == "not_run" {
+                assert!(!was_seen(), "a false `not_run`: {}", answer.text());
+            }
+        }
+    }
+    assert!(fleet.engine_of("cut").is_some(), "nothing was cut short");
+}
+
 /// Guards against a caller that receives the answer to another request.
 #[test]
 fn answer_to_another_request_is_never_delivered() {
--- a/cli/tests/limits.rs
+++ b/cli/tests/limits.rs
@@ -10,7 +10,11 @@
 
 use snipepond_standin::CallerRequest;
 
-use self::support::{Fleet, FleetPlan, KEY_ONE, assert_not_run, call, fleet::quick_service};
+use self::support::{
+    Fleet, FleetPlan, KEY_ONE, assert_not_run, call,
+    fleet::{TAKEOVER_WAIT, quick_service},
+    router::Signal,
+};
 
 fn plan() -> FleetPlan {
     FleetPlan {
@@ -70,3 +74,46 @@
     assert!(refused.into_inner() > 0, "the team did not reach its limit");
     assert!(admitted > 0, "the team received nothing");
 }
+
+/// Guards against refusals of a team that keeps to its rate and burst.
+#[test]
+fn requests_within_the_rate_are_not_refused() {
+    let fleet = Fleet::start(plan());
+    fleet.wait_until_lookups_work();
+    // 60 at once and 180 in total, of a burst of 1,000 that had the time to fill.
+    thread::sleep(Duration::from_secs(2));
+    thread::scope(|scope| {
+        for number in 0..60 {
+            let address = fleet.address(number % fleet.routers.len());
+            scope.spawn(move || {
+                for _ in 0..3 {
+                    let answer = call(address, &lookup());
+                    assert_eq!(answer.status, 200, "{}", answer.text());
+                }
+            });
+        }
+    });
+}
+
+/// Guards against refusals after a planned stop: a released host leaves no gap in ownership.
+#[test]
+fn planned_stop_causes_no_refusals() {
+    let mut fleet = Fleet::start(plan());
+    fleet.wait_until_lookups_work();
+    thread::sleep(TAKEOVER_WAIT);
+    for _ in 0..2 {
+        fleet.publish_leaving(0);
+        let mut leaving = fleet.routers.remove(0);
+        leaving.signal(Signal::Terminate);
+        let started = Instant::now();
+        while started.elapsed() < TAKEOVER_WAIT {
+            for router in &fleet.routers {
+                let answer = call(router.address, &lookup());
+                assert_eq!(answer.status, 200, "{}", answer.text());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        assert!(leaving.wait_for_exit().success());
+        fleet.publish_hosts();
+    }
+}
--- a/cli/tests/operations.rs
+++ b/cli/tests/operations.rs
@@ -206,6 +206,32 @@
     }
 }
 
+/// Guards against a caller that is told `not_run` about an order that ran, because its repeat is
+/// refused for another reason, such as the failures of requests with the same body.
+#[test]
+fn repeat_of_a_lost_order_is_not_called_not_run() {
+    let fleet = Fleet::start(plan());
+    fleet.wait_until_orders_work();
+    for service in &fleet.services {
+        service.server.break_next(BreakPoint::AfterRun, 100);
+    }
+    let keys: Vec<_> = (0..4).map(|it| format!("same-body-{it}")).collect();
+    for key in &keys {
+        call(fleet.address(0), &order(key));
+    }
+    for key in &keys {
+        let runs = fleet.runs(key);
+        assert!(runs <= 1, "{key} ran {runs} times");
+        for index in 0..HOSTS {
+            let repeat = call(fleet.address(index), &order(key));
+            if runs == 1 {
+                assert_ne!(outcome_of(&repeat), "not_run", "{key}: {}", repeat.text());
+            }
+        }
+    }
+    assert!(keys.iter().any(|it| fleet.runs(it) == 1), "no order ran");
+}
+
 /// Guards against a `not_run` that is false, and against an order that is lost although it can
 /// be sent again.
 #[test]
