control: requests handled together no longer share an arrival time

Cause: commands that one run of the actor handles see the same clock value; a request for tokens sent for the first of them counted as asked for the others, which were refused as limit_unavailable although the team was within its rate. Change: every request gets a distinct arrival time.

--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -84,6 +84,7 @@
             return send_admission(&reply, admission);
         }
         let team = admission.team.clone();
+        let asked_since = self.next_arrival(now);
         let all_waiting: usize = self.tokens.values().map(|it| it.waiting.len()).sum();
         let queue = self.tokens.entry(team.clone()).or_default();
         if queue.waiting.len() >= MAX_TEAM_WAITING || all_waiting >= MAX_WAITING {
@@ -94,7 +95,7 @@
         queue.waiting.push_back(WaitingAdmission {
             admission,
             arrived: now,
-            asked_since: now,
+            asked_since,
             reply,
         });
         self.serve_waiting(now, &team);
@@ -150,6 +151,16 @@
         }
     }
 
+    /// Returns a time that differs from that of every earlier request.
+    ///
+    /// Requests that are handled together see the same clock value. A request for tokens that was
+    /// sent for the first of them does not count the others, so it must not count as asked for
+    /// them.
+    fn next_arrival(&mut self, now: Instant) -> Instant {
+        self.last_arrival = now.max(self.last_arrival + Duration::from_nanos(1));
+        self.last_arrival
+    }
+
     /// Lets the first request wait until a token can be expected.
     fn postpone_first(&mut self, now: Instant, team: &TeamName, delay: Duration) {
         let Some(queue) = self.tokens.get_mut(team) else {
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -94,6 +94,7 @@
     pub(super) buckets: BucketTable,
     pub(super) wallets: WalletTable,
     pub(super) tokens: BTreeMap<TeamName, TokenQueue>,
+    pub(super) last_arrival: Instant,
     /// Data centre that each grant request without an answer was sent to, by sequence.
     pub(super) grant_calls: HashMap<u64, CentreName>,
 
@@ -169,6 +170,7 @@
             buckets: BucketTable::new(),
             wallets: WalletTable::new(host.clone(), incarnation, centre.clone()),
             tokens: BTreeMap::new(),
+            last_arrival: now,
             grant_calls: HashMap::new(),
             picker: UpstreamPicker::new(routing, host.clone(), centre.clone()),
             fleets: Vec::new(),
