membership: a release holds as long as the list may be older; limits: gate knows incarnations

Cause: with the platform down, a host that stopped as planned came back into the views when its exclusion ended after 16 s, because the old list still showed it, and then blocked its data centre. A process that restarts with an older revision counted as having confirmed a newer one. Change: the exclusion ends with the first list read that shows a later state. ShareGate::confirm takes the incarnation. Tests for both, for unlisted live hosts, for parts of tokens and for the messages of a surging team; rules whose removal no test had noticed (refill before a change of share, heartbeats to listed hosts outside all views, a heartbeat of an unknown incarnation) are tested now.

--- a/lib/src/limits/gate.rs
+++ b/lib/src/limits/gate.rs
@@ -32,13 +32,15 @@
 pub struct ShareGate {
     host: HostName,
     centre: CentreName,
+    revision: u64,
     /// Time for which a host that left the list must still confirm: `takeover_wait`.
     memory: Duration,
     shares: BTreeMap<TeamName, GatedShare>,
     centres: BTreeMap<CentreName, CentreState>,
     /// Hosts of the fleet, with the time at which they were last listed.
     listed: BTreeMap<HostName, (CentreName, Instant)>,
-    confirmed: BTreeMap<HostName, u64>,
+    /// Incarnation and accepted revision of each host.
+    confirmed: BTreeMap<HostName, (u64, u64)>,
 }
 
 impl ShareGate {
@@ -47,6 +49,7 @@
         Self {
             host: host.name.clone(),
             centre: host.data_centre.clone(),
+            revision: 0,
             memory,
             shares: BTreeMap::new(),
             centres: BTreeMap::new(),
@@ -93,14 +96,19 @@
                 Some(_) => {}
             }
         }
-        let host = self.host.clone();
-        self.confirm(&host, revision);
+        self.revision = revision;
     }
 
-    /// Notes that a host has accepted a revision.
-    pub fn confirm(&mut self, host: &HostName, revision: u64) {
+    /// Notes that a process has accepted a revision.
+    ///
+    /// A new process may have a lower revision than the one before it on the same host.
+    pub fn confirm(&mut self, host: &HostName, incarnation: u64, revision: u64) {
         let confirmed = self.confirmed.entry(host.clone()).or_default();
-        *confirmed = revision.max(*confirmed);
+        if confirmed.0 == incarnation {
+            confirmed.1 = revision.max(confirmed.1);
+        } else {
+            *confirmed = (incarnation, revision);
+        }
     }
 
     /// Takes the host list and opens the gate for shares that every host has confirmed.
@@ -113,15 +121,19 @@
         }
         self.listed
             .retain(|_, (_, at)| now.saturating_duration_since(*at) <= self.memory);
-        self.confirmed
-            .retain(|host, _| *host == self.host || self.listed.contains_key(host));
+        let listed = &self.listed;
+        self.confirmed.retain(|host, _| listed.contains_key(host));
         let Some(lowest) = self
             .listed
             .iter()
             .filter(|(_, (centre, _))| {
                 self.centres.get(centre) != Some(&CentreState::Decommissioned)
             })
-            .map(|(host, _)| self.confirmed.get(host).copied().unwrap_or(0))
+            .map(|(host, _)| match self.confirmed.get(host) {
+                _ if *host == self.host => self.revision,
+                Some((_, revision)) => *revision,
+                None => 0,
+            })
             .min()
         else {
             return;
--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -149,7 +149,8 @@
     /// Hosts that ran as live at a time that the list may not show yet. Without the list, the
     /// view is not confirmed as long as one of them is silent.
     witnessed: BTreeMap<HostName, Instant>,
-    /// Incarnations that own nothing any more, with the end of their exclusion from views.
+    /// Incarnations that own nothing any more, with the last time at which they are known to
+    /// have run. They are excluded from views until the list is known to be newer than that.
     releases: BTreeMap<HostName, (u64, Instant)>,
     /// Views in force during the last `takeover_wait`, oldest first; never empty.
     views: Vec<View>,
@@ -349,19 +350,19 @@
     ///
     /// It is ignored unless that incarnation answered a heartbeat recently; the caller may send
     /// a heartbeat and repeat the call. A later process on the same host acts at the earliest
-    /// `takeover_wait` after that answer, and the exclusion from the views ends before that, so
-    /// that a late release cannot exclude the new process.
+    /// `takeover_wait` after that answer. The exclusion from the views ends with the first list
+    /// read that shows a later state, so that a late release cannot exclude the later process.
     pub fn released(&mut self, now: Instant, host: &HostName, incarnation: u64) -> bool {
         self.detect_pause(now);
-        let until = self
+        let lag = self.timing.list_lag;
+        let alive = self
             .peers
             .get(host)
             .filter(|it| it.incarnation == incarnation)
             .and_then(|it| it.alive)
-            .map(|it| it + self.timing.takeover_wait() - self.timing.margin)
-            .filter(|it| now < *it);
-        if let Some(until) = until {
-            self.releases.insert(host.clone(), (incarnation, until));
+            .filter(|it| now < *it + lag + self.timing.validity);
+        if let Some(alive) = alive {
+            self.releases.insert(host.clone(), (incarnation, alive));
             self.peers.remove(host);
             self.witnessed.remove(host);
             for view in &mut self.views {
@@ -371,7 +372,7 @@
             }
         }
         self.update(now);
-        until.is_some()
+        alive.is_some()
     }
 
     /// Returns whether there is recent evidence that the current view is complete.
@@ -468,6 +469,7 @@
         self.list_read = self.is_listed().then_some(started);
         let lag = self.timing.list_lag;
         self.witnessed.retain(|_, at| *at + lag >= started);
+        self.releases.retain(|_, (_, at)| *at + lag >= started);
     }
 
     fn detect_pause(&mut self, now: Instant) {
@@ -583,7 +585,6 @@
 
     fn update(&mut self, now: Instant) {
         let wait = self.timing.takeover_wait();
-        self.releases.retain(|_, (_, until)| now < *until);
         let memory = wait + self.timing.validity;
         self.peers.retain(|_, it| {
             it.heard
--- a/lib/tests/limits_state.rs
+++ b/lib/tests/limits_state.rs
@@ -121,6 +121,8 @@
     }
     bucket.observe(start + secs(4), true, SHARE);
     assert_eq!(bucket.level(), 0);
+    bucket.observe(start + ms(4_250), true, SHARE);
+    assert_eq!(bucket.level(), 2_500, "250 ms at 10 tokens/s");
     bucket.observe(start + secs(5), true, SHARE);
     assert_eq!(bucket.level(), SHARE.burst);
     let half = CentreShare {
@@ -210,13 +212,25 @@
         for (gate, second) in gates.iter_mut().zip(0..) {
             let now = start + secs(10 * index as u64 + second);
             for host in 0..=index {
-                gate.confirm(&format!("h{host}").as_str().into(), 2);
+                gate.confirm(&format!("h{host}").as_str().into(), 1, 2);
             }
             gate.update(now, &hosts);
         }
         assert!(total(&gates) <= 12.0, "after {index}");
     }
     assert!(total(&gates) < 9.0, "old grants may be unspent");
+    // A process that restarted with an older revision has the old share again.
+    let growing = gates
+        .iter()
+        .position(|it| it.share(&team).rate > 0.0)
+        .unwrap();
+    let other = format!("h{}", (growing + 1) % 3).as_str().into();
+    let gate = &mut gates[growing];
+    gate.confirm(&other, 2, 1);
+    gate.update(start + secs(25), &hosts);
+    gate.confirm(&other, 2, 2);
+    gate.update(start + secs(28), &hosts);
+    assert_eq!(gate.share(&team).rate, 4.0);
     for gate in &mut gates {
         gate.update(start + secs(30), &hosts);
     }
--- a/lib/tests/limits_support/mod.rs
+++ b/lib/tests/limits_support/mod.rs
@@ -706,7 +706,8 @@
             if self.reaches(index, other) && self.hosts[other].runs {
                 let state = &self.hosts[other];
                 let (name, revision) = (state.record.name.clone(), state.revision as u64 + 1);
-                self.hosts[index].gate.confirm(&name, revision);
+                let incarnation = state.incarnation;
+                self.hosts[index].gate.confirm(&name, incarnation, revision);
             }
         }
         let host = &mut self.hosts[index];
--- a/lib/tests/membership_views.rs
+++ b/lib/tests/membership_views.rs
@@ -185,6 +185,12 @@
     assert_eq!(owned(&two, now), 0);
     one.released(now, &release.host, release.incarnation);
     assert_eq!(owned(&one, now), KEYS.len());
+    // Without the platform the old list keeps showing the host; it must not block the view.
+    for time in 21..60 {
+        one.tick(start + secs(time.into()));
+    }
+    let now = start + secs(60.0);
+    assert_eq!(owned(&one, now), KEYS.len());
     // A delayed heartbeat of the released process changes nothing.
     let late = Heartbeat {
         host: record("h2"),
@@ -213,7 +219,7 @@
     read(&mut one, start, 0, 20, &hosts);
     let now = start + secs(20.0);
     let release = two.release();
-    one.released(now, &release.host, release.incarnation);
+    assert!(!one.released(now, &release.host, release.incarnation));
     assert!(owned(&one, now) < KEYS.len(), "never answered");
     beat(&mut one, &mut two, "h2", now);
     read(&mut one, start, 22, 36, &hosts);
@@ -275,22 +281,51 @@
     let start = Instant::now();
     let hosts = list(1, &["h1", "h2"]);
     let mut one = tracker("h1", start);
-    read(&mut one, start, 0, 20, &hosts);
-    let before = owned(&one, start + secs(20.0));
-    // Each process on h2 answers one heartbeat before it has read the list.
-    for (time, incarnation) in [(20.0, 2), (24.0, 3)] {
-        let now = start + secs(time);
-        let mut two = ViewTracker::new(record("h2"), incarnation, ViewTiming::default(), now);
+    let assigned = |views: &ViewTracker| {
+        let owners = KEYS.iter().filter_map(|it| views.owner(it));
+        owners.filter(|it| it.name.as_str() == "h2").count()
+    };
+    one.read_list(start, start, &hosts);
+    let before = assigned(&one);
+    assert!(before > 0);
+    // The process on h2 has no list for so long that no recent view contains h2.
+    let mut two = ViewTracker::new(record("h2"), 2, ViewTiming::default(), start);
+    for time in (2..=30).step_by(2) {
+        let now = start + secs(time.into());
+        one.read_list(now, now, &hosts);
         beat(&mut one, &mut two, "h2", now);
-        assert_eq!(one.owner("a").map(|it| &it.name), Some(&"h1".into()));
-        assert!(one.peers(now).contains(&record("h2")), "asked again");
-        two.read_list(now, now, &hosts);
-        one.hear(now, &two.heartbeat(now));
+        assert_eq!(assigned(&one), 0);
+    }
+    let now = start + secs(31.0);
+    assert!(one.peers(now).contains(&record("h2")), "still asked");
+    // A heartbeat of the next process, which has answered nothing yet, is enough.
+    let mut three = ViewTracker::new(record("h2"), 3, ViewTiming::default(), now);
+    three.read_list(now, now, &hosts);
+    one.hear(now, &three.heartbeat(now));
+    assert_eq!(assigned(&one), before);
+}
+
+/// Guards against: a host that confirms its view alone although it knows of another live host
+/// that its list does not show yet.
+#[test]
+fn unlisted_live_host_must_confirm_without_the_platform() {
+    let start = Instant::now();
+    for hears_other in [false, true] {
+        let mut one = tracker("h1", start);
+        read(&mut one, start, 0, 20, &list(1, &["h1"]));
+        if hears_other {
+            let beat = Heartbeat {
+                host: record("h2"),
+                incarnation: 2,
+                list_version: 2,
+            };
+            one.hear(start + secs(20.0), &beat);
+        }
+        for time in 21..60 {
+            one.tick(start + secs(time.into()));
+        }
+        let now = start + secs(59.0);
+        assert_eq!(one.is_confirmed(now), !hears_other);
+        assert_eq!(owned(&one, now), if hears_other { 0 } else { KEYS.len() });
     }
-    // The second process is alone in saying that it runs; its heartbeat is enough.
-    let mut three = ViewTracker::new(record("h2"), 4, ViewTiming::default(), start);
-    three.read_list(start + secs(25.0), start + secs(25.0), &hosts);
-    one.hear(start + secs(25.0), &three.heartbeat(start + secs(25.0)));
-    read(&mut one, start, 26, 60, &hosts);
-    assert_eq!(owned(&one, start + secs(60.0)), before);
 }
