--- a/lib/tests/membership_views.rs
+++ b/lib/tests/membership_views.rs
@@ -223,11 +223,21 @@
     assert!(owned(&one, now) < KEYS.len(), "never answered");
     beat(&mut one, &mut two, "h2", now);
     read(&mut one, start, 22, 36, &hosts);
-    one.released(start + secs(36.5), &release.host, release.incarnation);
-    assert!(
-        owned(&one, start + secs(36.5)) < KEYS.len(),
-        "answered too long ago"
-    );
+    let now = start + secs(36.5);
+    assert!(!one.released(now, &release.host, release.incarnation));
+    assert!(owned(&one, now) < KEYS.len(), "answered too long ago");
+    // An accepted release ends with the first read that shows a later state of the list.
+    let now = start + secs(37.0);
+    beat(&mut one, &mut two, "h2", now);
+    assert!(one.released(now, &release.host, release.incarnation));
+    let is_alone = |views: &ViewTracker| {
+        let mut owners = KEYS.iter().filter_map(|it| views.owner(it));
+        owners.all(|it| it.name.as_str() == "h1")
+    };
+    read(&mut one, start, 38, 46, &hosts);
+    assert!(is_alone(&one));
+    read(&mut one, start, 48, 48, &hosts);
+    assert!(!is_alone(&one));
 }
 
 /// Guards against: a cold split over fewer hosts than another host still counts.
