limits, control: a planned stop hands its buckets to the next owners

Cause: a new owner's bucket stays empty for 1.25 s, because it does not know the earlier owner's grants; a host that the list shows as leaving stopped owning at once, but its successors waited for its release until the end of the drain. A lost message closed an owner for 1 s, longer than a request waits. Change: on the first list that shows it as leaving, and at the beginning of a drain, a host sends level and outstanding grants of each bucket to the next owner and its release to all; handovers count once by incarnation; hosts ask again at once when owners change; a lost message closes an owner for 300 ms and its requests wait up to 1 s.

--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -130,7 +130,7 @@
                         send_admission(&first.reply, first.admission);
                     }
                 }
-                TakeOutcome::Refused { retry } if waited + retry <= TOKEN_PATIENCE => {
+                TakeOutcome::Refused { retry } if waited + retry <= self.patience(now, team) => {
                     self.postpone_first(now, team, retry);
                     return;
                 }
@@ -161,6 +161,23 @@
         self.last_arrival
     }
 
+    /// Time for which a request of a team waits for a token.
+    ///
+    /// A lost message says nothing about the team's rate, so its requests wait for another
+    /// attempt; those of a team with an empty bucket wait only for the next refill.
+    fn patience(&self, now: Instant, team: &TeamName) -> Duration {
+        if self.is_empty_recently(now, team) {
+            TOKEN_PATIENCE
+        } else {
+            TOKEN_WAIT
+        }
+    }
+
+    fn is_empty_recently(&self, now: Instant, team: &TeamName) -> bool {
+        let empty_at = self.tokens.get(team).and_then(|it| it.empty_at);
+        empty_at.is_some_and(|it| now.saturating_duration_since(it) <= EMPTY_MEMORY)
+    }
+
     /// Lets the first request wait until a token can be expected.
     fn postpone_first(&mut self, now: Instant, team: &TeamName, delay: Duration) {
         let Some(queue) = self.tokens.get_mut(team) else {
@@ -268,13 +285,13 @@
 
     /// Tells a team that is over its rate from one whose owners cannot be asked.
     fn token_refusal(&self, now: Instant, team: &TeamName, retry: Duration) -> Refusal {
-        let empty_at = self.tokens.get(team).and_then(|it| it.empty_at);
-        if empty_at.is_some_and(|it| now.saturating_duration_since(it) <= EMPTY_MEMORY) {
+        if self.is_empty_recently(now, team) {
             Refusal::not_run(
                 RefusalKind::OverRate,
                 "the team has used its rate and burst",
             )
         } else {
+            tracing::debug!(%team, retry_ms = retry.as_millis(), "limit_unavailable");
             let message = "no host that keeps the team's limit can be asked";
             Refusal::not_run(RefusalKind::LimitUnavailable, message)
         }
@@ -397,6 +414,7 @@
         match result {
             Ok(PeerReply::Grant(reply)) => self.take_grant(now, &centre, &reply),
             Ok(_) | Err(_) => {
+                tracing::debug!(team = %request.team, %centre, "grant_lost");
                 self.metrics.grant("lost", 0.0);
                 self.wallets
                     .on_lost(now, &request.team, &centre, request.sequence);
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -86,7 +86,7 @@
     IsReady(ReplySender<bool>),
     /// A planned stop has begun; new requests are refused.
     Drain,
-    /// No request is in flight any more: hand over what this process owns, then give it up.
+    /// No request is in flight any more: hand over the records that are left.
     HandOver(ReplySender<()>),
 }
 
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -1,18 +1,24 @@
 //! Heartbeats, digests and releases: what hosts tell each other without a request.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use rand::seq::IndexedRandom;
 
 use super::{
-    message::{HostDigest, PeerReply, PeerRequest},
+    admission::bucket_key,
+    message::{BucketHandover, HostDigest, PeerReply, PeerRequest},
     state::ControlState,
 };
 use crate::{
     config::ConfigChange,
-    membership::{HostRecord, HostRelease},
+    limits::HandedBucket,
+    membership::{HostList, HostRecord, HostRelease, HostState},
     names::HostName,
     peer::PeerCall,
+    rendezvous,
 };
 
 /// Time until the reply to a background message.
@@ -21,10 +27,6 @@
 /// Time until a configuration arrives from a peer; it may be some hundred kilobytes.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Heartbeats sent in one round while the platform answers. Each costs about 600 bytes in both
-/// directions, and a host may spend 4 KB/s on all control traffic.
-const HEARTBEATS_PER_ROUND: usize = 8;
-
 /// Peers that a new process asks for their revision before it is ready.
 const START_PEERS: usize = 8;
 
@@ -78,27 +80,12 @@
         }
     }
 
-    /// Sends heartbeats to the hosts of the data centre.
-    ///
-    /// While the platform is silent every host of the view has to confirm it, so all are asked.
+    /// Sends heartbeats to the hosts of the data centre that are due for one.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let heartbeat = self.views.heartbeat(now);
-        let peers: Vec<HostRecord> = self.views.peers(now);
-        if peers.is_empty() {
-            return;
-        }
-        let is_platform_silent =
-            now.saturating_duration_since(self.list_read) > self.timing.validity / 2;
-        let count = if is_platform_silent {
-            peers.len()
-        } else {
-            HEARTBEATS_PER_ROUND
-        };
-        for step in 0..count.min(peers.len()) {
-            let peer = &peers[(self.heartbeat_cursor + step) % peers.len()];
-            self.tell(now, peer, PeerRequest::Heartbeat(heartbeat.clone()));
+        for peer in self.views.peers(now) {
+            self.tell(now, &peer, PeerRequest::Heartbeat(heartbeat.clone()));
         }
-        self.heartbeat_cursor = (self.heartbeat_cursor + count) % peers.len();
     }
 
     /// Exchanges digests with one random host of the fleet.
@@ -166,7 +153,7 @@
     ///
     /// Returns whether a pull was ordered.
     pub(super) fn hear_digest(&mut self, now: Instant, digest: &HostDigest) -> bool {
-        self.note_revision(&digest.host, digest.accepted);
+        self.note_revision(&digest.host, digest.incarnation, digest.accepted);
         self.note_process(now, &digest.host, digest.incarnation);
         let accepted = self.config.accepted_revision();
         if digest.accepted <= accepted && digest.seen <= self.config.seen_revision() {
@@ -180,8 +167,8 @@
         true
     }
 
-    pub(super) fn note_revision(&mut self, host: &HostName, revision: u64) {
-        self.gate.confirm(host, revision);
+    pub(super) fn note_revision(&mut self, host: &HostName, incarnation: u64, revision: u64) {
+        self.gate.confirm(host, incarnation, revision);
         let known = self.revisions.entry(host.clone()).or_default();
         *known = revision.max(*known);
     }
@@ -190,15 +177,102 @@
         self.config.change_since(base)
     }
 
-    /// Gives up every right of this process and tells all hosts.
+    /// Gives up every right of this process for good.
     pub(super) fn release(&mut self, now: Instant) {
-        let release: HostRelease = self.views.release();
-        let peers: Vec<HostRecord> = self.other_hosts().cloned().collect();
-        for peer in &peers {
+        // Buckets that this host lost without noticing it yet are not handed over.
+        self.observe_buckets(now);
+        let buckets = self.buckets_by_next_owner(now);
+        let release = self.views.release();
+        self.tell_release(now, &release, buckets);
+    }
+
+    /// Takes a host list; a host that it shows as leaving hands its buckets over at once, because
+    /// it owns nothing any more and the next owners would start with empty ones.
+    pub(super) fn take_list(&mut self, now: Instant, started: Instant, list: &HostList) {
+        self.observe_buckets(now);
+        let was_leaving = self.views.release_if_leaving().is_some();
+        let own = list.host(&self.identity.name).map(|it| it.state);
+        let is_departure = own == Some(HostState::Leaving) && !was_leaving;
+        let buckets = if is_departure {
+            self.buckets_by_next_owner(now)
+        } else {
+            Vec::new()
+        };
+        self.views.read_list(started, now, list);
+        if is_departure && let Some(release) = self.views.release_if_leaving() {
+            self.tell_release(now, &release, buckets);
+        }
+    }
+
+    fn tell_release(
+        &self,
+        now: Instant,
+        release: &HostRelease,
+        buckets: Vec<(HostRecord, Vec<HandedBucket>)>,
+    ) {
+        for (owner, buckets) in buckets {
+            let handover = BucketHandover {
+                incarnation: self.incarnation,
+                buckets,
+            };
+            self.tell(now, &owner, PeerRequest::Buckets(handover));
+        }
+        for peer in self.other_hosts() {
             self.tell(now, peer, PeerRequest::Release(release.clone()));
         }
     }
 
+    /// Groups the owned buckets by the host that owns them without this one.
+    fn buckets_by_next_owner(&mut self, now: Instant) -> Vec<(HostRecord, Vec<HandedBucket>)> {
+        let members = self
+            .views
+            .members()
+            .iter()
+            .filter(|it| **it != self.identity.name);
+        let members: Vec<&HostName> = members.collect();
+        let mut groups: BTreeMap<HostName, Vec<HandedBucket>> = BTreeMap::new();
+        for bucket in self.buckets.take_owned(now) {
+            if let Some(next) =
+                rendezvous::first(&bucket_key(&bucket.team), members.iter().copied())
+            {
+                groups.entry(next.clone()).or_default().push(bucket);
+            }
+        }
+        let hosts = self.views.hosts();
+        let groups = groups.into_iter();
+        groups
+            .filter_map(|(name, buckets)| Some((hosts.host(&name)?.clone(), buckets)))
+            .collect()
+    }
+
+    /// Takes the release of another process.
+    fn hear_release(&mut self, now: Instant, release: HostRelease) {
+        self.processes.note_release(&release);
+        self.watch_gains(now, now + self.timing.takeover_wait());
+        if self.views.released(now, &release.host, release.incarnation) {
+            // A released owner decides nothing more, so its keys can be taken over at once.
+            self.watch_gains(now, now);
+            self.slow_tick(now);
+        } else if let Some(host) = self.views.hosts().host(&release.host).cloned() {
+            // The release counts only after a recent answer of that process.
+            let heartbeat = self.views.heartbeat(now);
+            self.tell(now, &host, PeerRequest::Heartbeat(heartbeat));
+            self.unconfirmed_releases.push(release);
+        }
+    }
+
+    /// Repeats the releases that waited for an answer of `host`.
+    pub(super) fn repeat_releases(&mut self, now: Instant, host: &HostName) {
+        let releases = std::mem::take(&mut self.unconfirmed_releases);
+        for release in releases {
+            if release.host == *host {
+                self.watch_gains(now, now + self.timing.takeover_wait());
+                self.views.released(now, &release.host, release.incarnation);
+                self.watch_gains(now, now);
+            }
+        }
+    }
+
     /// Handles a background message of another host.
     pub(super) fn hear(&mut self, now: Instant, request: PeerRequest) -> PeerReply {
         match request {
@@ -207,11 +281,12 @@
                 PeerReply::Heartbeat(self.views.hear(now, &heartbeat))
             }
             PeerRequest::Release(release) => {
-                self.processes.note_release(&release);
-                self.watch_gains(now, now + self.timing.takeover_wait());
-                self.views.released(now, &release.host, release.incarnation);
-                // A released owner decides nothing more, so its keys can be taken over at once.
-                self.watch_gains(now, now);
+                self.hear_release(now, release);
+                PeerReply::Done
+            }
+            PeerRequest::Buckets(handover) => {
+                self.buckets
+                    .hand_over(now, handover.incarnation, handover.buckets);
                 PeerReply::Done
             }
             PeerRequest::Digest(digest) => {
--- a/lib/src/control/message.rs
+++ b/lib/src/control/message.rs
@@ -8,7 +8,7 @@
     catalogue::KeyHash,
     config::ConfigChange,
     front::{CallerRequest, Refusal},
-    limits::{GrantReply, GrantRequest},
+    limits::{GrantReply, GrantRequest, HandedBucket},
     membership::{Heartbeat, HeartbeatReply, HostList, HostRelease},
     names::{CentreName, HostName, UpstreamName},
     operation::{
@@ -65,6 +65,15 @@
     Refused(Refusal),
 }
 
+/// Buckets that a stopping process hands over.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BucketHandover {
+    /// Incarnation of the process that stops; its handover counts once.
+    pub incarnation: u64,
+    /// The buckets.
+    pub buckets: Vec<HandedBucket>,
+}
+
 /// A request to another host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -72,6 +81,8 @@
     Heartbeat(Heartbeat),
     /// The sender gives up its rights for good.
     Release(HostRelease),
+    /// Buckets of a process that stops, for their next owner.
+    Buckets(BucketHandover),
     /// Exchange of revisions.
     Digest(HostDigest),
     /// Asks for the configuration after a revision.
--- a/lib/src/control/operations.rs
+++ b/lib/src/control/operations.rs
@@ -398,7 +398,10 @@
         } else if has_lost {
             self.ledger.require_handover(at, &earlier);
         }
-        self.is_placement_due |= has_lost || *members != self.seen_view.members;
+        if *members != self.seen_view.members {
+            self.is_placement_due = true;
+            self.wallets.owners_changed(&self.identity.data_centre);
+        }
         self.seen_view = SeenView {
             members: members.clone(),
             is_confirmed,
--- a/lib/src/control/processes.rs
+++ b/lib/src/control/processes.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct HandOver {
     since: Instant,
-    reply: ReplySender<()>,
+    reply: Option<ReplySender<()>>,
 }
 
 impl ProcessTable {
@@ -95,6 +95,9 @@
         let earlier = std::mem::replace(&mut self.processes.listed, listed);
         for (centre, hosts) in earlier {
             let kept = self.processes.listed.get(&centre);
+            if kept != Some(&hosts) {
+                self.wallets.owners_changed(&centre);
+            }
             let gone = hosts
                 .iter()
                 .filter(|it| !kept.is_some_and(|kept| kept.contains(*it)));
@@ -113,9 +116,12 @@
         self.is_placement_due = true;
     }
 
-    /// Begins to hand over the records of this process; `reply` is sent when it has given up its
-    /// rights.
-    pub(super) fn hand_over(&mut self, now: Instant, reply: ReplySender<()>) {
+    /// Begins to hand over the records of this process, which then gives up its rights; `reply` is
+    /// sent at the end.
+    ///
+    /// Called at the beginning of a planned stop, so that the next owners act at once, and again
+    /// when the last operation has ended.
+    pub(super) fn hand_over(&mut self, now: Instant, reply: Option<ReplySender<()>>) {
         self.is_placement_due = true;
         self.processes.leaving = Some(HandOver { since: now, reply });
         self.continue_hand_over(now);
@@ -138,8 +144,8 @@
             );
         }
         self.release(now);
-        if let Some(leaving) = self.processes.leaving.take() {
-            let _ = leaving.reply.send(());
+        if let Some(reply) = self.processes.leaving.take().and_then(|it| it.reply) {
+            let _ = reply.send(());
         }
     }
 }
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    admission::{TokenQueue, team_of},
+    admission::{TokenQueue, bucket_key, team_of},
     command::ControlCommand,
     crash::SpreadTable,
     dispatch::{QueuedDispatch, RetryBudget, RunningDispatch},
@@ -23,7 +23,7 @@
     catalogue::Catalogue,
     config::{ChangeOutcome, ConfigChange, ConfigTracker},
     limits::{BucketTable, ShareGate, WalletTable},
-    membership::{HostList, HostRecord, ViewTiming, ViewTracker},
+    membership::{HostList, HostRecord, HostRelease, ViewTiming, ViewTracker},
     names::{CentreName, HostName, TeamName, UpstreamName},
     operation::{OperationLedger, OperationRoute},
     peer::{PeerCall, PeerCaller, PeerError},
@@ -86,9 +86,7 @@
     pub(super) sync: StartSync,
 
     pub(super) views: ViewTracker,
-    /// When a read of the host list last ended.
-    pub(super) list_read: Instant,
-    pub(super) heartbeat_cursor: usize,
+    pub(super) unconfirmed_releases: Vec<HostRelease>,
 
     pub(super) gate: ShareGate,
     pub(super) buckets: BucketTable,
@@ -164,8 +162,7 @@
             revisions: BTreeMap::new(),
             sync: StartSync::WaitsForList,
             views: ViewTracker::new(identity.clone(), incarnation, timing, now),
-            list_read: now,
-            heartbeat_cursor: 0,
+            unconfirmed_releases: Vec::new(),
             gate: ShareGate::new(&identity, timing.takeover_wait()),
             buckets: BucketTable::new(),
             wallets: WalletTable::new(host.clone(), incarnation, centre.clone()),
@@ -259,8 +256,11 @@
             ControlCommand::IsReady(reply) => {
                 let _ = reply.send(self.is_ready());
             }
-            ControlCommand::Drain => self.is_draining = true,
-            ControlCommand::HandOver(reply) => self.hand_over(now, reply),
+            ControlCommand::Drain => {
+                self.is_draining = true;
+                self.hand_over(now, None);
+            }
+            ControlCommand::HandOver(reply) => self.hand_over(now, Some(reply)),
         }
     }
 
@@ -288,23 +288,28 @@
         }
     }
 
-    fn slow_tick(&mut self, now: Instant) {
+    pub(super) fn slow_tick(&mut self, now: Instant) {
+        self.gate.update(now, self.views.hosts());
+        self.observe_buckets(now);
+        self.start_sync(now);
+        self.expire_sync(now);
+        self.update_fleets(now);
+        self.update_gauges();
+        self.tick_operations(now);
+        self.crashes.expire(now);
+    }
+
+    /// Notes which buckets this host owns now.
+    pub(super) fn observe_buckets(&mut self, now: Instant) {
         let Self {
             gate,
             buckets,
             views,
             ..
         } = self;
-        gate.update(now, views.hosts());
         buckets.tick(now, gate.shares(), |team| {
-            views.owns(&super::admission::bucket_key(team), now)
+            views.owns(&bucket_key(team), now)
         });
-        self.start_sync(now);
-        self.expire_sync(now);
-        self.update_fleets(now);
-        self.update_gauges();
-        self.tick_operations(now);
-        self.crashes.expire(now);
     }
 
     /// Returns whether the host takes new requests.
@@ -324,7 +329,8 @@
                 self.metrics.set_catalogue(&catalogue);
                 self.gate.on_catalogue(&catalogue);
                 self.operation_route.set_catalogue(&catalogue);
-                self.note_revision(&self.identity.name.clone(), catalogue.revision());
+                let own = self.identity.name.clone();
+                self.note_revision(&own, self.incarnation, catalogue.revision());
                 self.picker.adopt(now, &catalogue);
                 self.serve_queue(now);
                 false
@@ -344,7 +350,6 @@
     }
 
     fn hosts_read(&mut self, now: Instant, started: Instant, list: Option<HostList>) {
-        self.list_read = now;
         match list {
             Some(list) => {
                 if list.version > self.views.hosts().version {
@@ -354,7 +359,7 @@
                         "host_list"
                     );
                 }
-                self.views.read_list(started, now, &list);
+                self.take_list(now, started, &list);
             }
             None => self.views.list_unchanged(started, now),
         }
@@ -401,6 +406,7 @@
                 let peer = reply.host.name.clone();
                 self.note_process(now, &peer, reply.incarnation);
                 self.views.confirm(call.ordered, now, &peer, &reply);
+                self.repeat_releases(now, &peer);
             }
             (PeerRequest::Digest(_), Ok(PeerReply::Digest(digest))) => {
                 let is_pulling = self.hear_digest(now, &digest);
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -39,7 +39,7 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// Time for the last messages of a stopping process.
-const RELEASE_NOTICE: Duration = Duration::from_millis(100);
+const RELEASE_NOTICE: Duration = Duration::from_millis(300);
 
 /// Time during which a stopping process still refuses new requests, so that the load balancer
 /// sees that it is not ready.
@@ -213,8 +213,9 @@
     })?;
     let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
     let clock = ports.clock.clone();
+    let validity = settings.validity;
     threads.spawn("watch-hosts", move || {
-        watch_hosts(&*platform, &*clock, &handle, &signal)
+        watch_hosts(&*platform, &*clock, &handle, &signal, validity)
     })?;
     let (upstream, handle, signal) = (ports.upstream.clone(), control.clone(), stop.clone());
     let clock = ports.clock.clone();
--- a/lib/src/daemon/watch.rs
+++ b/lib/src/daemon/watch.rs
@@ -14,8 +14,8 @@
 /// Longest wait of one configuration watch; 400 hosts make 13 calls/s.
 const CONFIG_WAIT: Duration = Duration::from_secs(30);
 
-/// Longest wait of one host list watch; a view needs a read within its validity.
-const HOSTS_WAIT: Duration = Duration::from_secs(3);
+/// Longest wait of one host list watch; 400 hosts make 200 calls/s.
+const MAX_HOSTS_WAIT: Duration = Duration::from_secs(2);
 
 /// Longest wait of a single call, so that a planned stop need not wait for it.
 const STOP_WAIT: Duration = Duration::from_secs(3);
@@ -91,14 +91,17 @@
     clock: &dyn ClockSource,
     control: &ControlHandle,
     stop: &StopSignal,
+    validity: Duration,
 ) {
+    // A read counts from its start, so several must end within the validity of a view.
+    let wait = MAX_HOSTS_WAIT.min(validity / 3);
     let mut pause = RetryPause::new();
     while !stop.is_set() {
         let Some(version) = control.ask(ControlCommand::ListVersion) else {
             return;
         };
         let started = clock.now();
-        match platform.hosts_after(version, HOSTS_WAIT) {
+        match platform.hosts_after(version, wait) {
             Ok(list) => {
                 pause.reset();
                 if list.as_ref().is_some_and(|it| it.version <= version) {
--- a/lib/src/limits.rs
+++ b/lib/src/limits.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 pub use self::{
-    bucket::{BucketTable, GrantAccount, GrantReply, GrantRequest, TeamBucket},
+    bucket::{BucketTable, GrantAccount, GrantReply, GrantRequest, HandedBucket, TeamBucket},
     gate::ShareGate,
     share::{CentreShare, TeamShare},
     wallet::{TakeOutcome, TokenWallet, WalletTable},
--- a/lib/src/limits/bucket.rs
+++ b/lib/src/limits/bucket.rs
@@ -28,6 +28,10 @@
 /// Length of the time slots in which refill that did not fit is recorded.
 const OVERFLOW_SLOT: Duration = Duration::from_millis(10);
 
+/// Stopped processes whose handovers are remembered; 104 processes stop on an ordinary day at the
+/// target size.
+const MAX_SENDERS: usize = 1_024;
+
 /// Longest retry time that a reply names.
 const MAX_RETRY: Duration = Duration::from_secs(60);
 
@@ -101,6 +105,19 @@
     }
 }
 
+/// A bucket that its owner gave up, for the next owner.
+///
+/// The earlier owner grants nothing any more, so that each unit exists once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedBucket {
+    /// Team of the bucket.
+    pub team: TeamName,
+    /// Units that were not granted.
+    pub level: u64,
+    /// Units that were granted and may be unspent.
+    pub outstanding: u64,
+}
+
 /// What the owner knows about one process that borrows.
 #[derive(Clone, Debug)]
 struct BorrowerState {
@@ -122,6 +139,8 @@
     /// Time of the last observation as owner.
     observed: Option<Instant>,
     outstanding: u64,
+    /// Outstanding units of the earlier owner's grants, and when they have expired.
+    inherited: Option<(u64, Instant)>,
     borrowers: BTreeMap<(HostName, u64), BorrowerState>,
     /// Refill that did not fit while grants were outstanding, by the start of its time slot.
     overflow: VecDeque<(Instant, u64)>,
@@ -136,6 +155,7 @@
             refilled: now,
             observed: None,
             outstanding: 0,
+            inherited: None,
             borrowers: BTreeMap::new(),
             overflow: VecDeque::new(),
         }
@@ -183,6 +203,22 @@
         self.observed = Some(now);
     }
 
+    /// Takes over the content of a bucket from an earlier owner; returns whether it applied.
+    ///
+    /// It applies only while this bucket still waits for the earlier owner's grants, of which the
+    /// handover tells how many there are.
+    pub fn inherit(&mut self, now: Instant, handed: &HandedBucket) -> bool {
+        let is_waiting = self.observed.is_some() && now < self.refilled && self.inherited.is_none();
+        if is_waiting {
+            let expires = now + GRANT_LIFETIME + GRANT_MARGIN;
+            self.inherited = Some((handed.outstanding, expires));
+            self.outstanding += handed.outstanding;
+            self.level = handed.level.min(self.room());
+            self.refilled = now;
+        }
+        is_waiting
+    }
+
     /// Answers a request for tokens.
     pub fn grant(
         &mut self,
@@ -309,6 +345,13 @@
             });
             !borrower.grants.is_empty() || now < borrower.remembered_until
         });
+        if let Some((units, expires)) = self.inherited
+            && now >= expires
+        {
+            expired += units;
+            // The marker stays, so that a second handover cannot apply.
+            self.inherited = Some((0, expires));
+        }
         self.outstanding -= expired;
     }
 
@@ -366,6 +409,10 @@
 #[derive(Debug, Default)]
 pub struct BucketTable {
     buckets: BTreeMap<TeamName, TeamBucket>,
+    /// Buckets handed over that this host does not own yet, with the time of arrival.
+    handed: BTreeMap<TeamName, (HandedBucket, Instant)>,
+    /// Incarnations whose handover has arrived, oldest first.
+    senders: VecDeque<u64>,
 }
 
 impl BucketTable {
@@ -390,10 +437,41 @@
             }
             let mut bucket = earlier.remove(team).unwrap_or_else(|| TeamBucket::new(now));
             bucket.observe(now, true, share);
+            inherit_handed(&mut self.handed, now, team, &mut bucket);
             self.buckets.insert(team.clone(), bucket);
         }
     }
 
+    /// Takes buckets that a stopping owner handed over.
+    ///
+    /// A second message of the same process is ignored, because its content is the same.
+    pub fn hand_over(&mut self, now: Instant, incarnation: u64, buckets: Vec<HandedBucket>) {
+        if self.senders.contains(&incarnation) {
+            return;
+        }
+        self.senders.push_back(incarnation);
+        if self.senders.len() > MAX_SENDERS {
+            self.senders.pop_front();
+        }
+        for bucket in buckets {
+            self.handed.insert(bucket.team.clone(), (bucket, now));
+        }
+    }
+
+    /// Takes the content of every owned bucket, for the next owners; this host owns none any more.
+    pub fn take_owned(&mut self, now: Instant) -> Vec<HandedBucket> {
+        let buckets = std::mem::take(&mut self.buckets);
+        buckets
+            .into_iter()
+            .filter(|(_, it)| it.observed.is_some() && it.refilled <= now)
+            .map(|(team, it)| HandedBucket {
+                team,
+                level: it.level,
+                outstanding: it.outstanding,
+            })
+            .collect()
+    }
+
     /// Answers a request for tokens; see [`TeamBucket::grant`].
     pub fn grant(
         &mut self,
@@ -402,10 +480,15 @@
         share: CentreShare,
         request: &GrantRequest,
     ) -> GrantReply {
-        self.buckets
+        let bucket = self
+            .buckets
             .entry(request.team.clone())
-            .or_insert_with(|| TeamBucket::new(now))
-            .grant(now, owns, share, request)
+            .or_insert_with(|| TeamBucket::new(now));
+        bucket.observe(now, owns, share);
+        if owns {
+            inherit_handed(&mut self.handed, now, &request.team, bucket);
+        }
+        bucket.grant(now, owns, share, request)
     }
 
     /// Returns the bucket of a team if this host owns it.
@@ -413,3 +496,19 @@
         self.buckets.get(team)
     }
 }
+
+/// Applies a handover that arrived a short time ago.
+fn inherit_handed(
+    handed: &mut BTreeMap<TeamName, (HandedBucket, Instant)>,
+    now: Instant,
+    team: &TeamName,
+    bucket: &mut TeamBucket,
+) {
+    let Some((handover, arrived)) = handed.get(team) else {
+        return;
+    };
+    let is_recent = now.saturating_duration_since(*arrived) <= GRANT_LIFETIME + GRANT_MARGIN;
+    if !is_recent || bucket.inherit(now, handover) {
+        handed.remove(team);
+    }
+}
--- a/lib/src/limits/wallet.rs
+++ b/lib/src/limits/wallet.rs
@@ -35,7 +35,7 @@
 
 /// Time for which a data centre is not asked after a lost message or an answer by a host that
 /// is not the owner.
-const LOST_PAUSE: Duration = Duration::from_millis(1_000);
+const LOST_PAUSE: Duration = Duration::from_millis(300);
 const NOT_OWNER_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time after which other data centres are asked before an answer is there.
@@ -491,6 +491,16 @@
         })
     }
 
+    /// Notes that other hosts may be the owners in a data centre, so that they are asked at once.
+    pub fn owners_changed(&mut self, centre: &CentreName) {
+        for wallet in self.wallets.values_mut() {
+            if let Some(lender) = wallet.lenders.get_mut(centre) {
+                lender.closed_until = None;
+                lender.is_suspect = false;
+            }
+        }
+    }
+
     /// Takes the answer of the owner in a data centre.
     pub fn on_reply(&mut self, now: Instant, centre: &CentreName, reply: &GrantReply) {
         if let Some(wallet) = self.wallets.get_mut(&reply.team) {
--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -345,6 +345,19 @@
     /// Gives up all rights of this process for good and returns the message that says so.
     pub fn release(&mut self) -> HostRelease {
         self.is_released = true;
+        self.release_message()
+    }
+
+    /// Returns the release of a host that the last list read shows as leaving; `None` otherwise.
+    ///
+    /// Such a host owns nothing, and owns nothing for `takeover_wait` after it is listed as live
+    /// again, because its earlier views lack it.
+    pub fn release_if_leaving(&self) -> Option<HostRelease> {
+        let is_leaving = self.listed_state(&self.host.name) == Some(HostState::Leaving);
+        is_leaving.then(|| self.release_message())
+    }
+
+    fn release_message(&self) -> HostRelease {
         HostRelease {
             host: self.host.name.clone(),
             incarnation: self.incarnation,
