telemetry: control traffic counted at the socket

snipepond_control_sent_bytes_total and its counterpart for received bytes existed but stayed at 0, and HttpPeer estimated each HTTP head as 120 bytes.

The HTTP adapters now build their agents with a connector that counts what each connection reads and writes. The daemon adds these counts to the metrics under the purpose of the call. For messages that tiny_http serves, the size of the request head is computed from its parts and that of the response by printing it to a counter.

Tests compare the counts with the bytes at the other end of the connection: no difference for platform reads on a pooled connection, calls to peers, and replies with a length or in chunks. Headers of TCP and IP are not counted.

--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -2,6 +2,9 @@
 
 mod admin;
 mod peers;
+#[cfg(test)]
+mod tests;
+mod traffic;
 mod watch;
 
 use std::{
@@ -14,9 +17,11 @@
 use anyhow::{Context, Result};
 
 pub use self::peers::RouterTransport;
+pub(crate) use self::traffic::counted_agent;
 use self::{
     admin::AdminServer,
     peers::SplitCaller,
+    traffic::{CountedLoads, CountedPeers, CountedPlatform},
     watch::{read_loads, watch_config, watch_hosts},
 };
 use crate::{
@@ -71,11 +76,12 @@
         let caller_listener = bind(settings.listen, "listen")?;
         let admin_listener = bind(settings.admin_listen, "admin-listen")?;
         let metrics = Arc::new(RouterMetrics::new());
+        let ports = count_traffic(ports, &metrics);
         let address = admin_listener.local_addr()?;
         let control = start_control(&settings, &ports, address, &metrics)?;
         let stop = StopSignal::new();
         let threads = ThreadGroup::new();
-        start_watches(&ports, &control.handle(), &stop, &threads)?;
+        start_watches(&ports, &metrics, &control.handle(), &stop, &threads)?;
         let exchange = Arc::new(Exchange::new(
             control.handle(),
             ports.upstream.clone(),
@@ -143,6 +149,23 @@
         .with_context(|| format!("setting {setting}: cannot listen on {address}"))
 }
 
+/// Adds counts to the calls that are control traffic only.
+fn count_traffic(ports: RouterPorts, metrics: &Arc<RouterMetrics>) -> RouterPorts {
+    let platform = Arc::new(CountedPlatform {
+        inner: ports.platform,
+        metrics: metrics.clone(),
+    });
+    let peers = Arc::new(CountedPeers {
+        inner: ports.peers,
+        metrics: metrics.clone(),
+    });
+    RouterPorts {
+        platform,
+        peers,
+        ..ports
+    }
+}
+
 fn limits(settings: &RouterSettings) -> FrontLimits {
     FrontLimits {
         max_connections: settings.max_connections,
@@ -192,6 +215,7 @@
 
 fn start_watches(
     ports: &RouterPorts,
+    metrics: &Arc<RouterMetrics>,
     control: &ControlHandle,
     stop: &StopSignal,
     threads: &ThreadGroup,
@@ -205,9 +229,13 @@
     threads.spawn("watch-hosts", move || {
         watch_hosts(&*platform, &*clock, &handle, &signal)
     })?;
-    let (upstream, handle, signal) = (ports.upstream.clone(), control.clone(), stop.clone());
+    let upstream = CountedLoads {
+        inner: ports.upstream.clone(),
+        metrics: metrics.clone(),
+    };
+    let (handle, signal) = (control.clone(), stop.clone());
     let clock = ports.clock.clone();
     threads.spawn("read-loads", move || {
-        read_loads(&*upstream, &*clock, &handle, &signal)
+        read_loads(&upstream, &*clock, &handle, &signal)
     })
 }
--- a/lib/src/daemon/admin.rs
+++ b/lib/src/daemon/admin.rs
@@ -1,7 +1,7 @@
 //! The port for peers and administration.
 
 use std::{
-    io,
+    io::{self, Write},
     net::{SocketAddr, TcpListener},
     sync::Arc,
 };
@@ -9,12 +9,13 @@
 use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, Server};
 
+use super::traffic::purpose_of;
 use crate::{
     control::{ControlCommand, ControlHandle, ForwardedOperation, PeerReply, PeerRequest},
     exchange::Exchange,
     peer::{decode_message, encode_message},
     status::ExplainQuery,
-    telemetry::RouterMetrics,
+    telemetry::{ControlPurpose, RouterMetrics},
     threads::ThreadGroup,
 };
 
@@ -42,7 +43,7 @@
 }
 
 /// Status, content type and body of an answer.
-struct AdminAnswer {
+pub(super) struct AdminAnswer {
     status: u16,
     content_type: &'static str,
     body: Vec<u8>,
@@ -57,7 +58,7 @@
         }
     }
 
-    fn message(reply: &PeerReply) -> Self {
+    pub(super) fn message(reply: &PeerReply) -> Self {
         let body = encode_message(reply);
         Self {
             status: 200,
@@ -130,11 +131,19 @@
     fn serve(&self, mut request: Request) {
         let answer = match request.method() {
             Method::Post if request.url() == "/peer" => {
+                let received = request_bytes(&request);
                 match decode_message::<PeerRequest>(request.as_reader()) {
                     Ok(PeerRequest::Operation(operation)) => {
+                        self.metrics
+                            .control_received(ControlPurpose::Operation, received);
                         return self.start_operation(*operation, request);
                     }
-                    Ok(message) => self.peer(message),
+                    Ok(message) => {
+                        let purpose = purpose_of(&message);
+                        self.metrics.control_received(purpose, received);
+                        let answer = self.peer(message);
+                        return respond_counted(request, answer, &self.metrics, purpose);
+                    }
                     Err(error) => {
                         tracing::warn!(%error, "peer_message_invalid");
                         AdminAnswer::text(400, "invalid message\n")
@@ -149,13 +158,15 @@
 
     /// Serves a forwarded call on a thread of its own, as it takes as long as the service.
     fn start_operation(&self, operation: ForwardedOperation, request: Request) {
+        let purpose = ControlPurpose::Operation;
         if self.operations.running() >= MAX_OPERATIONS {
-            return respond(request, AdminAnswer::message(&PeerReply::Unavailable));
+            let answer = AdminAnswer::message(&PeerReply::Unavailable);
+            return respond_counted(request, answer, &self.metrics, purpose);
         }
-        let exchange = self.exchange.clone();
+        let (exchange, metrics) = (self.exchange.clone(), self.metrics.clone());
         let run = move || {
-            let answer = exchange.serve_forwarded(operation);
-            respond(request, AdminAnswer::message(&PeerReply::Operation(answer)));
+            let reply = PeerReply::Operation(exchange.serve_forwarded(operation));
+            respond_counted(request, AdminAnswer::message(&reply), &metrics, purpose);
         };
         if let Err(error) = self.operations.spawn("operation", run) {
             // The request was dropped with the closure, which closes its connection.
@@ -196,13 +207,71 @@
     }
 }
 
-fn respond(request: Request, answer: AdminAnswer) {
+/// Returns the bytes of a request's head and body.
+///
+/// tiny_http gives no access to the socket. Peers are routers, whose client writes each header as
+/// `name: value`, so the head can be computed from its parts.
+pub(super) fn request_bytes(request: &Request) -> u64 {
+    let line = request.method().as_str().len() + request.url().len() + " ".len() * 2;
+    let version = "HTTP/1.1\r\n".len();
+    let headers: usize = request
+        .headers()
+        .iter()
+        .map(|it| it.field.as_str().as_str().len() + it.value.as_str().len() + ": \r\n".len())
+        .sum();
+    let body = request.body_length().unwrap_or(0);
+    (line + version + headers + "\r\n".len() + body) as u64
+}
+
+/// Answers a peer and counts the bytes that tiny_http writes.
+pub(super) fn respond_counted(
+    request: Request,
+    answer: AdminAnswer,
+    metrics: &RouterMetrics,
+    purpose: ControlPurpose,
+) {
+    // The response is written twice, as tiny_http does not tell how long its head is.
+    let mut counter = CountingWriter::default();
+    let version = request.http_version().clone();
+    let printed =
+        make_response(&answer).raw_print(&mut counter, version, request.headers(), false, None);
+    if printed.is_ok() {
+        metrics.control_sent(purpose, counter.bytes);
+    }
+    respond(request, answer);
+}
+
+/// Discards and counts what is written.
+#[derive(Default)]
+struct CountingWriter {
+    bytes: u64,
+}
+
+impl Write for CountingWriter {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        self.bytes += buffer.len() as u64;
+        Ok(buffer.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn make_response(answer: &AdminAnswer) -> Response<&[u8]> {
     let kind =
         Header::from_bytes("content-type", answer.content_type).expect("the header is valid");
-    let response = Response::from_data(answer.body)
-        .with_status_code(answer.status)
-        .with_header(kind);
-    if let Err(error) = request.respond(response) {
+    Response::new(
+        answer.status.into(),
+        vec![kind],
+        &answer.body[..],
+        Some(answer.body.len()),
+        None,
+    )
+}
+
+fn respond(request: Request, answer: AdminAnswer) {
+    if let Err(error) = request.respond(make_response(&answer)) {
         tracing::debug!(%error, "admin_answer_failed");
     }
 }
--- /dev/null
+++ b/lib/src/daemon/traffic.rs
@@ -0,0 +1,206 @@
+//! Counts of control traffic, taken at the socket.
+//!
+//! The HTTP adapters build their agents with [`counted_agent`]. It counts the bytes that each
+//! connection reads and writes, HTTP heads included, for the thread that makes the call. The
+//! wrappers of this module take these counts around a call and add them to the metrics under the
+//! purpose of the call. Headers of TCP and IP are not counted.
+
+use std::{cell::Cell, net::SocketAddr, sync::Arc, time::Duration};
+
+use ureq::{
+    Agent, Error,
+    config::Config,
+    unversioned::{
+        resolver::DefaultResolver,
+        transport::{
+            Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
+        },
+    },
+};
+
+use super::RouterTransport;
+use crate::{
+    config::ConfigChange,
+    control::{PeerReply, PeerRequest},
+    membership::HostList,
+    peer::{PeerError, PeerTransport},
+    platform::{PlatformError, PlatformSource},
+    routing::LoadReport,
+    telemetry::{ControlPurpose, RouterMetrics},
+    upstream::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient},
+};
+
+thread_local! {
+    /// Bytes that the agents of this module sent and received on this thread.
+    ///
+    /// ureq makes every call on the thread of its caller, also on pooled connections.
+    static THREAD_BYTES: Cell<ByteCount> = const { Cell::new(ByteCount { sent: 0, received: 0 }) };
+}
+
+/// Bytes sent and received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ByteCount {
+    pub(super) sent: u64,
+    pub(super) received: u64,
+}
+
+/// Creates an agent that counts the bytes of its connections.
+pub(crate) fn counted_agent(config: Config) -> Agent {
+    let connector = CountingConnector(DefaultConnector::default());
+    Agent::with_parts(config, connector, DefaultResolver::default())
+}
+
+/// Runs `call` and returns the bytes that counted agents moved on this thread meanwhile.
+pub(super) fn count_bytes<T>(call: impl FnOnce() -> T) -> (T, ByteCount) {
+    let before = THREAD_BYTES.get();
+    let result = call();
+    let after = THREAD_BYTES.get();
+    let count = ByteCount {
+        sent: after.sent - before.sent,
+        received: after.received - before.received,
+    };
+    (result, count)
+}
+
+/// Returns the purpose of a message between hosts.
+pub(super) fn purpose_of(request: &PeerRequest) -> ControlPurpose {
+    match request {
+        PeerRequest::Heartbeat(_) | PeerRequest::Release(_) => ControlPurpose::Membership,
+        PeerRequest::Digest(_) | PeerRequest::ConfigSince(_) => ControlPurpose::AntiEntropy,
+        PeerRequest::HostList => ControlPurpose::HostList,
+        PeerRequest::Grant(_) => ControlPurpose::Grant,
+        PeerRequest::Loads(_) => ControlPurpose::Load,
+        PeerRequest::Cold(_) => ControlPurpose::ColdStart,
+        PeerRequest::Strikes { .. } | PeerRequest::Cleared(_) | PeerRequest::StrikeList => {
+            ControlPurpose::Quarantine
+        }
+        PeerRequest::StoreIntent { .. }
+        | PeerRequest::UpdateRecord { .. }
+        | PeerRequest::Records { .. }
+        | PeerRequest::Operation(_) => ControlPurpose::Operation,
+    }
+}
+
+/// Calls to other hosts, counted.
+#[derive(Debug)]
+pub(super) struct CountedPeers {
+    pub(super) inner: Arc<RouterTransport>,
+    pub(super) metrics: Arc<RouterMetrics>,
+}
+
+impl PeerTransport<PeerRequest, PeerReply> for CountedPeers {
+    fn call(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let (result, count) = count_bytes(|| self.inner.call(address, request, timeout));
+        add(&self.metrics, purpose_of(request), count);
+        result
+    }
+}
+
+/// Reads of the platform, counted.
+#[derive(Debug)]
+pub(super) struct CountedPlatform {
+    pub(super) inner: Arc<dyn PlatformSource>,
+    pub(super) metrics: Arc<RouterMetrics>,
+}
+
+impl PlatformSource for CountedPlatform {
+    fn config_after(
+        &self,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Option<ConfigChange>, PlatformError> {
+        let (result, count) = count_bytes(|| self.inner.config_after(revision, wait));
+        add(&self.metrics, ControlPurpose::Config, count);
+        result
+    }
+
+    fn hosts_after(&self, version: u64, wait: Duration) -> Result<Option<HostList>, PlatformError> {
+        let (result, count) = count_bytes(|| self.inner.hosts_after(version, wait));
+        add(&self.metrics, ControlPurpose::HostList, count);
+        result
+    }
+}
+
+/// Upstreams whose load reports are counted; requests of callers are no control traffic.
+#[derive(Debug)]
+pub(super) struct CountedLoads {
+    pub(super) inner: Arc<dyn UpstreamClient>,
+    pub(super) metrics: Arc<RouterMetrics>,
+}
+
+impl UpstreamClient for CountedLoads {
+    fn call(&self, call: &UpstreamCall<'_>) -> Result<UpstreamAnswer, CallError> {
+        self.inner.call(call)
+    }
+
+    fn load(&self, address: SocketAddr) -> Result<LoadReport, CallError> {
+        let (result, count) = count_bytes(|| self.inner.load(address));
+        add(&self.metrics, ControlPurpose::Load, count);
+        result
+    }
+}
+
+fn add(metrics: &RouterMetrics, purpose: ControlPurpose, count: ByteCount) {
+    metrics.control_sent(purpose, count.sent);
+    metrics.control_received(purpose, count.received);
+}
+
+#[derive(Debug)]
+struct CountingConnector(DefaultConnector);
+
+impl Connector<()> for CountingConnector {
+    type Out = CountingTransport;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails<'_>,
+        chained: Option<()>,
+    ) -> Result<Option<Self::Out>, Error> {
+        let transport = self.0.connect(details, chained)?;
+        Ok(transport.map(|inner| CountingTransport { inner }))
+    }
+}
+
+/// A connection that counts for the thread that uses it.
+#[derive(Debug)]
+struct CountingTransport {
+    inner: Box<dyn Transport>,
+}
+
+impl Transport for CountingTransport {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        self.inner.buffers()
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        self.inner.transmit_output(amount, timeout)?;
+        // A failed write may have sent a part; it is not counted.
+        let count = THREAD_BYTES.get();
+        let sent = count.sent + amount as u64;
+        THREAD_BYTES.set(ByteCount { sent, ..count });
+        Ok(())
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        let before = self.inner.buffers().input().len();
+        let progress = self.inner.await_input(timeout);
+        let after = self.inner.buffers().input().len();
+        let count = THREAD_BYTES.get();
+        let received = count.received + after.saturating_sub(before) as u64;
+        THREAD_BYTES.set(ByteCount { received, ..count });
+        progress
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.inner.is_open()
+    }
+
+    fn is_tls(&self) -> bool {
+        self.inner.is_tls()
+    }
+}
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -3,7 +3,6 @@
 use std::{
     io::{self, Read},
     net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
 
@@ -11,6 +10,7 @@
 use ureq::{Agent, Error, Timeout, config::AutoHeaderValue};
 
 use super::{PeerError, PeerTransport};
+use crate::daemon::counted_agent;
 
 /// Time for a connection to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -21,21 +21,16 @@
 /// Age at which an idle connection is closed.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(60);
 
-/// Approximate bytes of the HTTP head of a request and of a reply, for traffic counts.
-const HEAD_BYTES: u64 = 120;
-
 /// Other hosts by HTTP.
 #[derive(Debug)]
 pub struct HttpPeer {
     agent: Agent,
-    sent_bytes: AtomicU64,
-    received_bytes: AtomicU64,
 }
 
 impl HttpPeer {
     /// Creates a client with an empty connection pool.
     pub fn new() -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
             .no_delay(true)
@@ -47,22 +42,11 @@
             .max_idle_connections_per_host(4)
             .max_idle_age(MAX_IDLE_AGE)
             .timeout_connect(Some(CONNECT_TIMEOUT))
-            .build()
-            .new_agent();
+            .build();
         Self {
-            agent,
-            sent_bytes: AtomicU64::new(0),
-            received_bytes: AtomicU64::new(0),
+            agent: counted_agent(config),
         }
     }
-
-    /// Returns the bytes sent and received, heads estimated.
-    pub fn traffic(&self) -> (u64, u64) {
-        (
-            self.sent_bytes.load(Ordering::Relaxed),
-            self.received_bytes.load(Ordering::Relaxed),
-        )
-    }
 }
 
 impl Default for HttpPeer {
@@ -82,8 +66,6 @@
             .build()
             .send(&message[..])
             .map_err(classify)?;
-        self.sent_bytes
-            .fetch_add(HEAD_BYTES + message.len() as u64, Ordering::Relaxed);
         if response.status() != 200 {
             return Err(PeerError::Lost(format!("status {}", response.status())));
         }
@@ -94,8 +76,6 @@
             .take(MAX_MESSAGE_BYTES)
             .read_to_end(&mut reply)
             .map_err(|error| PeerError::Lost(error.to_string()))?;
-        self.received_bytes
-            .fetch_add(HEAD_BYTES + reply.len() as u64, Ordering::Relaxed);
         rmp_serde::from_slice(&reply).map_err(|error| PeerError::Lost(error.to_string()))
     }
 }
--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -6,7 +6,7 @@
 use ureq::Agent;
 
 use super::{PlatformError, PlatformSource};
-use crate::{config::ConfigChange, membership::HostList};
+use crate::{config::ConfigChange, daemon::counted_agent, membership::HostList};
 
 /// Time for a connection to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,7 +33,7 @@
             .max_redirects(0)
             .build();
         Self {
-            agent: config.new_agent(),
+            agent: counted_agent(config),
             base: base.trim_end_matches('/').to_owned(),
         }
     }
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{CallError, UpstreamAnswer, UpstreamCall, UpstreamClient};
-use crate::{rendezvous, routing::LoadReport};
+use crate::{daemon::counted_agent, rendezvous, routing::LoadReport};
 
 /// Time for a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -75,7 +75,7 @@
 }
 
 fn agent(max_idle: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .no_delay(true)
@@ -92,8 +92,8 @@
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_per_read(Some(READ_TIMEOUT))
         .timeout_per_write(Some(READ_TIMEOUT))
-        .build()
-        .new_agent()
+        .build();
+    counted_agent(config)
 }
 
 /// Returns whether a header may pass through the router.
