telemetry: less memory reserved for metrics

The limit of 20,000 label sets was set for every counter and gauge, and the SDK reserves memory for the limit: 13.4 MB of live allocations in an idle process.

Idle resident memory stays at 9 MB, because most of the reservation was never touched.

--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -1,8 +1,8 @@
 //! The instruments of a router.
 //!
 //! Labels are bounded: names that are not in the catalogue are counted under `other`, all other
-//! labels are constants of the program. Besides, each instrument keeps at most
-//! [`MAX_SERIES`] label sets; the SDK counts the rest under `otel_metric_overflow`.
+//! labels are constants of the program. Besides, each instrument keeps a bounded number of label
+//! sets; the SDK counts the rest under `otel_metric_overflow`.
 
 use std::{
     fmt,
@@ -17,8 +17,8 @@
 use opentelemetry_sdk::{
     error::{OTelSdkError, OTelSdkResult},
     metrics::{
-        Instrument, InstrumentKind, PeriodicReader, SdkMeterProvider, Stream, Temporality,
-        data::ResourceMetrics, exporter::PushMetricExporter,
+        Instrument, PeriodicReader, SdkMeterProvider, Stream, Temporality, data::ResourceMetrics,
+        exporter::PushMetricExporter,
     },
 };
 
@@ -28,12 +28,16 @@
     names::{ClassName, RouteName, TeamName, UpstreamName},
 };
 
-/// Most label sets of one instrument.
+/// Most label sets of the instruments in [`MANY_SERIES`].
 ///
 /// 440 teams with four outcomes on eleven routes are 19,360. The SDK's default of 2,000 would
 /// merge teams of the target size.
 const MAX_SERIES: usize = 20_000;
 
+/// Instruments with labels for teams or upstreams: 600 engines with four kinds of failure are
+/// 2,400 label sets.
+const MANY_SERIES: [&str; 2] = ["snipepond_requests", "snipepond_upstream_errors"];
+
 /// Label for a name that is not in the catalogue.
 pub const OTHER_LABEL: &str = "other";
 
@@ -399,9 +403,10 @@
 }
 
 fn limit_series(instrument: &Instrument) -> Option<Stream> {
-    // A stream without boundaries would reset those of a histogram to the SDK's defaults; its
-    // labels are classes only, so the default limit of 2,000 suffices.
-    if instrument.kind() == InstrumentKind::Histogram {
+    // The SDK reserves memory for the limit of each instrument, about 1 MB for this one, and
+    // the default of 2,000 suffices for all others. Histograms have no stream of their own, as one
+    // without boundaries would reset theirs to the SDK's defaults.
+    if !MANY_SERIES.contains(&instrument.name()) {
         return None;
     }
     Stream::builder()
