--- /dev/null
+++ b/cli/benches/fleet/measure.rs
@@ -0,0 +1,124 @@
+//! Percentiles, spreads and callers.
+
+use std::{
+    fmt, io, thread,
+    time::{Duration, Instant},
+};
+
+/// Waits until `condition` holds.
+pub fn wait_for(
+    what: &str,
+    limit: Duration,
+    mut condition: impl FnMut() -> bool,
+) -> io::Result<()> {
+    let deadline = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() > deadline {
+            return Err(io::Error::other(format!("timed out waiting for {what}")));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
+/// Values of several repetitions or hosts; printed as median [lowest, highest].
+#[derive(Clone, Debug, Default)]
+pub struct Sample {
+    values: Vec<f64>,
+}
+
+impl Sample {
+    /// Creates a sample of values in any order.
+    pub fn new(mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+        Self { values }
+    }
+
+    /// Returns the value below which the part `share` of the values lies.
+    pub fn quantile(&self, share: f64) -> f64 {
+        let last = self.values.len().saturating_sub(1);
+        let index = (share * last as f64).round() as usize;
+        self.values.get(index).copied().unwrap_or(f64::NAN)
+    }
+
+    /// Returns the arithmetic mean.
+    pub fn mean(&self) -> f64 {
+        self.values.iter().sum::<f64>() / self.values.len() as f64
+    }
+}
+
+impl fmt::Display for Sample {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let digits = f.precision().unwrap_or(3);
+        write!(
+            f,
+            "{:.digits$} [{:.digits$}, {:.digits$}]",
+            self.quantile(0.5),
+            self.quantile(0.0),
+            self.quantile(1.0)
+        )
+    }
+}
+
+/// Percentiles of one repetition, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Percentiles {
+    pub p50: f64,
+    pub p95: f64,
+    pub p99: f64,
+}
+
+impl Percentiles {
+    /// Computes the percentiles of times.
+    pub fn of(times: &[Duration]) -> Self {
+        let sample = Sample::new(times.iter().map(|it| it.as_secs_f64() * 1e3).collect());
+        Self {
+            p50: sample.quantile(0.5),
+            p95: sample.quantile(0.95),
+            p99: sample.quantile(0.99),
+        }
+    }
+}
+
+/// Percentiles of repetitions through a router and directly, in pairs.
+#[derive(Debug, Default)]
+pub struct Comparison {
+    pairs: Vec<(Percentiles, Percentiles)>,
+}
+
+impl Comparison {
+    /// Adds a repetition.
+    pub fn push(&mut self, direct: &[Duration], routed: &[Duration]) {
+        self.pairs
+            .push((Percentiles::of(direct), Percentiles::of(routed)));
+    }
+
+    /// Prints direct times, routed times and their differences.
+    pub fn print(&self, what: &str) {
+        let column = |pick: &dyn Fn(&(Percentiles, Percentiles)) -> f64| {
+            Sample::new(self.pairs.iter().map(pick).collect())
+        };
+        println!(
+            "{what}, ms, median [lowest, highest] of {} repetitions",
+            self.pairs.len()
+        );
+        println!(
+            "  direct p50 {}  p95 {}  p99 {}",
+            column(&|it| it.0.p50),
+            column(&|it| it.0.p95),
+            column(&|it| it.0.p99)
+        );
+        println!(
+            "  routed p50 {}  p95 {}  p99 {}",
+            column(&|it| it.1.p50),
+            column(&|it| it.1.p95),
+            column(&|it| it.1.p99)
+        );
+        println!(
+            "  added  p50 {}  p95 {}  p99 {}",
+            column(&|it| it.1.p50 - it.0.p50),
+            column(&|it| it.1.p95 - it.0.p95),
+            column(&|it| it.1.p99 - it.0.p99)
+        );
+    }
+}
