bench: a request without an answer is named

One of nine runs of the part services ended with a read timeout of 30 s that did not say whether a look-up or an operation was meant. The error now has method, path, number on its connection and time.

--- a/cli/benches/fleet/main.rs
+++ b/cli/benches/fleet/main.rs
@@ -23,7 +23,7 @@
     names::HostName,
     peer::{HttpPeer, PeerTransport},
 };
-use snipepond_standin::{CallerConnection, CallerRequest};
+use snipepond_standin::{AnswerReader, CallerConnection, CallerRequest};
 
 use self::{
     measure::{Comparison, Sample},
@@ -255,7 +255,18 @@
                 let mut connection = CallerConnection::open(address)?;
                 while Instant::now() < until {
                     let started = Instant::now();
-                    let (answer, kept) = connection.send(&make())?.finish_and_keep()?;
+                    let request = make();
+                    let (answer, kept) = connection
+                        .send(&request)
+                        .and_then(AnswerReader::finish_and_keep)
+                        .map_err(|error| {
+                            let (method, target) = (&request.method, &request.target);
+                            let (count, elapsed) = (result.times.len(), started.elapsed());
+                            Error::other(format!(
+                                "{method} {target}, request {count} of its connection, failed \
+                                 after {elapsed:?}: {error}"
+                            ))
+                        })?;
                     match answer.status {
                         200 => result.times.push(started.elapsed()),
                         429 | 503 => result.refused += 1,
