--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -39,6 +39,9 @@
 /// Shortest interval between two probes of an upstream.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Shortest time without a report after which a host probes an upstream itself.
+const MIN_PATIENCE: Duration = Duration::from_secs(10);
+
 /// Probe intervals without a report after which a host probes an upstream itself.
 const MISSED_PROBES: u32 = 3;
 
@@ -349,28 +352,28 @@
             let seconds = count as f64 * LOAD_PROBE_BYTES / LOAD_PROBE_BUDGET;
             MIN_PROBE_INTERVAL.max(Duration::from_secs_f64(seconds))
         };
-        let patience = interval_of(catalogue.upstreams().len()) * MISSED_PROBES;
-        let targets: Vec<LoadTarget> = catalogue
+        let reads = |name: &UpstreamName| {
+            let reader = self.views.owner(&format!("load/{name}"));
+            reader.is_none_or(|it| it.name == self.identity.name)
+        };
+        let own = catalogue.upstreams().keys().filter(|it| reads(it)).count();
+        let interval = interval_of(own);
+        // Other hosts read about as many upstreams as this one, so at about the same interval.
+        let patience = (interval * MISSED_PROBES).max(MIN_PATIENCE);
+        let is_silent = |name: &UpstreamName| {
+            let at = self.reported.get(name);
+            at.is_none_or(|it| now.saturating_duration_since(*it) > patience)
+        };
+        let targets = catalogue
             .upstreams()
             .iter()
-            .filter(|(name, _)| {
-                let reader = self.views.owner(&format!("load/{name}"));
-                let is_reader = reader.is_none_or(|it| it.name == self.identity.name);
-                let is_silent = self
-                    .reported
-                    .get(*name)
-                    .is_none_or(|at| now.saturating_duration_since(*at) > patience);
-                is_reader || is_silent
-            })
+            .filter(|(name, _)| reads(name) || is_silent(name))
             .map(|(name, entry)| LoadTarget {
                 upstream: name.clone(),
                 address: entry.address,
             })
             .collect();
-        LoadRound {
-            interval: interval_of(targets.len()),
-            targets,
-        }
+        LoadRound { targets, interval }
     }
 
     /// Returns the number of requests that upstreams run for this host, by upstream.
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -2,6 +2,9 @@
 
 mod admin;
 mod peers;
+#[cfg(test)]
+mod tests;
+mod traffic;
 mod watch;
 
 use std::{
@@ -14,9 +17,11 @@
 use anyhow::{Context, Result};
 
 pub use self::peers::RouterTransport;
+pub(crate) use self::traffic::counted_agent;
 use self::{
     admin::AdminServer,
     peers::SplitCaller,
+    traffic::{CountedLoads, CountedPeers, CountedPlatform},
     watch::{learn_from_seeds, read_loads, watch_config, watch_hosts},
 };
 use crate::{
@@ -75,6 +80,7 @@
         let caller_listener = bind(settings.listen, "listen")?;
         let admin_listener = bind(settings.admin_listen, "admin-listen")?;
         let metrics = Arc::new(RouterMetrics::new());
+        let ports = count_traffic(ports, &metrics);
         let address = admin_listener.local_addr()?;
         let control = start_control(&settings, &ports, address, &metrics)?;
         let stop = StopGuard::new();
@@ -82,6 +88,7 @@
         start_watches(
             &settings,
             &ports,
+            &metrics,
             &control.handle(),
             stop.signal(),
             &threads,
@@ -152,6 +159,23 @@
         .with_context(|| format!("setting {setting}: cannot listen on {address}"))
 }
 
+/// Adds counts to the calls that are control traffic only.
+fn count_traffic(ports: RouterPorts, metrics: &Arc<RouterMetrics>) -> RouterPorts {
+    let platform = Arc::new(CountedPlatform {
+        inner: ports.platform,
+        metrics: metrics.clone(),
+    });
+    let peers = Arc::new(CountedPeers {
+        inner: ports.peers,
+        metrics: metrics.clone(),
+    });
+    RouterPorts {
+        platform,
+        peers,
+        ..ports
+    }
+}
+
 fn limits(settings: &RouterSettings) -> FrontLimits {
     FrontLimits {
         max_connections: settings.max_connections,
@@ -203,13 +227,15 @@
 fn start_watches(
     settings: &RouterSettings,
     ports: &RouterPorts,
+    metrics: &Arc<RouterMetrics>,
     control: &ControlHandle,
     stop: &StopSignal,
     threads: &ThreadGroup,
 ) -> io::Result<()> {
     let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
+    let clock = ports.clock.clone();
     threads.spawn("watch-config", move || {
-        watch_config(&*platform, &handle, &signal)
+        watch_config(&*platform, &*clock, &handle, &signal)
     })?;
     let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
     let clock = ports.clock.clone();
@@ -217,7 +243,11 @@
     threads.spawn("watch-hosts", move || {
         watch_hosts(&*platform, &*clock, &handle, &signal, validity)
     })?;
-    let (upstream, handle, signal) = (ports.upstream.clone(), control.clone(), stop.clone());
+    let upstream = CountedLoads {
+        inner: ports.upstream.clone(),
+        metrics: metrics.clone(),
+    };
+    let (handle, signal) = (control.clone(), stop.clone());
     let clock = ports.clock.clone();
     if !settings.seed_peers.is_empty() {
         let (transport, handle, signal) = (ports.peers.clone(), control.clone(), stop.clone());
@@ -227,6 +257,6 @@
         })?;
     }
     threads.spawn("read-loads", move || {
-        read_loads(&*upstream, &*clock, &handle, &signal)
+        read_loads(&upstream, &*clock, &handle, &signal)
     })
 }
