--- a/lib/src/control/operations.rs
+++ b/lib/src/control/operations.rs
@@ -155,6 +155,8 @@
 pub(super) struct SeenView {
     members: BTreeSet<HostName>,
     is_confirmed: bool,
+    /// Whether the running pass over the records found one without a second holder.
+    has_unplaced: bool,
 }
 
 impl ControlState {
@@ -402,6 +404,7 @@
         self.seen_view = SeenView {
             members: members.clone(),
             is_confirmed,
+            ..self.seen_view
         };
     }
 
@@ -444,8 +447,11 @@
             self.ledger
                 .unplaced_records(now, self.placement_cursor, target)
         };
+        // A pass takes several pages. Records that an earlier page sent may be without an answer.
+        self.seen_view.has_unplaced |= !unplaced.is_empty();
+        self.is_placement_due = cursor != 0 || self.seen_view.has_unplaced;
+        self.seen_view.has_unplaced &= cursor != 0;
         self.placement_cursor = cursor;
-        self.is_placement_due = cursor != 0 || !unplaced.is_empty();
         for (host, record) in unplaced {
             if let Some(host) = self.views.hosts().host(&host).cloned() {
                 self.send_record_update(now, &host, OperationUpdate::Changed(record));
--- a/lib/src/control/processes.rs
+++ b/lib/src/control/processes.rs
@@ -115,8 +115,15 @@
 
     /// Begins to hand over the records of this process; `reply` is sent when it has given up its
     /// rights.
+    ///
+    /// Every record is sent again, because its second holder may have been lost unnoticed.
     pub(super) fn hand_over(&mut self, now: Instant, reply: ReplySender<()>) {
+        let others: Vec<HostName> = self.other_hosts().map(|it| it.name.clone()).collect();
+        for host in &others {
+            self.ledger.forget_holder(host);
+        }
         self.is_placement_due = true;
+        self.placement_cursor = 0;
         self.processes.leaving = Some(HandOver { since: now, reply });
         self.continue_hand_over(now);
     }
@@ -131,13 +138,16 @@
         if self.is_placement_due && !is_late {
             return;
         }
-        if is_late {
+        if self.is_placement_due {
+            // Without a release the other hosts note the loss of the records.
             tracing::warn!(
                 records = self.ledger.status().records,
                 "hand_over_incomplete"
             );
+            self.views.release();
+        } else {
+            self.release(now);
         }
-        self.release(now);
         if let Some(leaving) = self.processes.leaving.take() {
             let _ = leaving.reply.send(());
         }
