--- a/lib/src/operation/loss.rs
+++ b/lib/src/operation/loss.rs
@@ -31,7 +31,8 @@
 /// Hosts of a data centre that were lost within [`REPAIR_TIME`] of each other.
 ///
 /// A record was on the first two hosts of the view in rendezvous order. If both are among the
-/// lost ones, a key without a record may have had one.
+/// lost ones, a key without a record may have had one. For a view of one host the backup was in
+/// another data centre, and the lost processes of all data centres are included.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LossMarker {
     /// The data centre.
@@ -113,6 +114,23 @@
         if recent.lost.len() > MAX_LOST {
             recent.lost = all_lost(&recent.view);
         }
+        self.pair_single_hosts(now);
+    }
+
+    /// Adds the recent losses of other data centres to the loss of a data centre's only host,
+    /// because its backup is there.
+    fn pair_single_hosts(&mut self, now: Instant) {
+        let is_recent = |it: &MarkerSlot| now.saturating_duration_since(it.at) < REPAIR_TIME;
+        let recent = self.recent.values().filter(|it| is_recent(it));
+        let lost: Vec<LostProcess> = recent.flat_map(|it| it.lost.clone()).collect();
+        let single = self.recent.values_mut().filter(|it| it.view.len() == 1);
+        for slot in single.filter(|it| is_recent(it) && !it.lost.is_empty()) {
+            for process in &lost {
+                if !slot.lost.contains(process) && slot.lost.len() < MAX_LOST {
+                    slot.lost.push(process.clone());
+                }
+            }
+        }
     }
 
     /// Withdraws the loss of a process that runs.
