operation: a process that runs unlisted stays noted as lost

Cause: a host that had left the list but ran was withdrawn from the note of losses as soon as it answered, although a handover asks listed hosts only.

Change: the loss of a process is withdrawn only while its host is listed, and a withdrawal that affects keys requires a new handover. In the simulation a paused process no longer answers.

--- a/lib/src/control/processes.rs
+++ b/lib/src/control/processes.rs
@@ -58,7 +58,9 @@
     pub(super) fn note_process(&mut self, now: Instant, host: &HostName, incarnation: u64) {
         let earlier = self.processes.running.get(host).copied();
         if earlier == Some(incarnation) {
-            self.ledger.still_running(host, incarnation);
+            if self.views.hosts().host(host).is_some() {
+                self.ledger.still_running(now, host, incarnation);
+            }
             return;
         }
         if let Some(earlier) = earlier
--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -565,7 +565,7 @@
         for marker in &page.losses {
             self.losses.import(now, marker);
         }
-        self.losses.withdraw(&self.host, self.incarnation);
+        self.losses.withdraw(now, &self.host, self.incarnation);
         let mut is_complete = true;
         for record in &page.records {
             is_complete &= self.merge(now, record, source);
@@ -645,10 +645,15 @@
         }
     }
 
-    /// Notes that a process runs, so that it did not lose its records; to be called when a peer
-    /// answers.
-    pub fn still_running(&mut self, host: &HostName, incarnation: u64) {
-        self.losses.withdraw(host, incarnation);
+    /// Notes that a listed process runs, so that it did not lose its records; to be called when a
+    /// peer answers.
+    ///
+    /// If it counted as lost, its records may have been missed by a handover, so that a new one
+    /// is required. An unlisted process is no source of a handover and must stay noted as lost.
+    pub fn still_running(&mut self, now: Instant, host: &HostName, incarnation: u64) {
+        if self.losses.withdraw(now, host, incarnation) {
+            self.handover.require(now, &[]);
+        }
     }
 
     /// Notes that a host holds no copies any more, so that its records are copied elsewhere.
--- a/lib/src/operation/loss.rs
+++ b/lib/src/operation/loss.rs
@@ -133,13 +133,16 @@
         }
     }
 
-    /// Withdraws the loss of a process that runs.
-    pub(super) fn withdraw(&mut self, host: &HostName, incarnation: u64) {
+    /// Withdraws the loss of a process that runs; returns whether keys were affected by it.
+    pub(super) fn withdraw(&mut self, now: Instant, host: &HostName, incarnation: u64) -> bool {
+        let mut has_counted = false;
         for slot in self.recent.values_mut().chain(&mut self.markers) {
             let is_running =
                 |it: &LostProcess| it.host == *host && it.incarnation == Some(incarnation);
+            has_counted |= slot.lost.iter().any(is_running) && slot.counts(now);
             slot.lost.retain(|it| !is_running(it));
         }
+        has_counted
     }
 
     /// Adds a marker of another host.
--- a/lib/tests/control_operations.rs
+++ b/lib/tests/control_operations.rs
@@ -487,3 +487,24 @@
     }
     assert!(fleet.stop(owner) >= Duration::from_secs(2));
 }
+
+/// Guards against a second run while the only copy is on a host that runs without being listed,
+/// and between its return to the list and the arrival of its records.
+#[test]
+fn unlisted_backup_is_waited_for() {
+    let mut fleet = Fleet::new(3);
+    let (owner, backup) = fleet.run_operation(0, "order-1");
+    fleet.set_listed(backup, false);
+    fleet.crash(owner);
+    fleet.start(owner);
+    for is_listed in [false, true] {
+        fleet.set_listed(backup, is_listed);
+        for _ in 0..1_000 {
+            fleet.run(TICK);
+            let entry = (0..3).find(|it| *it != backup);
+            let result = fleet.call(entry.expect("host exists"), "order-1");
+            assert!(!matches!(result, CallResult::Started(_)), "{result:?}");
+        }
+    }
+    assert_eq!(fleet.call(owner, "order-1"), CallResult::Replayed(201));
+}
--- a/lib/tests/operation_simulation.rs
+++ b/lib/tests/operation_simulation.rs
@@ -35,9 +35,10 @@
 /// Time in which records reach two hosts again after one loss.
 const REPAIR_MS: u64 = 55_000;
 
-/// Seeds with [`Spacing::Any`] that ran an operation twice while the loss of a data centre's only
-/// host together with its backup elsewhere went unnoticed.
-const UNNOTICED_BACKUP_LOSSES: [u64; 5] = [273, 1_743, 2_672, 3_576, 5_756];
+/// Seeds with [`Spacing::Any`] that ran an operation twice before a fault was fixed: the loss of a
+/// data centre's only host with its backup elsewhere went unnoticed, and (7267) the only copy was
+/// on a host that ran without being listed.
+const FORMER_FAILURES: [u64; 6] = [273, 1_743, 2_672, 3_576, 5_756, 7_267];
 
 /// Which rule the fleet follows; all but `Sound` must be caught.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -412,14 +413,17 @@
             self.read_list(index, newest.unwrap_or(0));
         }
         for peer in 0..self.hosts.len() {
-            if self.is_cut(index, peer) || self.hosts[peer].is_down {
+            let is_silent = self.hosts[peer].is_down || self.hosts[peer].paused_until > self.now_ms;
+            if self.is_cut(index, peer) || is_silent {
                 continue;
             }
             let record = self.hosts[peer].record.clone();
             let incarnation = self.hosts[peer].incarnation;
             let host = &mut self.hosts[index];
             let known = host.peers.insert(record.name.clone(), incarnation);
-            host.ledger.still_running(&record.name, incarnation);
+            if host.view.list.host(&record.name).is_some() {
+                host.ledger.still_running(now, &record.name, incarnation);
+            }
             if known.is_some_and(|it| it != incarnation) {
                 let view = live_names(&host.view.list, &record.data_centre);
                 self.note_loss(index, &record.data_centre, &view, &[(record.name, known)]);
@@ -1026,8 +1030,7 @@
 /// any number of double losses, data centres with a single host, and cuts at the same time.
 #[test]
 fn operations_run_at_most_once_under_any_faults() {
-    let total = assert_sound((0..seed_count(60)).chain(UNNOTICED_BACKUP_LOSSES));
-    println!("at any distance: {total:?}");
+    let total = assert_sound((0..seed_count(60)).chain(FORMER_FAILURES));
     // A fleet that refuses everything would pass the check above.
     assert!(total.runs * 10 > total.operations * 3, "too few runs");
 }
@@ -1046,6 +1049,13 @@
     assert_sound([1_249, 2_976, 4_701, 6_247]);
 }
 
+/// Guards against a second run after owner and backup were lost while another host was unlisted:
+/// the note of the losses names the view with that host, in which the two are not the first.
+#[test]
+fn losses_in_a_smaller_view_run_nothing_twice() {
+    assert_sound([3_134, 9_329]);
+}
+
 /// Checks every seed with [`Spacing::Any`] and names all that fail.
 fn assert_sound(seeds: impl IntoIterator<Item = u64>) -> RunSummary {
     let mut total = RunSummary::default();
@@ -1053,6 +1063,7 @@
     for seed in seeds {
         violations.extend(simulate(seed, Variant::Sound, Spacing::Any, &mut total));
     }
+    println!("at any distance: {total:?}");
     assert_eq!(violations, Vec::<String>::new());
     total
 }
