operation, exchange: repeats are answered first; silent owners are not waited for

Cause: a repeat of an order that may have run was refused as quarantined with not_run, since calls wait for an upstream before the decision; a call forwarded to a paused host waited 330 s. Change: the ledger previews a call, so that repeats are answered from the record before the queue; a probe with 0.5 s goes to the deciding host before the call, and the forwarded call's time follows the queue time and deadline of the class.

--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -276,6 +276,7 @@
     /// Handles a background message of another host.
     pub(super) fn hear(&mut self, now: Instant, request: PeerRequest) -> PeerReply {
         match request {
+            PeerRequest::Probe => PeerReply::Done,
             PeerRequest::Heartbeat(heartbeat) => {
                 self.note_process(now, &heartbeat.host.name, heartbeat.incarnation);
                 PeerReply::Heartbeat(self.views.hear(now, &heartbeat))
--- a/lib/src/control/message.rs
+++ b/lib/src/control/message.rs
@@ -77,6 +77,8 @@
 /// A request to another host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
+    /// Asks whether the host answers at all.
+    Probe,
     /// Sent to the hosts of the own data centre.
     Heartbeat(Heartbeat),
     /// The sender gives up its rights for good.
--- a/lib/src/control/operations.rs
+++ b/lib/src/control/operations.rs
@@ -42,6 +42,17 @@
     pub forward: Option<ForwardId>,
 }
 
+impl OperationRequest {
+    fn as_call(&self) -> OperationCall<'_> {
+        OperationCall {
+            team: &self.team,
+            key: &self.key,
+            digest: self.digest,
+            forward: self.forward,
+        }
+    }
+}
+
 /// Where a call is decided.
 #[derive(Clone, Debug)]
 pub enum OperationPlace {
@@ -105,6 +116,8 @@
     Ticket(TeamName, ReplySender<String>),
     /// Where is the call with this key decided?
     Locate(TeamName, String, ReplySender<OperationPlace>),
+    /// How does a call end, if it ends without a dispatch?
+    Preview(OperationRequest, ReplySender<Option<OperationVerdict>>),
     /// Decide about a call on this host.
     Decide(OperationRequest, ReplySender<OperationStart>),
     /// A backup holds the intent.
@@ -168,6 +181,11 @@
             OperationCommand::Locate(team, key, reply) => {
                 let _ = reply.send(self.locate_operation(&team, &key));
             }
+            OperationCommand::Preview(request, reply) => {
+                let rights = self.operation_route.rights(&self.views);
+                let decision = self.ledger.preview(now, &request.as_call(), &rights);
+                let _ = reply.send(decision.map(verdict_of));
+            }
             OperationCommand::Decide(request, reply) => {
                 let _ = reply.send(self.decide_operation(now, &request));
             }
@@ -231,14 +249,8 @@
     }
 
     fn decide_operation(&mut self, now: Instant, request: &OperationRequest) -> OperationStart {
-        let call = OperationCall {
-            team: &request.team,
-            key: &request.key,
-            digest: request.digest,
-            forward: request.forward,
-        };
         let rights = self.operation_route.rights(&self.views);
-        match self.ledger.decide(now, &call, &rights) {
+        match self.ledger.decide(now, &request.as_call(), &rights) {
             OperationDecision::Dispatch(handle) => OperationStart::Dispatch(handle),
             OperationDecision::AwaitBackup { handle, record } => {
                 let list = self.views.hosts();
--- a/lib/src/daemon/traffic.rs
+++ b/lib/src/daemon/traffic.rs
@@ -77,6 +77,7 @@
         PeerRequest::StoreIntent { .. }
         | PeerRequest::UpdateRecord { .. }
         | PeerRequest::Records { .. }
+        | PeerRequest::Probe
         | PeerRequest::Operation(_) => ControlPurpose::Operation,
     }
 }
--- a/lib/src/exchange/operation.rs
+++ b/lib/src/exchange/operation.rs
@@ -29,8 +29,11 @@
 /// Time until a backup has stored an intent.
 const BACKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time until the deciding host has answered a forwarded call.
-const FORWARD_TIMEOUT: Duration = Duration::from_secs(330);
+/// Time until the deciding host has answered a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for a forwarded call beyond the wait in the queue and the answer of the service.
+const FORWARD_MARGIN: Duration = Duration::from_secs(2);
 
 /// Header by which a caller sees that the operation ran on an earlier call.
 const REPLAYED: &str = "x-replayed";
@@ -90,6 +93,15 @@
     }
 
     fn forward(&self, host: &HostRecord, key: String, id: ForwardId) -> OperationAnswer {
+        let peers = &self.exchange.peers;
+        // A paused or cut-off host takes a connection and stays silent. Asking first keeps the
+        // call from waiting for it, and the refusal is true because nothing was sent.
+        if peers
+            .call(host.address, &PeerRequest::Probe, PROBE_TIMEOUT)
+            .is_err()
+        {
+            return OperationAnswer::Refused(undecided("the deciding host does not answer"));
+        }
         let operation = ForwardedOperation {
             request: self.request.clone(),
             caller_key: self.admission.key,
@@ -97,11 +109,8 @@
             id,
         };
         let request = PeerRequest::Operation(Box::new(operation));
-        match self
-            .exchange
-            .peers
-            .call(host.address, &request, FORWARD_TIMEOUT)
-        {
+        let timeout = self.admission.queue_limit + self.head_timeout() + FORWARD_MARGIN;
+        match peers.call(host.address, &request, timeout) {
             Ok(PeerReply::Operation(answer)) => answer,
             Ok(_) => OperationAnswer::Refused(undecided("the deciding host takes no calls")),
             Err(PeerError::NotSent(_)) => {
@@ -116,19 +125,10 @@
 
     /// Decides about a call on this host and runs it if it may run.
     ///
-    /// The call waits for an upstream before the decision, because a decision is valid for a
-    /// few seconds only.
+    /// A repeat is answered before it waits for an upstream. Any other call waits for one before
+    /// the decision, because a decision is valid for a few seconds only.
     fn run_operation(&mut self, key: &str, forward: Option<ForwardId>) -> OperationAnswer {
-        let service = self
-            .admission
-            .service
-            .clone()
-            .expect("the catalogue check requires a service");
-        let guard = match self.dispatch(&DispatchTarget::Service(service), 1, false) {
-            Ok(guard) => guard,
-            Err(refusal) => return OperationAnswer::Refused(refusal),
-        };
-        let request = OperationRequest {
+        let mut request = OperationRequest {
             team: self.admission.team.clone(),
             key: key.to_owned(),
             digest: RequestDigest::of(
@@ -138,6 +138,21 @@
             ),
             forward,
         };
+        match self.ask(|reply| OperationCommand::Preview(request.clone(), reply)) {
+            Some(None) => {}
+            Some(Some(verdict)) => return answer_of(verdict),
+            None => return OperationAnswer::Refused(stopping()),
+        }
+        request.forward = None;
+        let service = self
+            .admission
+            .service
+            .clone()
+            .expect("the catalogue check requires a service");
+        let guard = match self.dispatch(&DispatchTarget::Service(service), 1, false) {
+            Ok(guard) => guard,
+            Err(refusal) => return OperationAnswer::Refused(refusal),
+        };
         let begun = match self.ask(|reply| OperationCommand::Decide(request, reply)) {
             Some(OperationStart::Dispatch(handle)) => self.begin(handle, Vec::new()),
             Some(OperationStart::OfferBackup {
--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -190,6 +190,26 @@
         }
     }
 
+    /// Returns how a call ends if it ends without a dispatch; `None` if [`Self::decide`] may start
+    /// it.
+    ///
+    /// To be called before the call waits for an upstream, so that a repeat is answered from the
+    /// record whatever the state of the upstreams. It takes over the check for duplicated messages:
+    /// the later decision is about a call without a `forward`.
+    pub fn preview(
+        &mut self,
+        now: Instant,
+        call: &OperationCall<'_>,
+        rights: &dyn DecisionRights,
+    ) -> Option<OperationDecision> {
+        if let Some(forward) = call.forward
+            && !self.forwards.accept(forward)
+        {
+            return Some(OperationDecision::Unknown(UnknownReason::DuplicateMessage));
+        }
+        self.check_new(now, call, rights).err().map(|it| *it)
+    }
+
     /// Decides about a call; must be called once per call and once per received message.
     pub fn decide(
         &mut self,
@@ -202,18 +222,61 @@
         {
             return OperationDecision::Unknown(UnknownReason::DuplicateMessage);
         }
+        let id = match self.check_new(now, call, rights) {
+            Ok(id) => id,
+            Err(decision) => return *decision,
+        };
+        let is_ticket = OperationTicket::is_ticket(call.key);
+        self.last_dispatch += 1;
+        let dispatch = DispatchId {
+            incarnation: self.incarnation,
+            number: self.last_dispatch,
+        };
+        let slot = RecordSlot {
+            dispatch,
+            digest: call.digest,
+            state: RecordState::Intent,
+            changed: now,
+            sequence: 0,
+            is_backed: is_ticket,
+            is_ticket,
+            is_started: true,
+            holder: None,
+        };
+        let record = slot.record(&id, now);
+        self.insert(&id, slot);
+        let handle = OperationHandle { id, dispatch };
+        match is_ticket {
+            true => OperationDecision::Dispatch(handle),
+            false => OperationDecision::AwaitBackup { handle, record },
+        }
+    }
+
+    /// Returns the operation of a call that may start, or how the call ends.
+    fn check_new(
+        &mut self,
+        now: Instant,
+        call: &OperationCall<'_>,
+        rights: &dyn DecisionRights,
+    ) -> Result<OperationId, Box<OperationDecision>> {
         let is_ticket = OperationTicket::is_ticket(call.key);
         let mut verdict = TicketVerdict::Valid;
         if is_ticket {
             let Some(ticket) = OperationTicket::parse(call.key) else {
-                return OperationDecision::NotRun(NotRunReason::InvalidTicket);
+                return Err(Box::new(OperationDecision::NotRun(
+                    NotRunReason::InvalidTicket,
+                )));
             };
             if ticket.host() == &self.host && ticket.incarnation() != self.incarnation {
-                return OperationDecision::Unknown(UnknownReason::IssuerGone);
+                return Err(Box::new(OperationDecision::Unknown(
+                    UnknownReason::IssuerGone,
+                )));
             }
             verdict = self.issuer.check(now, call.team, &ticket);
             if verdict == TicketVerdict::Invalid {
-                return OperationDecision::NotRun(NotRunReason::InvalidTicket);
+                return Err(Box::new(OperationDecision::NotRun(
+                    NotRunReason::InvalidTicket,
+                )));
             }
         }
 
@@ -224,48 +287,29 @@
         }
         if let Some(slot) = self.slots.get(&id) {
             if slot.digest != call.digest {
-                return OperationDecision::BodyMismatch;
+                return Err(Box::new(OperationDecision::BodyMismatch));
             }
-            return self.answer(slot);
+            return Err(Box::new(self.answer(slot)));
         }
         if verdict == TicketVerdict::Expired {
-            return OperationDecision::Unknown(UnknownReason::TicketExpired);
+            return Err(Box::new(OperationDecision::Unknown(
+                UnknownReason::TicketExpired,
+            )));
         }
         if !is_ticket {
             if !rights.may_decide(&id, now) {
-                return OperationDecision::NotRun(NotRunReason::NotOwner);
+                return Err(Box::new(OperationDecision::NotRun(NotRunReason::NotOwner)));
             }
             if let Some(reason) = self.missing_record(now, &id) {
-                return OperationDecision::Unknown(reason);
+                return Err(Box::new(OperationDecision::Unknown(reason)));
             }
         }
         if !self.has_room(&id.team) {
-            return OperationDecision::NotRun(NotRunReason::LedgerFull);
-        }
-
-        self.last_dispatch += 1;
-        let dispatch = DispatchId {
-            incarnation: self.incarnation,
-            number: self.last_dispatch,
-        };
-        let slot = RecordSlot {
-            dispatch,
-            digest: call.digest,
-            state: RecordState::Intent,
-            changed: now,
-            sequence: 0,
-            is_backed: is_ticket,
-            is_ticket,
-            is_started: true,
-            holder: None,
-        };
-        let record = slot.record(&id, now);
-        self.insert(&id, slot);
-        let handle = OperationHandle { id, dispatch };
-        match is_ticket {
-            true => OperationDecision::Dispatch(handle),
-            false => OperationDecision::AwaitBackup { handle, record },
+            return Err(Box::new(OperationDecision::NotRun(
+                NotRunReason::LedgerFull,
+            )));
         }
+        Ok(id)
     }
 
     /// Notes that a backup answered [`StoreReply::Stored`].
