limits: larger grants while the owner has tokens to spare

Cause: nearly every request cost one exchange with an owner; at 200 requests/s over 7 hosts control traffic was 14.5 KB/s per host, against a budget of 4 KB/s.

--- a/lib/src/limits/wallet.rs
+++ b/lib/src/limits/wallet.rs
@@ -15,6 +15,12 @@
 /// parts of a token are not worth their messages.
 const MIN_ADVANCE_RATE: f64 = 20.0;
 
+/// As the two above while the owner has tokens to spare: most grants then serve several requests,
+/// and what is left of them expires. One exchange costs about 500 bytes, and a host may spend
+/// 4 KB/s on all control traffic.
+const ROOMY_ADVANCE: Duration = Duration::from_millis(800);
+const ROOMY_MIN_RATE: f64 = 1.0;
+
 /// Time constant of the demand estimate.
 const DEMAND_MEMORY: Duration = Duration::from_millis(500);
 
@@ -22,10 +28,8 @@
 const RETURN_AGE: Duration = Duration::from_millis(250);
 const PART_RETURN_AGE: Duration = Duration::from_millis(50);
 
-/// Age from which spent tokens are reported, also without another reason for a message.
-const REPORT_AGE: Duration = Duration::from_millis(250);
-
-/// As `REPORT_AGE`, if the owner said that outstanding grants hold back the refill.
+/// Age from which spent tokens are reported without another reason for a message, if the owner said
+/// that outstanding grants hold back the refill.
 const TIGHT_REPORT_AGE: Duration = Duration::from_millis(20);
 
 /// Bounds of the time for which an owner without tokens is not asked again. They bound the
@@ -252,12 +256,17 @@
     }
 
     /// Units to request in advance; nothing if the wallet is at least half full.
-    fn advance(&self, now: Instant) -> u64 {
+    fn advance(&self, now: Instant, is_tight: bool) -> u64 {
+        let (span, min_rate) = if is_tight {
+            (ADVANCE, MIN_ADVANCE_RATE)
+        } else {
+            (ROOMY_ADVANCE, ROOMY_MIN_RATE)
+        };
         let rate = self.demand.rate(now);
-        if rate < MIN_ADVANCE_RATE {
+        if rate < min_rate {
             return 0;
         }
-        let goal = (rate * ADVANCE.as_secs_f64()).ceil() as u64 * UNITS_PER_TOKEN;
+        let goal = (rate * span.as_secs_f64()).ceil() as u64 * UNITS_PER_TOKEN;
         let held = self.held(now);
         if held * 2 > goal { 0 } else { goal - held }
     }
@@ -272,8 +281,12 @@
     }
 
     /// Age from which unspent tokens are returned; parts of a token are of little use here.
-    fn return_age(&self, now: Instant) -> Duration {
-        if self.held(now) < UNITS_PER_TOKEN {
+    ///
+    /// Nothing is returned to an owner with tokens to spare.
+    fn return_age(&self, now: Instant, is_tight: bool) -> Duration {
+        if !is_tight {
+            GRANT_LIFETIME
+        } else if self.held(now) < UNITS_PER_TOKEN {
             PART_RETURN_AGE
         } else {
             RETURN_AGE
@@ -283,7 +296,8 @@
     /// Accounts of the grants of a data centre of which the owner does not know.
     fn accounts(&mut self, now: Instant, centre: &CentreName) -> Vec<GrantAccount> {
         let mut accounts = Vec::new();
-        let return_age = self.return_age(now);
+        let is_tight = self.lenders.get(centre).is_some_and(|it| it.is_tight);
+        let return_age = self.return_age(now, is_tight);
         for grant in self.grants.iter_mut().filter(|it| it.centre == *centre) {
             if now.saturating_duration_since(grant.received) >= return_age {
                 // Debited before the message is sent, so that a returned unit cannot be spent.
@@ -304,12 +318,11 @@
 
     /// Whether the owner in a data centre should hear from this host without a request waiting.
     fn is_report_due(&self, now: Instant, centre: &CentreName, is_tight: bool) -> bool {
-        let return_age = self.return_age(now);
-        let report_age = if is_tight {
-            TIGHT_REPORT_AGE
-        } else {
-            REPORT_AGE
-        };
+        if !is_tight {
+            // Spent tokens are reported with the next request, or count as spent when they expire.
+            return false;
+        }
+        let return_age = self.return_age(now, is_tight);
         self.grants
             .iter()
             .filter(|it| it.centre == *centre && now < it.expires)
@@ -318,7 +331,7 @@
                     it.left > 0 && now.saturating_duration_since(it.received) >= return_age;
                 let is_unreported = !it.is_settled()
                     && it.spent_between.is_some_and(|(first, _)| {
-                        now.saturating_duration_since(first) >= report_age
+                        now.saturating_duration_since(first) >= TIGHT_REPORT_AGE
                     });
                 is_unused || is_unreported
             })
@@ -463,9 +476,12 @@
         if lender.pending().is_some() {
             return None;
         }
+        // Only a request that somebody waits for takes a larger batch in advance; otherwise idle
+        // wallets would be refilled for nothing.
+        let is_tight = lender.is_tight || waiting == 0;
         let accounts = wallet.accounts(now, centre);
         let spare = if *centre == self.centre {
-            wallet.advance(now)
+            wallet.advance(now, is_tight)
         } else {
             0
         };
@@ -546,7 +562,7 @@
         for (team, wallet) in &self.wallets {
             for (centre, lender) in &wallet.lenders {
                 let is_open = lender.closed_until.is_none_or(|it| now >= it);
-                let wants_more = *centre == self.centre && is_open && wallet.advance(now) > 0;
+                let wants_more = *centre == self.centre && is_open && wallet.advance(now, true) > 0;
                 let is_reachable = !lender.is_suspect || is_open;
                 let reports = wallet.is_report_due(now, centre, lender.is_tight) && is_reachable;
                 if lender.pending().is_none() && (wants_more || reports) {
