--- a/cli/benches/fleet/main.rs
+++ b/cli/benches/fleet/main.rs
@@ -69,10 +69,7 @@
         ("peers", peers),
         ("seven", fleet_of_seven),
     ];
-    let wanted: Vec<String> = std::env::args()
-        .skip(1)
-        .filter(|it| it != "--bench")
-        .collect();
+    let wanted: Vec<String> = std::env::args().skip(1).filter(|it| it != "--bench").collect();
     for (name, run) in parts {
         if wanted.is_empty() || wanted.iter().any(|it| it == name) {
             run()?;
@@ -105,17 +102,10 @@
         let text = answer.text();
         return Err(Error::other(format!("status {}: {text}", answer.status)));
     }
-    let first = answer
-        .events
-        .first()
-        .ok_or_else(|| Error::other("no event"))?;
+    let first = answer.events.first().ok_or_else(|| Error::other("no event"))?;
     Ok(Some(StreamTimes {
         first: first.arrived - started,
-        gaps: answer
-            .events
-            .windows(2)
-            .map(|it| it[1].arrived - it[0].arrived)
-            .collect(),
+        gaps: answer.events.windows(2).map(|it| it[1].arrived - it[0].arrived).collect(),
     }))
 }
 
@@ -168,9 +158,7 @@
         .collect::<Result<_>>()?;
     let (mut firsts, mut gaps) = (Vec::new(), Vec::new());
     for worker in workers {
-        let result = worker
-            .join()
-            .map_err(|_| Error::other("a caller panicked"))??;
+        let result = worker.join().map_err(|_| Error::other("a caller panicked"))??;
         if let Some(times) = result {
             firsts.push(times.first);
             gaps.extend(times.gaps);
@@ -209,25 +197,17 @@
         thread::sleep(Duration::from_millis(1_200));
         cpu.push((router.cpu_seconds()? - before) / from.elapsed().as_secs_f64() * 100.0);
         memory.push(router.resident_mb()?);
-        let routed = caller
-            .join()
-            .map_err(|_| Error::other("the callers panicked"))??;
+        let routed = caller.join().map_err(|_| Error::other("the callers panicked"))??;
         refused += STREAMS - routed.0.len();
         first.push(&direct.0, &routed.0);
         gaps.push(&direct.1, &routed.1);
     }
     println!("\n400 streams at a time, 28 tokens each, 72 ms between tokens (5,500 tokens/s)");
-    println!(
-        "refused although within the team's rate: {refused} of {}",
-        STREAMS * REPETITIONS
-    );
+    println!("refused although within the team's rate: {refused} of {}", STREAMS * REPETITIONS);
     first.print("time to the first chunk");
     gaps.print("time between chunks");
     println!("router at 400 streams: {:.1} % of a core", Sample::new(cpu));
-    println!(
-        "router at 400 streams: {:.1} MB resident",
-        Sample::new(memory)
-    );
+    println!("router at 400 streams: {:.1} MB resident", Sample::new(memory));
     println!("router idle before: {idle_percent:.2} % of a core, {idle_mb:.1} MB resident");
     thread::sleep(Duration::from_secs(1));
     println!("router 1 s after: {:.1} MB resident", router.resident_mb()?);
@@ -283,9 +263,7 @@
         .collect();
     let mut total = LoopResult::default();
     for worker in workers {
-        let result = worker
-            .join()
-            .map_err(|_| Error::other("a caller panicked"))??;
+        let result = worker.join().map_err(|_| Error::other("a caller panicked"))??;
         total.times.extend(result.times);
         total.refused += result.refused;
     }
@@ -313,11 +291,7 @@
         timing: SHORT_TIMING,
     })?;
     measure::wait_for("operations", Duration::from_secs(20), || {
-        (0..8).all(|_| {
-            next_order()
-                .call(fleet.routers[0].address)
-                .is_ok_and(|it| it.status == 200)
-        })
+        (0..8).all(|_| next_order().call(fleet.routers[0].address).is_ok_and(|it| it.status == 200))
     })?;
     let length = Duration::from_millis(900);
     let cpu =
@@ -338,9 +312,8 @@
         answered += times.len();
         throughput.push(times.len() as f64 / from.elapsed().as_secs_f64());
         per_core.push(times.len() as f64 / used);
-        for (index, make) in [next_look_up as fn() -> CallerRequest, next_order]
-            .into_iter()
-            .enumerate()
+        for (index, make) in
+            [next_look_up as fn() -> CallerRequest, next_order].into_iter().enumerate()
         {
             let before = cpu()?;
             let until = Instant::now() + length;
@@ -357,17 +330,11 @@
     for (look_ups, orders) in alone[0].iter().zip(&alone[1]) {
         times.push(look_ups, orders);
         let until = Instant::now() + length / 3;
-        direct.push(
-            &closed_loop(service, 1, until, next_look_up)?.times,
-            look_ups,
-        );
+        direct.push(&closed_loop(service, 1, until, next_look_up)?.times, look_ups);
     }
     println!("\nplain look-ups, kept connections, service answers at once");
     println!("16 connections: {:.0} requests/s", Sample::new(throughput));
-    println!(
-        "16 connections: {:.0} requests/s per core of the router",
-        Sample::new(per_core)
-    );
+    println!("16 connections: {:.0} requests/s per core of the router", Sample::new(per_core));
     println!(
         "refused although within the team's rate: {refused} beside {answered} answered at 16 \
          connections, {refused_alone} at one connection"
@@ -414,10 +381,7 @@
             let reply = caller.call(router.admin, &digest, Duration::from_secs(5));
             let _: PeerReply = reply.map_err(Error::other)?;
         }
-        println!(
-            "  {count} connections: {:.1} MB resident",
-            router.resident_mb()?
-        );
+        println!("  {count} connections: {:.1} MB resident", router.resident_mb()?);
     }
     let mut costs = Vec::new();
     for _ in 0..REPETITIONS {
@@ -429,10 +393,7 @@
         let used = router.cpu_seconds()? - before;
         costs.push(used / (100 * rounds) as f64 * 1e6);
     }
-    println!(
-        "  processor time of a served message: {:.0} us",
-        Sample::new(costs)
-    );
+    println!("  processor time of a served message: {:.0} us", Sample::new(costs));
     Ok(())
 }
 
@@ -469,9 +430,7 @@
         .collect();
     let mut total = (0, 0);
     for worker in workers {
-        let counts = worker
-            .join()
-            .map_err(|_| Error::other("a caller panicked"))?;
+        let counts = worker.join().map_err(|_| Error::other("a caller panicked"))?;
         total = (total.0 + counts.0, total.1 + counts.1);
     }
     Ok(total)
@@ -521,11 +480,7 @@
             println!("  platform {field}: {rate:.2}/s for 7 hosts");
         }
     }
-    let memory = fleet
-        .routers
-        .iter()
-        .map(process::Router::resident_mb)
-        .collect::<Result<_>>()?;
+    let memory = fleet.routers.iter().map(process::Router::resident_mb).collect::<Result<_>>()?;
     println!("  resident after the load: {:.1} MB", Sample::new(memory));
     Ok(())
 }
--- a/cli/benches/fleet/measure.rs
+++ b/cli/benches/fleet/measure.rs
@@ -72,11 +72,7 @@
     /// Computes the percentiles of times.
     pub fn of(times: &[Duration]) -> Self {
         let sample = Sample::new(times.iter().map(|it| it.as_secs_f64() * 1e3).collect());
-        Self {
-            p50: sample.quantile(0.5),
-            p95: sample.quantile(0.95),
-            p99: sample.quantile(0.99),
-        }
+        Self { p50: sample.quantile(0.5), p95: sample.quantile(0.95), p99: sample.quantile(0.99) }
     }
 }
 
@@ -89,8 +85,7 @@
 impl Comparison {
     /// Adds a repetition.
     pub fn push(&mut self, direct: &[Duration], routed: &[Duration]) {
-        self.pairs
-            .push((Percentiles::of(direct), Percentiles::of(routed)));
+        self.pairs.push((Percentiles::of(direct), Percentiles::of(routed)));
     }
 
     /// Prints direct times, routed times and their differences.
@@ -98,10 +93,7 @@
         let column = |pick: &dyn Fn(&(Percentiles, Percentiles)) -> f64| {
             Sample::new(self.pairs.iter().map(pick).collect())
         };
-        println!(
-            "{what}, ms, median [lowest, highest] of {} repetitions",
-            self.pairs.len()
-        );
+        println!("{what}, ms, median [lowest, highest] of {} repetitions", self.pairs.len());
         println!(
             "  direct p50 {}  p95 {}  p99 {}",
             column(&|it| it.0.p50),
--- a/cli/benches/fleet/process.rs
+++ b/cli/benches/fleet/process.rs
@@ -25,18 +25,11 @@
 }
 
 /// The defaults of the router; a bucket has an owner 17 s after the start.
-pub const USUAL_TIMING: Timing = Timing {
-    validity_ms: 6_000,
-    list_lag_ms: 10_000,
-    margin_ms: 1_000,
-};
+pub const USUAL_TIMING: Timing =
+    Timing { validity_ms: 6_000, list_lag_ms: 10_000, margin_ms: 1_000 };
 
 /// For measurements in which ownership plays no part; a bucket has an owner after 2 s.
-pub const SHORT_TIMING: Timing = Timing {
-    validity_ms: 1_500,
-    list_lag_ms: 300,
-    margin_ms: 200,
-};
+pub const SHORT_TIMING: Timing = Timing { validity_ms: 1_500, list_lag_ms: 300, margin_ms: 200 };
 
 /// A running router; it is killed by its id on drop.
 pub struct Router {
@@ -77,10 +70,8 @@
         if let Some(output) = child.stdout.take() {
             BufReader::new(output).read_line(&mut line)?;
         }
-        let field = |name: &str| {
-            line.split_whitespace()
-                .find_map(|it| it.strip_prefix(name)?.parse().ok())
-        };
+        let field =
+            |name: &str| line.split_whitespace().find_map(|it| it.strip_prefix(name)?.parse().ok());
         let (Some(address), Some(admin)) = (field("listening="), field("admin=")) else {
             let _ = child.kill();
             let _ = child.wait();
@@ -98,9 +89,7 @@
     /// Waits until the router takes requests.
     pub fn wait_until_ready(&self) -> Result<()> {
         wait_for("a router to be ready", Duration::from_secs(20), || {
-            CallerRequest::new("GET", "/readyz")
-                .call(self.admin)
-                .is_ok_and(|it| it.status == 200)
+            CallerRequest::new("GET", "/readyz").call(self.admin).is_ok_and(|it| it.status == 200)
         })
     }
 
@@ -123,17 +112,13 @@
         for task in fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
             let path = task?.path();
             // A thread may end between the two reads.
-            let (Ok(name), Ok(times)) = (
-                fs::read_to_string(path.join("comm")),
-                fs::read_to_string(path.join("schedstat")),
-            ) else {
+            let (Ok(name), Ok(times)) =
+                (fs::read_to_string(path.join("comm")), fs::read_to_string(path.join("schedstat")))
+            else {
                 continue;
             };
-            let nanos: f64 = times
-                .split_whitespace()
-                .next()
-                .and_then(|it| it.parse().ok())
-                .unwrap_or(0.0);
+            let nanos: f64 =
+                times.split_whitespace().next().and_then(|it| it.parse().ok()).unwrap_or(0.0);
             *seconds.entry(name.trim().to_owned()).or_default() += nanos / 1e9;
         }
         Ok(seconds)
@@ -151,9 +136,7 @@
 
     /// Returns the bytes of control traffic, both directions, by purpose.
     pub fn control_bytes(&self) -> Result<BTreeMap<String, f64>> {
-        let text = CallerRequest::new("GET", "/metrics")
-            .call(self.admin)?
-            .text();
+        let text = CallerRequest::new("GET", "/metrics").call(self.admin)?.text();
         let mut bytes = BTreeMap::new();
         for line in text.lines() {
             let Some(rest) = line
@@ -195,10 +178,7 @@
         };
         Ok(Self {
             at: std::time::Instant::now(),
-            cpu: routers
-                .iter()
-                .map(Router::cpu_seconds)
-                .collect::<Result<_>>()?,
+            cpu: routers.iter().map(Router::cpu_seconds).collect::<Result<_>>()?,
             threads: collect(&Router::thread_seconds)?,
             bytes: collect(&Router::control_bytes)?,
         })
@@ -218,11 +198,7 @@
 
     /// Returns the share of a core by thread name since an earlier snapshot, in percent.
     pub fn thread_percent(&self, earlier: &Self) -> BTreeMap<String, Sample> {
-        rates(
-            &self.threads,
-            &earlier.threads,
-            self.seconds_since(earlier) / 100.0,
-        )
+        rates(&self.threads, &earlier.threads, self.seconds_since(earlier) / 100.0)
     }
 
     /// Returns bytes per second and router by purpose since an earlier snapshot.
@@ -243,8 +219,5 @@
             values.entry(name.clone()).or_default().push(rate);
         }
     }
-    values
-        .into_iter()
-        .map(|(name, it)| (name, Sample::new(it)))
-        .collect()
+    values.into_iter().map(|(name, it)| (name, Sample::new(it))).collect()
 }
--- a/cli/benches/fleet/setup.rs
+++ b/cli/benches/fleet/setup.rs
@@ -108,15 +108,11 @@
             platform,
         };
         let entries = fleet.entries(plan);
-        fleet
-            .platform
-            .set_entries(entries.iter().map(|it| (it.0.as_str(), it.1.clone())));
+        fleet.platform.set_entries(entries.iter().map(|it| (it.0.as_str(), it.1.clone())));
         for index in 0..plan.hosts {
             let (host, centre) = (format!("h{index}"), centre(index, plan));
             let platform = fleet.platform.address();
-            fleet
-                .routers
-                .push(Router::start(&host, &centre, platform, plan.timing)?);
+            fleet.routers.push(Router::start(&host, &centre, platform, plan.timing)?);
         }
         let hosts = fleet.routers.iter().map(|it| HostEntry {
             name: it.host.clone(),
@@ -130,9 +126,7 @@
         }
         for router in &fleet.routers {
             wait_for("look-ups", Duration::from_secs(40), || {
-                look_up(0)
-                    .call(router.address)
-                    .is_ok_and(|it| it.status == 200)
+                look_up(0).call(router.address).is_ok_and(|it| it.status == 200)
             })?;
         }
         Ok(fleet)
@@ -154,11 +148,7 @@
             ("fleet/settings".to_owned(), json!({ "skew_multiple": 4.0 })),
             (
                 "route/chat".to_owned(),
-                route(
-                    "/v1/chat/completions",
-                    "chat",
-                    json!({ "methods": ["POST"] }),
-                ),
+                route("/v1/chat/completions", "chat", json!({ "methods": ["POST"] })),
             ),
             (
                 "route/orders".to_owned(),
@@ -168,10 +158,7 @@
                     json!({ "methods": ["POST"], "service": "desk", "once": true }),
                 ),
             ),
-            (
-                "route/items".to_owned(),
-                route("/items", "service", json!({ "service": "desk" })),
-            ),
+            ("route/items".to_owned(), route("/items", "service", json!({ "service": "desk" }))),
         ];
         for index in 0..plan.centres {
             entries.push((
--- a/cli/src/bin/snipepond-router.rs
+++ b/cli/src/bin/snipepond-router.rs
@@ -52,14 +52,8 @@
         peers: Arc::new(HttpPeer::new()),
     };
     let daemon = RouterDaemon::start(settings, ports)?;
-    println!(
-        "listening={} admin={}",
-        daemon.address(),
-        daemon.admin_address()
-    );
-    std::io::stdout()
-        .flush()
-        .context("cannot write to standard output")?;
+    println!("listening={} admin={}", daemon.address(), daemon.admin_address());
+    std::io::stdout().flush().context("cannot write to standard output")?;
     signals.forever().next();
     tracing::info!("stop_requested");
     let is_drained = daemon.shutdown();
--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -40,10 +40,7 @@
     let report = CheckReport {
         accepted: result.is_ok(),
         entries,
-        problems: result
-            .as_ref()
-            .err()
-            .map_or_else(Vec::new, |it| it.problems.clone()),
+        problems: result.as_ref().err().map_or_else(Vec::new, |it| it.problems.clone()),
     };
     if json {
         io.write_json(&report)?;
@@ -65,11 +62,7 @@
             )?;
         }
     }
-    Ok(if report.accepted {
-        ExitStatus::Success
-    } else {
-        ExitStatus::Failure
-    })
+    Ok(if report.accepted { ExitStatus::Success } else { ExitStatus::Failure })
 }
 
 /// Reports a file that holds no object of entries.
@@ -78,11 +71,7 @@
         io.write_json(&CheckReport {
             accepted: false,
             entries: 0,
-            problems: vec![CatalogueProblem {
-                entry: String::new(),
-                field: String::new(),
-                reason,
-            }],
+            problems: vec![CatalogueProblem { entry: String::new(), field: String::new(), reason }],
         })?;
     } else {
         writeln!(io.output, "file: {}", printable(&reason))?;
@@ -95,8 +84,5 @@
     let Value::Object(map) = value else {
         return Err("expected a JSON object of entry key to value".to_owned());
     };
-    Ok(map
-        .into_iter()
-        .map(|(key, value)| (key.into(), value.to_string().into()))
-        .collect())
+    Ok(map.into_iter().map(|(key, value)| (key.into(), value.to_string().into())).collect())
 }
--- a/cli/src/command.rs
+++ b/cli/src/command.rs
@@ -176,10 +176,7 @@
     }
     match COMMANDS.iter().find(|it| name == it.name) {
         Some(command) => (command.run)(parser, io),
-        None => Err(CommandError::Usage(format!(
-            "unknown command {:?}",
-            name.to_string_lossy()
-        ))),
+        None => Err(CommandError::Usage(format!("unknown command {:?}", name.to_string_lossy()))),
     }
 }
 
@@ -187,11 +184,7 @@
 pub(crate) fn help(io: &mut CommandIo<'_>) -> CommandResult {
     writeln!(io.output, "Usage: snipepond COMMAND [ARGUMENTS]\n")?;
     for command in COMMANDS {
-        writeln!(
-            io.output,
-            "  snipepond {}\n      {}",
-            command.usage, command.summary
-        )?;
+        writeln!(io.output, "  snipepond {}\n      {}", command.usage, command.summary)?;
     }
     writeln!(
         io.output,
--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -46,10 +46,7 @@
     }
     let fleet = DemoFleet::start()?;
     fleet.wait_until_ready()?;
-    writeln!(
-        io.output,
-        "Two routers, two engines, one service and a platform run on loopback.\n"
-    )?;
+    writeln!(io.output, "Two routers, two engines, one service and a platform run on loopback.\n")?;
     fleet.show_chat(io)?;
     fleet.show_lookup(io)?;
     fleet.show_order(io)?;
@@ -78,10 +75,7 @@
 
 impl DemoAnswer {
     fn header(&self, name: &str) -> &str {
-        self.headers
-            .iter()
-            .find(|(it, _)| it == name)
-            .map_or("-", |(_, value)| value)
+        self.headers.iter().find(|(it, _)| it == name).map_or("-", |(_, value)| value)
     }
 }
 
@@ -112,13 +106,7 @@
             .proxy(None)
             .build()
             .into();
-        Ok(Self {
-            platform,
-            engines,
-            service,
-            routers,
-            agent,
-        })
+        Ok(Self { platform, engines, service, routers, agent })
     }
 
     /// Waits until a request of the team is admitted on both routers.
@@ -157,28 +145,17 @@
             request = request.header(*name, *value);
         }
         let response = if method == "GET" {
-            self.agent
-                .run(request.body(()).map_err(|it| failed(it.to_string()))?)
+            self.agent.run(request.body(()).map_err(|it| failed(it.to_string()))?)
         } else {
-            self.agent.run(
-                request
-                    .body(body.to_owned())
-                    .map_err(|it| failed(it.to_string()))?,
-            )
+            self.agent.run(request.body(body.to_owned()).map_err(|it| failed(it.to_string()))?)
         };
         let mut response = response.map_err(|it| failed(it.to_string()))?;
-        let body = response
-            .body_mut()
-            .read_to_string()
-            .map_err(|it| failed(it.to_string()))?;
+        let body = response.body_mut().read_to_string().map_err(|it| failed(it.to_string()))?;
         let headers: Vec<(String, String)> = response
             .headers()
             .iter()
             .map(|(name, value)| {
-                (
-                    name.to_string(),
-                    String::from_utf8_lossy(value.as_bytes()).into_owned(),
-                )
+                (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
             })
             .collect();
         let mut answer = DemoAnswer {
@@ -195,11 +172,7 @@
         let admin = self.routers[0].admin_address();
         let url = RouterUrl::parse(&format!("http://{admin}"))?;
         let report: ExplainReport = url.get(&format!("/explain?{query}"))?;
-        for step in report
-            .steps
-            .iter()
-            .filter(|it| it.outcome != StepOutcome::Skipped)
-        {
+        for step in report.steps.iter().filter(|it| it.outcome != StepOutcome::Skipped) {
             writeln!(io.output, "    why: {}: {}", step.name, step.detail)?;
         }
         Ok(())
@@ -212,10 +185,7 @@
             let body = json!({
                 "model": "advisor", "stream": true, "max_tokens": 8, "messages": messages,
             });
-            let headers = [
-                ("x-chat-id", "repair-17"),
-                ("content-type", "application/json"),
-            ];
+            let headers = [("x-chat-id", "repair-17"), ("content-type", "application/json")];
             let path = "/v1/chat/completions";
             let answer = self.call(router, "POST", path, &headers, &body.to_string())?;
             let text = streamed_text(&answer.body);
@@ -238,27 +208,17 @@
     fn show_lookup(&self, io: &mut CommandIo<'_>) -> Result<(), CommandError> {
         writeln!(io.output, "2. A look-up that may be repeated")?;
         let answer = self.call(0, "GET", "/v1/tools/17", &[], "")?;
-        writeln!(
-            io.output,
-            "  status {}, outcome {}",
-            answer.status, answer.outcome
-        )?;
+        writeln!(io.output, "  status {}, outcome {}", answer.status, answer.outcome)?;
         self.explain(io, "path=%2Fv1%2Ftools%2F17&method=GET&team=tool-library")?;
         Ok(writeln!(io.output)?)
     }
 
     fn show_order(&self, io: &mut CommandIo<'_>) -> Result<(), CommandError> {
-        writeln!(
-            io.output,
-            "3. A checkout that must run once, sent through both routers"
-        )?;
+        writeln!(io.output, "3. A checkout that must run once, sent through both routers")?;
         let issued = self.call(0, "POST", "/v1/operations", &[], "")?;
         let ticket: Value = serde_json::from_str(&issued.body)
             .map_err(|error| CommandError::Failed(format!("ticket is not JSON: {error}")))?;
-        let ticket = ticket["idempotency_key"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned();
+        let ticket = ticket["idempotency_key"].as_str().unwrap_or_default().to_owned();
         for router in 0..self.routers.len() {
             let headers = [("idempotency-key", ticket.as_str())];
             let answer = self.call(router, "POST", "/v1/checkouts", &headers, "drill 5")?;
@@ -271,29 +231,20 @@
                 answer.header("x-replayed"),
             )?;
         }
-        writeln!(
-            io.output,
-            "  the service ran it {} time(s)\n",
-            self.service.runs(&ticket)
-        )?;
+        writeln!(io.output, "  the service ran it {} time(s)\n", self.service.runs(&ticket))?;
         Ok(())
     }
 
     fn show_withdrawn_key(&self, io: &mut CommandIo<'_>) -> Result<(), CommandError> {
         writeln!(io.output, "4. The operator withdraws the key")?;
-        self.platform
-            .set_entry("key/counter", key_entry("withdrawn"));
+        self.platform.set_entry("key/counter", key_entry("withdrawn"));
         let deadline = Instant::now() + START_TIMEOUT;
         let mut answer = self.call(1, "GET", "/v1/tools/17", &[], "")?;
         while answer.status == 200 && Instant::now() < deadline {
             std::thread::sleep(Duration::from_millis(10));
             answer = self.call(1, "GET", "/v1/tools/17", &[], "")?;
         }
-        writeln!(
-            io.output,
-            "  status {}, outcome {}\n",
-            answer.status, answer.outcome
-        )?;
+        writeln!(io.output, "  status {}, outcome {}\n", answer.status, answer.outcome)?;
         Ok(())
     }
 
@@ -324,9 +275,7 @@
     ];
     let parsed = RouterSettings::parse(arguments, |_| None::<OsString>)
         .map_err(|error| CommandError::Failed(error.to_string()))?;
-    let SettingsOutcome::Run(settings) = parsed else {
-        unreachable!("no argument asks for help")
-    };
+    let SettingsOutcome::Run(settings) = parsed else { unreachable!("no argument asks for help") };
     let ports = RouterPorts {
         clock: Arc::new(SystemClock),
         platform: Arc::new(HttpPlatform::new(&settings.platform)),
@@ -358,10 +307,7 @@
     };
     let centre = json!({"region": "quebec", "state": "in_service"});
     vec![
-        (
-            "class/waiting",
-            json!({"priority": 0, "deadline_ms": 400, "queue_ms": 5000}),
-        ),
+        ("class/waiting", json!({"priority": 0, "deadline_ms": 400, "queue_ms": 5000})),
         ("data_centre/dc-1", centre.clone()),
         ("data_centre/dc-2", centre),
         (
@@ -369,10 +315,7 @@
             json!({"owner": "counter", "class": "waiting", "rate": 50.0, "burst": 20}),
         ),
         ("key/counter", key_entry("active")),
-        (
-            "route/chat",
-            json!({"owner": "models", "path": "/v1/chat/completions", "kind": "chat"}),
-        ),
+        ("route/chat", json!({"owner": "models", "path": "/v1/chat/completions", "kind": "chat"})),
         ("route/tools", route("/v1/tools", "GET", false)),
         ("route/checkouts", route("/v1/checkouts", "POST", true)),
         ("upstream/engine-1", engine(engines[0], "dc-1")),
@@ -393,10 +336,6 @@
     body.lines()
         .filter_map(|it| it.strip_prefix("data: "))
         .filter_map(|it| serde_json::from_str::<Value>(it).ok())
-        .filter_map(|it| {
-            it["choices"][0]["delta"]["content"]
-                .as_str()
-                .map(str::to_owned)
-        })
+        .filter_map(|it| it["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
         .collect()
 }
--- a/cli/src/explain.rs
+++ b/cli/src/explain.rs
@@ -32,9 +32,7 @@
         *field = Some(value.map_err(|it| CommandError::Usage(format!("{it:?} is not UTF-8")))?);
     }
     let url = router.ok_or_else(router_required)?;
-    query
-        .check()
-        .map_err(|error| CommandError::Usage(error.to_string()))?;
+    query.check().map_err(|error| CommandError::Usage(error.to_string()))?;
     let report: ExplainReport = url.get(&format!("/explain?{}", query.to_query()))?;
     if json {
         io.write_json(&report)?;
@@ -45,11 +43,8 @@
 }
 
 fn to_text(report: &ExplainReport) -> String {
-    let mut text = format!(
-        "host {}, revision {}\n",
-        printable(report.host.as_str()),
-        report.revision
-    );
+    let mut text =
+        format!("host {}, revision {}\n", printable(report.host.as_str()), report.revision);
     for step in &report.steps {
         let outcome = match step.outcome {
             StepOutcome::Passed => "passed",
--- a/cli/src/fetch.rs
+++ b/cli/src/fetch.rs
@@ -20,9 +20,7 @@
     /// Checks the value of `--router`.
     pub(crate) fn parse(text: &str) -> Result<Self, CommandError> {
         let trimmed = text.trim_end_matches('/');
-        let address = trimmed
-            .strip_prefix("http://")
-            .and_then(|it| it.parse::<SocketAddr>().ok());
+        let address = trimmed.strip_prefix("http://").and_then(|it| it.parse::<SocketAddr>().ok());
         match address {
             Some(address) if address.port() != 0 => Ok(Self(trimmed.to_owned())),
             _ => Err(CommandError::Usage(format!(
@@ -49,10 +47,7 @@
             .proxy(None)
             .build()
             .into();
-        let mut response = agent
-            .get(&url)
-            .call()
-            .map_err(|error| failed(error.to_string()))?;
+        let mut response = agent.get(&url).call().map_err(|error| failed(error.to_string()))?;
         let text = response
             .body_mut()
             .with_config()
--- a/cli/src/key.rs
+++ b/cli/src/key.rs
@@ -36,9 +36,7 @@
     }
     action.ok_or_else(|| CommandError::Usage("key needs the action hash".to_owned()))?;
     let mut text = String::new();
-    (&mut *io.input)
-        .take(MAX_KEY_BYTES + 2)
-        .read_to_string(&mut text)?;
+    (&mut *io.input).take(MAX_KEY_BYTES + 2).read_to_string(&mut text)?;
     let key = text.strip_suffix('\n').unwrap_or(&text);
     let key = key.strip_suffix('\r').unwrap_or(key);
     let length = key.len() as u64;
@@ -50,9 +48,7 @@
             "the key must be 1 to {MAX_KEY_BYTES} visible ASCII characters on one line"
         )));
     }
-    let report = HashReport {
-        sha256: KeyHash::of(key).to_string(),
-    };
+    let report = HashReport { sha256: KeyHash::of(key).to_string() };
     if json {
         io.write_json(&report)?;
     } else {
--- a/cli/src/slo.rs
+++ b/cli/src/slo.rs
@@ -45,16 +45,7 @@
         io.write_json(&merged)?;
     } else {
         io.output.write_all(merged.to_text().as_bytes())?;
-        writeln!(
-            io.output,
-            "routers: {} of {} answered",
-            reports.len(),
-            routers.len()
-        )?;
+        writeln!(io.output, "routers: {} of {} answered", reports.len(), routers.len())?;
     }
-    Ok(if failures.is_empty() {
-        ExitStatus::Success
-    } else {
-        ExitStatus::Failure
-    })
+    Ok(if failures.is_empty() { ExitStatus::Success } else { ExitStatus::Failure })
 }
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -51,10 +51,7 @@
         config.seen_revision
     );
     for problem in &config.problems {
-        text.push_str(&format!(
-            "  rejected: {}\n",
-            printable(&problem.to_string())
-        ));
+        text.push_str(&format!("  rejected: {}\n", printable(&problem.to_string())));
     }
     let mut upstreams = TextTable::new(&[
         "UPSTREAM",
--- a/cli/src/strict_json.rs
+++ b/cli/src/strict_json.rs
@@ -46,9 +46,7 @@
     }
 
     fn visit_f64<E: Error>(self, value: f64) -> Result<Value, E> {
-        Number::from_f64(value)
-            .map(Value::Number)
-            .ok_or_else(|| E::custom("number out of range"))
+        Number::from_f64(value).map(Value::Number).ok_or_else(|| E::custom("number out of range"))
     }
 
     fn visit_str<E>(self, value: &str) -> Result<Value, E> {
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -83,10 +83,7 @@
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/catalogue.md");
     let page = fs::read_to_string(path).unwrap();
     let (_, rest) = page.split_once("```json\n").expect("a json block");
-    rest.split_once("```")
-        .expect("the end of the block")
-        .0
-        .to_owned()
+    rest.split_once("```").expect("the end of the block").0.to_owned()
 }
 
 /// An example that the check rejects would mislead its readers.
@@ -100,19 +97,8 @@
     let report: Value = serde_json::from_slice(&output.stdout).unwrap();
     assert_eq!(report["accepted"], json!(true));
     // The page says that the example shows every kind of entry.
-    for kind in [
-        "class",
-        "data_centre",
-        "team",
-        "key",
-        "route",
-        "upstream",
-        "fleet",
-    ] {
-        assert!(
-            documented_example().contains(&format!("\"{kind}/")),
-            "{kind}"
-        );
+    for kind in ["class", "data_centre", "team", "key", "route", "upstream", "fleet"] {
+        assert!(documented_example().contains(&format!("\"{kind}/")), "{kind}");
     }
 }
 
@@ -129,15 +115,9 @@
     let text = stdout(&output);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 4, "{lines:?}");
-    assert!(
-        lines[0].contains(r#"entry "class/c": unknown field"#),
-        "{lines:?}"
-    );
+    assert!(lines[0].contains(r#"entry "class/c": unknown field"#), "{lines:?}");
     for (line, field) in lines[1..].iter().zip(["class", "owner", "rate"]) {
-        assert!(
-            line.starts_with(&format!(r#"entry "team/t", field "{field}": "#)),
-            "{line}"
-        );
+        assert!(line.starts_with(&format!(r#"entry "team/t", field "{field}": "#)), "{line}");
     }
     let output = snipepond(&["check", file.path(), "--json"], "");
     assert_eq!(output.status.code(), Some(1));
@@ -155,10 +135,7 @@
             "twice",
             r#"{"fleet/settings": {"skew_multiple": 2}, "fleet/settings": {"skew_multiple": 2}}"#,
         ),
-        (
-            "twice-inside",
-            r#"{"fleet/settings": {"skew_multiple": 2, "skew_multiple": 3}}"#,
-        ),
+        ("twice-inside", r#"{"fleet/settings": {"skew_multiple": 2, "skew_multiple": 3}}"#),
     ] {
         let file = TempFile::new(name, text);
         let output = snipepond(&["check", file.path()], "");
@@ -181,23 +158,9 @@
         &["status", "--router", "http://localhost:1"],
         &["status", "--router", "127.0.0.1:1"],
         &["explain", "--router", "http://127.0.0.1:1"],
-        &[
-            "explain",
-            "--router",
-            "http://127.0.0.1:1",
-            "--model",
-            "m",
-            "--path",
-            "/p",
-        ],
+        &["explain", "--router", "http://127.0.0.1:1", "--model", "m", "--path", "/p"],
         &["slo"],
-        &[
-            "slo",
-            "--router",
-            "http://127.0.0.1:1",
-            "--router",
-            "http://127.0.0.1:1/",
-        ],
+        &["slo", "--router", "http://127.0.0.1:1", "--router", "http://127.0.0.1:1/"],
         &["key"],
         &["key", "hash", "secret"],
     ] {
@@ -238,14 +201,7 @@
 /// An error message must not repeat a key, and a key that no header can carry has no use.
 #[test]
 fn key_hash_refuses_unusable_keys_without_repeating_them() {
-    for input in [
-        "",
-        "\n",
-        "secret key",
-        "secret\n\n",
-        "sécret",
-        &"secret".repeat(1000),
-    ] {
+    for input in ["", "\n", "secret key", "secret\n\n", "sécret", &"secret".repeat(1000)] {
         let output = snipepond(&["key", "hash"], input);
         assert_eq!(output.status.code(), Some(1), "{input:?}");
         assert!(output.stdout.is_empty());
@@ -276,14 +232,8 @@
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
     assert_eq!(server.join().unwrap(), "GET /status HTTP/1.1");
     let text = stdout(&output);
-    assert!(
-        text.contains("configuration: revision 7 in force, 8 seen"),
-        "{text}"
-    );
-    assert!(
-        text.contains(r#"rejected: entry "team/t", field "rate""#),
-        "{text}"
-    );
+    assert!(text.contains("configuration: revision 7 in force, 8 seen"), "{text}");
+    assert!(text.contains(r#"rejected: entry "team/t", field "rate""#), "{text}");
     let (url, server) = answer_once(200, status_answer().to_string());
     let output = snipepond(&["status", "--json", "--router", &url], "");
     server.join().unwrap();
@@ -299,11 +249,7 @@
         let output = snipepond(&["status", "--router", &url], "");
         server.join().unwrap();
         assert_eq!(output.status.code(), Some(1), "{body}");
-        assert!(
-            stderr(&output).contains("cannot read"),
-            "{}",
-            stderr(&output)
-        );
+        assert!(stderr(&output).contains("cannot read"), "{}", stderr(&output));
         assert!(!stderr(&output).contains('\u{1b}'));
     }
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -327,22 +273,11 @@
     let (url, server) = answer_once(200, answer.to_string());
     let args = ["explain", "--router", &url, "--model", "m&1", "--chat=c 2"];
     let output = snipepond(&args, "");
-    assert_eq!(
-        server.join().unwrap(),
-        "GET /explain?model=m%261&chat=c%202 HTTP/1.1"
-    );
+    assert_eq!(server.join().unwrap(), "GET /explain?model=m%261&chat=c%202 HTTP/1.1");
     let text = stdout(&output);
     assert!(text.contains("  passed   route: chat\n"), "{text}");
-    assert!(
-        text.ends_with("verdict: dispatch to upstream e2\n"),
-        "{text}"
-    );
-    assert_eq!(
-        text.lines()
-            .filter(|it| it.starts_with("verdict: "))
-            .count(),
-        1
-    );
+    assert!(text.ends_with("verdict: dispatch to upstream e2\n"), "{text}");
+    assert_eq!(text.lines().filter(|it| it.starts_with("verdict: ")).count(), 1);
 }
 
 fn burn_answer(good: u64, bad: u64) -> String {
--- a/cli/tests/drain.rs
+++ b/cli/tests/drain.rs
@@ -18,11 +18,7 @@
 const LONG_TOKENS: u64 = 300;
 
 fn steady_engine() -> EngineSettings {
-    EngineSettings {
-        token: Duration::from_millis(10),
-        capacity: 32,
-        ..quick_engine()
-    }
+    EngineSettings { token: Duration::from_millis(10), capacity: 32, ..quick_engine() }
 }
 
 fn two_centres() -> FleetPlan {
@@ -60,11 +56,7 @@
 /// Waits until 10 chats in a row through each router avoid an engine, then checks 20 more.
 #[track_caller]
 fn assert_receives_nothing_new(fleet: &Fleet, index: usize) {
-    let received = || {
-        fleet.engines[index].server.stats()["received"]
-            .as_u64()
-            .unwrap()
-    };
+    let received = || fleet.engines[index].server.stats()["received"].as_u64().unwrap();
     let mut number = 0;
     let mut send = |count: u64| {
         for router in &fleet.routers {
@@ -169,18 +161,13 @@
         services: vec![(
             "s1",
             "a",
-            ServiceSettings {
-                duration: Duration::from_millis(1_000),
-                ..quick_service()
-            },
+            ServiceSettings { duration: Duration::from_millis(1_000), ..quick_service() },
         )],
         ..FleetPlan::default()
     });
     fleet.services[0].server.set_duration(Duration::ZERO);
     fleet.wait_until_orders_work();
-    fleet.services[0]
-        .server
-        .set_duration(Duration::from_millis(1_000));
+    fleet.services[0].server.set_duration(Duration::from_millis(1_000));
     let address = fleet.address(0);
     let request = order("in-flight");
     let mut connection = CallerConnection::open(address).unwrap();
@@ -195,11 +182,7 @@
     assert!(fleet.routers[0].wait_for_exit().success());
     assert_eq!(fleet.runs("in-flight"), 1);
     let repeat = call(fleet.address(1), &request);
-    assert!(
-        repeat.status == 200 || outcome_of(&repeat) != "not_run",
-        "{}",
-        repeat.text()
-    );
+    assert!(repeat.status == 200 || outcome_of(&repeat) != "not_run", "{}", repeat.text());
     assert_eq!(fleet.runs("in-flight"), 1);
 }
 
--- a/cli/tests/faults.rs
+++ b/cli/tests/faults.rs
@@ -22,10 +22,7 @@
 }
 
 fn status_of(fleet: &Fleet, index: usize, key: &str) -> Option<u16> {
-    lookup("/items/1", key)
-        .call(fleet.address(index))
-        .ok()
-        .map(|it| it.status)
+    lookup("/items/1", key).call(fleet.address(index)).ok().map(|it| it.status)
 }
 
 fn two_hosts() -> FleetPlan {
@@ -44,14 +41,9 @@
     fleet.wait_until_lookups_work();
     fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
     for index in 0..2 {
-        wait_for("the key to be refused", || {
-            status_of(&fleet, index, KEY_TWO) == Some(401)
-        });
+        wait_for("the key to be refused", || status_of(&fleet, index, KEY_TWO) == Some(401));
     }
-    fleet.platform.set_mode(PlatformMode {
-        down: true,
-        ..PlatformMode::default()
-    });
+    fleet.platform.set_mode(PlatformMode { down: true, ..PlatformMode::default() });
     // Longer than any right that depends on a read of the host list.
     for _ in 0..30 {
         for index in 0..2 {
@@ -68,9 +60,7 @@
     fleet.set_key_state("k2", "two", KEY_TWO, "active");
     fleet.platform.set_mode(PlatformMode::default());
     for index in 0..2 {
-        wait_for("the key to work", || {
-            status_of(&fleet, index, KEY_TWO) == Some(200)
-        });
+        wait_for("the key to work", || status_of(&fleet, index, KEY_TWO) == Some(200));
     }
 }
 
@@ -79,10 +69,7 @@
 #[test]
 fn stale_replica_does_not_hide_what_peers_know() {
     let mut fleet = Fleet::start_without_routers(two_hosts());
-    let replica = fleet
-        .platform
-        .start_replica(PlatformSettings::default())
-        .unwrap();
+    let replica = fleet.platform.start_replica(PlatformSettings::default()).unwrap();
     let newest = fleet.platform.address();
     fleet.add_router("h1", "a", newest);
     fleet.add_router("h2", "a", replica.address());
@@ -92,9 +79,7 @@
     }
     fleet.wait_until_lookups_work();
     for index in 0..2 {
-        wait_for("the key to work", || {
-            status_of(&fleet, index, KEY_TWO) == Some(200)
-        });
+        wait_for("the key to work", || status_of(&fleet, index, KEY_TWO) == Some(200));
     }
     // The stale replica lists the third host before it starts, so its port is needed in advance.
     let third = reserve_address();
@@ -104,17 +89,12 @@
     entry.address = third.to_string();
     hosts.push(entry);
     fleet.platform.set_hosts(hosts);
-    replica.set_mode(PlatformMode {
-        frozen: true,
-        serve_older: true,
-        ..PlatformMode::default()
-    });
+    replica.set_mode(PlatformMode { frozen: true, serve_older: true, ..PlatformMode::default() });
     fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
     for index in 0..2 {
-        wait_for(
-            "the withdrawal to arrive from the platform or a peer",
-            || status_of(&fleet, index, KEY_TWO) == Some(401),
-        );
+        wait_for("the withdrawal to arrive from the platform or a peer", || {
+            status_of(&fleet, index, KEY_TWO) == Some(401)
+        });
     }
     fleet.add_router_at("h3", "a", replica.address(), third);
     fleet.routers[2].wait_until_ready();
@@ -132,24 +112,15 @@
 #[test]
 fn older_replica_does_not_roll_back() {
     let mut fleet = Fleet::start_without_routers(two_hosts());
-    let replica = fleet
-        .platform
-        .start_replica(PlatformSettings::default())
-        .unwrap();
+    let replica = fleet.platform.start_replica(PlatformSettings::default()).unwrap();
     let link = TcpLink::start(ANY_PORT.into(), fleet.platform.address()).unwrap();
     fleet.add_router("h1", "a", link.address());
     fleet.publish_hosts();
     fleet.routers[0].wait_until_ready();
     fleet.wait_until_lookups_work();
-    replica.set_mode(PlatformMode {
-        frozen: true,
-        serve_older: true,
-        ..PlatformMode::default()
-    });
+    replica.set_mode(PlatformMode { frozen: true, serve_older: true, ..PlatformMode::default() });
     fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
-    wait_for("the key to be refused", || {
-        status_of(&fleet, 0, KEY_TWO) == Some(401)
-    });
+    wait_for("the key to be refused", || status_of(&fleet, 0, KEY_TWO) == Some(401));
     link.set_target(replica.address());
     link.set_mode(LinkMode::Reset);
     link.set_mode(LinkMode::Open);
@@ -164,9 +135,7 @@
 fn rejected_revision_leaves_the_last_one_in_force() {
     let fleet = Fleet::start(two_hosts());
     fleet.wait_until_lookups_work();
-    fleet
-        .platform
-        .set_raw_entry("team/one", r#"{"class":"no such class"}"#);
+    fleet.platform.set_raw_entry("team/one", r#"{"class":"no such class"}"#);
     fleet.platform.set_raw_entry("route/broken", "no JSON");
     for _ in 0..20 {
         for index in 0..2 {
@@ -181,9 +150,7 @@
     fleet.platform.set_entry("team/one", team);
     fleet.set_key_state("k2", "two", KEY_TWO, "withdrawn");
     for index in 0..2 {
-        wait_for("the next valid revision", || {
-            status_of(&fleet, index, KEY_TWO) == Some(401)
-        });
+        wait_for("the next valid revision", || status_of(&fleet, index, KEY_TWO) == Some(401));
     }
 }
 
@@ -203,9 +170,7 @@
         .iter()
         .map(|key| {
             let mut connection = CallerConnection::open(paused).unwrap();
-            connection
-                .send_raw(&order(key).to_bytes(paused))
-                .expect("the socket takes the order");
+            connection.send_raw(&order(key).to_bytes(paused)).expect("the socket takes the order");
             connection
         })
         .collect();
@@ -345,22 +310,8 @@
 fn stream_without_resume_is_visibly_truncated() {
     let fleet = Fleet::start(FleetPlan {
         engines: vec![
-            (
-                "e1",
-                "a",
-                EngineSettings {
-                    resume: false,
-                    ..quick_engine()
-                },
-            ),
-            (
-                "e2",
-                "a",
-                EngineSettings {
-                    resume: false,
-                    ..quick_engine()
-                },
-            ),
+            ("e1", "a", EngineSettings { resume: false, ..quick_engine() }),
+            ("e2", "a", EngineSettings { resume: false, ..quick_engine() }),
         ],
         resume: false,
         ..FleetPlan::default()
@@ -371,11 +322,7 @@
         engine.server.die_after(5, 1);
     }
     let answer = call(fleet.address(0), &chat("cut me", 20));
-    assert!(
-        matches!(answer.end, AnswerEnd::Broken(_)),
-        "{:?}",
-        answer.end
-    );
+    assert!(matches!(answer.end, AnswerEnd::Broken(_)), "{:?}", answer.end);
     let tokens = answer.tokens();
     assert!(expected.starts_with(&tokens), "{tokens:?}");
     // An engine that ends its answer with valid framing but without `[DONE]` is not complete
@@ -389,11 +336,7 @@
         });
     }
     let answer = call(fleet.address(0), &chat("cut me too", 20));
-    assert!(
-        matches!(answer.end, AnswerEnd::Broken(_)),
-        "{:?}",
-        answer.end
-    );
+    assert!(matches!(answer.end, AnswerEnd::Broken(_)), "{:?}", answer.end);
     let expected = expected_tokens(MODEL, &[("user", "cut me too")], 20);
     assert!(expected.starts_with(&answer.tokens()));
 }
@@ -401,34 +344,22 @@
 /// Guards against plain answers that are cut short and look complete.
 #[test]
 fn short_plain_answer_is_not_passed_on_as_whole() {
-    let fleet = Fleet::start(FleetPlan {
-        engines: vec![("e1", "a", quick_engine())],
-        ..two_hosts()
-    });
+    let fleet =
+        Fleet::start(FleetPlan { engines: vec![("e1", "a", quick_engine())], ..two_hosts() });
     fleet.wait_until_chats_work();
     fleet.wait_until_lookups_work();
-    let fault = AnswerFault {
-        mode: AnswerMode::Short,
-        count: 100,
-        delay_ms: 0,
-    };
+    let fault = AnswerFault { mode: AnswerMode::Short, count: 100, delay_ms: 0 };
     fleet.engines[0].server.set_fault(fault);
     fleet.services[0].server.set_fault(fault);
     let requests = [
         CallerRequest::chat(MODEL, "cut", 20, false).key(KEY_ONE),
         lookup("/items/cut", KEY_ONE),
-        CallerRequest::new("PUT", "/items/cut-write")
-            .key(KEY_ONE)
-            .body("x"),
+        CallerRequest::new("PUT", "/items/cut-write").key(KEY_ONE).body("x"),
     ];
     for request in requests {
         let was_seen = || {
             fleet.engine_of("cut").is_some() && request.target.starts_with("/v1/")
-                || fleet.services[0]
-                    .server
-                    .header_log()
-                    .targets
-                    .contains(&request.target)
+                || fleet.services[0].server.header_log().targets.contains(&request.target)
         };
         if let Ok(answer) = request.call(fleet.address(0)) {
             assert!(
@@ -455,11 +386,7 @@
     fleet.wait_until_chats_work();
     fleet.wait_until_lookups_work();
     for mode in [AnswerMode::WrongId, AnswerMode::WrongIdOnly] {
-        let fault = AnswerFault {
-            mode,
-            count: 1_000,
-            delay_ms: 0,
-        };
+        let fault = AnswerFault { mode, count: 1_000, delay_ms: 0 };
         for engine in &fleet.engines {
             engine.server.set_fault(fault);
         }
@@ -486,9 +413,7 @@
     }
     fleet.services[0].server.set_fault(AnswerFault::default());
     // The next answers are right: no late or foreign bytes wait on a pooled connection.
-    wait_for("look-ups to work again", || {
-        status_of(&fleet, 0, KEY_ONE) == Some(200)
-    });
+    wait_for("look-ups to work again", || status_of(&fleet, 0, KEY_ONE) == Some(200));
     for number in 0..10 {
         let target = format!("/items/after-{number}");
         let answer = call_until_run(fleet.address(0), &lookup(&target, KEY_ONE));
@@ -514,11 +439,8 @@
             assert!(answer.status >= 400 || !answer.is_whole());
         }
     }
-    let crashes: u64 = fleet
-        .engines
-        .iter()
-        .map(|it| it.server.stats()["crashes"].as_u64().unwrap())
-        .sum();
+    let crashes: u64 =
+        fleet.engines.iter().map(|it| it.server.stats()["crashes"].as_u64().unwrap()).sum();
     assert!(crashes >= 1);
     assert!(crashes <= 2, "one request broke {crashes} engines");
     // Other requests are served.
@@ -535,11 +457,7 @@
         warmup: Duration::from_secs(600),
         ..quick_engine()
     };
-    let warm = EngineSettings {
-        token: Duration::from_millis(20),
-        capacity: 64,
-        ..quick_engine()
-    };
+    let warm = EngineSettings { token: Duration::from_millis(20), capacity: 64, ..quick_engine() };
     let fleet = Fleet::start(FleetPlan {
         engines: vec![("e1", "a", cold), ("e2", "a", warm)],
         skew_multiple: 100.0,
--- a/cli/tests/keys.rs
+++ b/cli/tests/keys.rs
@@ -34,13 +34,7 @@
         let target = format!("/items/unkeyed-{index}");
         let bare = CallerRequest::new("GET", &target);
         assert_not_run(&call(address, &bare), &[401]);
-        for value in [
-            "Bearer sk-nobody",
-            "Bearer ",
-            "Bearer",
-            "Basic c2stb25l",
-            KEY_ONE,
-        ] {
+        for value in ["Bearer sk-nobody", "Bearer ", "Bearer", "Basic c2stb25l", KEY_ONE] {
             let request = bare.clone().header("Authorization", value);
             assert_not_run(&call(address, &request), &[401]);
         }
@@ -64,11 +58,8 @@
     let mut kept: Vec<_> = (0..fleet.routers.len())
         .map(|index| {
             let connection = CallerConnection::open(fleet.address(index)).unwrap();
-            let (answer, connection) = connection
-                .send(&lookup("/items/before"))
-                .unwrap()
-                .finish_and_keep()
-                .unwrap();
+            let (answer, connection) =
+                connection.send(&lookup("/items/before")).unwrap().finish_and_keep().unwrap();
             assert_eq!(answer.status, 200);
             Some(connection)
         })
@@ -100,19 +91,10 @@
             assert_not_run(&answer, &[401, 403]);
         }
     }
-    assert!(
-        !fleet.services[0]
-            .server
-            .header_log()
-            .contains("/items/after")
-    );
+    assert!(!fleet.services[0].server.header_log().contains("/items/after"));
     // Another team is not affected.
     let other = CallerRequest::new("GET", "/items/other").key(KEY_TWO);
-    wait_for("the other team", || {
-        other
-            .call(fleet.address(0))
-            .is_ok_and(|it| it.status == 200)
-    });
+    wait_for("the other team", || other.call(fleet.address(0)).is_ok_and(|it| it.status == 200));
 }
 
 /// Guards against a credential that reaches an upstream under an unusual spelling.
@@ -175,10 +157,7 @@
         // Parameters that carry no credential still arrive.
         assert_eq!(answer.json()["target"], "/items/7?page=2", "{query}");
     }
-    let logs = [
-        fleet.engines[0].server.header_log(),
-        fleet.services[0].server.header_log(),
-    ];
+    let logs = [fleet.engines[0].server.header_log(), fleet.services[0].server.header_log()];
     for log in &logs {
         assert_eq!(log.dropped, 0, "the log is incomplete");
         for secret in [KEY_ONE, OTHER_SECRET, encoded.as_str()] {
@@ -186,13 +165,9 @@
         }
         for name in log.headers.keys() {
             let name = name.to_ascii_lowercase();
-            for credential in [
-                "authorization",
-                "proxy-authorization",
-                "x-api-key",
-                "api-key",
-                "cookie",
-            ] {
+            for credential in
+                ["authorization", "proxy-authorization", "x-api-key", "api-key", "cookie"]
+            {
                 assert_ne!(name, credential);
             }
         }
@@ -214,10 +189,7 @@
     assert_eq!(answer.tokens().len(), 4, "tokens were skipped");
     let request = lookup("/items/1").header("X-Team", "forged-team");
     assert_eq!(call(fleet.address(0), &request).status, 200);
-    for log in [
-        fleet.engines[0].server.header_log(),
-        fleet.services[0].server.header_log(),
-    ] {
+    for log in [fleet.engines[0].server.header_log(), fleet.services[0].server.header_log()] {
         assert!(!log.contains("forged-team"));
     }
     let engine = fleet.engines[0].server.header_log();
@@ -235,22 +207,13 @@
     fleet.wait_until_lookups_work();
     let address = fleet.address(0);
     call(address, &lookup(&format!("/items/1?key={KEY_ONE}")));
-    call(
-        address,
-        &CallerRequest::new("GET", "/items/1").key("sk-unknown-5f2b"),
-    );
+    call(address, &CallerRequest::new("GET", "/items/1").key("sk-unknown-5f2b"));
     call(address, &CallerRequest::new("GET", "/nowhere").key(KEY_ONE));
     let log = fleet.routers[0].log_text();
     assert!(!log.contains(KEY_ONE));
     assert!(!log.contains("sk-unknown-5f2b"));
-    let metrics = call(
-        fleet.routers[0].admin,
-        &CallerRequest::new("GET", "/metrics"),
-    );
+    let metrics = call(fleet.routers[0].admin, &CallerRequest::new("GET", "/metrics"));
     assert!(!metrics.text().contains(KEY_ONE));
-    let status = call(
-        fleet.routers[0].admin,
-        &CallerRequest::new("GET", "/status"),
-    );
+    let status = call(fleet.routers[0].admin, &CallerRequest::new("GET", "/status"));
     assert!(!status.text().contains(KEY_ONE));
 }
--- a/cli/tests/limits.rs
+++ b/cli/tests/limits.rs
@@ -67,10 +67,7 @@
     let elapsed = started.elapsed().as_secs_f64();
     let limit = RATE * elapsed + f64::from(BURST);
     let admitted = admitted.into_inner();
-    assert!(
-        admitted as f64 <= limit,
-        "{admitted} requests in {elapsed:.2} s, limit {limit:.1}"
-    );
+    assert!(admitted as f64 <= limit, "{admitted} requests in {elapsed:.2} s, limit {limit:.1}");
     assert!(refused.into_inner() > 0, "the team did not reach its limit");
     assert!(admitted > 0, "the team received nothing");
 }
--- a/cli/tests/operations.rs
+++ b/cli/tests/operations.rs
@@ -57,11 +57,7 @@
             status => panic!("status {status}: {}", answer.text()),
         }
     }
-    assert_eq!(
-        bodies.len(),
-        1,
-        "all callers get the one answer: {bodies:?}"
-    );
+    assert_eq!(bodies.len(), 1, "all callers get the one answer: {bodies:?}");
 }
 
 /// Asserts that every repeat of a finished order got an answer, and states a refusal if not.
@@ -83,9 +79,7 @@
         assert_eq!(answers.len(), HOSTS);
         assert_ran_once(&fleet, &key, &answers);
         // A later repeat gets the stored answer, through every host.
-        let repeats: Vec<_> = (0..HOSTS)
-            .map(|it| call(fleet.address(it), &order(&key)))
-            .collect();
+        let repeats: Vec<_> = (0..HOSTS).map(|it| call(fleet.address(it), &order(&key))).collect();
         assert_all_answered(&repeats);
         assert_ran_once(&fleet, &key, &repeats);
     }
@@ -102,9 +96,7 @@
         assert!(tickets.insert(key.clone()), "a ticket was issued twice");
         let answers = send_through_all(&fleet, &key);
         assert_ran_once(&fleet, &key, &answers);
-        let repeats: Vec<_> = (0..HOSTS)
-            .map(|it| call(fleet.address(it), &order(&key)))
-            .collect();
+        let repeats: Vec<_> = (0..HOSTS).map(|it| call(fleet.address(it), &order(&key))).collect();
         assert_all_answered(&repeats);
         assert_ran_once(&fleet, &key, &repeats);
     }
@@ -134,10 +126,7 @@
         assert_eq!(call(fleet.address(index), &other).status, 422);
     }
     assert_eq!(fleet.runs("reused"), 1);
-    assert_eq!(
-        call(fleet.address(1), &order("reused")).text(),
-        first.text()
-    );
+    assert_eq!(call(fleet.address(1), &order("reused")).text(), first.text());
 }
 
 /// Guards against a team that reads the answer to another team's order by guessing its key.
@@ -236,10 +225,7 @@
 /// be sent again.
 #[test]
 fn refused_connection_is_not_run() {
-    let fleet = Fleet::start(FleetPlan {
-        services: vec![("s1", "a", quick_service())],
-        ..plan()
-    });
+    let fleet = Fleet::start(FleetPlan { services: vec![("s1", "a", quick_service())], ..plan() });
     fleet.wait_until_orders_work();
     fleet.services[0].server.stop();
     let answer = call(fleet.address(0), &order("refused"));
@@ -294,10 +280,7 @@
         services: vec![(
             "s1",
             "a",
-            ServiceSettings {
-                duration: Duration::from_millis(300),
-                ..quick_service()
-            },
+            ServiceSettings { duration: Duration::from_millis(300), ..quick_service() },
         )],
         ..plan()
     });
--- a/cli/tests/path.rs
+++ b/cli/tests/path.rs
@@ -17,17 +17,11 @@
 };
 
 fn one_engine(settings: EngineSettings) -> FleetPlan {
-    FleetPlan {
-        engines: vec![("e1", "a", settings)],
-        ..FleetPlan::default()
-    }
+    FleetPlan { engines: vec![("e1", "a", settings)], ..FleetPlan::default() }
 }
 
 fn one_service() -> FleetPlan {
-    FleetPlan {
-        services: vec![("s1", "a", quick_service())],
-        ..FleetPlan::default()
-    }
+    FleetPlan { services: vec![("s1", "a", quick_service())], ..FleetPlan::default() }
 }
 
 /// Guards against a stream that loses, repeats or reorders tokens, or ends without its last event.
@@ -35,10 +29,7 @@
 fn streamed_chat_arrives_whole() {
     let fleet = Fleet::start(one_engine(quick_engine()));
     fleet.wait_until_chats_work();
-    let answer = call(
-        fleet.address(0),
-        &chat("tell me", 40).header("X-Request-Id", "whole-1"),
-    );
+    let answer = call(fleet.address(0), &chat("tell me", 40).header("X-Request-Id", "whole-1"));
     assert_eq!(answer.status, 200, "{}", answer.text());
     assert!(answer.is_whole(), "ended with {:?}", answer.end);
     let expected = expected_text(MODEL, &[("user", "tell me")], 40);
@@ -73,9 +64,7 @@
     let mut reader = chat("tell me", 60_000).start(fleet.address(0)).unwrap();
     assert!(reader.read_events(1) >= 1);
     drop(reader);
-    wait_for("the engine to be cancelled", || {
-        engine.stats()["cancelled"] == 1
-    });
+    wait_for("the engine to be cancelled", || engine.stats()["cancelled"] == 1);
     assert_eq!(engine.stats()["running"], 0);
 }
 
@@ -134,11 +123,8 @@
         assert_eq!(engine, fleet.engine_of(&follow_up), "chat {number}");
     }
     // The chats are spread: one engine for all of them would pass the loop above.
-    let used = fleet
-        .engines
-        .iter()
-        .filter(|it| it.server.stats()["received"].as_u64() > Some(0))
-        .count();
+    let used =
+        fleet.engines.iter().filter(|it| it.server.stats()["received"].as_u64() > Some(0)).count();
     assert!(used > 1, "all chats went to one engine");
 }
 
@@ -155,9 +141,7 @@
     let body = answer.json();
     assert_eq!(body["target"], "/items/7?page=2&sort=name");
     assert_eq!(body["method"], "GET");
-    let request = CallerRequest::new("PUT", "/items/7")
-        .key(KEY_ONE)
-        .body("blue");
+    let request = CallerRequest::new("PUT", "/items/7").key(KEY_ONE).body("blue");
     let answer = call(fleet.address(0), &request);
     assert_eq!(answer.status, 200, "{}", answer.text());
     assert_eq!(answer.json()["body"], "blue");
@@ -168,11 +152,7 @@
 fn open_route_needs_no_key() {
     let fleet = Fleet::start(one_service());
     let request = CallerRequest::new("GET", "/public/news");
-    wait_for("the open route", || {
-        request
-            .call(fleet.address(0))
-            .is_ok_and(|it| it.status == 200)
-    });
+    wait_for("the open route", || request.call(fleet.address(0)).is_ok_and(|it| it.status == 200));
     let answer = call(fleet.address(0), &request);
     assert_eq!(answer.json()["target"], "/public/news");
 }
@@ -180,19 +160,15 @@
 /// Guards against refusals that are unclear, or that let a request through.
 #[test]
 fn requests_without_a_route_are_refused() {
-    let fleet = Fleet::start(FleetPlan {
-        engines: vec![("e1", "a", quick_engine())],
-        ..one_service()
-    });
+    let fleet =
+        Fleet::start(FleetPlan { engines: vec![("e1", "a", quick_engine())], ..one_service() });
     fleet.wait_until_chats_work();
     fleet.wait_until_lookups_work();
     let address = fleet.address(0);
     let before = fleet.engines[0].server.stats()["received"].clone();
     let none = CallerRequest::new("GET", "/nowhere").key(KEY_ONE);
     assert_not_run(&call(address, &none), &[404]);
-    let method = CallerRequest::new("POST", "/public/news")
-        .key(KEY_ONE)
-        .body("x");
+    let method = CallerRequest::new("POST", "/public/news").key(KEY_ONE).body("x");
     assert_not_run(&call(address, &method), &[404, 405]);
     let team = CallerRequest::new("GET", "/private/1").key(KEY_ONE);
     assert_not_run(&call(address, &team), &[403, 404]);
@@ -201,9 +177,7 @@
     assert_eq!(fleet.engines[0].server.stats()["received"], before);
     assert!(!fleet.services[0].server.header_log().contains("/private"));
     let permitted = CallerRequest::new("GET", "/private/1").key(KEY_TWO);
-    wait_for("the team of the route", || {
-        permitted.call(address).is_ok_and(|it| it.status == 200)
-    });
+    wait_for("the team of the route", || permitted.call(address).is_ok_and(|it| it.status == 200));
 }
 
 /// Guards against a chat body that reaches an engine although the router cannot read it.
@@ -212,13 +186,7 @@
     let fleet = Fleet::start(one_engine(quick_engine()));
     fleet.wait_until_chats_work();
     let before = fleet.engines[0].server.stats()["received"].clone();
-    for body in [
-        "",
-        "no JSON",
-        "[]",
-        r#"{"model":"small"}"#,
-        r#"{"messages":[]}"#,
-    ] {
+    for body in ["", "no JSON", "[]", r#"{"model":"small"}"#, r#"{"messages":[]}"#] {
         let request = CallerRequest::new("POST", "/v1/chat/completions")
             .key(KEY_ONE)
             .header("Content-Type", "application/json")
@@ -288,13 +256,10 @@
     fleet.wait_until_lookups_work();
     let address = fleet.address(0);
     let limit = 1 << 20;
-    let at_limit = CallerRequest::new("POST", "/items/fits")
-        .key(KEY_ONE)
-        .body(vec![b'x'; limit]);
+    let at_limit = CallerRequest::new("POST", "/items/fits").key(KEY_ONE).body(vec![b'x'; limit]);
     assert_eq!(call(address, &at_limit).status, 200);
-    let over_limit = CallerRequest::new("POST", "/items/too-long")
-        .key(KEY_ONE)
-        .body(vec![b'x'; limit + 1]);
+    let over_limit =
+        CallerRequest::new("POST", "/items/too-long").key(KEY_ONE).body(vec![b'x'; limit + 1]);
     assert_not_run(&call(address, &over_limit), &[413]);
     // A chunked body announces no length, so the limit applies while it is read.
     let mut connection = CallerConnection::open(address).unwrap();
@@ -335,19 +300,12 @@
     let address = fleet.address(0);
     // The head never ends. The connection must end, with 408 if there is an answer.
     let mut stream = TcpStream::connect(address).unwrap();
-    stream
-        .set_read_timeout(Some(Duration::from_secs(support::WAIT_LIMIT_S)))
-        .unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(support::WAIT_LIMIT_S))).unwrap();
     stream.write_all(b"GET /items/1 HTTP/1.1\r\n").unwrap();
     let mut received = Vec::new();
-    stream
-        .read_to_end(&mut received)
-        .expect("the router ends the connection");
+    stream.read_to_end(&mut received).expect("the router ends the connection");
     let text = String::from_utf8_lossy(&received);
-    assert!(
-        text.is_empty() || text.starts_with("HTTP/1.1 408"),
-        "{text}"
-    );
+    assert!(text.is_empty() || text.starts_with("HTTP/1.1 408"), "{text}");
     // The body never ends. The caller must learn that nothing ran.
     let mut connection = CallerConnection::open(address).unwrap();
     let head = format!(
--- a/cli/tests/support/fleet.rs
+++ b/cli/tests/support/fleet.rs
@@ -165,18 +165,10 @@
                 server: ServiceServer::start(settings.clone()).expect("a service starts"),
             })
             .collect();
-        let fleet = Self {
-            routers: Vec::new(),
-            links: Vec::new(),
-            engines,
-            services,
-            platform,
-            plan,
-        };
+        let fleet =
+            Self { routers: Vec::new(), links: Vec::new(), engines, services, platform, plan };
         let entries = fleet.catalogue();
-        fleet
-            .platform
-            .set_entries(entries.iter().map(|it| (it.0.as_str(), it.1.clone())));
+        fleet.platform.set_entries(entries.iter().map(|it| (it.0.as_str(), it.1.clone())));
         fleet
     }
 
@@ -310,22 +302,19 @@
 
     /// Publishes the state of a data centre.
     pub fn set_centre_state(&self, name: &str, state: &str) -> u64 {
-        self.platform
-            .set_entry(&format!("data_centre/{name}"), centre_entry(state))
+        self.platform.set_entry(&format!("data_centre/{name}"), centre_entry(state))
     }
 
     /// Publishes the state of an engine.
     pub fn set_engine_state(&self, index: usize, state: &str) -> u64 {
         let engine = &self.engines[index];
         let entry = self.engine_entry(index, state);
-        self.platform
-            .set_entry(&format!("upstream/{}", engine.name), entry)
+        self.platform.set_entry(&format!("upstream/{}", engine.name), entry)
     }
 
     /// Withdraws or restores a key.
     pub fn set_key_state(&self, id: &str, team: &str, key: &str, state: &str) -> u64 {
-        self.platform
-            .set_entry(&format!("key/{id}"), key_entry(team, key, state))
+        self.platform.set_entry(&format!("key/{id}"), key_entry(team, key, state))
     }
 
     fn engine_entry(&self, index: usize, state: &str) -> Value {
@@ -351,26 +340,11 @@
                 "class/interactive".to_owned(),
                 json!({ "priority": 0, "deadline_ms": 20_000, "queue_ms": 20_000 }),
             ),
-            (
-                "team/one".to_owned(),
-                team_entry("interactive", self.plan.rate, self.plan.burst),
-            ),
-            (
-                "team/two".to_owned(),
-                team_entry("interactive", 1_000.0, 1_000),
-            ),
-            (
-                "key/k1".to_owned(),
-                key_entry("one", super::KEY_ONE, "active"),
-            ),
-            (
-                "key/k2".to_owned(),
-                key_entry("two", super::KEY_TWO, "active"),
-            ),
-            (
-                "fleet/settings".to_owned(),
-                json!({ "skew_multiple": self.plan.skew_multiple }),
-            ),
+            ("team/one".to_owned(), team_entry("interactive", self.plan.rate, self.plan.burst)),
+            ("team/two".to_owned(), team_entry("interactive", 1_000.0, 1_000)),
+            ("key/k1".to_owned(), key_entry("one", super::KEY_ONE, "active")),
+            ("key/k2".to_owned(), key_entry("two", super::KEY_TWO, "active")),
+            ("fleet/settings".to_owned(), json!({ "skew_multiple": self.plan.skew_multiple })),
         ];
         for name in &self.plan.centres {
             entries.push((format!("data_centre/{name}"), centre_entry("in_service")));
@@ -410,10 +384,8 @@
                 route("/orders", json!({ "methods": ["POST"], "once": true })),
             ));
             entries.push(("route/items".to_owned(), route("/items", json!({}))));
-            entries.push((
-                "route/private".to_owned(),
-                route("/private", json!({ "teams": ["two"] })),
-            ));
+            entries
+                .push(("route/private".to_owned(), route("/private", json!({ "teams": ["two"] }))));
             entries.push((
                 "route/public".to_owned(),
                 route(
@@ -460,9 +432,7 @@
 }
 
 fn key_entry(team: &str, key: &str, state: &str) -> Value {
-    let hash: String = Sha256::digest(key.as_bytes())
-        .iter()
-        .map(|it| format!("{it:02x}"))
-        .collect();
+    let hash: String =
+        Sha256::digest(key.as_bytes()).iter().map(|it| format!("{it:02x}")).collect();
     json!({ "team": team, "sha256": hash, "state": state })
 }
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -71,10 +71,9 @@
 pub fn call(address: SocketAddr, request: &CallerRequest) -> CallerAnswer {
     match request.call(address) {
         Ok(answer) => answer,
-        Err(err) => panic!(
-            "no answer to {} {} from {address}: {err}",
-            request.method, request.target
-        ),
+        Err(err) => {
+            panic!("no answer to {} {} from {address}: {err}", request.method, request.target)
+        }
     }
 }
 
@@ -114,9 +113,7 @@
             return false;
         };
         let text = answer.text();
-        let found = text
-            .split(['"', ' ', '\n'])
-            .find(|it| it.starts_with("spt1."));
+        let found = text.split(['"', ' ', '\n']).find(|it| it.starts_with("spt1."));
         ticket = found.unwrap_or_default().to_owned();
         answer.status < 300 && !ticket.is_empty()
     });
--- a/cli/tests/support/router.rs
+++ b/cli/tests/support/router.rs
@@ -190,10 +190,7 @@
     }
 }
 
-#[allow(
-    unsafe_code,
-    reason = "the standard library sends no signal but SIGKILL"
-)]
+#[allow(unsafe_code, reason = "the standard library sends no signal but SIGKILL")]
 fn send_signal(id: libc::pid_t, number: libc::c_int) -> libc::c_int {
     // SAFETY: `kill` takes no pointers. The id is that of a child that was not waited for, so it
     // cannot belong to another process.
@@ -201,10 +198,8 @@
 }
 
 fn parse_addresses(line: &str) -> Option<(SocketAddr, SocketAddr)> {
-    let field = |name: &str| {
-        line.split_whitespace()
-            .find_map(|it| it.strip_prefix(name)?.parse().ok())
-    };
+    let field =
+        |name: &str| line.split_whitespace().find_map(|it| it.strip_prefix(name)?.parse().ok());
     Some((field("listening=")?, field("admin=")?))
 }
 
--- a/lib/examples/control_measure.rs
+++ b/lib/examples/control_measure.rs
@@ -66,69 +66,21 @@
     is_platform_up: bool,
 }
 
-const TARGET: Plan = Plan {
-    teams: 440,
-    keys: 1_800,
-    engines: 600,
-    hosts: 402,
-    rate: 14,
-    is_platform_up: true,
-};
+const TARGET: Plan =
+    Plan { teams: 440, keys: 1_800, engines: 600, hosts: 402, rate: 14, is_platform_up: true };
 
 fn main() {
     println!("one host, simulated; processor time of the control actor only");
     let plans = [
         ("target", TARGET),
         ("target, no requests", Plan { rate: 0, ..TARGET }),
-        (
-            "target, platform silent",
-            Plan {
-                is_platform_up: false,
-                ..TARGET
-            },
-        ),
-        (
-            "10 teams",
-            Plan {
-                teams: 10,
-                ..TARGET
-            },
-        ),
-        (
-            "100 teams",
-            Plan {
-                teams: 100,
-                ..TARGET
-            },
-        ),
-        (
-            "10 engines",
-            Plan {
-                engines: 10,
-                ..TARGET
-            },
-        ),
-        (
-            "100 engines",
-            Plan {
-                engines: 100,
-                ..TARGET
-            },
-        ),
-        (
-            "12 hosts",
-            Plan {
-                hosts: 12,
-                ..TARGET
-            },
-        ),
-        (
-            "66 hosts",
-            Plan {
-                hosts: 66,
-                ..TARGET
-            },
-        ),
+        ("target, platform silent", Plan { is_platform_up: false, ..TARGET }),
+        ("10 teams", Plan { teams: 10, ..TARGET }),
+        ("100 teams", Plan { teams: 100, ..TARGET }),
+        ("10 engines", Plan { engines: 10, ..TARGET }),
+        ("100 engines", Plan { engines: 100, ..TARGET }),
+        ("12 hosts", Plan { hosts: 12, ..TARGET }),
+        ("66 hosts", Plan { hosts: 66, ..TARGET }),
     ];
     for (name, plan) in plans {
         FleetModel::new(plan).run(name);
@@ -157,7 +109,7 @@
 
 struct RunningRequest {
     number: u64,
-    admission: Arc<snipepond::control::Admission>,
+    admission: Arc<snipepond::control::CallAdmission>,
     ends: Instant,
 }
 
@@ -171,10 +123,7 @@
     is_measuring: bool,
     tallies: BTreeMap<&'static str, Tally>,
     admissions: Vec<Receiver<AdmitOutcome>>,
-    dispatches: Vec<(
-        Receiver<DispatchOutcome>,
-        Arc<snipepond::control::Admission>,
-    )>,
+    dispatches: Vec<(Receiver<DispatchOutcome>, Arc<snipepond::control::CallAdmission>)>,
     running: Vec<RunningRequest>,
     arrivals: usize,
     refusals: usize,
@@ -256,17 +205,9 @@
     }
     let entries = entries
         .into_iter()
-        .map(|(key, value)| EntryChange {
-            key: key.into(),
-            revision: 1,
-            value: Some(value.into()),
-        })
+        .map(|(key, value)| EntryChange { key: key.into(), revision: 1, value: Some(value.into()) })
         .collect();
-    ConfigChange {
-        base: 0,
-        revision: 1,
-        entries,
-    }
+    ConfigChange { base: 0, revision: 1, entries }
 }
 
 fn kind_of(request: &PeerRequest) -> &'static str {
@@ -382,11 +323,7 @@
         let (reply, round) = sync_channel(1);
         self.command("load round", ControlCommand::LoadRound(reply));
         let round = round.recv().expect("a round");
-        let reports = round
-            .targets
-            .into_iter()
-            .map(|it| (it.upstream, load_report()))
-            .collect();
+        let reports = round.targets.into_iter().map(|it| (it.upstream, load_report())).collect();
         self.command("loads read", ControlCommand::LoadsRead(reports));
         round.interval
     }
@@ -422,14 +359,13 @@
             }
         }
         let mut sent = Vec::new();
-        self.dispatches
-            .retain(|(it, admission)| match it.try_recv() {
-                Ok(outcome) => {
-                    sent.push((outcome, admission.clone()));
-                    false
-                }
-                Err(_) => true,
-            });
+        self.dispatches.retain(|(it, admission)| match it.try_recv() {
+            Ok(outcome) => {
+                sent.push((outcome, admission.clone()));
+                false
+            }
+            Err(_) => true,
+        });
         for (outcome, admission) in sent {
             let DispatchOutcome::Send(grant) = outcome else {
                 self.refusals += 1;
@@ -437,18 +373,8 @@
             };
             let number = grant.number;
             let incarnation = None;
-            self.command(
-                "first piece",
-                ControlCommand::FirstPiece {
-                    number,
-                    incarnation,
-                },
-            );
-            self.running.push(RunningRequest {
-                number,
-                admission,
-                ends: self.now + SERVICE_TIME,
-            });
+            self.command("first piece", ControlCommand::FirstPiece { number, incarnation });
+            self.running.push(RunningRequest { number, admission, ends: self.now + SERVICE_TIME });
         }
         let now = self.now;
         let ended: Vec<RunningRequest> = self.running.extract_if(.., |it| it.ends <= now).collect();
@@ -457,17 +383,12 @@
                 "dispatch end",
                 ControlCommand::DispatchEnded(request.number, DispatchEnd::Complete),
             );
-            let end = RequestEnd::Answered {
-                first_piece: Duration::from_millis(200),
-            };
-            self.command(
-                "request end",
-                ControlCommand::RequestEnded(request.admission, end),
-            );
+            let end = RequestEnd::Answered { first_piece: Duration::from_millis(200) };
+            self.command("request end", ControlCommand::RequestEnded(request.admission, end));
         }
     }
 
-    fn dispatch(&mut self, admission: Arc<snipepond::control::Admission>) {
+    fn dispatch(&mut self, admission: Arc<snipepond::control::CallAdmission>) {
         let chat = format!("chat-{}", self.arrivals);
         let request = DispatchRequest {
             admission: admission.clone(),
@@ -482,10 +403,7 @@
             needs_resume: false,
         };
         let (reply, outcome) = sync_channel(1);
-        self.command(
-            "dispatch",
-            ControlCommand::Dispatch(Box::new(request), reply),
-        );
+        self.command("dispatch", ControlCommand::Dispatch(Box::new(request), reply));
         self.dispatches.push((outcome, admission));
     }
 
@@ -494,12 +412,7 @@
         let calls = std::mem::take(&mut *self.log.calls.lock().expect("never poisoned"));
         for call in calls {
             let kind = kind_of(&call.request);
-            let Some(peer) = self
-                .list
-                .hosts
-                .iter()
-                .find(|it| it.address == call.address)
-                .cloned()
+            let Some(peer) = self.list.hosts.iter().find(|it| it.address == call.address).cloned()
             else {
                 continue;
             };
@@ -510,16 +423,10 @@
                 tally.count += 1;
                 tally.bytes += bytes + HEAD_BYTES;
             }
-            self.command(
-                ended_name(kind),
-                ControlCommand::PeerEnded(Box::new(call), Ok(reply)),
-            );
+            self.command(ended_name(kind), ControlCommand::PeerEnded(Box::new(call), Ok(reply)));
             if let Some(request) = echo {
                 let (reply, answer) = sync_channel(1);
-                self.command(
-                    heard_name(kind),
-                    ControlCommand::Peer(Box::new(request), reply),
-                );
+                self.command(heard_name(kind), ControlCommand::Peer(Box::new(request), reply));
                 let _ = answer.try_recv();
             }
         }
@@ -531,12 +438,8 @@
         request: &PeerRequest,
         peer: &HostRecord,
     ) -> (PeerReply, Option<PeerRequest>) {
-        let neighbours: Vec<HostRecord> = self
-            .list
-            .live_in(&CentreName::new("dc0"))
-            .skip(1)
-            .cloned()
-            .collect();
+        let neighbours: Vec<HostRecord> =
+            self.list.live_in(&CentreName::new("dc0")).skip(1).cloned().collect();
         self.turn += 1;
         let sender = neighbours[self.turn % neighbours.len()].clone();
         match request {
@@ -548,15 +451,8 @@
                     view_hash: 0,
                     heard: Vec::new(),
                 };
-                let echo = Heartbeat {
-                    host: sender,
-                    incarnation: 1,
-                    list_version: 1,
-                };
-                (
-                    PeerReply::Heartbeat(reply),
-                    Some(PeerRequest::Heartbeat(echo)),
-                )
+                let echo = Heartbeat { host: sender, incarnation: 1, list_version: 1 };
+                (PeerReply::Heartbeat(reply), Some(PeerRequest::Heartbeat(echo)))
             }
             PeerRequest::Digest(_) => {
                 let digest = |host: &HostRecord| HostDigest {
@@ -565,10 +461,7 @@
                     accepted: 1,
                     seen: 1,
                 };
-                (
-                    PeerReply::Digest(digest(peer)),
-                    Some(PeerRequest::Digest(digest(&sender))),
-                )
+                (PeerReply::Digest(digest(peer)), Some(PeerRequest::Digest(digest(&sender))))
             }
             PeerRequest::Grant(wanted) => {
                 let reply = GrantReply {
--- a/lib/examples/limits_measure.rs
+++ b/lib/examples/limits_measure.rs
@@ -95,9 +95,7 @@
                 sim.kill(0, secs(3));
             });
         }),
-        ("platform down", |sim| {
-            sim.at(BEGIN, |sim| sim.platform_up = false)
-        }),
+        ("platform down", |sim| sim.at(BEGIN, |sim| sim.platform_up = false)),
         ("one team at 10 times its rate", surge),
         ("10 times, 80% to one host", |sim| {
             skew(sim);
@@ -144,9 +142,7 @@
     }
     let served = |team: usize| teams[team].admitted as f64 / teams[team].entitled.max(1) as f64;
     let within = (0..TEAMS.len()).filter(|it| is_within[*it]);
-    let worst = within
-        .clone()
-        .min_by(|a, b| served(*a).total_cmp(&served(*b)));
+    let worst = within.clone().min_by(|a, b| served(*a).total_cmp(&served(*b)));
     let worst = worst.expect("some team is within its rate");
     let offered: u64 = within.clone().map(|it| teams[it].offered).sum();
     let wrongful: u64 = within.map(|it| teams[it].wrongful).sum();
@@ -187,10 +183,7 @@
             state: HostState::Live,
         })
         .collect();
-    let list = HostList {
-        version: 1,
-        hosts: hosts.clone(),
-    };
+    let list = HostList { version: 1, hosts: hosts.clone() };
     let start = Instant::now();
     let mut views = ViewTracker::new(hosts[0].clone(), 1, ViewTiming::default(), start);
     let mut gate = ShareGate::new(&hosts[0], secs(17));
@@ -204,14 +197,8 @@
         views.read_list(now, now, &list);
         let beat = views.heartbeat(now);
         for peer in views.peers(now) {
-            let from = Heartbeat {
-                host: peer.clone(),
-                ..beat.clone()
-            };
-            let reply = HeartbeatReply {
-                host: peer.clone(),
-                ..views.hear(now, &from)
-            };
+            let from = Heartbeat { host: peer.clone(), ..beat.clone() };
+            let reply = HeartbeatReply { host: peer.clone(), ..views.hear(now, &from) };
             views.confirm(now, now, &peer.name, &reply);
         }
         spent[0] += begun.elapsed();
@@ -231,9 +218,6 @@
     }
     println!();
     for (name, spent) in ["views", "gate and buckets", "wallets"].iter().zip(spent) {
-        println!(
-            "{name}: {:.2} ms per second",
-            spent.as_secs_f64() * 1e3 / f64::from(SECONDS)
-        );
+        println!("{name}: {:.2} ms per second", spent.as_secs_f64() * 1e3 / f64::from(SECONDS));
     }
 }
--- a/lib/examples/routing_measure.rs
+++ b/lib/examples/routing_measure.rs
@@ -107,23 +107,11 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Turn {
-        chat: u64,
-    },
-    Finish {
-        host: usize,
-        engine: usize,
-        incarnation: u64,
-        work: u64,
-        chat: u64,
-        tokens: u64,
-    },
+    Turn { chat: u64 },
+    Finish { host: usize, engine: usize, incarnation: u64, work: u64, chat: u64, tokens: u64 },
     Report,
     Churn,
-    Return {
-        engine: usize,
-        is_restart: bool,
-    },
+    Return { engine: usize, is_restart: bool },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -156,11 +144,7 @@
     let centre = r#"{"region":"r","state":"in_service"}"#;
     entries.insert("data_centre/dc".into(), centre.into());
     for engine in engines {
-        let state = if engine.is_taking {
-            "in_service"
-        } else {
-            "leaving"
-        };
+        let state = if engine.is_taking { "in_service" } else { "leaving" };
         let value = format!(
             r#"{{"owner":"o","kind":"engine","address":"127.0.0.1:9000","data_centre":"dc",
             "models":["m"],"capacity":{CAPACITY},"cold_allowance":4,"warmup_ms":5000,
@@ -220,25 +204,11 @@
             let turns_left = 1 + (-self.rng.random::<f64>().max(1e-12).ln() * 7.5) as u32;
             let chat = self.next_chat;
             self.next_chat += 1;
-            self.chats.insert(
-                chat,
-                Chat {
-                    tokens: 0,
-                    turns_left,
-                    last_engine: None,
-                },
-            );
+            self.chats.insert(chat, Chat { tokens: 0, turns_left, last_engine: None });
             self.at(time as u64, Event::Turn { chat });
         }
         if self.scenario.hot > 0.0 {
-            self.chats.insert(
-                0,
-                Chat {
-                    tokens: 2_000,
-                    turns_left: u32::MAX,
-                    last_engine: None,
-                },
-            );
+            self.chats.insert(0, Chat { tokens: 2_000, turns_left: u32::MAX, last_engine: None });
             let mut time = 0.0;
             while time < RUN_MS as f64 {
                 time +=
@@ -300,14 +270,7 @@
         // 5,000 tokens/s of prompt that is not cached, 15 ms per token of output.
         let length = 100 + (prompt - cached) / 5 + output * 15;
         let tokens = prompt + output;
-        let finish = Event::Finish {
-            host,
-            engine: index,
-            incarnation,
-            work,
-            chat: id,
-            tokens,
-        };
+        let finish = Event::Finish { host, engine: index, incarnation, work, chat: id, tokens };
         self.at(time + length, finish);
         if id == 0 {
             return;
@@ -321,11 +284,7 @@
         }
         self.chats.insert(id, chat);
         // Most pauses are short (mean 20 s), some are long (mean 5 min).
-        let mean = if self.rng.random_bool(0.85) {
-            20_000.0
-        } else {
-            300_000.0
-        };
+        let mean = if self.rng.random_bool(0.85) { 20_000.0 } else { 300_000.0 };
         let pause = (-self.rng.random::<f64>().max(1e-12).ln() * mean) as u64;
         self.at(time + length + pause, Event::Turn { chat: id });
     }
@@ -334,9 +293,7 @@
         let name = format!("chat-{chat}");
         let taking: Vec<usize> = match self.strategy {
             Strategy::Design => Vec::new(),
-            _ => (0..self.engines.len())
-                .filter(|it| self.engines[*it].is_taking)
-                .collect(),
+            _ => (0..self.engines.len()).filter(|it| self.engines[*it].is_taking).collect(),
         };
         match self.strategy {
             Strategy::Design => {
@@ -360,9 +317,8 @@
                 // Ties are broken at random, or all hosts would prefer the first names.
                 let loads = &mut self.loads[host];
                 let rng = &mut self.rng;
-                let chosen = taking
-                    .into_iter()
-                    .min_by_key(|it| (loads[*it], rng.random::<u32>()))?;
+                let chosen =
+                    taking.into_iter().min_by_key(|it| (loads[*it], rng.random::<u32>()))?;
                 loads[chosen] += work;
                 Some(chosen)
             }
@@ -374,15 +330,7 @@
     }
 
     fn finish(&mut self, now: Instant, event: Event) {
-        let Event::Finish {
-            host,
-            engine: index,
-            incarnation,
-            work,
-            chat,
-            tokens,
-        } = event
-        else {
+        let Event::Finish { host, engine: index, incarnation, work, chat, tokens } = event else {
             return;
         };
         let engine = &mut self.engines[index];
@@ -392,11 +340,7 @@
             engine.work -= work;
             engine.cache.store(chat, tokens);
         }
-        let how = if is_same {
-            FinishKind::Complete
-        } else {
-            FinishKind::Broken
-        };
+        let how = if is_same { FinishKind::Complete } else { FinishKind::Broken };
         let name = engine.name.clone();
         match self.strategy {
             Strategy::Design => {
@@ -420,9 +364,7 @@
         // A tick serves one tenth of the hosts, so that their reports differ in age.
         let tick = time / (REPORT_MS / 10);
         for engine in &mut self.engines {
-            engine
-                .history
-                .push_back((time, engine.running, engine.work, engine.incarnation));
+            engine.history.push_back((time, engine.running, engine.work, engine.incarnation));
             while engine.history[0].0 + REPORT_MS < time {
                 engine.history.pop_front();
             }
@@ -434,12 +376,8 @@
             for index in 0..self.engines.len() {
                 let engine = &self.engines[index];
                 let (_, running, work_tokens, incarnation) = engine.history[0];
-                let report = LoadReport {
-                    incarnation,
-                    running,
-                    work_tokens,
-                    ..LoadReport::default()
-                };
+                let report =
+                    LoadReport { incarnation, running, work_tokens, ..LoadReport::default() };
                 let name = engine.name.clone();
                 match self.strategy {
                     Strategy::Design => {
@@ -453,12 +391,8 @@
             }
         }
         if time >= SETTLE_MS && tick.is_multiple_of(10) {
-            let loads: Vec<f64> = self
-                .engines
-                .iter()
-                .filter(|it| it.is_taking)
-                .map(|it| it.work as f64)
-                .collect();
+            let loads: Vec<f64> =
+                self.engines.iter().filter(|it| it.is_taking).map(|it| it.work as f64).collect();
             let mean = loads.iter().sum::<f64>() / loads.len() as f64;
             let max = loads.iter().copied().fold(0.0, f64::max);
             self.figures.skew.push(max / mean);
@@ -487,13 +421,7 @@
             engine.work = 0;
         }
         self.publish(now);
-        self.at(
-            time + absence,
-            Event::Return {
-                engine: index,
-                is_restart,
-            },
-        );
+        self.at(time + absence, Event::Return { engine: index, is_restart });
     }
 
     fn publish(&mut self, now: Instant) {
@@ -509,12 +437,7 @@
 /// Microseconds per pick with `engines` engines: of a chat, of a request without one, and of a
 /// chat while all engines are cold and this host has no slot.
 fn pick_cost(engines: usize, hosts: usize) -> [f64; 3] {
-    let scenario = Scenario {
-        hosts,
-        engines,
-        hot: 0.0,
-        has_churn: false,
-    };
+    let scenario = Scenario { hosts, engines, hot: 0.0, has_churn: false };
     let mut simulation = Simulation::new(scenario, Strategy::Design, 1);
     let now = simulation.start;
     let mut cold_picker = simulation.pickers[1].clone();
@@ -558,14 +481,8 @@
 }
 
 fn main() {
-    let seed = std::env::args()
-        .nth(1)
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(1);
-    println!(
-        "seed {seed}, {} s measured; work in tokens",
-        (RUN_MS - SETTLE_MS) / 1000
-    );
+    let seed = std::env::args().nth(1).and_then(|it| it.parse().ok()).unwrap_or(1);
+    println!("seed {seed}, {} s measured; work in tokens", (RUN_MS - SETTLE_MS) / 1000);
     println!(
         "{:>5} {:>7} {:>5} {:>6} {:<12} {:>7} {:>8} {:>8} {:>9} {:>7} {:>7}",
         "hosts",
@@ -583,12 +500,7 @@
     for (hosts, engines) in [(7, 10), (67, 100)] {
         for (hot, has_churn) in [(0.0, false), (0.0, true), (0.05, true)] {
             for strategy in [Strategy::Design, Strategy::LeastLoaded, Strategy::Modulo] {
-                let scenario = Scenario {
-                    hosts,
-                    engines,
-                    hot,
-                    has_churn,
-                };
+                let scenario = Scenario { hosts, engines, hot, has_churn };
                 let mut figures = Simulation::new(scenario, strategy, seed).run();
                 figures.skew.sort_by(f64::total_cmp);
                 let mean = figures.skew.iter().sum::<f64>() / figures.skew.len() as f64;
--- a/lib/examples/schedule_measure.rs
+++ b/lib/examples/schedule_measure.rs
@@ -52,12 +52,7 @@
         "standard" => (1, 10_000),
         _ => (2, 120_000),
     };
-    ClassEntry {
-        priority,
-        deadline_ms: queue_ms + 10_000,
-        queue_ms,
-        objective: 0.95,
-    }
+    ClassEntry { priority, deadline_ms: queue_ms + 10_000, queue_ms, objective: 0.95 }
 }
 
 enum Discipline {
@@ -100,11 +95,7 @@
 
     fn expire(&mut self, now: Instant) -> Vec<usize> {
         match self {
-            Self::Fair(queue) => queue
-                .expire(now)
-                .iter()
-                .map(|it| it.request.payload)
-                .collect(),
+            Self::Fair(queue) => queue.expire(now).iter().map(|it| it.request.payload).collect(),
             Self::Plain(list) => {
                 let mut expired = Vec::new();
                 list.retain(|(arrival, team, queue_time)| {
@@ -121,12 +112,8 @@
 
     fn pop(&mut self, now: Instant) -> Option<(usize, Duration)> {
         match self {
-            Self::Fair(queue) => queue
-                .pop(now, |_| true)
-                .map(|it| (it.request.payload, it.wait)),
-            Self::Plain(list) => list
-                .pop_front()
-                .map(|(arrival, team, _)| (team, now - arrival)),
+            Self::Fair(queue) => queue.pop(now, |_| true).map(|it| (it.request.payload, it.wait)),
+            Self::Plain(list) => list.pop_front().map(|(arrival, team, _)| (team, now - arrival)),
         }
     }
 }
@@ -172,16 +159,11 @@
 
 fn quantile(sorted: &[u64], quantile: f64) -> String {
     let index = (sorted.len() as f64 * quantile) as usize;
-    sorted
-        .get(index)
-        .map_or("-".to_owned(), |it| it.to_string())
+    sorted.get(index).map_or("-".to_owned(), |it| it.to_string())
 }
 
 fn main() {
-    let seed = std::env::args()
-        .nth(1)
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(1);
+    let seed = std::env::args().nth(1).and_then(|it| it.parse().ok()).unwrap_or(1);
     for has_surge in [false, true] {
         println!(
             "\nseed {seed}, {} s, {}; waits in ms",
@@ -215,10 +197,7 @@
                     100.0 * figures.refused as f64 / figures.pushed.max(1) as f64
                 ));
             }
-            println!(
-                "{name:<8} {class:<12} {rate:>6.1} | {} | {}",
-                cells[0], cells[1]
-            );
+            println!("{name:<8} {class:<12} {rate:>6.1} | {} | {}", cells[0], cells[1]);
         }
         let mut classes: BTreeMap<&str, [u64; 4]> = BTreeMap::new();
         for (team, (_, class, ..)) in TEAMS.iter().enumerate() {
--- a/lib/examples/state_measure.rs
+++ b/lib/examples/state_measure.rs
@@ -50,10 +50,7 @@
 
 static LIVE_BYTES: AtomicUsize = AtomicUsize::new(0);
 
-#[allow(
-    unsafe_code,
-    reason = "GlobalAlloc has unsafe methods; every call is passed on unchanged"
-)]
+#[allow(unsafe_code, reason = "GlobalAlloc has unsafe methods; every call is passed on unchanged")]
 // SAFETY: all calls go to the system allocator with the same arguments.
 unsafe impl GlobalAlloc for CountingAllocator {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
@@ -84,11 +81,7 @@
     engines: usize,
 }
 
-const TARGET: Sizes = Sizes {
-    teams: 440,
-    keys: 1_800,
-    engines: 600,
-};
+const TARGET: Sizes = Sizes { teams: 440, keys: 1_800, engines: 600 };
 
 fn main() {
     memory_slopes();
@@ -147,16 +140,11 @@
         entries.push((format!("team/{}", team_name(index)), text.to_owned()));
     }
     for index in 0..sizes.keys {
-        entries.push((
-            format!("key/k{index:04}"),
-            key_entry(index, sizes, "active"),
-        ));
+        entries.push((format!("key/k{index:04}"), key_entry(index, sizes, "active")));
     }
     for index in 0..sizes.engines {
-        entries.push((
-            format!("upstream/{}", engine_name(index)),
-            engine_entry(index, "in_service"),
-        ));
+        entries
+            .push((format!("upstream/{}", engine_name(index)), engine_entry(index, "in_service")));
     }
     entries
 }
@@ -178,17 +166,9 @@
 fn whole_config(sizes: Sizes) -> ConfigChange {
     let entries = entries(sizes)
         .into_iter()
-        .map(|(key, value)| EntryChange {
-            key: key.into(),
-            revision: 1,
-            value: Some(value.into()),
-        })
+        .map(|(key, value)| EntryChange { key: key.into(), revision: 1, value: Some(value.into()) })
         .collect();
-    ConfigChange {
-        base: 0,
-        revision: 1,
-        entries,
-    }
+    ConfigChange { base: 0, revision: 1, entries }
 }
 
 fn tracker(sizes: Sizes) -> ConfigTracker {
@@ -231,11 +211,7 @@
 }
 
 fn heartbeat(host: &HostRecord) -> Heartbeat {
-    Heartbeat {
-        host: host.clone(),
-        incarnation: 0x1234_5678_9abc_def0,
-        list_version: 1,
-    }
+    Heartbeat { host: host.clone(), incarnation: 0x1234_5678_9abc_def0, list_version: 1 }
 }
 
 fn load_report(work: u64) -> LoadReport {
@@ -294,42 +270,23 @@
 fn memory_slopes() {
     println!("memory, live bytes without allocator overhead");
     let now = Instant::now();
-    let base = Sizes {
-        teams: 10,
-        keys: 10,
-        engines: 10,
-    };
-    print_slope("team in the configuration", [10, 440], |teams| {
-        tracker(Sizes { teams, ..base })
-    });
-    print_slope("key in the configuration", [10, 1_800], |keys| {
-        tracker(Sizes { keys, ..base })
-    });
+    let base = Sizes { teams: 10, keys: 10, engines: 10 };
+    print_slope("team in the configuration", [10, 440], |teams| tracker(Sizes { teams, ..base }));
+    print_slope("key in the configuration", [10, 1_800], |keys| tracker(Sizes { keys, ..base }));
     print_slope("engine in the configuration", [10, 600], |engines| {
         tracker(Sizes { engines, ..base })
     });
     let catalogues = [10, 600].map(|engines| (engines, catalogue(Sizes { engines, ..base })));
-    print_slope(
-        "engine in routing (gate, load, candidates)",
-        [10, 600],
-        |engines| {
-            let (_, catalogue) = catalogues
-                .iter()
-                .find(|it| it.0 == engines)
-                .expect("built above");
-            picker(catalogue, now)
-        },
-    );
-    print_slope(
-        "host in the list (data centre of a sixth of them)",
-        [6, 402],
-        |hosts| {
-            let list = host_list(hosts);
-            let mut views = ViewTracker::new(list.hosts[0].clone(), 1, ViewTiming::default(), now);
-            views.read_list(now, now, &list);
-            views
-        },
-    );
+    print_slope("engine in routing (gate, load, candidates)", [10, 600], |engines| {
+        let (_, catalogue) = catalogues.iter().find(|it| it.0 == engines).expect("built above");
+        picker(catalogue, now)
+    });
+    print_slope("host in the list (data centre of a sixth of them)", [6, 402], |hosts| {
+        let list = host_list(hosts);
+        let mut views = ViewTracker::new(list.hosts[0].clone(), 1, ViewTiming::default(), now);
+        views.read_list(now, now, &list);
+        views
+    });
     print_slope("peer heard from", [0, 66], |peers| {
         let list = host_list(402);
         let mut views = ViewTracker::new(list.hosts[0].clone(), 1, ViewTiming::default(), now);
@@ -340,12 +297,8 @@
         views
     });
     print_slope("team with a wallet", [10, 440], |teams| wallets(teams, now));
-    print_slope("bucket of an owner, 8 borrowers", [1, 74], |teams| {
-        buckets(teams, 8, now)
-    });
-    print_slope("borrower of a bucket", [1, 67], |borrowers| {
-        buckets(1, borrowers, now)
-    });
+    print_slope("bucket of an owner, 8 borrowers", [1, 74], |teams| buckets(teams, 8, now));
+    print_slope("borrower of a bucket", [1, 67], |borrowers| buckets(1, borrowers, now));
     let target = catalogue(TARGET);
     print_slope("chat that was routed", [1_000, 100_000], |chats| {
         let mut picker = picker(&target, now);
@@ -354,22 +307,14 @@
         }
         picker
     });
-    print_slope(
-        "operation record without a response",
-        [100, 10_000],
-        |count| ledger(count, now),
-    );
+    print_slope("operation record without a response", [100, 10_000], |count| ledger(count, now));
     print_slope("kept connection to a peer", [5, 45], peer_connections);
-    print_slope(
-        "team in the metrics, 4 outcomes on one route",
-        [10, 440],
-        |teams| {
-            let metrics = RouterMetrics::new();
-            metrics.set_catalogue(&catalogue(Sizes { teams, ..base }));
-            count_requests(&metrics, teams);
-            metrics
-        },
-    );
+    print_slope("team in the metrics, 4 outcomes on one route", [10, 440], |teams| {
+        let metrics = RouterMetrics::new();
+        metrics.set_catalogue(&catalogue(Sizes { teams, ..base }));
+        count_requests(&metrics, teams);
+        metrics
+    });
     println!();
 }
 
@@ -378,13 +323,10 @@
     let body = encode_message(&PeerReply::Done);
     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
     let answer = [head.into_bytes(), body].concat();
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port"))
-        .collect();
-    let addresses: Vec<SocketAddr> = listeners
-        .iter()
-        .map(|it| it.local_addr().expect("an address"))
-        .collect();
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port")).collect();
+    let addresses: Vec<SocketAddr> =
+        listeners.iter().map(|it| it.local_addr().expect("an address")).collect();
     let serving = thread::spawn(move || {
         let mut kept = Vec::new();
         for listener in listeners {
@@ -400,9 +342,7 @@
     let peer = HttpPeer::new();
     for address in addresses {
         let request = PeerRequest::ConfigSince(7);
-        let _: PeerReply = peer
-            .call(address, &request, Duration::from_secs(10))
-            .expect("a reply");
+        let _: PeerReply = peer.call(address, &request, Duration::from_secs(10)).expect("a reply");
     }
     drop(serving.join().expect("the server ends"));
     peer
@@ -454,11 +394,7 @@
 }
 
 fn centre_share() -> CentreShare {
-    let catalogue = catalogue(Sizes {
-        teams: 1,
-        keys: 1,
-        engines: 1,
-    });
+    let catalogue = catalogue(Sizes { teams: 1, keys: 1, engines: 1 });
     let share = TeamShare::of(&catalogue, &team_name(0)).unwrap_or_default();
     let centre = share.centres().next().expect("a share").clone();
     share.in_centre(&centre)
@@ -488,10 +424,7 @@
             team: team_name(number % 440),
             key: KeyDigest::of(&format!("key-{number}")),
         },
-        dispatch: DispatchId {
-            incarnation: 0x1234_5678_9abc_def0,
-            number: number as u64,
-        },
+        dispatch: DispatchId { incarnation: 0x1234_5678_9abc_def0, number: number as u64 },
         digest: RequestDigest::of("POST", "/orders/7", b"two cups"),
         state: RecordState::Intent,
         age_ms: 0,
@@ -509,10 +442,7 @@
 fn count_requests(metrics: &RouterMetrics, teams: usize) {
     for index in 0..teams {
         let team = team_name(index);
-        let labels = RequestLabels {
-            team: Some(&team),
-            ..RequestLabels::default()
-        };
+        let labels = RequestLabels { team: Some(&team), ..RequestLabels::default() };
         for outcome in ["ran", "not_run", "unknown", "cut"] {
             metrics.request(labels, outcome);
         }
@@ -547,14 +477,10 @@
         let mut views = views(hosts, now);
         let peers = views.peers(now).len();
         let mut at = now;
-        print_time(
-            &format!("view tick, {hosts} hosts, {peers} peers"),
-            400,
-            |_| {
-                at += Duration::from_micros(10);
-                views.tick(at);
-            },
-        );
+        print_time(&format!("view tick, {hosts} hosts, {peers} peers"), 400, |_| {
+            at += Duration::from_micros(10);
+            views.tick(at);
+        });
         print_time(&format!("view peers(), {hosts} hosts"), 200, |_| {
             black_box(views.peers(now));
         });
@@ -577,17 +503,11 @@
         let names: Vec<TeamName> = (0..teams).map(team_name).collect();
         let views = views(402, now);
         let mut table = buckets(1, 1, now);
-        print_time(
-            &format!("bucket tick, {teams} teams, 402 hosts"),
-            20,
-            |_| {
-                table.tick(now, names.iter().map(|it| (it, share)), |it| {
-                    views
-                        .owner(&format!("team/{it}"))
-                        .is_some_and(|it| it.name == host_name(0))
-                });
-            },
-        );
+        print_time(&format!("bucket tick, {teams} teams, 402 hosts"), 20, |_| {
+            table.tick(now, names.iter().map(|it| (it, share)), |it| {
+                views.owner(&format!("team/{it}")).is_some_and(|it| it.name == host_name(0))
+            });
+        });
     }
     let share = centre_share();
     let mut table = buckets(74, 8, now);
@@ -601,11 +521,9 @@
     for engines in [10, 100, 600] {
         let catalogue = catalogue(Sizes { engines, ..TARGET });
         let mut picker = picker(&catalogue, now);
-        print_time(
-            &format!("pick, {engines} engines, {MODELS} models"),
-            2_000,
-            |index| pick(&mut picker, now, &catalogue, index),
-        );
+        print_time(&format!("pick, {engines} engines, {MODELS} models"), 2_000, |index| {
+            pick(&mut picker, now, &catalogue, index)
+        });
         print_time(&format!("load report, {engines} engines"), 2_000, |index| {
             let name = engine_name(index % engines);
             black_box(picker.report(now, &name, &load_report(index as u64)));
@@ -618,17 +536,13 @@
     for records in [1_000, 10_000, 60_000] {
         let ledger = ledger(records, now);
         let names: Vec<HostName> = (0..67).map(host_name).collect();
-        print_time(
-            &format!("placement scan, {records} records, owner among 67 hosts"),
-            1,
-            |_| {
-                let unplaced = ledger.unplaced_records(now, 0, |id| {
-                    black_box(snipepond::rendezvous::first(&id.placement(), &names));
-                    Some(host_name(1))
-                });
-                black_box(unplaced);
-            },
-        );
+        print_time(&format!("placement scan, {records} records, owner among 67 hosts"), 1, |_| {
+            let unplaced = ledger.unplaced_records(now, 0, |id| {
+                black_box(snipepond::rendezvous::first(&id.placement(), &names));
+                Some(host_name(1))
+            });
+            black_box(unplaced);
+        });
     }
     let metrics = RouterMetrics::new();
     metrics.set_catalogue(&catalogue(TARGET));
@@ -660,11 +574,7 @@
         black_box(tracker(TARGET));
     });
     let change = |revision: u64| {
-        let state = if revision.is_multiple_of(2) {
-            "withdrawn"
-        } else {
-            "active"
-        };
+        let state = if revision.is_multiple_of(2) { "withdrawn" } else { "active" };
         ConfigChange {
             base: revision - 1,
             revision,
@@ -738,10 +648,7 @@
     let _: PeerReply = peer.call(address, &message, timeout).expect("a reply");
     answering.join().expect("the server ends");
     let (sent, received) = relaying.join().expect("the relay ends");
-    (
-        sent - encode_message(&message).len(),
-        received - reply_length,
-    )
+    (sent - encode_message(&message).len(), received - reply_length)
 }
 
 fn message_sizes() {
@@ -763,29 +670,19 @@
         view_hash: 0x1234_5678_9abc_def0,
         heard: Vec::new(),
     };
-    print(
-        "heartbeat",
-        &PeerRequest::Heartbeat(heartbeat(&host)),
-        &PeerReply::Heartbeat(reply),
-    );
+    print("heartbeat", &PeerRequest::Heartbeat(heartbeat(&host)), &PeerReply::Heartbeat(reply));
     let digest = HostDigest {
         host: host.name.clone(),
         incarnation: 0x1234_5678_9abc_def0,
         accepted: 123_456,
         seen: 123_456,
     };
-    print(
-        "digest",
-        &PeerRequest::Digest(digest.clone()),
-        &PeerReply::Digest(digest),
-    );
+    print("digest", &PeerRequest::Digest(digest.clone()), &PeerReply::Digest(digest));
     let grant = grant_request(7, 6, 123_456);
     let reply = PeerReply::Grant(grant_reply(&grant));
     print("grant", &PeerRequest::Grant(grant), &reply);
     for count in [1, 9] {
-        let reports = (0..count)
-            .map(|it| (engine_name(it), load_report(20_000)))
-            .collect();
+        let reports = (0..count).map(|it| (engine_name(it), load_report(20_000))).collect();
         print(
             &format!("load batch of {count}"),
             &PeerRequest::Loads(LoadBatch { reports }),
@@ -795,10 +692,7 @@
     let record = Box::new(operation_record(7));
     print(
         "intent for a backup",
-        &PeerRequest::StoreIntent {
-            sender: host.name,
-            record,
-        },
+        &PeerRequest::StoreIntent { sender: host.name, record },
         &PeerReply::Stored(snipepond::operation::StoreReply::Stored),
     );
 }
--- a/lib/src/catalogue.rs
+++ b/lib/src/catalogue.rs
@@ -143,9 +143,7 @@
 
     /// Returns whether some route has the path, with whatever method.
     pub fn has_path(&self, path: &str) -> bool {
-        self.routes
-            .iter()
-            .any(|(_, route)| matches_prefix(&route.path, path))
+        self.routes.iter().any(|(_, route)| matches_prefix(&route.path, path))
     }
 
     /// Returns the data centres over which team limits and operation keys are split.
--- a/lib/src/catalogue/check.rs
+++ b/lib/src/catalogue/check.rs
@@ -38,11 +38,7 @@
         if self.field.is_empty() {
             write!(f, "entry {:?}: {}", self.entry, self.reason)
         } else {
-            write!(
-                f,
-                "entry {:?}, field {:?}: {}",
-                self.entry, self.field, self.reason
-            )
+            write!(f, "entry {:?}, field {:?}: {}", self.entry, self.field, self.reason)
         }
     }
 }
@@ -130,10 +126,7 @@
         let Some(entry) = self.decode::<ClassEntry>(key, value) else {
             return;
         };
-        for (field, millis) in [
-            ("deadline_ms", entry.deadline_ms),
-            ("queue_ms", entry.queue_ms),
-        ] {
+        for (field, millis) in [("deadline_ms", entry.deadline_ms), ("queue_ms", entry.queue_ms)] {
             if !(1..=MAX_TIME_MS).contains(&millis) {
                 self.report(key, field, format!("must be 1 to {MAX_TIME_MS} ms"));
             }
@@ -163,18 +156,10 @@
             self.report(key, "", "name is reserved for open routes");
         }
         if !(entry.rate > 0.0 && entry.rate <= MAX_TEAM_RATE) {
-            self.report(
-                key,
-                "rate",
-                format!("must be above 0 and at most {MAX_TEAM_RATE}/s"),
-            );
+            self.report(key, "rate", format!("must be above 0 and at most {MAX_TEAM_RATE}/s"));
         }
         if entry.burst == 0 || f64::from(entry.burst) > MAX_TEAM_RATE {
-            self.report(
-                key,
-                "burst",
-                format!("must be 1 to {MAX_TEAM_RATE} requests"),
-            );
+            self.report(key, "burst", format!("must be 1 to {MAX_TEAM_RATE} requests"));
         }
         if !(entry.weight > 0.0 && entry.weight <= 1000.0) {
             self.report(key, "weight", "must be above 0 and at most 1000");
@@ -198,11 +183,7 @@
             self.report(key, "path", "must start with '/'");
         }
         // Such a prefix would never match the path of a request.
-        if entry
-            .path
-            .bytes()
-            .any(|b| !b.is_ascii_graphic() || matches!(b, b'?' | b'#'))
-        {
+        if entry.path.bytes().any(|b| !b.is_ascii_graphic() || matches!(b, b'?' | b'#')) {
             let reason = "must be visible ASCII without '?' and '#'";
             self.report(key, "path", reason);
         }
@@ -230,11 +211,7 @@
             self.report(key, "once", "not allowed for kind \"chat\"");
         }
         if entry.open && entry.class.is_none() {
-            self.report(
-                key,
-                "class",
-                "required for an open route, which has no team",
-            );
+            self.report(key, "class", "required for an open route, which has no team");
         }
         if entry.open && !entry.teams.is_empty() {
             self.report(key, "teams", "not allowed for an open route");
@@ -268,11 +245,7 @@
         if entry.models.iter().any(|it| it.as_str().is_empty()) {
             self.report(key, "models", "must not contain an empty name");
         }
-        if entry
-            .service
-            .as_ref()
-            .is_some_and(|it| it.as_str().is_empty())
-        {
+        if entry.service.as_ref().is_some_and(|it| it.as_str().is_empty()) {
             self.report(key, "service", "must not be empty");
         }
         if entry.address.port() == 0 {
@@ -288,9 +261,7 @@
         if entry.cold_allowance > entry.capacity {
             self.report(key, "cold_allowance", "must not exceed capacity");
         }
-        self.catalogue
-            .upstreams
-            .insert(UpstreamName::new(name), entry);
+        self.catalogue.upstreams.insert(UpstreamName::new(name), entry);
     }
 
     fn add_settings(&mut self, key: &str, name: &str, value: &str) {
@@ -341,20 +312,12 @@
             if let Some(class) = &route.class
                 && !is_class(class)
             {
-                missing.push((
-                    entry.clone(),
-                    "class",
-                    format!("no class {:?}", class.as_str()),
-                ));
+                missing.push((entry.clone(), "class", format!("no class {:?}", class.as_str())));
             }
             for team in &route.teams {
                 if !catalogue.teams.contains_key(team) && !self.is_unreadable("team", team.as_str())
                 {
-                    missing.push((
-                        entry.clone(),
-                        "teams",
-                        format!("no team {:?}", team.as_str()),
-                    ));
+                    missing.push((entry.clone(), "teams", format!("no team {:?}", team.as_str())));
                 }
             }
             if let Some(service) = &route.service
@@ -428,10 +391,7 @@
     fn finish(mut self, revision: u64) -> Result<Catalogue, RejectedCatalogue> {
         if !self.problems.is_empty() {
             self.problems.sort();
-            return Err(RejectedCatalogue {
-                revision,
-                problems: self.problems,
-            });
+            return Err(RejectedCatalogue { revision, problems: self.problems });
         }
         // Longest prefix first; a route with methods goes before one without on the same path.
         self.catalogue.routes.sort_by(|(a_name, a), (b_name, b)| {
--- a/lib/src/clock.rs
+++ b/lib/src/clock.rs
@@ -39,10 +39,7 @@
 impl ManualClock {
     /// Creates a clock that stands at an arbitrary instant.
     pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-            elapsed: Mutex::new(Duration::ZERO),
-        }
+        Self { start: Instant::now(), elapsed: Mutex::new(Duration::ZERO) }
     }
 
     /// Moves the clock forward.
--- a/lib/src/config/tracker.rs
+++ b/lib/src/config/tracker.rs
@@ -107,11 +107,7 @@
             })
             .filter(|it| base != 0 || it.value.is_some())
             .collect();
-        ConfigChange {
-            base,
-            revision: self.revision,
-            entries,
-        }
+        ConfigChange { base, revision: self.revision, entries }
     }
 }
 
--- a/lib/src/control.rs
+++ b/lib/src/control.rs
@@ -17,7 +17,7 @@
 pub use self::{
     actor::ControlThread,
     command::{
-        Admission, AdmitOutcome, AdmitRequest, ControlCommand, DispatchEnd, DispatchGrant,
+        AdmitOutcome, AdmitRequest, CallAdmission, ControlCommand, DispatchEnd, DispatchGrant,
         DispatchOutcome, DispatchRequest, DispatchTarget, ReplySender, RequestEnd,
     },
     dispatch::{LoadRound, LoadTarget},
--- a/lib/src/control/actor.rs
+++ b/lib/src/control/actor.rs
@@ -45,10 +45,7 @@
         let state = make_state(cx.now(), handle.clone());
         let _ = handle_reply.send(handle);
         after!(TICK_INTERVAL, [cx], tick());
-        Some(Self {
-            state,
-            _guard: guard,
-        })
+        Some(Self { state, _guard: guard })
     }
 
     fn command(&mut self, cx: CX![], command: ControlCommand) {
@@ -87,14 +84,8 @@
         let thread = thread::Builder::new()
             .name("control".into())
             .spawn(move || run(&*clock, make_state, waker, &signals, reply))?;
-        let handle = handles
-            .recv()
-            .map_err(|_| io::Error::other("control thread ended"))?;
-        Ok(Self {
-            handle,
-            signal,
-            thread: Some(thread),
-        })
+        let handle = handles.recv().map_err(|_| io::Error::other("control thread ended"))?;
+        Ok(Self { handle, signal, thread: Some(thread) })
     }
 
     /// Returns access for other threads.
--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -7,13 +7,13 @@
 };
 
 use super::{
-    command::{Admission, AdmitOutcome, AdmitRequest, ReplySender},
+    command::{AdmitOutcome, AdmitRequest, CallAdmission, ReplySender},
     message::{PeerReply, PeerRequest},
     state::ControlState,
 };
 use crate::{
     catalogue::{Catalogue, KeyHash, RouteEntry},
-    front::{Refusal, RefusalKind},
+    front::{CallRefusal, RefusalKind},
     limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare, UNITS_PER_TOKEN},
     membership::HostRecord,
     names::{CentreName, TeamName},
@@ -45,7 +45,7 @@
 
 /// A request that waits for a token.
 pub(super) struct WaitingAdmission {
-    admission: Admission,
+    admission: CallAdmission,
     arrived: Instant,
     /// Answers of owners to requests sent earlier do not count for this one.
     asked_since: Instant,
@@ -92,12 +92,7 @@
             self.count_refusal(now, &admission, refusal.kind);
             return send_refusal(&reply, refusal);
         }
-        queue.waiting.push_back(WaitingAdmission {
-            admission,
-            arrived: now,
-            asked_since,
-            reply,
-        });
+        queue.waiting.push_back(WaitingAdmission { admission, arrived: now, asked_since, reply });
         self.serve_waiting(now, &team);
     }
 
@@ -113,8 +108,7 @@
             self.serve_waiting(now, &team);
         }
         let catalogue = self.catalogue().clone();
-        self.tokens
-            .retain(|team, it| !it.waiting.is_empty() || catalogue.team(team).is_some());
+        self.tokens.retain(|team, it| !it.waiting.is_empty() || catalogue.team(team).is_some());
     }
 
     /// Serves the waiting requests of a team in order, until one has to wait for an answer or for
@@ -166,11 +160,7 @@
     /// A lost message says nothing about the team's rate, so its requests wait for another
     /// attempt; those of a team with an empty bucket wait only for the next refill.
     fn patience(&self, now: Instant, team: &TeamName) -> Duration {
-        if self.is_empty_recently(now, team) {
-            TOKEN_PATIENCE
-        } else {
-            TOKEN_WAIT
-        }
+        if self.is_empty_recently(now, team) { TOKEN_PATIENCE } else { TOKEN_WAIT }
     }
 
     fn is_empty_recently(&self, now: Instant, team: &TeamName) -> bool {
@@ -220,8 +210,7 @@
         request: GrantRequest,
     ) -> bool {
         let Some(owner) = self.owner_of(&request.team, centre) else {
-            self.wallets
-                .on_lost(now, &request.team, centre, request.sequence);
+            self.wallets.on_lost(now, &request.team, centre, request.sequence);
             return true;
         };
         if owner.name == self.identity.name {
@@ -252,8 +241,7 @@
             (true, 0) => "empty",
             (true, _) => "granted",
         };
-        self.metrics
-            .grant(outcome, reply.granted as f64 / UNITS_PER_TOKEN as f64);
+        self.metrics.grant(outcome, reply.granted as f64 / UNITS_PER_TOKEN as f64);
         if reply.is_owner
             && reply.retry_ms > 0
             && let Some(queue) = self.tokens.get_mut(&reply.team)
@@ -276,7 +264,7 @@
         self.tokens.get_mut(team)?.waiting.pop_front()
     }
 
-    fn refuse_first(&mut self, now: Instant, team: &TeamName, refusal: Refusal) {
+    fn refuse_first(&mut self, now: Instant, team: &TeamName, refusal: CallRefusal) {
         if let Some(first) = self.pop_waiting(team) {
             self.count_refusal(now, &first.admission, refusal.kind);
             send_refusal(&first.reply, refusal);
@@ -284,16 +272,13 @@
     }
 
     /// Tells a team that is over its rate from one whose owners cannot be asked.
-    fn token_refusal(&self, now: Instant, team: &TeamName, retry: Duration) -> Refusal {
+    fn token_refusal(&self, now: Instant, team: &TeamName, retry: Duration) -> CallRefusal {
         if self.is_empty_recently(now, team) {
-            Refusal::not_run(
-                RefusalKind::OverRate,
-                "the team has used its rate and burst",
-            )
+            CallRefusal::not_run(RefusalKind::OverRate, "the team has used its rate and burst")
         } else {
             tracing::debug!(%team, retry_ms = retry.as_millis(), "limit_unavailable");
             let message = "no host that keeps the team's limit can be asked";
-            Refusal::not_run(RefusalKind::LimitUnavailable, message)
+            CallRefusal::not_run(RefusalKind::LimitUnavailable, message)
         }
         .retry_after(retry)
     }
@@ -302,19 +287,15 @@
         &self,
         now: Instant,
         request: &AdmitRequest,
-    ) -> Result<Admission, Refusal> {
+    ) -> Result<CallAdmission, CallRefusal> {
         let catalogue = self.catalogue();
         if self.is_draining {
-            return Err(
-                Refusal::not_run(RefusalKind::Draining, "the host is about to stop")
-                    .retry_after(Duration::from_secs(1)),
-            );
+            return Err(CallRefusal::not_run(RefusalKind::Draining, "the host is about to stop")
+                .retry_after(Duration::from_secs(1)));
         }
         if catalogue.revision() == 0 {
-            return Err(
-                Refusal::not_run(RefusalKind::NoConfiguration, "no configuration yet")
-                    .retry_after(Duration::from_secs(1)),
-            );
+            return Err(CallRefusal::not_run(RefusalKind::NoConfiguration, "no configuration yet")
+                .retry_after(Duration::from_secs(1)));
         }
         let Some((name, route)) = catalogue.route(&request.method, &request.path) else {
             return Err(no_route(catalogue, request));
@@ -325,11 +306,8 @@
             .as_ref()
             .or_else(|| catalogue.team(&team).map(|it| &it.class))
             .expect("the catalogue check requires a class for every route without a team");
-        let class = catalogue
-            .classes()
-            .get(class_name)
-            .expect("the check resolves classes");
-        Ok(Admission {
+        let class = catalogue.classes().get(class_name).expect("the check resolves classes");
+        Ok(CallAdmission {
             route: name.clone(),
             kind: route.kind,
             service: route.service.clone(),
@@ -348,17 +326,17 @@
 }
 
 /// Returns whether the key of an admitted request is still valid.
-pub(super) fn is_key_valid(catalogue: &Catalogue, admission: &Admission) -> bool {
+pub(super) fn is_key_valid(catalogue: &Catalogue, admission: &CallAdmission) -> bool {
     admission.open
         || admission.key.and_then(|it| catalogue.team_of_key(&it)) == Some(&admission.team)
 }
 
-fn no_route(catalogue: &Catalogue, request: &AdmitRequest) -> Refusal {
+fn no_route(catalogue: &Catalogue, request: &AdmitRequest) -> CallRefusal {
     if catalogue.has_path(&request.path) {
         let message = format!("no route for method {}", request.method);
-        Refusal::not_run(RefusalKind::MethodNotAllowed, message)
+        CallRefusal::not_run(RefusalKind::MethodNotAllowed, message)
     } else {
-        Refusal::not_run(RefusalKind::NoRoute, "no route for this path")
+        CallRefusal::not_run(RefusalKind::NoRoute, "no route for this path")
     }
 }
 
@@ -366,37 +344,36 @@
     catalogue: &Catalogue,
     route: &RouteEntry,
     request: &AdmitRequest,
-) -> Result<TeamName, Refusal> {
+) -> Result<TeamName, CallRefusal> {
     if route.open {
         return Ok(TeamName::new(OPEN_TEAM));
     }
     let team = team_of(catalogue, request.key)?;
     if !route.teams.is_empty() && !route.teams.contains(&team) {
         let message = "the team may not use this route";
-        return Err(Refusal::not_run(RefusalKind::RouteForbidden, message));
+        return Err(CallRefusal::not_run(RefusalKind::RouteForbidden, message));
     }
     Ok(team)
 }
 
 /// Returns the team of a key.
-pub(super) fn team_of(catalogue: &Catalogue, key: Option<KeyHash>) -> Result<TeamName, Refusal> {
+pub(super) fn team_of(
+    catalogue: &Catalogue,
+    key: Option<KeyHash>,
+) -> Result<TeamName, CallRefusal> {
     let key = key.ok_or_else(|| {
-        Refusal::not_run(
-            RefusalKind::KeyMissing,
-            "a bearer key is needed for this request",
-        )
+        CallRefusal::not_run(RefusalKind::KeyMissing, "a bearer key is needed for this request")
     })?;
-    catalogue
-        .team_of_key(&key)
-        .cloned()
-        .ok_or_else(|| Refusal::not_run(RefusalKind::KeyInvalid, "the key is unknown or withdrawn"))
+    catalogue.team_of_key(&key).cloned().ok_or_else(|| {
+        CallRefusal::not_run(RefusalKind::KeyInvalid, "the key is unknown or withdrawn")
+    })
 }
 
-fn send_admission(reply: &ReplySender<AdmitOutcome>, admission: Admission) {
+fn send_admission(reply: &ReplySender<AdmitOutcome>, admission: CallAdmission) {
     let _ = reply.send(AdmitOutcome::Admitted(Arc::new(admission)));
 }
 
-fn send_refusal(reply: &ReplySender<AdmitOutcome>, refusal: Refusal) {
+fn send_refusal(reply: &ReplySender<AdmitOutcome>, refusal: CallRefusal) {
     let _ = reply.send(AdmitOutcome::Refused(refusal));
 }
 
@@ -416,8 +393,7 @@
             Ok(_) | Err(_) => {
                 tracing::debug!(team = %request.team, %centre, "grant_lost");
                 self.metrics.grant("lost", 0.0);
-                self.wallets
-                    .on_lost(now, &request.team, &centre, request.sequence);
+                self.wallets.on_lost(now, &request.team, &centre, request.sequence);
             }
         }
         self.serve_waiting(now, &request.team);
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -14,7 +14,7 @@
 use crate::{
     catalogue::{KeyHash, RouteKind},
     config::ConfigChange,
-    front::{OutcomeKind, Refusal, RefusalKind},
+    front::{CallRefusal, OutcomeKind, RefusalKind},
     membership::HostList,
     names::{ClassName, ModelName, RouteName, ServiceName, TeamName, UpstreamName},
     peer::{PeerCall, PeerError},
@@ -59,11 +59,11 @@
     /// A message about an operation.
     Operation(Box<OperationCommand>),
     /// Whose key is this?
-    Authenticate(Option<KeyHash>, ReplySender<Result<TeamName, Refusal>>),
+    Authenticate(Option<KeyHash>, ReplySender<Result<TeamName, CallRefusal>>),
     /// May this request run, apart from the team's limit? Asked for forwarded calls.
-    CheckAdmission(AdmitRequest, ReplySender<Result<Arc<Admission>, Refusal>>),
+    CheckAdmission(AdmitRequest, ReplySender<Result<Arc<CallAdmission>, CallRefusal>>),
     /// A caller's request ended.
-    RequestEnded(Arc<Admission>, RequestEnd),
+    RequestEnded(Arc<CallAdmission>, RequestEnd),
     /// The state of this host.
     Status(ReplySender<Box<StatusReport>>),
     /// What the host would do with a request.
@@ -105,14 +105,14 @@
 #[derive(Clone, Debug)]
 pub enum AdmitOutcome {
     /// The request may run.
-    Admitted(Arc<Admission>),
+    Admitted(Arc<CallAdmission>),
     /// The request may not run.
-    Refused(Refusal),
+    Refused(CallRefusal),
 }
 
 /// An admitted request.
 #[derive(Clone, Debug)]
-pub struct Admission {
+pub struct CallAdmission {
     /// Route that matched.
     pub route: RouteName,
     /// What the route leads to.
@@ -159,7 +159,7 @@
 #[derive(Clone, Debug)]
 pub struct DispatchRequest {
     /// The admission.
-    pub admission: Arc<Admission>,
+    pub admission: Arc<CallAdmission>,
     /// What the request needs.
     pub target: DispatchTarget,
     /// Id of the request; spreads requests without a chat.
@@ -180,7 +180,7 @@
     /// Send the request now.
     Send(DispatchGrant),
     /// The request does not run.
-    Refused(Refusal),
+    Refused(CallRefusal),
 }
 
 /// The right to send one request to one upstream.
--- a/lib/src/control/crash.rs
+++ b/lib/src/control/crash.rs
@@ -36,14 +36,7 @@
 impl SpreadTable {
     fn add(&mut self, now: Instant, pending: usize, reply: Option<ReplySender<()>>) -> u64 {
         self.next += 1;
-        self.spreads.insert(
-            self.next,
-            StrikeSpread {
-                pending,
-                since: now,
-                reply,
-            },
-        );
+        self.spreads.insert(self.next, StrikeSpread { pending, since: now, reply });
         self.next
     }
 
@@ -97,16 +90,9 @@
         }
         let number = self.spreads.add(now, peers.len(), reply);
         for peer in &peers {
-            let request = PeerRequest::Strikes {
-                number,
-                strikes: vec![strike.clone()],
-            };
-            let call = PeerCall {
-                address: peer.address,
-                request,
-                timeout: STRIKE_WAIT,
-                ordered: now,
-            };
+            let request = PeerRequest::Strikes { number, strikes: vec![strike.clone()] };
+            let call =
+                PeerCall { address: peer.address, request, timeout: STRIKE_WAIT, ordered: now };
             self.caller.order(call);
         }
     }
--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     catalogue::{Catalogue, RouteKind},
-    front::{Refusal, RefusalKind},
+    front::{CallRefusal, RefusalKind},
     membership::HostRecord,
     names::UpstreamName,
     quarantine::{BrokenRun, CrashRegister, CrashVerdict, RequestFingerprint},
@@ -113,7 +113,7 @@
 /// Decision about the request at the head of the queue.
 enum HeadVerdict {
     Send(Box<UpstreamPick>),
-    Refuse(Refusal),
+    Refuse(CallRefusal),
 }
 
 impl ControlState {
@@ -127,7 +127,7 @@
         if !self.retries.take(!request.tried.is_empty()) {
             let message = "too many requests are being repeated";
             let refusal =
-                Refusal::not_run(RefusalKind::RetryLimit, message).retry_after(BUSY_RETRY);
+                CallRefusal::not_run(RefusalKind::RetryLimit, message).retry_after(BUSY_RETRY);
             let _ = reply.send(DispatchOutcome::Refused(refusal));
             return;
         }
@@ -167,21 +167,9 @@
         }
         loop {
             let mut verdict = None;
-            let Self {
-                queue,
-                picker,
-                crashes,
-                config,
-                fleets,
-                ..
-            } = self;
-            let mut judge = HeadJudge {
-                now,
-                catalogue: config.catalogue(),
-                picker,
-                crashes,
-                fleets,
-            };
+            let Self { queue, picker, crashes, config, fleets, .. } = self;
+            let mut judge =
+                HeadJudge { now, catalogue: config.catalogue(), picker, crashes, fleets };
             let started = queue.pop(now, |queued| {
                 verdict = judge.judge(&queued.payload.request);
                 verdict.is_some()
@@ -189,8 +177,7 @@
             let (Some(started), Some(verdict)) = (started, verdict) else {
                 return;
             };
-            self.metrics
-                .queue_wait(&started.request.class, started.wait);
+            self.metrics.queue_wait(&started.request.class, started.wait);
             let QueuedDispatch { request, reply } = started.request.payload;
             let outcome = match verdict {
                 HeadVerdict::Refuse(refusal) => DispatchOutcome::Refused(refusal),
@@ -265,9 +252,7 @@
             DispatchEnd::Complete => {
                 self.request_completed(now, running.fingerprint, &running.upstream);
             }
-            _ => self
-                .crashes
-                .release_probe(running.fingerprint, &running.upstream),
+            _ => self.crashes.release_probe(running.fingerprint, &running.upstream),
         }
         self.finish_dispatch(now, &running, how);
     }
@@ -283,11 +268,7 @@
         };
         let run = BrokenRun {
             upstream: &running.upstream,
-            incarnation: self
-                .picker
-                .table()
-                .last_incarnation(&running.upstream)
-                .unwrap_or(0),
+            incarnation: self.picker.table().last_incarnation(&running.upstream).unwrap_or(0),
             dispatched: running.sent,
             has_response: running.has_response,
         };
@@ -297,10 +278,7 @@
     }
 
     fn finish_dispatch(&mut self, now: Instant, running: &RunningDispatch, how: FinishKind) {
-        if let Some(notice) = self
-            .picker
-            .finished(now, &running.upstream, running.work, how)
-        {
+        if let Some(notice) = self.picker.finished(now, &running.upstream, running.work, how) {
             self.tell_cold(now, &notice);
         }
         self.serve_queue(now);
@@ -333,9 +311,7 @@
         }
         let peers: Vec<HostRecord> = self.views.peers(now);
         for peer in &peers {
-            let batch = LoadBatch {
-                reports: reports.clone(),
-            };
+            let batch = LoadBatch { reports: reports.clone() };
             self.tell(now, peer, PeerRequest::Loads(batch));
         }
     }
@@ -346,8 +322,7 @@
     /// no report for a while.
     pub(super) fn load_round(&mut self, now: Instant) -> LoadRound {
         let catalogue = self.catalogue().clone();
-        self.reported
-            .retain(|name, _| catalogue.upstreams().contains_key(name));
+        self.reported.retain(|name, _| catalogue.upstreams().contains_key(name));
         let interval_of = |count: usize| {
             let seconds = count as f64 * LOAD_PROBE_BYTES / LOAD_PROBE_BUDGET;
             MIN_PROBE_INTERVAL.max(Duration::from_secs_f64(seconds))
@@ -368,10 +343,7 @@
             .upstreams()
             .iter()
             .filter(|(name, _)| reads(name) || is_silent(name))
-            .map(|(name, entry)| LoadTarget {
-                upstream: name.clone(),
-                address: entry.address,
-            })
+            .map(|(name, entry)| LoadTarget { upstream: name.clone(), address: entry.address })
             .collect();
         LoadRound { targets, interval }
     }
@@ -399,14 +371,14 @@
     /// Returns `None` if the request has to wait.
     fn judge(&mut self, request: &DispatchRequest) -> Option<HeadVerdict> {
         if !is_key_valid(self.catalogue, &request.admission) {
-            let refusal = Refusal::not_run(RefusalKind::KeyInvalid, "the key was withdrawn");
+            let refusal = CallRefusal::not_run(RefusalKind::KeyInvalid, "the key was withdrawn");
             return Some(HeadVerdict::Refuse(refusal));
         }
         let verdict = self.crashes.check(self.now, request.fingerprint);
         if let CrashVerdict::Blocked { remaining } = verdict {
             let message = "the request broke several upstreams";
             let refusal =
-                Refusal::not_run(RefusalKind::Quarantined, message).retry_after(remaining);
+                CallRefusal::not_run(RefusalKind::Quarantined, message).retry_after(remaining);
             return Some(HeadVerdict::Refuse(refusal));
         }
         let mut excluded = self.excluded(request);
@@ -417,11 +389,7 @@
                 PickOutcome::NoneEligible => return self.none_eligible(request, &excluded),
             };
             let is_suspect = verdict == CrashVerdict::Suspect;
-            if !is_suspect
-                || self
-                    .crashes
-                    .reserve_probe(request.fingerprint, &pick.upstream)
-            {
+            if !is_suspect || self.crashes.reserve_probe(request.fingerprint, &pick.upstream) {
                 return Some(HeadVerdict::Send(Box::new(pick)));
             }
             excluded.push(pick.upstream);
@@ -431,11 +399,7 @@
     fn excluded(&self, request: &DispatchRequest) -> Vec<UpstreamName> {
         let mut excluded = request.tried.clone();
         if request.needs_resume {
-            let unable = self
-                .catalogue
-                .upstreams()
-                .iter()
-                .filter(|(_, it)| !it.resume);
+            let unable = self.catalogue.upstreams().iter().filter(|(_, it)| !it.resume);
             excluded.extend(unable.map(|(name, _)| name.clone()));
         }
         excluded
@@ -453,8 +417,7 @@
             work: request.work,
             tried: excluded,
         };
-        self.picker
-            .pick(self.now, &pick_request, self.catalogue, self.fleets)
+        self.picker.pick(self.now, &pick_request, self.catalogue, self.fleets)
     }
 
     /// A suspect that finds every upstream in use by another suspect waits; others are refused.
@@ -467,7 +430,8 @@
             return None;
         }
         let message = "no upstream takes such requests at present";
-        let refusal = Refusal::not_run(RefusalKind::NoUpstream, message).retry_after(BUSY_RETRY);
+        let refusal =
+            CallRefusal::not_run(RefusalKind::NoUpstream, message).retry_after(BUSY_RETRY);
         Some(HeadVerdict::Refuse(refusal))
     }
 }
@@ -475,18 +439,13 @@
 fn refuse_queued(refused: RefusedRequest<QueuedDispatch>) {
     let (kind, message) = match refused.reason {
         RefusalReason::QueueFull => (RefusalKind::QueueFull, "the queue of the team is full"),
-        RefusalReason::Shed => (
-            RefusalKind::Shed,
-            "the place in the queue went to more urgent work",
-        ),
+        RefusalReason::Shed => {
+            (RefusalKind::Shed, "the place in the queue went to more urgent work")
+        }
         RefusalReason::WaitedTooLong | RefusalReason::DeadlinePassed => {
             (RefusalKind::QueueTimeout, "no upstream was free in time")
         }
     };
-    let refusal = Refusal::not_run(kind, message).retry_after(BUSY_RETRY);
-    let _ = refused
-        .request
-        .payload
-        .reply
-        .send(DispatchOutcome::Refused(refusal));
+    let refusal = CallRefusal::not_run(kind, message).retry_after(BUSY_RETRY);
+    let _ = refused.request.payload.reply.send(DispatchOutcome::Refused(refusal));
 }
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -58,12 +58,7 @@
         request: PeerRequest,
         timeout: Duration,
     ) {
-        self.caller.order(PeerCall {
-            address: host.address,
-            request,
-            timeout,
-            ordered: now,
-        });
+        self.caller.order(PeerCall { address: host.address, request, timeout, ordered: now });
     }
 
     /// Sends a background message to a host.
@@ -98,11 +93,7 @@
 
     /// Returns all other hosts of the list, also leaving ones.
     pub(super) fn other_hosts(&self) -> impl Iterator<Item = &HostRecord> {
-        self.views
-            .hosts()
-            .hosts
-            .iter()
-            .filter(|it| it.name != self.identity.name)
+        self.views.hosts().hosts.iter().filter(|it| it.name != self.identity.name)
     }
 
     /// Asks peers for their revision, once, when the first host list is known.
@@ -111,9 +102,8 @@
             return;
         }
         let others: Vec<HostRecord> = self.other_hosts().cloned().collect();
-        let asked: Vec<&HostRecord> = others
-            .choose_multiple(&mut rand::rng(), START_PEERS)
-            .collect();
+        let asked: Vec<&HostRecord> =
+            others.choose_multiple(&mut rand::rng(), START_PEERS).collect();
         for peer in &asked {
             self.tell(now, peer, PeerRequest::Digest(self.digest()));
         }
@@ -122,10 +112,7 @@
         }
         self.sync = match asked.len() {
             0 => StartSync::Done,
-            pending => StartSync::Asked {
-                since: now,
-                pending,
-            },
+            pending => StartSync::Asked { since: now, pending },
         };
     }
 
@@ -193,11 +180,7 @@
         let was_leaving = self.views.release_if_leaving().is_some();
         let own = list.host(&self.identity.name).map(|it| it.state);
         let is_departure = own == Some(HostState::Leaving) && !was_leaving;
-        let buckets = if is_departure {
-            self.buckets_by_next_owner(now)
-        } else {
-            Vec::new()
-        };
+        let buckets = if is_departure { self.buckets_by_next_owner(now) } else { Vec::new() };
         self.views.read_list(started, now, list);
         if is_departure && let Some(release) = self.views.release_if_leaving() {
             self.tell_release(now, &release, buckets);
@@ -211,10 +194,7 @@
         buckets: Vec<(HostRecord, Vec<HandedBucket>)>,
     ) {
         for (owner, buckets) in buckets {
-            let handover = BucketHandover {
-                incarnation: self.incarnation,
-                buckets,
-            };
+            let handover = BucketHandover { incarnation: self.incarnation, buckets };
             self.tell(now, &owner, PeerRequest::Buckets(handover));
         }
         for peer in self.other_hosts() {
@@ -224,11 +204,7 @@
 
     /// Groups the owned buckets by the host that owns them without this one.
     fn buckets_by_next_owner(&mut self, now: Instant) -> Vec<(HostRecord, Vec<HandedBucket>)> {
-        let members = self
-            .views
-            .members()
-            .iter()
-            .filter(|it| **it != self.identity.name);
+        let members = self.views.members().iter().filter(|it| **it != self.identity.name);
         let members: Vec<&HostName> = members.collect();
         let mut groups: BTreeMap<HostName, Vec<HandedBucket>> = BTreeMap::new();
         for bucket in self.buckets.take_owned(now) {
@@ -240,9 +216,7 @@
         }
         let hosts = self.views.hosts();
         let groups = groups.into_iter();
-        groups
-            .filter_map(|(name, buckets)| Some((hosts.host(&name)?.clone(), buckets)))
-            .collect()
+        groups.filter_map(|(name, buckets)| Some((hosts.host(&name)?.clone(), buckets))).collect()
     }
 
     /// Takes the release of another process.
@@ -286,8 +260,7 @@
                 PeerReply::Done
             }
             PeerRequest::Buckets(handover) => {
-                self.buckets
-                    .hand_over(now, handover.incarnation, handover.buckets);
+                self.buckets.hand_over(now, handover.incarnation, handover.buckets);
                 PeerReply::Done
             }
             PeerRequest::Digest(digest) => {
--- a/lib/src/control/handle.rs
+++ b/lib/src/control/handle.rs
@@ -11,7 +11,7 @@
     AdmitOutcome, AdmitRequest, ControlCommand, DispatchEnd, DispatchGrant, DispatchOutcome,
     DispatchRequest, ReplySender,
 };
-use crate::front::{Refusal, RefusalKind};
+use crate::front::{CallRefusal, RefusalKind};
 
 /// Sends commands to the control actor and waits for replies.
 #[derive(Clone)]
@@ -21,9 +21,7 @@
 
 impl ControlHandle {
     pub(super) fn new(channel: Channel<ControlCommand>) -> Self {
-        Self {
-            channel: Arc::new(channel),
-        }
+        Self { channel: Arc::new(channel) }
     }
 
     /// Sends a command; returns whether the actor still runs.
@@ -47,21 +45,19 @@
     }
 
     /// Asks for an upstream; waits while the request is queued.
-    pub fn dispatch(&self, request: DispatchRequest) -> Result<DispatchGuard, Refusal> {
+    pub fn dispatch(&self, request: DispatchRequest) -> Result<DispatchGuard, CallRefusal> {
         match self.ask(|reply| ControlCommand::Dispatch(Box::new(request), reply)) {
-            Some(DispatchOutcome::Send(grant)) => Ok(DispatchGuard {
-                handle: self.clone(),
-                grant,
-                end: DispatchEnd::Broken,
-            }),
+            Some(DispatchOutcome::Send(grant)) => {
+                Ok(DispatchGuard { handle: self.clone(), grant, end: DispatchEnd::Broken })
+            }
             Some(DispatchOutcome::Refused(refusal)) => Err(refusal),
             None => Err(stopping()),
         }
     }
 }
 
-fn stopping() -> Refusal {
-    Refusal::not_run(RefusalKind::Stopping, "the host is stopping")
+fn stopping() -> CallRefusal {
+    CallRefusal::not_run(RefusalKind::Stopping, "the host is stopping")
 }
 
 /// A dispatch that has not ended; dropping it reports the end to the control actor.
@@ -80,10 +76,7 @@
     /// Reports the first piece of the answer.
     pub fn first_piece(&self, incarnation: Option<u64>) {
         let number = self.grant.number;
-        self.handle.send(ControlCommand::FirstPiece {
-            number,
-            incarnation,
-        });
+        self.handle.send(ControlCommand::FirstPiece { number, incarnation });
     }
 
     /// Ends the dispatch.
@@ -92,8 +85,7 @@
     /// the caller cannot repeat the request through a host that does not.
     pub fn end(mut self, end: DispatchEnd) {
         if end == DispatchEnd::Broken {
-            self.handle
-                .ask(|reply| ControlCommand::DispatchBroken(self.grant.number, reply));
+            self.handle.ask(|reply| ControlCommand::DispatchBroken(self.grant.number, reply));
         }
         self.end = end;
     }
@@ -102,7 +94,6 @@
 impl Drop for DispatchGuard {
     fn drop(&mut self) {
         // After a reported break this finds no dispatch any more and has no effect.
-        self.handle
-            .send(ControlCommand::DispatchEnded(self.grant.number, self.end));
+        self.handle.send(ControlCommand::DispatchEnded(self.grant.number, self.end));
     }
 }
--- a/lib/src/control/message.rs
+++ b/lib/src/control/message.rs
@@ -7,7 +7,7 @@
 use crate::{
     catalogue::KeyHash,
     config::ConfigChange,
-    front::{CallerRequest, Refusal},
+    front::{CallRefusal, CallerRequest},
     limits::{GrantReply, GrantRequest, HandedBucket},
     membership::{Heartbeat, HeartbeatReply, HostList, HostRelease},
     names::{CentreName, HostName, UpstreamName},
@@ -62,7 +62,7 @@
         is_replay: bool,
     },
     /// The call is refused.
-    Refused(Refusal),
+    Refused(CallRefusal),
 }
 
 /// Buckets that a stopping process hands over.
--- a/lib/src/control/operations.rs
+++ b/lib/src/control/operations.rs
@@ -12,7 +12,7 @@
     state::ControlState,
 };
 use crate::{
-    front::{Refusal, RefusalKind},
+    front::{CallRefusal, RefusalKind},
     membership::{HostRecord, ViewTracker},
     names::{CentreName, HostName, TeamName},
     operation::{
@@ -66,7 +66,7 @@
         id: ForwardId,
     },
     /// Nowhere at present.
-    Refused(Refusal),
+    Refused(CallRefusal),
 }
 
 /// How a call ends without a dispatch.
@@ -77,7 +77,7 @@
     /// The operation ran earlier; its response is not stored.
     Ran,
     /// The call is refused.
-    Refused(Refusal),
+    Refused(CallRefusal),
 }
 
 /// What to do with a call.
@@ -192,37 +192,22 @@
             OperationCommand::Backed(handle, backup) => {
                 self.ledger.backup_acknowledged(&handle, &backup);
             }
-            OperationCommand::NotBacked {
-                handle,
-                offered,
-                conflict,
-                reply,
-            } => {
+            OperationCommand::NotBacked { handle, offered, conflict, reply } => {
                 let denied = match conflict {
-                    Some((record, backup)) => self
-                        .ledger
-                        .backup_conflicted(now, &handle, &record, &backup),
+                    Some((record, backup)) => {
+                        self.ledger.backup_conflicted(now, &handle, &record, &backup)
+                    }
                     None => self.ledger.backup_failed(&handle),
                 };
                 let _ = reply.send(self.denied(now, denied, &offered));
             }
-            OperationCommand::Begin {
-                handle,
-                offered,
-                reply,
-            } => {
+            OperationCommand::Begin { handle, offered, reply } => {
                 let rights = self.operation_route.rights(&self.views);
                 let begun = self.ledger.begin_dispatch(now, &handle, &rights);
-                let verdict = begun
-                    .err()
-                    .map(|denied| self.denied(now, *denied, &offered));
+                let verdict = begun.err().map(|denied| self.denied(now, *denied, &offered));
                 let _ = reply.send(verdict);
             }
-            OperationCommand::Ended {
-                handle,
-                offered,
-                end,
-            } => {
+            OperationCommand::Ended { handle, offered, end } => {
                 self.operation_ended(now, &handle, &offered, end);
             }
         }
@@ -234,14 +219,8 @@
             RouteDecision::Here => OperationPlace::Here,
             RouteDecision::Forward(host) => {
                 self.last_forward += 1;
-                let id = ForwardId {
-                    incarnation: self.incarnation,
-                    number: self.last_forward,
-                };
-                OperationPlace::Forward {
-                    host: host.clone(),
-                    id,
-                }
+                let id = ForwardId { incarnation: self.incarnation, number: self.last_forward };
+                OperationPlace::Forward { host: host.clone(), id }
             }
             RouteDecision::Unknown(reason) => OperationPlace::Refused(unknown_refusal(reason)),
             RouteDecision::NotRun(reason) => OperationPlace::Refused(not_run_refusal(reason)),
@@ -254,20 +233,12 @@
             OperationDecision::Dispatch(handle) => OperationStart::Dispatch(handle),
             OperationDecision::AwaitBackup { handle, record } => {
                 let list = self.views.hosts();
-                let backups: Vec<HostRecord> = self
-                    .operation_route
-                    .backups(handle.id(), list)
-                    .into_iter()
-                    .cloned()
-                    .collect();
+                let backups: Vec<HostRecord> =
+                    self.operation_route.backups(handle.id(), list).into_iter().cloned().collect();
                 if backups.is_empty() && self.ledger.waive_backup(&handle, list) {
                     return OperationStart::Dispatch(handle);
                 }
-                OperationStart::OfferBackup {
-                    handle,
-                    record: Box::new(record),
-                    backups,
-                }
+                OperationStart::OfferBackup { handle, record: Box::new(record), backups }
             }
             decision => OperationStart::End(verdict_of(decision)),
         }
@@ -313,11 +284,7 @@
 
     fn send_record_update(&self, now: Instant, host: &HostRecord, update: OperationUpdate) {
         let sender = self.identity.name.clone();
-        let request = PeerRequest::UpdateRecord {
-            sender,
-            target: host.name.clone(),
-            update,
-        };
+        let request = PeerRequest::UpdateRecord { sender, target: host.name.clone(), update };
         self.tell(now, host, request);
     }
 
@@ -353,8 +320,7 @@
 
     /// Returns a page of the records that a host of `centre` may decide about.
     pub(super) fn record_page(&self, now: Instant, centre: &CentreName, cursor: u64) -> RecordPage {
-        self.ledger
-            .export_page(now, cursor, |id| self.operation_route.is_home(id, centre))
+        self.ledger.export_page(now, cursor, |id| self.operation_route.is_home(id, centre))
     }
 
     /// Takes a page that was asked of `source`.
@@ -400,12 +366,11 @@
     pub(super) fn watch_gains(&mut self, now: Instant, at: Instant) {
         let members = self.views.members();
         let is_confirmed = self.views.is_confirmed(now);
+        if *members == self.seen_view.members && is_confirmed == self.seen_view.is_confirmed {
+            return;
+        }
         let earlier: Vec<HostName> = self.seen_view.members.iter().cloned().collect();
-        let has_lost = self
-            .seen_view
-            .members
-            .iter()
-            .any(|it| !members.contains(it));
+        let has_lost = self.seen_view.members.iter().any(|it| !members.contains(it));
         if is_confirmed && !self.seen_view.is_confirmed {
             // While views were unconfirmed another host may have been the owner of any key.
             self.ledger.require_handover(at, &[]);
@@ -416,25 +381,17 @@
             self.is_placement_due = true;
             self.wallets.owners_changed(&self.identity.data_centre);
         }
-        self.seen_view = SeenView {
-            members: members.clone(),
-            is_confirmed,
-            ..self.seen_view
-        };
+        self.seen_view = SeenView { members: members.clone(), is_confirmed, ..self.seen_view };
     }
 
     fn continue_handover(&mut self, now: Instant) {
         let hosts: Vec<HostRecord> = self.other_hosts().cloned().collect();
         if self.ledger.is_handover_due(now) {
-            self.ledger
-                .start_handover(now, hosts.iter().map(|it| &it.name));
+            self.ledger.start_handover(now, hosts.iter().map(|it| &it.name));
         }
         let epoch = self.ledger.handover_epoch();
-        let awaited: Vec<(HostName, u64)> = self
-            .ledger
-            .awaited_pages()
-            .map(|(host, cursor)| (host.clone(), cursor))
-            .collect();
+        let awaited: Vec<(HostName, u64)> =
+            self.ledger.awaited_pages().map(|(host, cursor)| (host.clone(), cursor)).collect();
         for (name, cursor) in awaited {
             if let Some(host) = hosts.iter().find(|it| it.name == name) {
                 self.ask_page(now, host, epoch, cursor);
@@ -454,13 +411,9 @@
                 if owner.name != self.identity.name {
                     return Some(owner.name.clone());
                 }
-                self.operation_route
-                    .backups(id, list)
-                    .first()
-                    .map(|it| it.name.clone())
+                self.operation_route.backups(id, list).first().map(|it| it.name.clone())
             };
-            self.ledger
-                .unplaced_records(now, self.placement_cursor, target)
+            self.ledger.unplaced_records(now, self.placement_cursor, target)
         };
         // A pass takes several pages. Records that an earlier page sent may be without an answer.
         self.seen_view.has_unplaced |= !unplaced.is_empty();
@@ -493,7 +446,7 @@
     match decision {
         OperationDecision::Replay(response) => OperationVerdict::Replay(response),
         OperationDecision::Ran => OperationVerdict::Ran,
-        OperationDecision::BodyMismatch => OperationVerdict::Refused(Refusal::not_run(
+        OperationDecision::BodyMismatch => OperationVerdict::Refused(CallRefusal::not_run(
             RefusalKind::OperationMismatch,
             "the operation key was used with another request",
         )),
@@ -505,25 +458,21 @@
     }
 }
 
-fn unknown_refusal(reason: UnknownReason) -> Refusal {
+fn unknown_refusal(reason: UnknownReason) -> CallRefusal {
     let kind = match reason {
         UnknownReason::InProgress => RefusalKind::OperationRunning,
         UnknownReason::IssuerGone | UnknownReason::TicketExpired => RefusalKind::OperationExpired,
         _ => RefusalKind::OperationUnknown,
     };
-    Refusal::unknown(kind, reason.to_string())
+    CallRefusal::unknown(kind, reason.to_string())
 }
 
-fn not_run_refusal(reason: NotRunReason) -> Refusal {
+fn not_run_refusal(reason: NotRunReason) -> CallRefusal {
     let kind = match reason {
         NotRunReason::InvalidTicket => RefusalKind::OperationKeyInvalid,
         NotRunReason::UpstreamRefused => RefusalKind::UpstreamUnreachable,
         _ => RefusalKind::OperationUndecided,
     };
-    let refusal = Refusal::not_run(kind, reason.to_string());
-    if reason.may_retry() {
-        refusal.retry_after(DECISION_RETRY)
-    } else {
-        refusal
-    }
+    let refusal = CallRefusal::not_run(kind, reason.to_string());
+    if reason.may_retry() { refusal.retry_after(DECISION_RETRY) } else { refusal }
 }
--- a/lib/src/control/processes.rs
+++ b/lib/src/control/processes.rs
@@ -37,14 +37,11 @@
 impl ProcessTable {
     /// Notes that a process stopped after it had handed over its records.
     pub(super) fn note_release(&mut self, release: &HostRelease) {
-        self.released
-            .insert(release.host.clone(), release.incarnation);
+        self.released.insert(release.host.clone(), release.incarnation);
     }
 
     fn is_released(&self, host: &HostName) -> bool {
-        self.released
-            .get(host)
-            .is_some_and(|it| self.running.get(host) == Some(it))
+        self.released.get(host).is_some_and(|it| self.running.get(host) == Some(it))
     }
 
     fn view_of(&self, host: &HostName) -> Option<(&CentreName, &BTreeSet<HostName>)> {
@@ -68,10 +65,7 @@
             && let Some((centre, hosts)) = self.processes.view_of(host)
         {
             let view: Vec<HostName> = hosts.iter().cloned().collect();
-            let lost = [LostProcess {
-                host: host.clone(),
-                incarnation: Some(earlier),
-            }];
+            let lost = [LostProcess { host: host.clone(), incarnation: Some(earlier) }];
             let centre = centre.clone();
             self.ledger.records_lost(now, &centre, &view, &lost);
         }
@@ -85,10 +79,7 @@
         let mut listed: BTreeMap<CentreName, BTreeSet<HostName>> = BTreeMap::new();
         for host in &self.views.hosts().hosts {
             if host.state == HostState::Live {
-                listed
-                    .entry(host.data_centre.clone())
-                    .or_default()
-                    .insert(host.name.clone());
+                listed.entry(host.data_centre.clone()).or_default().insert(host.name.clone());
             }
         }
         if listed == self.processes.listed {
@@ -100,9 +91,7 @@
             if kept != Some(&hosts) {
                 self.wallets.owners_changed(&centre);
             }
-            let gone = hosts
-                .iter()
-                .filter(|it| !kept.is_some_and(|kept| kept.contains(*it)));
+            let gone = hosts.iter().filter(|it| !kept.is_some_and(|kept| kept.contains(*it)));
             let lost: Vec<LostProcess> = gone
                 .filter(|it| !self.processes.is_released(it))
                 .map(|it| LostProcess {
@@ -147,10 +136,7 @@
         }
         if self.is_placement_due {
             // Without a release the other hosts note the loss of the records.
-            tracing::warn!(
-                records = self.ledger.status().records,
-                "hand_over_incomplete"
-            );
+            tracing::warn!(records = self.ledger.status().records, "hand_over_incomplete");
             self.views.release();
         } else {
             self.release(now);
--- a/lib/src/control/report.rs
+++ b/lib/src/control/report.rs
@@ -7,7 +7,7 @@
 
 use super::{
     admission::OPEN_TEAM,
-    command::{Admission, RequestEnd},
+    command::{CallAdmission, RequestEnd},
     state::ControlState,
 };
 use crate::{
@@ -43,16 +43,23 @@
     }
 
     /// Counts a request that was refused before it was admitted, with a known team.
-    pub(super) fn count_refusal(&mut self, now: Instant, admission: &Admission, kind: RefusalKind) {
-        let end = RequestEnd::Refused {
-            kind,
-            outcome: OutcomeKind::NotRun,
-        };
+    pub(super) fn count_refusal(
+        &mut self,
+        now: Instant,
+        admission: &CallAdmission,
+        kind: RefusalKind,
+    ) {
+        let end = RequestEnd::Refused { kind, outcome: OutcomeKind::NotRun };
         self.request_ended(now, admission, end);
     }
 
     /// Counts the end of a request.
-    pub(super) fn request_ended(&mut self, now: Instant, admission: &Admission, end: RequestEnd) {
+    pub(super) fn request_ended(
+        &mut self,
+        now: Instant,
+        admission: &CallAdmission,
+        end: RequestEnd,
+    ) {
         let labels = RequestLabels {
             route: Some(&admission.route),
             team: Some(&admission.team),
@@ -69,8 +76,7 @@
             self.metrics.first_chunk(&admission.class, first_piece);
         }
         if let Some(event) = service_event(admission, end) {
-            self.burn
-                .record(now, &admission.team, &admission.class, event);
+            self.burn.record(now, &admission.team, &admission.class, event);
         }
     }
 
@@ -78,8 +84,7 @@
     pub(super) fn update_gauges(&self) {
         self.metrics.queue_length(self.queue.len() as u64);
         self.metrics.in_flight(self.running.len() as u64);
-        self.metrics
-            .config_revision(self.config.accepted_revision(), self.config.seen_revision());
+        self.metrics.config_revision(self.config.accepted_revision(), self.config.seen_revision());
     }
 
     pub(super) fn burn_report(&mut self, now: Instant) -> BurnReport {
@@ -176,16 +181,10 @@
     ) -> ExplainVerdict {
         let catalogue = self.catalogue().clone();
         let route = match (&query.model, &query.path, &query.method) {
-            (Some(_), _, _) => catalogue
-                .routes()
-                .iter()
-                .find(|it| it.1.kind == RouteKind::Chat),
+            (Some(_), _, _) => catalogue.routes().iter().find(|it| it.1.kind == RouteKind::Chat),
             (None, Some(path), Some(method)) => {
                 let found = catalogue.route(method, path).map(|it| it.0.clone());
-                catalogue
-                    .routes()
-                    .iter()
-                    .find(|it| Some(&it.0) == found.as_ref())
+                catalogue.routes().iter().find(|it| Some(&it.0) == found.as_ref())
             }
             _ => None,
         };
@@ -193,11 +192,7 @@
             steps.push(step("route", StepOutcome::Refused, "no route matches"));
             return refuse(RefusalKind::NoRoute);
         };
-        steps.push(step(
-            "route",
-            StepOutcome::Passed,
-            format!("{name}, path {}", route.path),
-        ));
+        steps.push(step("route", StepOutcome::Passed, format!("{name}, path {}", route.path)));
         if let Some(kind) = self.explain_team(query, route, steps) {
             return refuse(kind);
         }
@@ -209,17 +204,9 @@
         };
         let team = TeamName::new(query.team.as_deref().unwrap_or(OPEN_TEAM));
         let chat = query.chat.as_deref().map(|it| chat_identity(&team, it));
-        let request = PickRequest {
-            target,
-            chat: chat.as_deref(),
-            request: "explain",
-            work: 1,
-            tried: &[],
-        };
-        let outcome = self
-            .picker
-            .clone()
-            .pick(now, &request, &catalogue, &self.fleets);
+        let request =
+            PickRequest { target, chat: chat.as_deref(), request: "explain", work: 1, tried: &[] };
+        let outcome = self.picker.clone().pick(now, &request, &catalogue, &self.fleets);
         explain_pick(outcome, steps)
     }
 
@@ -234,19 +221,11 @@
             return None;
         };
         let Some(entry) = self.catalogue().team(&team) else {
-            steps.push(step(
-                "team",
-                StepOutcome::Refused,
-                format!("no team {team}"),
-            ));
+            steps.push(step("team", StepOutcome::Refused, format!("no team {team}")));
             return Some(RefusalKind::KeyInvalid);
         };
         if !route.teams.is_empty() && !route.teams.contains(&team) {
-            steps.push(step(
-                "team",
-                StepOutcome::Refused,
-                "the route is closed to the team",
-            ));
+            steps.push(step("team", StepOutcome::Refused, "the route is closed to the team"));
             return Some(RefusalKind::RouteForbidden);
         }
         let share = self.gate.share(&team);
@@ -263,23 +242,18 @@
     }
 }
 
-fn service_event(admission: &Admission, end: RequestEnd) -> Option<ServiceEvent> {
+fn service_event(admission: &CallAdmission, end: RequestEnd) -> Option<ServiceEvent> {
     match end {
-        RequestEnd::Answered { first_piece } => Some(ServiceEvent::Answered {
-            first_chunk: first_piece,
-            deadline: admission.deadline,
-        }),
+        RequestEnd::Answered { first_piece } => {
+            Some(ServiceEvent::Answered { first_chunk: first_piece, deadline: admission.deadline })
+        }
         RequestEnd::Cut => Some(ServiceEvent::Truncated),
         RequestEnd::CallerGone => None,
-        RequestEnd::Refused {
-            kind: RefusalKind::OverRate,
-            ..
-        } => Some(ServiceEvent::OverRate),
+        RequestEnd::Refused { kind: RefusalKind::OverRate, .. } => Some(ServiceEvent::OverRate),
         RequestEnd::Refused { kind, .. } if kind.is_callers_fault() => None,
-        RequestEnd::Refused {
-            outcome: OutcomeKind::Unknown,
-            ..
-        } => Some(ServiceEvent::UnknownOutcome),
+        RequestEnd::Refused { outcome: OutcomeKind::Unknown, .. } => {
+            Some(ServiceEvent::UnknownOutcome)
+        }
         RequestEnd::Refused { .. } => Some(ServiceEvent::WrongfulRefusal),
     }
 }
@@ -289,25 +263,14 @@
         PickOutcome::Picked(pick) => {
             steps.extend(pick.skipped.iter().map(skipped_step));
             steps.push(picked_step(&pick));
-            ExplainVerdict::Dispatch {
-                upstream: pick.upstream,
-            }
+            ExplainVerdict::Dispatch { upstream: pick.upstream }
         }
-        PickOutcome::Busy {
-            skipped,
-            skipped_count,
-        } => {
+        PickOutcome::Busy { skipped, skipped_count } => {
             steps.extend(skipped.iter().map(skipped_step));
-            ExplainVerdict::Queue {
-                reason: format!("{skipped_count} upstreams are busy"),
-            }
+            ExplainVerdict::Queue { reason: format!("{skipped_count} upstreams are busy") }
         }
         PickOutcome::NoneEligible => {
-            steps.push(step(
-                "eligible",
-                StepOutcome::Refused,
-                "no upstream takes such requests",
-            ));
+            steps.push(step("eligible", StepOutcome::Refused, "no upstream takes such requests"));
             refuse(RefusalKind::NoUpstream)
         }
     }
@@ -336,15 +299,9 @@
 }
 
 fn step(name: &str, outcome: StepOutcome, detail: impl Into<String>) -> ExplainStep {
-    ExplainStep {
-        name: name.to_owned(),
-        outcome,
-        detail: detail.into(),
-    }
+    ExplainStep { name: name.to_owned(), outcome, detail: detail.into() }
 }
 
 fn refuse(kind: RefusalKind) -> ExplainVerdict {
-    ExplainVerdict::Refuse {
-        reason: kind.as_str().to_owned(),
-    }
+    ExplainVerdict::Refuse { reason: kind.as_str().to_owned() }
 }
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -124,29 +124,17 @@
 
 impl fmt::Debug for ControlState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("ControlState")
-            .field("identity", &self.identity)
-            .finish_non_exhaustive()
+        f.debug_struct("ControlState").field("identity", &self.identity).finish_non_exhaustive()
     }
 }
 
 impl ControlState {
     /// Creates the state of a process that has just started.
     pub fn new(settings: StateSettings, now: Instant) -> Self {
-        let StateSettings {
-            identity,
-            incarnation,
-            timing,
-            max_queued,
-            metrics,
-            caller,
-        } = settings;
+        let StateSettings { identity, incarnation, timing, max_queued, metrics, caller } = settings;
         let (host, centre) = (identity.name.clone(), identity.data_centre.clone());
         let routing = RoutingSettings::default();
-        let queue = QueueSettings {
-            capacity: max_queued,
-            ..QueueSettings::default()
-        };
+        let queue = QueueSettings { capacity: max_queued, ..QueueSettings::default() };
         Self {
             incarnation,
             timing,
@@ -209,10 +197,7 @@
             ControlCommand::HostsLearned(list) => self.hosts_learned(now, &list),
             ControlCommand::Admit(request, reply) => self.admit(now, &request, reply),
             ControlCommand::Dispatch(request, reply) => self.dispatch(now, *request, reply),
-            ControlCommand::FirstPiece {
-                number,
-                incarnation,
-            } => {
+            ControlCommand::FirstPiece { number, incarnation } => {
                 self.first_piece(now, number, incarnation);
             }
             ControlCommand::DispatchEnded(number, end) => self.dispatch_ended(now, number, end),
@@ -301,15 +286,8 @@
 
     /// Notes which buckets this host owns now.
     pub(super) fn observe_buckets(&mut self, now: Instant) {
-        let Self {
-            gate,
-            buckets,
-            views,
-            ..
-        } = self;
-        buckets.tick(now, gate.shares(), |team| {
-            views.owns(&bucket_key(team), now)
-        });
+        let Self { gate, buckets, views, .. } = self;
+        buckets.tick(now, gate.shares(), |team| views.owns(&bucket_key(team), now));
     }
 
     /// Returns whether the host takes new requests.
@@ -353,11 +331,7 @@
         match list {
             Some(list) => {
                 if list.version > self.views.hosts().version {
-                    tracing::info!(
-                        version = list.version,
-                        hosts = list.hosts.len(),
-                        "host_list"
-                    );
+                    tracing::info!(version = list.version, hosts = list.hosts.len(), "host_list");
                 }
                 self.take_list(now, started, &list);
             }
@@ -371,11 +345,7 @@
     /// Takes a host list from another host, if the platform has given none.
     fn hosts_learned(&mut self, now: Instant, list: &HostList) {
         if self.views.hosts().version == 0 {
-            tracing::info!(
-                version = list.version,
-                hosts = list.hosts.len(),
-                "host_list_learned"
-            );
+            tracing::info!(version = list.version, hosts = list.hosts.len(), "host_list_learned");
             self.views.read_list(self.started, now, list);
             self.note_listed(now);
             self.start_sync(now);
@@ -389,10 +359,7 @@
             return;
         }
         let sets = self.views.recent_fleets(now);
-        self.fleets.extend(
-            sets.into_iter()
-                .map(|it| it.iter().cloned().collect::<HostSet>()),
-        );
+        self.fleets.extend(sets.into_iter().map(|it| it.iter().cloned().collect::<HostSet>()));
     }
 
     fn peer_ended(
@@ -429,15 +396,7 @@
             (PeerRequest::UpdateRecord { target, update, .. }, result) => {
                 self.update_ended(&target, &update, result);
             }
-            (
-                PeerRequest::Records {
-                    source,
-                    epoch,
-                    cursor,
-                    ..
-                },
-                result,
-            ) => {
+            (PeerRequest::Records { source, epoch, cursor, .. }, result) => {
                 self.page_ended(now, &source, epoch, cursor, result);
             }
             _ => {}
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::ClockSource,
     control::{ControlCommand, ControlHandle, ControlState, ControlThread, StateSettings},
-    exchange::Exchange,
+    exchange::CallerExchange,
     front::{FrontLimits, FrontServer},
     membership::{HostRecord, HostState, ViewTiming},
     platform::PlatformSource,
@@ -85,15 +85,8 @@
         let control = start_control(&settings, &ports, address, &metrics)?;
         let stop = StopGuard::new();
         let threads = ThreadGroup::new();
-        start_watches(
-            &settings,
-            &ports,
-            &metrics,
-            &control.handle(),
-            stop.signal(),
-            &threads,
-        )?;
-        let exchange = Arc::new(Exchange::new(
+        start_watches(&settings, &ports, &metrics, &control.handle(), stop.signal(), &threads)?;
+        let exchange = Arc::new(CallerExchange::new(
             control.handle(),
             ports.upstream.clone(),
             ports.clock.clone(),
@@ -105,14 +98,7 @@
             .context("cannot start the administration server")?;
         let front = FrontServer::start(caller_listener, limits(&settings), exchange.clone())
             .context("cannot start the caller interface")?;
-        Ok(Self {
-            settings,
-            control,
-            front,
-            admin,
-            _stop: stop,
-            _threads: threads,
-        })
+        Ok(Self { settings, control, front, admin, _stop: stop, _threads: threads })
     }
 
     /// Returns the address for callers.
@@ -161,19 +147,9 @@
 
 /// Adds counts to the calls that are control traffic only.
 fn count_traffic(ports: RouterPorts, metrics: &Arc<RouterMetrics>) -> RouterPorts {
-    let platform = Arc::new(CountedPlatform {
-        inner: ports.platform,
-        metrics: metrics.clone(),
-    });
-    let peers = Arc::new(CountedPeers {
-        inner: ports.peers,
-        metrics: metrics.clone(),
-    });
-    RouterPorts {
-        platform,
-        peers,
-        ..ports
-    }
+    let platform = Arc::new(CountedPlatform { inner: ports.platform, metrics: metrics.clone() });
+    let peers = Arc::new(CountedPeers { inner: ports.peers, metrics: metrics.clone() });
+    RouterPorts { platform, peers, ..ports }
 }
 
 fn limits(settings: &RouterSettings) -> FrontLimits {
@@ -234,29 +210,20 @@
 ) -> io::Result<()> {
     let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
     let clock = ports.clock.clone();
-    threads.spawn("watch-config", move || {
-        watch_config(&*platform, &*clock, &handle, &signal)
-    })?;
+    threads.spawn("watch-config", move || watch_config(&*platform, &*clock, &handle, &signal))?;
     let (platform, handle, signal) = (ports.platform.clone(), control.clone(), stop.clone());
     let clock = ports.clock.clone();
     let validity = settings.validity;
     threads.spawn("watch-hosts", move || {
         watch_hosts(&*platform, &*clock, &handle, &signal, validity)
     })?;
-    let upstream = CountedLoads {
-        inner: ports.upstream.clone(),
-        metrics: metrics.clone(),
-    };
+    let upstream = CountedLoads { inner: ports.upstream.clone(), metrics: metrics.clone() };
     let (handle, signal) = (control.clone(), stop.clone());
     let clock = ports.clock.clone();
     if !settings.seed_peers.is_empty() {
         let (transport, handle, signal) = (ports.peers.clone(), control.clone(), stop.clone());
         let seeds = settings.seed_peers.clone();
-        threads.spawn("seed", move || {
-            learn_from_seeds(&*transport, &seeds, &handle, &signal)
-        })?;
+        threads.spawn("seed", move || learn_from_seeds(&*transport, &seeds, &handle, &signal))?;
     }
-    threads.spawn("read-loads", move || {
-        read_loads(&upstream, &*clock, &handle, &signal)
-    })
+    threads.spawn("read-loads", move || read_loads(&upstream, &*clock, &handle, &signal))
 }
--- a/lib/src/daemon/admin.rs
+++ b/lib/src/daemon/admin.rs
@@ -12,7 +12,7 @@
 use super::traffic::purpose_of;
 use crate::{
     control::{ControlCommand, ControlHandle, ForwardedOperation, PeerReply, PeerRequest},
-    exchange::Exchange,
+    exchange::CallerExchange,
     peer::{decode_message, encode_message},
     status::ExplainQuery,
     telemetry::{ControlPurpose, RouterMetrics},
@@ -38,7 +38,7 @@
 struct AdminState {
     control: ControlHandle,
     metrics: Arc<RouterMetrics>,
-    exchange: Arc<Exchange>,
+    exchange: Arc<CallerExchange>,
     operations: Arc<ThreadGroup>,
 }
 
@@ -51,29 +51,17 @@
 
 impl AdminAnswer {
     fn text(status: u16, body: impl Into<String>) -> Self {
-        Self {
-            status,
-            content_type: "text/plain; charset=utf-8",
-            body: body.into().into_bytes(),
-        }
+        Self { status, content_type: "text/plain; charset=utf-8", body: body.into().into_bytes() }
     }
 
     pub(super) fn message(reply: &PeerReply) -> Self {
         let body = encode_message(reply);
-        Self {
-            status: 200,
-            content_type: "application/vnd.msgpack",
-            body,
-        }
+        Self { status: 200, content_type: "application/vnd.msgpack", body }
     }
 
     fn json<T: Serialize>(value: Option<T>) -> Self {
         match value.map(|it| serde_json::to_vec(&it)) {
-            Some(Ok(body)) => Self {
-                status: 200,
-                content_type: "application/json",
-                body,
-            },
+            Some(Ok(body)) => Self { status: 200, content_type: "application/json", body },
             Some(Err(error)) => Self::text(500, format!("cannot encode the answer: {error}\n")),
             None => Self::text(503, "the router is stopping\n"),
         }
@@ -85,18 +73,13 @@
         listener: TcpListener,
         control: ControlHandle,
         metrics: Arc<RouterMetrics>,
-        exchange: Arc<Exchange>,
+        exchange: Arc<CallerExchange>,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let operations = Arc::new(ThreadGroup::new());
-        let state = AdminState {
-            control,
-            metrics,
-            exchange,
-            operations: operations.clone(),
-        };
+        let state = AdminState { control, metrics, exchange, operations: operations.clone() };
         let threads = ThreadGroup::new();
         for _ in 0..ADMIN_THREADS {
             let (server, state) = (server.clone(), state.clone());
@@ -106,12 +89,7 @@
                 }
             })?;
         }
-        Ok(Self {
-            address,
-            server,
-            threads,
-            operations,
-        })
+        Ok(Self { address, server, threads, operations })
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -136,8 +114,7 @@
                 let received = request_bytes(&request);
                 match decode_message::<PeerRequest>(request.as_reader()) {
                     Ok(PeerRequest::Operation(operation)) => {
-                        self.metrics
-                            .control_received(ControlPurpose::Operation, received);
+                        self.metrics.control_received(ControlPurpose::Operation, received);
                         return self.start_operation(*operation, request);
                     }
                     Ok(message) => {
@@ -263,13 +240,7 @@
 fn make_response(answer: &AdminAnswer) -> Response<&[u8]> {
     let kind =
         Header::from_bytes("content-type", answer.content_type).expect("the header is valid");
-    Response::new(
-        answer.status.into(),
-        vec![kind],
-        &answer.body[..],
-        Some(answer.body.len()),
-        None,
-    )
+    Response::new(answer.status.into(), vec![kind], &answer.body[..], Some(answer.body.len()), None)
 }
 
 fn respond(request: Request, answer: AdminAnswer) {
--- a/lib/src/daemon/peers.rs
+++ b/lib/src/daemon/peers.rs
@@ -37,10 +37,7 @@
             });
             PeerPool::start(count, transport.clone(), clock.clone(), on_end)
         };
-        Ok(Self {
-            grants: pool(GRANT_THREADS)?,
-            background: pool(BACKGROUND_THREADS)?,
-        })
+        Ok(Self { grants: pool(GRANT_THREADS)?, background: pool(BACKGROUND_THREADS)? })
     }
 }
 
--- a/lib/src/daemon/tests.rs
+++ b/lib/src/daemon/tests.rs
@@ -63,10 +63,7 @@
 fn serve(listener: TcpListener, answers: Vec<Vec<u8>>) -> thread::JoinHandle<ByteCount> {
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
-        let mut count = ByteCount {
-            sent: 0,
-            received: 0,
-        };
+        let mut count = ByteCount { sent: 0, received: 0 };
         for answer in answers {
             count.received += read_request(&mut stream).len() as u64;
             stream.write_all(&answer).expect("the answer is sent");
@@ -77,10 +74,7 @@
 }
 
 fn answer(status: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!(
-        "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
+    let head = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n", body.len());
     [head.as_bytes(), body].concat()
 }
 
@@ -108,10 +102,7 @@
     let hosts = br#"{"version":3,"hosts":[]}"#;
     let server = serve(
         listener,
-        vec![
-            answer("200 OK", hosts),
-            b"HTTP/1.1 304 Not Modified\r\n\r\n".to_vec(),
-        ],
+        vec![answer("200 OK", hosts), b"HTTP/1.1 304 Not Modified\r\n\r\n".to_vec()],
     );
     let metrics = Arc::new(RouterMetrics::new());
     let platform = CountedPlatform {
@@ -122,10 +113,7 @@
         platform.hosts_after(2, TIMEOUT).expect("an answer");
     }
     let seen = server.join().expect("the server ends");
-    let count = ByteCount {
-        sent: seen.received,
-        received: seen.sent,
-    };
+    let count = ByteCount { sent: seen.received, received: seen.sent };
     assert_counted(&metrics, ControlPurpose::HostList, count);
 }
 
@@ -137,23 +125,12 @@
     let reply = answer("200 OK", &encode_message(&PeerReply::Done));
     let server = serve(listener, vec![reply]);
     let metrics = Arc::new(RouterMetrics::new());
-    let peers = CountedPeers {
-        inner: Arc::new(HttpPeer::new()),
-        metrics: metrics.clone(),
-    };
-    peers
-        .call(address, &PeerRequest::ConfigSince(7), TIMEOUT)
-        .expect("a reply");
+    let peers = CountedPeers { inner: Arc::new(HttpPeer::new()), metrics: metrics.clone() };
+    peers.call(address, &PeerRequest::ConfigSince(7), TIMEOUT).expect("a reply");
     let seen = server.join().expect("the server ends");
-    let count = ByteCount {
-        sent: seen.received,
-        received: seen.sent,
-    };
+    let count = ByteCount { sent: seen.received, received: seen.sent };
     assert_counted(&metrics, ControlPurpose::AntiEntropy, count);
-    let nothing = ByteCount {
-        sent: 0,
-        received: 0,
-    };
+    let nothing = ByteCount { sent: 0, received: 0 };
     assert_counted(&metrics, ControlPurpose::Grant, nothing);
 }
 
@@ -173,17 +150,11 @@
             let _: PeerReply = reply.expect("a reply");
             count
         });
-        let mut request = server
-            .recv_timeout(TIMEOUT)
-            .expect("no fault")
-            .expect("a request");
+        let mut request = server.recv_timeout(TIMEOUT).expect("no fault").expect("a request");
         let purpose = ControlPurpose::AntiEntropy;
         metrics.control_received(purpose, request_bytes(&request));
         let mut message = Vec::new();
-        request
-            .as_reader()
-            .read_to_end(&mut message)
-            .expect("a body");
+        request.as_reader().read_to_end(&mut message).expect("a body");
         let reply = PeerReply::Config(crate::config::ConfigChange {
             base: 0,
             revision: 1,
@@ -195,10 +166,7 @@
         });
         respond_counted(request, AdminAnswer::message(&reply), &metrics, purpose);
         let seen = client.join().expect("the client ends");
-        let count = ByteCount {
-            sent: seen.received,
-            received: seen.sent,
-        };
+        let count = ByteCount { sent: seen.received, received: seen.sent };
         assert_counted(&metrics, purpose, count);
     }
 }
@@ -216,11 +184,7 @@
         _wait: Duration,
     ) -> Result<Option<ConfigChange>, PlatformError> {
         self.reads.fetch_add(1, Ordering::SeqCst);
-        Ok(Some(ConfigChange {
-            base: revision,
-            revision: revision + 1,
-            entries: Vec::new(),
-        }))
+        Ok(Some(ConfigChange { base: revision, revision: revision + 1, entries: Vec::new() }))
     }
 
     fn hosts_after(
@@ -229,10 +193,7 @@
         _wait: Duration,
     ) -> Result<Option<HostList>, PlatformError> {
         self.reads.fetch_add(1, Ordering::SeqCst);
-        Ok(Some(HostList {
-            version: version + 1,
-            hosts: Vec::new(),
-        }))
+        Ok(Some(HostList { version: version + 1, hosts: Vec::new() }))
     }
 }
 
@@ -273,13 +234,7 @@
     let config = thread::spawn(move || watch_config(&*source, &SystemClock, &handle, &signal));
     let (source, handle, signal) = (platform.clone(), control.handle(), stop.clone());
     let hosts = thread::spawn(move || {
-        watch_hosts(
-            &*source,
-            &SystemClock,
-            &handle,
-            &signal,
-            ViewTiming::default().validity,
-        )
+        watch_hosts(&*source, &SystemClock, &handle, &signal, ViewTiming::default().validity)
     });
     let started = std::time::Instant::now();
     thread::sleep(Duration::from_millis(300));
@@ -290,8 +245,5 @@
     let reads = platform.reads.load(Ordering::SeqCst);
     drop(control);
     assert!(reads >= 2, "only {reads} reads");
-    assert!(
-        reads <= 2 * (elapsed + 1),
-        "{reads} reads of two resources within {elapsed} s"
-    );
+    assert!(reads <= 2 * (elapsed + 1), "{reads} reads of two resources within {elapsed} s");
 }
--- a/lib/src/daemon/traffic.rs
+++ b/lib/src/daemon/traffic.rs
@@ -55,10 +55,8 @@
     let before = THREAD_BYTES.get();
     let result = call();
     let after = THREAD_BYTES.get();
-    let count = ByteCount {
-        sent: after.sent - before.sent,
-        received: after.received - before.received,
-    };
+    let count =
+        ByteCount { sent: after.sent - before.sent, received: after.received - before.received };
     (result, count)
 }
 
--- a/lib/src/daemon/watch.rs
+++ b/lib/src/daemon/watch.rs
@@ -190,11 +190,7 @@
         control.send(ControlCommand::LoadsRead(reports));
         // Without a configuration there is nothing to read yet, and the first read is urgent:
         // an upstream of which nothing is known is limited like a cold one.
-        let interval = if round.targets.is_empty() {
-            EMPTY_ROUND
-        } else {
-            round.interval
-        };
+        let interval = if round.targets.is_empty() { EMPTY_ROUND } else { round.interval };
         stop.wait(interval.saturating_sub(clock.now().saturating_duration_since(started)));
     }
 }
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -17,12 +17,12 @@
     catalogue::{KeyHash, RouteKind},
     clock::ClockSource,
     control::{
-        Admission, AdmitOutcome, AdmitRequest, ControlCommand, ControlHandle, DispatchEnd,
+        AdmitOutcome, AdmitRequest, CallAdmission, ControlCommand, ControlHandle, DispatchEnd,
         DispatchGuard, DispatchRequest, DispatchTarget, PeerReply, PeerRequest, RequestEnd,
     },
     front::{
-        CallerRequest, OutcomeKind, Refusal, RefusalKind, RequestHandler, Responder, bearer_key,
-        without_credentials,
+        AnswerResponder, CallRefusal, CallerRequest, OutcomeKind, RefusalKind, RequestHandler,
+        bearer_key, without_credentials,
     },
     names::{HostName, UpstreamName},
     peer::PeerTransport,
@@ -49,16 +49,11 @@
 const MAX_WHOLE_ANSWER_BYTES: u64 = 16 << 20;
 
 /// Headers that only the router may set towards upstreams.
-const ROUTER_HEADERS: [&str; 5] = [
-    "x-priority",
-    "x-chat-id",
-    "x-resume-offset",
-    "x-team",
-    "x-request-id",
-];
+const ROUTER_HEADERS: [&str; 5] =
+    ["x-priority", "x-chat-id", "x-resume-offset", "x-team", "x-request-id"];
 
 /// Serves callers with the help of the control actor.
-pub struct Exchange {
+pub struct CallerExchange {
     control: ControlHandle,
     upstream: Arc<dyn UpstreamClient>,
     clock: Arc<dyn ClockSource>,
@@ -67,7 +62,7 @@
     metrics: Arc<RouterMetrics>,
 }
 
-impl Exchange {
+impl CallerExchange {
     /// Creates the handler of all caller requests.
     pub fn new(
         control: ControlHandle,
@@ -77,19 +72,12 @@
         host: HostName,
         metrics: Arc<RouterMetrics>,
     ) -> Self {
-        Self {
-            control,
-            upstream,
-            clock,
-            peers,
-            host,
-            metrics,
-        }
+        Self { control, upstream, clock, peers, host, metrics }
     }
 }
 
-impl RequestHandler for Exchange {
-    fn handle(&self, request: CallerRequest, responder: Responder) {
+impl RequestHandler for CallerExchange {
+    fn handle(&self, request: CallerRequest, responder: AnswerResponder) {
         let key = bearer_key(&request.headers).map(str::to_owned);
         if request.path() == TICKET_PATH {
             return self.ticket(&request, key.as_deref(), responder);
@@ -127,16 +115,12 @@
 fn as_upstreams_see_it(request: &CallerRequest, key: Option<&str>) -> CallerRequest {
     let (mut headers, target) = without_credentials(&request.headers, &request.target, key);
     headers.retain(|(name, _)| !ROUTER_HEADERS.contains(&name.as_str()));
-    CallerRequest {
-        headers,
-        target,
-        ..request.clone()
-    }
+    CallerRequest { headers, target, ..request.clone() }
 }
 
 /// One attempt that brought no answer.
 struct FailedAttempt {
-    refusal: Refusal,
+    refusal: CallRefusal,
     may_retry: bool,
 }
 
@@ -149,11 +133,11 @@
 
 /// An admitted request while it is served.
 struct RequestRun<'a> {
-    exchange: &'a Exchange,
+    exchange: &'a CallerExchange,
     started: Instant,
     /// The request as upstreams may see it.
     request: CallerRequest,
-    admission: Arc<Admission>,
+    admission: Arc<CallAdmission>,
     tried: Vec<UpstreamName>,
     /// Whether an earlier attempt may have been run by an upstream.
     may_have_run: bool,
@@ -166,7 +150,7 @@
         target: &DispatchTarget,
         work: u64,
         needs_resume: bool,
-    ) -> Result<DispatchGuard, Refusal> {
+    ) -> Result<DispatchGuard, CallRefusal> {
         let request = DispatchRequest {
             admission: self.admission.clone(),
             target: target.clone(),
@@ -176,10 +160,7 @@
             tried: self.tried.clone(),
             needs_resume,
         };
-        self.exchange
-            .control
-            .dispatch(request)
-            .map_err(|it| self.settled(it))
+        self.exchange.control.dispatch(request).map_err(|it| self.settled(it))
     }
 
     /// Identifies the request in the register of requests that broke upstreams.
@@ -196,12 +177,9 @@
     }
 
     /// Keeps a refusal true after an earlier attempt that an upstream may have run.
-    fn settled(&self, refusal: Refusal) -> Refusal {
+    fn settled(&self, refusal: CallRefusal) -> CallRefusal {
         if self.may_have_run && refusal.outcome == OutcomeKind::NotRun {
-            return Refusal {
-                outcome: OutcomeKind::Unknown,
-                ..refusal
-            };
+            return CallRefusal { outcome: OutcomeKind::Unknown, ..refusal };
         }
         refusal
     }
@@ -244,7 +222,7 @@
             CallError::NotSent(_) => {
                 guard.end(DispatchEnd::NotSent);
                 let message = "no upstream was reached";
-                Refusal::not_run(RefusalKind::UpstreamUnreachable, message)
+                CallRefusal::not_run(RefusalKind::UpstreamUnreachable, message)
                     .retry_after(Duration::from_secs(1))
             }
             CallError::WrongAnswer { .. } => {
@@ -258,10 +236,7 @@
                 lost_refusal()
             }
         };
-        FailedAttempt {
-            refusal: self.settled(refusal),
-            may_retry: true,
-        }
+        FailedAttempt { refusal: self.settled(refusal), may_retry: true }
     }
 
     fn read_whole(
@@ -269,32 +244,20 @@
         guard: DispatchGuard,
         answer: UpstreamAnswer,
     ) -> Result<WholeAnswer, FailedAttempt> {
-        let UpstreamAnswer {
-            status,
-            headers,
-            incarnation,
-            body,
-        } = answer;
+        let UpstreamAnswer { status, headers, incarnation, body } = answer;
         let mut text = Vec::new();
         let read = body.take(MAX_WHOLE_ANSWER_BYTES + 1).read_to_end(&mut text);
         if text.len() as u64 > MAX_WHOLE_ANSWER_BYTES {
             guard.end(DispatchEnd::Abandoned);
             let message = "the answer is too large";
-            let refusal = Refusal::unknown(RefusalKind::AnswerTooLarge, message);
-            return Err(FailedAttempt {
-                refusal,
-                may_retry: false,
-            });
+            let refusal = CallRefusal::unknown(RefusalKind::AnswerTooLarge, message);
+            return Err(FailedAttempt { refusal, may_retry: false });
         }
         match read {
             Ok(_) => {
                 self.note_first_piece(&guard, incarnation);
                 guard.end(DispatchEnd::Complete);
-                Ok(WholeAnswer {
-                    status,
-                    headers,
-                    body: text,
-                })
+                Ok(WholeAnswer { status, headers, body: text })
             }
             Err(error) => Err(self.failed_call(guard, &CallError::Ambiguous(error.to_string()))),
         }
@@ -307,21 +270,16 @@
     }
 
     fn elapsed(&self) -> Duration {
-        self.exchange
-            .clock
-            .now()
-            .saturating_duration_since(self.started)
+        self.exchange.clock.now().saturating_duration_since(self.started)
     }
 
-    fn answer(&self, responder: Responder, whole: WholeAnswer) -> RequestEnd {
+    fn answer(&self, responder: AnswerResponder, whole: WholeAnswer) -> RequestEnd {
         responder.answer(whole.status, &whole.headers, OutcomeKind::Ran, whole.body);
         self.answered()
     }
 
     fn answered(&self) -> RequestEnd {
-        RequestEnd::Answered {
-            first_piece: self.first_piece.unwrap_or_else(|| self.elapsed()),
-        }
+        RequestEnd::Answered { first_piece: self.first_piece.unwrap_or_else(|| self.elapsed()) }
     }
 
     fn report(self, end: RequestEnd) {
@@ -341,21 +299,16 @@
             failed_attempts = self.tried.len(),
             "request_ended"
         );
-        self.exchange
-            .control
-            .send(ControlCommand::RequestEnded(self.admission, end));
+        self.exchange.control.send(ControlCommand::RequestEnded(self.admission, end));
     }
 }
 
-fn refuse(responder: Responder, refusal: &Refusal) -> RequestEnd {
+fn refuse(responder: AnswerResponder, refusal: &CallRefusal) -> RequestEnd {
     responder.refuse(refusal);
-    RequestEnd::Refused {
-        kind: refusal.kind,
-        outcome: refusal.outcome,
-    }
+    RequestEnd::Refused { kind: refusal.kind, outcome: refusal.outcome }
 }
 
-fn lost_refusal() -> Refusal {
+fn lost_refusal() -> CallRefusal {
     let message = "the upstream did not answer to the end";
-    Refusal::unknown(RefusalKind::UpstreamLost, message)
+    CallRefusal::unknown(RefusalKind::UpstreamLost, message)
 }
