--- a/lib/src/exchange/chat.rs
+++ b/lib/src/exchange/chat.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     control::{DispatchEnd, DispatchGuard, DispatchTarget, RequestEnd},
-    front::{BodyWriter, CallerRequest, ChatRequest, OutcomeKind, Refusal, Responder},
+    front::{AnswerResponder, BodyWriter, CallRefusal, CallerRequest, ChatRequest, OutcomeKind},
     upstream::UpstreamAnswer,
 };
 
@@ -17,7 +17,7 @@
 
 /// How much of an answer the caller has.
 enum StreamState {
-    Waiting(Responder),
+    Waiting(AnswerResponder),
     Started { writer: BodyWriter, delivered: u64 },
 }
 
@@ -28,15 +28,16 @@
 
 impl RequestRun<'_> {
     /// Serves a chat request; `original` is the request with the caller's own headers.
-    pub(super) fn chat(&mut self, original: &CallerRequest, responder: Responder) -> RequestEnd {
+    pub(super) fn chat(
+        &mut self,
+        original: &CallerRequest,
+        responder: AnswerResponder,
+    ) -> RequestEnd {
         let chat = match ChatRequest::parse(original, &self.admission.team) {
             Ok(chat) => chat,
             Err(refusal) => return refuse(responder, &refusal),
         };
-        let target = DispatchTarget::Chat {
-            model: chat.model.clone(),
-            chat: chat.chat.clone(),
-        };
+        let target = DispatchTarget::Chat { model: chat.model.clone(), chat: chat.chat.clone() };
         let mut stream = StreamState::Waiting(responder);
         let mut attempt = 0;
         loop {
@@ -51,10 +52,7 @@
                     RelayOutcome::Ended(end) => return end,
                     RelayOutcome::Broken(broken) => {
                         stream = broken;
-                        FailedAttempt {
-                            refusal: lost_refusal(),
-                            may_retry: true,
-                        }
+                        FailedAttempt { refusal: lost_refusal(), may_retry: true }
                     }
                 },
                 Ok(answer)
@@ -92,12 +90,7 @@
         answer: UpstreamAnswer,
         stream: StreamState,
     ) -> RelayOutcome {
-        let UpstreamAnswer {
-            status,
-            headers,
-            incarnation,
-            body,
-        } = answer;
+        let UpstreamAnswer { status, headers, incarnation, body } = answer;
         let (mut writer, mut delivered) = stream.start(status, &headers);
         let clock = self.exchange.clock.clone();
         let mut last_piece: Option<Instant> = None;
@@ -165,7 +158,7 @@
     }
 
     /// Refuses the request, or cuts an answer that has begun.
-    fn fail(self, refusal: &Refusal) -> RequestEnd {
+    fn fail(self, refusal: &CallRefusal) -> RequestEnd {
         match self {
             Self::Waiting(responder) => refuse(responder, refusal),
             Self::Started { .. } => RequestEnd::Cut,
@@ -175,7 +168,5 @@
 
 fn is_event_stream(answer: &UpstreamAnswer) -> bool {
     answer.status == 200
-        && answer
-            .header("content-type")
-            .is_some_and(|it| it.starts_with("text/event-stream"))
+        && answer.header("content-type").is_some_and(|it| it.starts_with("text/event-stream"))
 }
--- a/lib/src/exchange/operation.rs
+++ b/lib/src/exchange/operation.rs
@@ -2,15 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Exchange, RequestRun, WholeAnswer, refuse};
+use super::{CallerExchange, RequestRun, WholeAnswer, refuse};
 use crate::{
     catalogue::KeyHash,
     control::{
-        Admission, AdmitRequest, ControlCommand, DispatchEnd, DispatchGuard, DispatchTarget,
+        AdmitRequest, CallAdmission, ControlCommand, DispatchEnd, DispatchGuard, DispatchTarget,
         ForwardedOperation, OperationAnswer, OperationCommand, OperationEnd, OperationPlace,
         OperationRequest, OperationStart, OperationVerdict, PeerReply, PeerRequest, RequestEnd,
     },
-    front::{CallerRequest, OutcomeKind, Refusal, RefusalKind, Responder},
+    front::{AnswerResponder, CallRefusal, CallerRequest, OutcomeKind, RefusalKind},
     membership::HostRecord,
     names::HostName,
     operation::{
@@ -50,7 +50,7 @@
     pub(super) fn operation(
         &mut self,
         original: &CallerRequest,
-        responder: Responder,
+        responder: AnswerResponder,
     ) -> RequestEnd {
         let key = match operation_key(original) {
             Ok(key) => key.to_owned(),
@@ -65,17 +65,16 @@
             None => OperationAnswer::Refused(stopping()),
         };
         match answer {
-            OperationAnswer::Ran {
-                response,
-                is_replay,
-            } => self.send_response(responder, &response, is_replay),
+            OperationAnswer::Ran { response, is_replay } => {
+                self.send_response(responder, &response, is_replay)
+            }
             OperationAnswer::Refused(refusal) => refuse(responder, &refusal),
         }
     }
 
     fn send_response(
         &self,
-        responder: Responder,
+        responder: AnswerResponder,
         response: &StoredResponse,
         is_replay: bool,
     ) -> RequestEnd {
@@ -83,11 +82,7 @@
         if is_replay {
             headers.push((REPLAYED.to_owned(), "true".to_owned()));
         }
-        let status = if response.status == 0 {
-            200
-        } else {
-            response.status
-        };
+        let status = if response.status == 0 { 200 } else { response.status };
         responder.answer(status, &headers, OutcomeKind::Ran, response.body.0.clone());
         self.answered()
     }
@@ -96,10 +91,7 @@
         let peers = &self.exchange.peers;
         // A paused or cut-off host takes a connection and stays silent. Asking first keeps the
         // call from waiting for it, and the refusal is true because nothing was sent.
-        if peers
-            .call(host.address, &PeerRequest::Probe, PROBE_TIMEOUT)
-            .is_err()
-        {
+        if peers.call(host.address, &PeerRequest::Probe, PROBE_TIMEOUT).is_err() {
             return OperationAnswer::Refused(undecided("the deciding host does not answer"));
         }
         let operation = ForwardedOperation {
@@ -116,7 +108,7 @@
             Err(PeerError::NotSent(_)) => {
                 OperationAnswer::Refused(undecided("the deciding host was not reached"))
             }
-            Err(PeerError::Lost(_)) => OperationAnswer::Refused(Refusal::unknown(
+            Err(PeerError::Lost(_)) => OperationAnswer::Refused(CallRefusal::unknown(
                 RefusalKind::OperationUnknown,
                 "the answer of the deciding host was lost",
             )),
@@ -144,22 +136,15 @@
             None => return OperationAnswer::Refused(stopping()),
         }
         request.forward = None;
-        let service = self
-            .admission
-            .service
-            .clone()
-            .expect("the catalogue check requires a service");
+        let service =
+            self.admission.service.clone().expect("the catalogue check requires a service");
         let guard = match self.dispatch(&DispatchTarget::Service(service), 1, false) {
             Ok(guard) => guard,
             Err(refusal) => return OperationAnswer::Refused(refusal),
         };
         let begun = match self.ask(|reply| OperationCommand::Decide(request, reply)) {
             Some(OperationStart::Dispatch(handle)) => self.begin(handle, Vec::new()),
-            Some(OperationStart::OfferBackup {
-                handle,
-                record,
-                backups,
-            }) => self
+            Some(OperationStart::OfferBackup { handle, record, backups }) => self
                 .offer(&handle, &record, &backups)
                 .and_then(|offered| self.begin(handle, offered)),
             Some(OperationStart::End(verdict)) => Err(answer_of(verdict)),
@@ -189,11 +174,7 @@
                 record: Box::new(record.clone()),
             };
             offered.push(backup.name.clone());
-            match self
-                .exchange
-                .peers
-                .call(backup.address, &request, BACKUP_TIMEOUT)
-            {
+            match self.exchange.peers.call(backup.address, &request, BACKUP_TIMEOUT) {
                 Ok(PeerReply::Stored(StoreReply::Stored)) => {
                     let command = OperationCommand::Backed(handle.clone(), backup.name.clone());
                     self.tell(command);
@@ -245,13 +226,7 @@
             Ok(whole) => {
                 let response = stored_response(whole);
                 let end = OperationEnd::Finished(Some(response.clone()));
-                (
-                    end,
-                    OperationAnswer::Ran {
-                        response: Arc::new(response),
-                        is_replay: false,
-                    },
-                )
+                (end, OperationAnswer::Ran { response: Arc::new(response), is_replay: false })
             }
             Err(refusal) if refusal.outcome == OutcomeKind::NotRun => {
                 (OperationEnd::BeforeSend, OperationAnswer::Refused(refusal))
@@ -259,41 +234,36 @@
             Err(refusal) => (OperationEnd::AfterSend, OperationAnswer::Refused(refusal)),
         };
         let BegunOperation { handle, offered } = begun;
-        self.tell(OperationCommand::Ended {
-            handle,
-            offered,
-            end,
-        });
+        self.tell(OperationCommand::Ended { handle, offered, end });
         answer
     }
 
     fn tell(&self, command: OperationCommand) {
-        self.exchange
-            .control
-            .send(ControlCommand::Operation(Box::new(command)));
+        self.exchange.control.send(ControlCommand::Operation(Box::new(command)));
     }
 
     fn ask<T>(
         &self,
         command: impl FnOnce(crate::control::ReplySender<T>) -> OperationCommand,
     ) -> Option<T> {
-        self.exchange
-            .control
-            .ask(|reply| ControlCommand::Operation(Box::new(command(reply))))
+        self.exchange.control.ask(|reply| ControlCommand::Operation(Box::new(command(reply))))
     }
 }
 
-impl Exchange {
+impl CallerExchange {
     /// Issues an operation ticket to the team of the caller's key.
-    pub(super) fn ticket(&self, request: &CallerRequest, key: Option<&str>, responder: Responder) {
+    pub(super) fn ticket(
+        &self,
+        request: &CallerRequest,
+        key: Option<&str>,
+        responder: AnswerResponder,
+    ) {
         if request.method != "POST" {
             let message = "tickets are issued on POST";
-            return responder.refuse(&Refusal::not_run(RefusalKind::MethodNotAllowed, message));
+            return responder.refuse(&CallRefusal::not_run(RefusalKind::MethodNotAllowed, message));
         }
         let key = key.map(KeyHash::of);
-        let team = self
-            .control
-            .ask(|reply| ControlCommand::Authenticate(key, reply));
+        let team = self.control.ask(|reply| ControlCommand::Authenticate(key, reply));
         let team = match team {
             Some(Ok(team)) => team,
             Some(Err(refusal)) => return responder.refuse(&refusal),
@@ -312,12 +282,7 @@
 
     /// Serves a call that another host forwarded because this one decides about it.
     pub fn serve_forwarded(&self, operation: ForwardedOperation) -> OperationAnswer {
-        let ForwardedOperation {
-            request,
-            caller_key,
-            operation_key,
-            id,
-        } = operation;
+        let ForwardedOperation { request, caller_key, operation_key, id } = operation;
         let admission = match self.check_forwarded(&request, caller_key) {
             Ok(admission) => admission,
             Err(refusal) => return OperationAnswer::Refused(refusal),
@@ -341,61 +306,45 @@
         &self,
         request: &CallerRequest,
         key: Option<KeyHash>,
-    ) -> Result<Arc<Admission>, Refusal> {
-        let admit = AdmitRequest {
-            key,
-            method: request.method.clone(),
-            path: request.path().to_owned(),
-        };
+    ) -> Result<Arc<CallAdmission>, CallRefusal> {
+        let admit =
+            AdmitRequest { key, method: request.method.clone(), path: request.path().to_owned() };
         self.control
             .ask(|reply| ControlCommand::CheckAdmission(admit, reply))
             .unwrap_or_else(|| Err(stopping()))
     }
 }
 
-fn operation_key(request: &CallerRequest) -> Result<&str, Refusal> {
+fn operation_key(request: &CallerRequest) -> Result<&str, CallRefusal> {
     let key = request.header(OPERATION_KEY).ok_or_else(|| {
         let message = "this route needs an Idempotency-Key; POST /v1/operations issues one";
-        Refusal::not_run(RefusalKind::OperationKeyMissing, message)
+        CallRefusal::not_run(RefusalKind::OperationKeyMissing, message)
     })?;
     if key.is_empty() || key.len() > MAX_OPERATION_KEY_BYTES {
         let message = format!("Idempotency-Key must have 1 to {MAX_OPERATION_KEY_BYTES} bytes");
-        return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
+        return Err(CallRefusal::not_run(RefusalKind::InvalidRequest, message));
     }
     Ok(key)
 }
 
 fn stored_response(whole: WholeAnswer) -> StoredResponse {
-    let WholeAnswer {
-        status,
-        headers,
-        body,
-    } = whole;
-    StoredResponse {
-        status,
-        headers,
-        body: ByteString(body),
-    }
+    let WholeAnswer { status, headers, body } = whole;
+    StoredResponse { status, headers, body: ByteString(body) }
 }
 
 fn answer_of(verdict: OperationVerdict) -> OperationAnswer {
     match verdict {
-        OperationVerdict::Replay(response) => OperationAnswer::Ran {
-            response,
-            is_replay: true,
-        },
-        OperationVerdict::Ran => OperationAnswer::Ran {
-            response: Arc::default(),
-            is_replay: true,
-        },
+        OperationVerdict::Replay(response) => OperationAnswer::Ran { response, is_replay: true },
+        OperationVerdict::Ran => OperationAnswer::Ran { response: Arc::default(), is_replay: true },
         OperationVerdict::Refused(refusal) => OperationAnswer::Refused(refusal),
     }
 }
 
-fn undecided(message: &str) -> Refusal {
-    Refusal::not_run(RefusalKind::OperationUndecided, message).retry_after(Duration::from_secs(1))
+fn undecided(message: &str) -> CallRefusal {
+    CallRefusal::not_run(RefusalKind::OperationUndecided, message)
+        .retry_after(Duration::from_secs(1))
 }
 
-fn stopping() -> Refusal {
-    Refusal::not_run(RefusalKind::Stopping, "the host is stopping")
+fn stopping() -> CallRefusal {
+    CallRefusal::not_run(RefusalKind::Stopping, "the host is stopping")
 }
--- a/lib/src/exchange/service.rs
+++ b/lib/src/exchange/service.rs
@@ -3,7 +3,7 @@
 use super::{MAX_ATTEMPTS, RequestRun, refuse};
 use crate::{
     control::{DispatchTarget, RequestEnd},
-    front::{CallerRequest, OutcomeKind, Responder},
+    front::{AnswerResponder, CallerRequest, OutcomeKind},
 };
 
 /// Methods whose requests may be repeated after an unknown outcome.
@@ -11,12 +11,13 @@
 
 impl RequestRun<'_> {
     /// Serves a request to a service; `original` has the caller's own headers.
-    pub(super) fn service(&mut self, original: &CallerRequest, responder: Responder) -> RequestEnd {
-        let service = self
-            .admission
-            .service
-            .clone()
-            .expect("the catalogue check requires a service");
+    pub(super) fn service(
+        &mut self,
+        original: &CallerRequest,
+        responder: AnswerResponder,
+    ) -> RequestEnd {
+        let service =
+            self.admission.service.clone().expect("the catalogue check requires a service");
         if self.admission.once {
             return self.operation(original, responder);
         }
--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -8,8 +8,8 @@
 
 pub use self::{
     credentials::{bearer_key, without_credentials},
-    refusal::{OutcomeKind, Refusal, RefusalKind},
+    refusal::{CallRefusal, OutcomeKind, RefusalKind},
     request::{CallerRequest, ChatRequest, chat_identity},
-    respond::{BodyWriter, CallerGone, Responder},
+    respond::{AnswerResponder, BodyWriter, CallerGone},
     server::{FrontLimits, FrontServer, RequestHandler},
 };
--- a/lib/src/front/credentials.rs
+++ b/lib/src/front/credentials.rs
@@ -18,19 +18,13 @@
 
 /// Returns the key of a request: a bearer token, or else an `x-api-key` header.
 pub fn bearer_key(headers: &[(String, String)]) -> Option<&str> {
-    let value = |name: &str| {
-        headers
-            .iter()
-            .find(|(it, _)| it == name)
-            .map(|(_, value)| value.as_str())
-    };
+    let value =
+        |name: &str| headers.iter().find(|(it, _)| it == name).map(|(_, value)| value.as_str());
     let bearer = value("authorization").and_then(|it| {
         let (scheme, key) = it.split_once(' ')?;
         scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
     });
-    bearer
-        .or_else(|| value("x-api-key").map(str::trim))
-        .filter(|it| !it.is_empty())
+    bearer.or_else(|| value("x-api-key").map(str::trim)).filter(|it| !it.is_empty())
 }
 
 /// Removes every credential from the headers and the target of a request.
@@ -56,11 +50,7 @@
         .split('&')
         .filter(|part| {
             let decoded = percent_decode(part);
-            let name = decoded
-                .split('=')
-                .next()
-                .unwrap_or_default()
-                .to_ascii_lowercase();
+            let name = decoded.split('=').next().unwrap_or_default().to_ascii_lowercase();
             !CREDENTIAL_PARAMETERS.contains(&name.as_str()) && !has_key(&decoded)
         })
         .collect();
@@ -86,11 +76,7 @@
                 index += 3;
             }
             None => {
-                decoded.push(if bytes[index] == b'+' {
-                    b' '
-                } else {
-                    bytes[index]
-                });
+                decoded.push(if bytes[index] == b'+' { b' ' } else { bytes[index] });
                 index += 1;
             }
         }
--- a/lib/src/front/refusal.rs
+++ b/lib/src/front/refusal.rs
@@ -177,7 +177,7 @@
 
 /// A refusal as the caller receives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
+pub struct CallRefusal {
     /// Why the request is refused.
     pub kind: RefusalKind,
     /// Explanation for a person.
@@ -188,23 +188,15 @@
     pub retry_after: Option<Duration>,
 }
 
-impl Refusal {
+impl CallRefusal {
     /// Creates a refusal of a request that no upstream ran.
     pub fn not_run(kind: RefusalKind, message: impl Into<String>) -> Self {
-        Self {
-            kind,
-            message: message.into(),
-            outcome: OutcomeKind::NotRun,
-            retry_after: None,
-        }
+        Self { kind, message: message.into(), outcome: OutcomeKind::NotRun, retry_after: None }
     }
 
     /// Creates a refusal of a request that an upstream may have run.
     pub fn unknown(kind: RefusalKind, message: impl Into<String>) -> Self {
-        Self {
-            outcome: OutcomeKind::Unknown,
-            ..Self::not_run(kind, message)
-        }
+        Self { outcome: OutcomeKind::Unknown, ..Self::not_run(kind, message) }
     }
 
     /// Adds the time after which a retry may succeed.
--- a/lib/src/front/request.rs
+++ b/lib/src/front/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::refusal::{Refusal, RefusalKind};
+use super::refusal::{CallRefusal, RefusalKind};
 use crate::{
     names::{ModelName, TeamName},
     rendezvous::hash_parts,
@@ -42,10 +42,7 @@
 
     /// Returns the first header of that name; `name` is in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(it, _)| it == name)
-            .map(|(_, value)| value.as_str())
+        self.headers.iter().find(|(it, _)| it == name).map(|(_, value)| value.as_str())
     }
 }
 
@@ -99,8 +96,8 @@
 
 impl ChatRequest {
     /// Reads the body; `team` separates the chats of different teams.
-    pub fn parse(request: &CallerRequest, team: &TeamName) -> Result<Self, Refusal> {
-        let invalid = |message: &str| Refusal::not_run(RefusalKind::InvalidRequest, message);
+    pub fn parse(request: &CallerRequest, team: &TeamName) -> Result<Self, CallRefusal> {
+        let invalid = |message: &str| CallRefusal::not_run(RefusalKind::InvalidRequest, message);
         let body: Value = serde_json::from_slice(&request.body)
             .map_err(|error| invalid(&format!("body is not valid JSON: {error}")))?;
         let model = body
@@ -143,9 +140,6 @@
 /// Returns the messages up to the first one of the user, which stay the same during a chat.
 fn opening_of(messages: &[Value]) -> String {
     let is_user = |it: &Value| it.get("role").and_then(Value::as_str) == Some("user");
-    let end = messages
-        .iter()
-        .position(is_user)
-        .map_or(messages.len(), |it| it + 1);
+    let end = messages.iter().position(is_user).map_or(messages.len(), |it| it + 1);
     messages[..end].iter().map(Value::to_string).collect()
 }
--- a/lib/src/front/respond.rs
+++ b/lib/src/front/respond.rs
@@ -17,7 +17,7 @@
     time::timeout,
 };
 
-use super::refusal::{OutcomeKind, Refusal, RefusalKind};
+use super::refusal::{CallRefusal, OutcomeKind, RefusalKind};
 
 /// Chunks that wait for a slow caller before the worker blocks.
 const CHUNKS_IN_FLIGHT: usize = 64;
@@ -79,8 +79,7 @@
     }
 
     fn size_hint(&self) -> hyper::body::SizeHint {
-        self.known_length
-            .map_or_else(Default::default, hyper::body::SizeHint::with_exact)
+        self.known_length.map_or_else(Default::default, hyper::body::SizeHint::with_exact)
     }
 }
 
@@ -88,30 +87,25 @@
 
 /// Answers one request; dropping it without an answer closes the connection.
 #[derive(Debug)]
-pub struct Responder {
+pub struct AnswerResponder {
     head: oneshot::Sender<AnswerHead>,
     runtime: Handle,
     request_id: String,
     close: bool,
 }
 
-impl Responder {
+impl AnswerResponder {
     pub(super) fn new(
         head: oneshot::Sender<AnswerHead>,
         runtime: Handle,
         request_id: &str,
         close: bool,
     ) -> Self {
-        Self {
-            head,
-            runtime,
-            request_id: request_id.to_owned(),
-            close,
-        }
+        Self { head, runtime, request_id: request_id.to_owned(), close }
     }
 
     /// Sends a refusal.
-    pub fn refuse(self, refusal: &Refusal) {
+    pub fn refuse(self, refusal: &CallRefusal) {
         let mut headers = vec![("content-type".to_owned(), "application/json".to_owned())];
         if let Some(delay) = refusal.retry_after {
             // The header has whole seconds; rounding up keeps the caller from returning early.
@@ -135,10 +129,7 @@
         // The channel holds both parts, so neither call can fail for lack of room.
         let _ = parts.try_send(BodyPart::Chunk(body.into()));
         let _ = parts.try_send(BodyPart::End);
-        let body = AnswerBody {
-            parts: Some(receiver),
-            known_length: Some(length),
-        };
+        let body = AnswerBody { parts: Some(receiver), known_length: Some(length) };
         self.send_head(status, headers, outcome, body);
     }
 
@@ -150,14 +141,8 @@
         outcome: OutcomeKind,
     ) -> BodyWriter {
         let (parts, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
-        let writer = BodyWriter {
-            parts,
-            runtime: self.runtime.clone(),
-        };
-        let body = AnswerBody {
-            parts: Some(receiver),
-            known_length: None,
-        };
+        let writer = BodyWriter { parts, runtime: self.runtime.clone() };
+        let body = AnswerBody { parts: Some(receiver), known_length: None };
         self.send_head(status, headers, outcome, body);
         writer
     }
@@ -171,10 +156,9 @@
     ) {
         let mut builder = Response::builder().status(status);
         for (name, value) in headers {
-            let (Ok(name), Ok(value)) = (
-                HeaderName::try_from(name.as_str()),
-                HeaderValue::try_from(value.as_str()),
-            ) else {
+            let (Ok(name), Ok(value)) =
+                (HeaderName::try_from(name.as_str()), HeaderValue::try_from(value.as_str()))
+            else {
                 continue;
             };
             if name != "x-request-id" && name != "x-outcome" {
@@ -234,14 +218,14 @@
     }
 }
 
-impl Responder {
+impl AnswerResponder {
     /// Answers a health check.
     pub(super) fn health(self, is_ok: bool) {
         if is_ok {
             let headers = [("content-type".to_owned(), "text/plain".to_owned())];
             self.answer(200, &headers, OutcomeKind::Ran, b"ok\n".to_vec());
         } else {
-            self.refuse(&Refusal::not_run(
+            self.refuse(&CallRefusal::not_run(
                 RefusalKind::NotReady,
                 "the host takes no new requests",
             ));
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -22,9 +22,9 @@
 };
 
 use super::{
-    refusal::{Refusal, RefusalKind},
+    refusal::{CallRefusal, RefusalKind},
     request::CallerRequest,
-    respond::{AnswerBody, AnswerHead, Responder},
+    respond::{AnswerBody, AnswerHead, AnswerResponder},
 };
 
 /// Longest request id that is accepted from a caller.
@@ -62,7 +62,7 @@
 /// Serves one request on a worker thread.
 pub trait RequestHandler: Send + Sync {
     /// Answers the request; may block.
-    fn handle(&self, request: CallerRequest, responder: Responder);
+    fn handle(&self, request: CallerRequest, responder: AnswerResponder);
 
     /// Returns whether the host takes new requests.
     fn is_ready(&self) -> bool;
@@ -113,11 +113,7 @@
         let thread = thread::Builder::new()
             .name("front".into())
             .spawn(move || runtime.block_on(serve(listener, serving)))?;
-        Ok(Self {
-            address,
-            state,
-            thread: Some(thread),
-        })
+        Ok(Self { address, state, thread: Some(thread) })
     }
 
     /// Returns the address on which the server listens.
@@ -228,7 +224,7 @@
     let request_id = request_id_of(&request);
     let (head, receiver) = oneshot::channel::<AnswerHead>();
     let close = state.draining.load(Ordering::Acquire);
-    let responder = Responder::new(head, Handle::current(), &request_id, close);
+    let responder = AnswerResponder::new(head, Handle::current(), &request_id, close);
     match request.uri().path() {
         "/healthz" => responder.health(true),
         "/readyz" => responder.health(state.handler.is_ready()),
@@ -245,12 +241,12 @@
 
 fn start_worker(
     request: CallerRequest,
-    responder: Responder,
+    responder: AnswerResponder,
     state: &Arc<FrontState>,
     guard: ActiveGuard,
 ) {
     let Ok(permit) = state.workers.clone().try_acquire_owned() else {
-        let refusal = Refusal::not_run(
+        let refusal = CallRefusal::not_run(
             RefusalKind::Overloaded,
             "the host serves its maximum of requests",
         )
@@ -268,11 +264,9 @@
 /// The answer for a worker that ended without one; the connection is closed.
 fn cut_response() -> Response<AnswerBody> {
     let (head, mut receiver) = oneshot::channel::<AnswerHead>();
-    let responder = Responder::new(head, Handle::current(), "", true);
-    responder.refuse(&Refusal::unknown(
-        RefusalKind::InternalError,
-        "the request was interrupted",
-    ));
+    let responder = AnswerResponder::new(head, Handle::current(), "", true);
+    responder
+        .refuse(&CallRefusal::unknown(RefusalKind::InternalError, "the request was interrupted"));
     receiver.try_recv().expect("a refusal always sends a head")
 }
 
@@ -280,32 +274,26 @@
     request: Request<Incoming>,
     request_id: String,
     limits: &FrontLimits,
-) -> Result<CallerRequest, Refusal> {
+) -> Result<CallerRequest, CallRefusal> {
     let (parts, body) = request.into_parts();
     let too_large = || {
         let message = format!("the body exceeds {} bytes", limits.max_body_bytes);
-        Refusal::not_run(RefusalKind::BodyTooLarge, message)
+        CallRefusal::not_run(RefusalKind::BodyTooLarge, message)
     };
-    let stated = parts
-        .headers
-        .get("content-length")
-        .and_then(|it| it.to_str().ok()?.parse().ok());
+    let stated = parts.headers.get("content-length").and_then(|it| it.to_str().ok()?.parse().ok());
     if stated.is_some_and(|it: u64| it > limits.max_body_bytes as u64) {
         return Err(too_large());
     }
     let reading = Limited::new(body, limits.max_body_bytes).collect();
     let body = match timeout(limits.body_timeout, reading).await {
         Err(_) => {
-            let message = format!(
-                "the body took longer than {} s",
-                limits.body_timeout.as_secs()
-            );
-            return Err(Refusal::not_run(RefusalKind::BodyTimeout, message));
+            let message = format!("the body took longer than {} s", limits.body_timeout.as_secs());
+            return Err(CallRefusal::not_run(RefusalKind::BodyTimeout, message));
         }
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
         Ok(Err(error)) => {
             let message = format!("the body is incomplete: {error}");
-            return Err(Refusal::not_run(RefusalKind::InvalidRequest, message));
+            return Err(CallRefusal::not_run(RefusalKind::InvalidRequest, message));
         }
         Ok(Ok(body)) => body.to_bytes(),
     };
@@ -313,15 +301,11 @@
     for (name, value) in &parts.headers {
         let value = value.to_str().map_err(|_| {
             let message = format!("header {name} is not visible ASCII");
-            Refusal::not_run(RefusalKind::InvalidRequest, message)
+            CallRefusal::not_run(RefusalKind::InvalidRequest, message)
         })?;
         headers.push((name.as_str().to_owned(), value.to_owned()));
     }
-    let target = parts
-        .uri
-        .path_and_query()
-        .map_or("/", |it| it.as_str())
-        .to_owned();
+    let target = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
     Ok(CallerRequest {
         method: parts.method.as_str().to_owned(),
         target,
--- a/lib/src/limits/bucket.rs
+++ b/lib/src/limits/bucket.rs
@@ -175,9 +175,8 @@
     ///
     /// To be called at least once per second, also without requests.
     pub fn observe(&mut self, now: Instant, owns: bool, share: CentreShare) {
-        let lapsed = self
-            .observed
-            .is_some_and(|it| now.saturating_duration_since(it) > MAX_OBSERVATION_GAP);
+        let lapsed =
+            self.observed.is_some_and(|it| now.saturating_duration_since(it) > MAX_OBSERVATION_GAP);
         if !owns || lapsed {
             *self = Self::new(now);
         }
@@ -256,11 +255,7 @@
         }
         let whole = |units: u64| units - units % UNITS_PER_TOKEN;
         let available = request.wanted.min(self.level);
-        let needed = if request.is_partial {
-            available
-        } else {
-            whole(available)
-        };
+        let needed = if request.is_partial { available } else { whole(available) };
         let excess = (self.level - needed).saturating_sub(share.burst / 2);
         let spare = whole(request.spare.min(excess / SPARE_DIVISOR));
         reply.granted = needed + spare;
@@ -293,23 +288,18 @@
 
     /// Applies a borrower's account of a grant; accounts of unknown grants are void.
     fn settle(&mut self, now: Instant, key: &(HostName, u64), account: &GrantAccount) {
-        let Some(grant) = self.borrowers.get_mut(key).and_then(|it| {
-            it.grants
-                .iter_mut()
-                .find(|it| it.sequence == account.sequence)
-        }) else {
+        let Some(grant) = self
+            .borrowers
+            .get_mut(key)
+            .and_then(|it| it.grants.iter_mut().find(|it| it.sequence == account.sequence))
+        else {
             return;
         };
         // Totals never fall, and together they never exceed the grant.
-        let spent = account
-            .spent
-            .clamp(grant.spent, grant.granted - grant.returned)
-            - grant.spent;
+        let spent = account.spent.clamp(grant.spent, grant.granted - grant.returned) - grant.spent;
         grant.spent += spent;
-        let returned = account
-            .returned
-            .clamp(grant.returned, grant.granted - grant.spent)
-            - grant.returned;
+        let returned =
+            account.returned.clamp(grant.returned, grant.granted - grant.spent) - grant.returned;
         grant.returned += returned;
         self.outstanding -= spent + returned;
         self.level += returned;
@@ -357,8 +347,7 @@
 
     fn refill(&mut self, now: Instant, rate: f64) {
         let memory = GRANT_LIFETIME + GRANT_MARGIN;
-        self.overflow
-            .retain(|it| now.saturating_duration_since(it.0) <= memory && it.1 > 0);
+        self.overflow.retain(|it| now.saturating_duration_since(it.0) <= memory && it.1 > 0);
         let units_per_s = rate * UNITS_PER_TOKEN as f64;
         let elapsed = now.saturating_duration_since(self.refilled);
         let units = (elapsed.as_secs_f64() * units_per_s).floor();
@@ -388,8 +377,7 @@
         let slot = length / slots;
         let units_per_slot = (units_per_s * slot.as_secs_f64()).min(units) as u64;
         for index in 0..slots {
-            self.overflow
-                .push_back((start + slot * index, units_per_slot));
+            self.overflow.push_back((start + slot * index, units_per_slot));
         }
     }
 
@@ -464,11 +452,7 @@
         buckets
             .into_iter()
             .filter(|(_, it)| it.observed.is_some() && it.refilled <= now)
-            .map(|(team, it)| HandedBucket {
-                team,
-                level: it.level,
-                outstanding: it.outstanding,
-            })
+            .map(|(team, it)| HandedBucket { team, level: it.level, outstanding: it.outstanding })
             .collect()
     }
 
@@ -480,10 +464,8 @@
         share: CentreShare,
         request: &GrantRequest,
     ) -> GrantReply {
-        let bucket = self
-            .buckets
-            .entry(request.team.clone())
-            .or_insert_with(|| TeamBucket::new(now));
+        let bucket =
+            self.buckets.entry(request.team.clone()).or_insert_with(|| TeamBucket::new(now));
         bucket.observe(now, owns, share);
         if owns {
             inherit_handed(&mut self.handed, now, &request.team, bucket);
--- a/lib/src/limits/gate.rs
+++ b/lib/src/limits/gate.rs
@@ -64,11 +64,8 @@
     /// earlier ones.
     pub fn on_catalogue(&mut self, catalogue: &Catalogue) {
         let revision = catalogue.revision();
-        self.centres = catalogue
-            .centres()
-            .iter()
-            .map(|(name, entry)| (name.clone(), entry.state))
-            .collect();
+        self.centres =
+            catalogue.centres().iter().map(|(name, entry)| (name.clone(), entry.state)).collect();
         self.shares.retain(|team, _| catalogue.team(team).is_some());
         for team in catalogue.teams().keys() {
             let target = TeamShare::of(catalogue, team).unwrap_or_default();
@@ -116,11 +113,9 @@
     /// Grants made under the old shares may be spent for one more grant lifetime.
     pub fn update(&mut self, now: Instant, hosts: &HostList) {
         for host in &hosts.hosts {
-            self.listed
-                .insert(host.name.clone(), (host.data_centre.clone(), now));
+            self.listed.insert(host.name.clone(), (host.data_centre.clone(), now));
         }
-        self.listed
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) <= self.memory);
+        self.listed.retain(|_, (_, at)| now.saturating_duration_since(*at) <= self.memory);
         let listed = &self.listed;
         self.confirmed.retain(|host, _| listed.contains_key(host));
         let Some(lowest) = self
@@ -156,9 +151,7 @@
 
     /// Returns the share of a team that is in force in the own data centre.
     pub fn share(&self, team: &TeamName) -> CentreShare {
-        self.shares
-            .get(team)
-            .map_or_else(CentreShare::default, |it| it.in_force)
+        self.shares.get(team).map_or_else(CentreShare::default, |it| it.in_force)
     }
 
     /// Returns the split of a team's limits that the catalogue assigns, for the wallets.
--- a/lib/src/limits/share.rs
+++ b/lib/src/limits/share.rs
@@ -20,10 +20,7 @@
 impl CentreShare {
     /// Returns the lower rate and the lower burst of two shares.
     pub fn min(self, other: Self) -> Self {
-        Self {
-            rate: self.rate.min(other.rate),
-            burst: self.burst.min(other.burst),
-        }
+        Self { rate: self.rate.min(other.rate), burst: self.burst.min(other.burst) }
     }
 
     /// Returns whether neither part is lower than that of `other`.
@@ -78,10 +75,7 @@
 
     /// Returns the share of a data centre; nothing at all if it has none.
     pub fn in_centre(&self, centre: &CentreName) -> CentreShare {
-        self.parts
-            .iter()
-            .find(|it| it.0 == *centre)
-            .map_or_else(CentreShare::default, |it| it.1)
+        self.parts.iter().find(|it| it.0 == *centre).map_or_else(CentreShare::default, |it| it.1)
     }
 
     /// Returns the data centres with a share, in the team's rendezvous order.
@@ -91,9 +85,6 @@
 
     /// Returns whether no data centre's share is lower than in `other`.
     pub fn covers(&self, other: &Self) -> bool {
-        other
-            .parts
-            .iter()
-            .all(|(centre, part)| self.in_centre(centre).covers(*part))
+        other.parts.iter().all(|(centre, part)| self.in_centre(centre).covers(*part))
     }
 }
--- a/lib/src/limits/wallet.rs
+++ b/lib/src/limits/wallet.rs
@@ -125,8 +125,7 @@
     }
 
     fn is_slow(&self, now: Instant) -> bool {
-        self.pending()
-            .is_some_and(|it| now.saturating_duration_since(it.sent) >= SLOW_ANSWER)
+        self.pending().is_some_and(|it| now.saturating_duration_since(it.sent) >= SLOW_ANSWER)
     }
 }
 
@@ -167,20 +166,13 @@
         Self {
             grants: Vec::new(),
             lenders: BTreeMap::new(),
-            demand: DemandMeter {
-                weight: 0.0,
-                at: now,
-            },
+            demand: DemandMeter { weight: 0.0, at: now },
         }
     }
 
     /// Returns the unspent units.
     pub fn held(&self, now: Instant) -> u64 {
-        self.grants
-            .iter()
-            .filter(|it| now < it.expires)
-            .map(|it| it.left)
-            .sum()
+        self.grants.iter().filter(|it| now < it.expires).map(|it| it.left).sum()
     }
 
     fn spend(&mut self, now: Instant) -> bool {
@@ -257,11 +249,8 @@
 
     /// Units to request in advance; nothing if the wallet is at least half full.
     fn advance(&self, now: Instant, is_tight: bool) -> u64 {
-        let (span, min_rate) = if is_tight {
-            (ADVANCE, MIN_ADVANCE_RATE)
-        } else {
-            (ROOMY_ADVANCE, ROOMY_MIN_RATE)
-        };
+        let (span, min_rate) =
+            if is_tight { (ADVANCE, MIN_ADVANCE_RATE) } else { (ROOMY_ADVANCE, ROOMY_MIN_RATE) };
         let rate = self.demand.rate(now);
         if rate < min_rate {
             return 0;
@@ -272,8 +261,7 @@
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        self.grants
-            .retain(|it| now < it.expires && (it.left > 0 || !it.is_settled()));
+        self.grants.retain(|it| now < it.expires && (it.left > 0 || !it.is_settled()));
         for lender in self.lenders.values_mut() {
             // A request of which nothing was heard for so long is lost in any case.
             lender.flights.retain(|it| now < it.sent + GRANT_LIFETIME);
@@ -323,29 +311,21 @@
             return false;
         }
         let return_age = self.return_age(now, is_tight);
-        self.grants
-            .iter()
-            .filter(|it| it.centre == *centre && now < it.expires)
-            .any(|it| {
-                let is_unused =
-                    it.left > 0 && now.saturating_duration_since(it.received) >= return_age;
-                let is_unreported = !it.is_settled()
-                    && it.spent_between.is_some_and(|(first, _)| {
-                        now.saturating_duration_since(first) >= TIGHT_REPORT_AGE
-                    });
-                is_unused || is_unreported
-            })
+        self.grants.iter().filter(|it| it.centre == *centre && now < it.expires).any(|it| {
+            let is_unused = it.left > 0 && now.saturating_duration_since(it.received) >= return_age;
+            let is_unreported = !it.is_settled()
+                && it.spent_between.is_some_and(|(first, _)| {
+                    now.saturating_duration_since(first) >= TIGHT_REPORT_AGE
+                });
+            is_unused || is_unreported
+        })
     }
 
     fn on_reply(&mut self, now: Instant, centre: &CentreName, reply: &GrantReply) {
         let Some(lender) = self.lenders.get_mut(centre) else {
             return;
         };
-        let Some(index) = lender
-            .flights
-            .iter()
-            .position(|it| it.sequence == reply.sequence)
-        else {
+        let Some(index) = lender.flights.iter().position(|it| it.sequence == reply.sequence) else {
             // A repeated or very late answer; its tokens are lost.
             return;
         };
@@ -363,21 +343,14 @@
             lender.closed_until = Some(now + NOT_OWNER_PAUSE);
             return;
         }
-        lender.misses = if reply.granted > 0 || reply.retry_ms == 0 {
-            0
-        } else {
-            lender.misses + 1
-        };
+        lender.misses =
+            if reply.granted > 0 || reply.retry_ms == 0 { 0 } else { lender.misses + 1 };
         // Hosts that compete for each token back off; the refill meanwhile stays in the bucket.
         let retry = Duration::from_millis(reply.retry_ms.into());
         let pause = retry.saturating_mul(1 << lender.misses.min(6));
         lender.closed_until = (reply.retry_ms > 0).then(|| now + pause.clamp(MIN_EMPTY, MAX_EMPTY));
         for account in &flight.accounts {
-            if let Some(grant) = self
-                .grants
-                .iter_mut()
-                .find(|it| it.sequence == account.sequence)
-            {
+            if let Some(grant) = self.grants.iter_mut().find(|it| it.sequence == account.sequence) {
                 grant.acknowledged = (account.spent, account.returned);
                 if grant.spent == account.spent {
                     grant.spent_between = None;
@@ -420,13 +393,7 @@
 impl WalletTable {
     /// Creates the table of a process on `host` in the data centre `centre`.
     pub fn new(host: HostName, incarnation: u64, centre: CentreName) -> Self {
-        Self {
-            host,
-            incarnation,
-            centre,
-            sequence: 0,
-            wallets: BTreeMap::new(),
-        }
+        Self { host, incarnation, centre, sequence: 0, wallets: BTreeMap::new() }
     }
 
     /// Takes a token for a request of `team` that arrived at `arrived`.
@@ -452,9 +419,7 @@
         let candidates = wallet.candidates(now, arrived, &order);
         if candidates.is_empty() {
             wallet.demand.note(now);
-            return TakeOutcome::Refused {
-                retry: wallet.retry_time(now),
-            };
+            return TakeOutcome::Refused { retry: wallet.retry_time(now) };
         }
         TakeOutcome::Ask(candidates)
     }
@@ -480,11 +445,7 @@
         // wallets would be refilled for nothing.
         let is_tight = lender.is_tight || waiting == 0;
         let accounts = wallet.accounts(now, centre);
-        let spare = if *centre == self.centre {
-            wallet.advance(now, is_tight)
-        } else {
-            0
-        };
+        let spare = if *centre == self.centre { wallet.advance(now, is_tight) } else { 0 };
         let is_partial = waiting > 0 && wallet.lenders[centre].is_closed(now);
         let mut wanted = u64::from(waiting) * UNITS_PER_TOKEN;
         if is_partial {
@@ -531,10 +492,7 @@
 
     /// Notes that a request was not answered in time; a later answer is still accepted once.
     pub fn on_lost(&mut self, now: Instant, team: &TeamName, centre: &CentreName, sequence: u64) {
-        let lender = self
-            .wallets
-            .get_mut(team)
-            .and_then(|it| it.lenders.get_mut(centre));
+        let lender = self.wallets.get_mut(team).and_then(|it| it.lenders.get_mut(centre));
         let Some(lender) = lender else {
             return;
         };
--- a/lib/src/membership/host_list.rs
+++ b/lib/src/membership/host_list.rs
@@ -46,8 +46,6 @@
 
     /// Returns the live hosts of a data centre.
     pub fn live_in<'a>(&'a self, centre: &'a CentreName) -> impl Iterator<Item = &'a HostRecord> {
-        self.hosts
-            .iter()
-            .filter(move |it| it.data_centre == *centre && it.state == HostState::Live)
+        self.hosts.iter().filter(move |it| it.data_centre == *centre && it.state == HostState::Live)
     }
 }
--- a/lib/src/membership/view.rs
+++ b/lib/src/membership/view.rs
@@ -197,11 +197,7 @@
                 {
                     self.unlisted.insert(host.name.clone(), host.clone());
                 }
-                let live = self
-                    .list
-                    .hosts
-                    .iter()
-                    .filter(|it| it.state == HostState::Live);
+                let live = self.list.hosts.iter().filter(|it| it.state == HostState::Live);
                 let fleet = live.map(|it| it.name.clone()).collect();
                 push_view(&mut self.fleets, now, self.timing.takeover_wait(), fleet);
             }
@@ -249,33 +245,18 @@
         let is_list_fresh = self
             .list_read
             .is_some_and(|it| now.saturating_duration_since(it) < self.timing.validity * 3 / 4);
-        let count = if is_list_fresh {
-            listed.len().min(PEER_SAMPLE)
-        } else {
-            listed.len()
-        };
+        let count = if is_list_fresh { listed.len().min(PEER_SAMPLE) } else { listed.len() };
         let second = now.saturating_duration_since(self.started).as_secs() as usize;
-        let sample = listed
-            .iter()
-            .cycle()
-            .skip(second * count % listed.len().max(1));
-        unlisted
-            .iter()
-            .chain(sample.take(count))
-            .map(|it| (*it).clone())
-            .collect()
+        let sample = listed.iter().cycle().skip(second * count % listed.len().max(1));
+        unlisted.iter().chain(sample.take(count)).map(|it| (*it).clone()).collect()
     }
 
     /// Returns the other hosts of the data centre in the list or in any view of the last
     /// `takeover_wait`; a release goes to all of them.
     pub fn neighbours(&self) -> Vec<&HostRecord> {
         let listed = self.list.live_in(&self.host.data_centre);
-        let names: BTreeSet<&HostName> = self
-            .views
-            .iter()
-            .flat_map(|it| &it.names)
-            .chain(listed.map(|it| &it.name))
-            .collect();
+        let names: BTreeSet<&HostName> =
+            self.views.iter().flat_map(|it| &it.names).chain(listed.map(|it| &it.name)).collect();
         names
             .into_iter()
             .filter(|it| **it != self.host.name)
@@ -291,12 +272,7 @@
     /// Takes a heartbeat and returns the answer to it.
     pub fn hear(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatReply {
         self.detect_pause(now);
-        self.note_host(
-            &heartbeat.host,
-            heartbeat.incarnation,
-            now,
-            HeardVia::Message,
-        );
+        self.note_host(&heartbeat.host, heartbeat.incarnation, now, HeardVia::Message);
         self.update(now);
         let same_list = heartbeat.list_version == self.list.version;
         let heard = self
@@ -307,10 +283,7 @@
             .filter(|it| {
                 !(same_list && self.listed_state(&it.record.name) == Some(HostState::Live))
             })
-            .map(|it| HeardHost {
-                host: it.record.clone(),
-                incarnation: it.incarnation,
-            })
+            .map(|it| HeardHost { host: it.record.clone(), incarnation: it.incarnation })
             .collect();
         HeartbeatReply {
             host: self.self_record(),
@@ -358,10 +331,7 @@
     }
 
     fn release_message(&self) -> HostRelease {
-        HostRelease {
-            host: self.host.name.clone(),
-            incarnation: self.incarnation,
-        }
+        HostRelease { host: self.host.name.clone(), incarnation: self.incarnation }
     }
 
     /// Takes the release of another process and returns whether it is accepted.
@@ -456,9 +426,7 @@
     }
 
     fn is_listed(&self) -> bool {
-        self.list
-            .live_in(&self.host.data_centre)
-            .any(|it| it.name == self.host.name)
+        self.list.live_in(&self.host.data_centre).any(|it| it.name == self.host.name)
     }
 
     fn self_record(&self) -> HostRecord {
@@ -467,10 +435,7 @@
         } else {
             HostState::Leaving
         };
-        HostRecord {
-            state,
-            ..self.host.clone()
-        }
+        HostRecord { state, ..self.host.clone() }
     }
 
     fn record(&self, name: &HostName) -> Option<&HostRecord> {
@@ -504,10 +469,7 @@
     fn note_host(&mut self, record: &HostRecord, incarnation: u64, at: Instant, via: HeardVia) {
         let is_foreign =
             record.name == self.host.name || record.data_centre != self.host.data_centre;
-        let is_released = self
-            .releases
-            .get(&record.name)
-            .is_some_and(|it| it.0 == incarnation);
+        let is_released = self.releases.get(&record.name).is_some_and(|it| it.0 == incarnation);
         if is_foreign || is_released {
             return;
         }
@@ -519,18 +481,15 @@
         } else if via == HeardVia::Reply {
             self.witnessed.remove(&record.name);
         }
-        let peer = self
-            .peers
-            .entry(record.name.clone())
-            .or_insert_with(|| PeerState {
-                record: record.clone(),
-                incarnation,
-                heard: None,
-                leaving: None,
-                reported: None,
-                confirmed: None,
-                alive: None,
-            });
+        let peer = self.peers.entry(record.name.clone()).or_insert_with(|| PeerState {
+            record: record.clone(),
+            incarnation,
+            heard: None,
+            leaving: None,
+            reported: None,
+            confirmed: None,
+            alive: None,
+        });
         if via == HeardVia::Peer {
             peer.reported = peer.reported.max(Some(at));
             return;
@@ -578,15 +537,11 @@
     }
 
     fn current_names(&self, now: Instant) -> BTreeSet<HostName> {
-        let listed = self
-            .list
-            .live_in(&self.host.data_centre)
-            .map(|it| &it.name)
-            .filter(|it| {
-                // A host that says itself that it owns nothing leaves the view.
-                let peer = self.peers.get(*it);
-                !peer.is_some_and(|peer| self.is_fresh(peer.leaving, now))
-            });
+        let listed = self.list.live_in(&self.host.data_centre).map(|it| &it.name).filter(|it| {
+            // A host that says itself that it owns nothing leaves the view.
+            let peer = self.peers.get(*it);
+            !peer.is_some_and(|peer| self.is_fresh(peer.leaving, now))
+        });
         let heard = self
             .peers
             .values()
@@ -594,11 +549,7 @@
             .filter(|it| !self.is_fresh(it.leaving, now))
             .map(|it| &it.record.name)
             .filter(|it| self.listed_state(it) != Some(HostState::Leaving));
-        listed
-            .chain(heard)
-            .filter(|it| !self.releases.contains_key(*it))
-            .cloned()
-            .collect()
+        listed.chain(heard).filter(|it| !self.releases.contains_key(*it)).cloned().collect()
     }
 
     fn update(&mut self, now: Instant) {
@@ -614,8 +565,7 @@
         let names = self.current_names(now);
         push_view(&mut self.views, now, wait, names);
         let views = &self.views;
-        self.unlisted
-            .retain(|name, _| views.iter().any(|it| it.names.contains(name)));
+        self.unlisted.retain(|name, _| views.iter().any(|it| it.names.contains(name)));
         // Other hosts cannot have taken over before the end of the margin, so that a shorter
         // lapse of the evidence does not hide a removal of this host from their views.
         let until = self.confirmed_until();
@@ -624,9 +574,8 @@
                 period.until = until.map_or(period.until, |it| it.max(period.until));
             }
             evidence => {
-                *evidence = until
-                    .filter(|it| *it >= now)
-                    .map(|until| EvidencePeriod { from: now, until });
+                *evidence =
+                    until.filter(|it| *it >= now).map(|until| EvidencePeriod { from: now, until });
             }
         }
     }
--- a/lib/src/names.rs
+++ b/lib/src/names.rs
@@ -87,9 +87,7 @@
 pub fn is_valid_name(name: &str) -> bool {
     !name.is_empty()
         && name.len() <= MAX_NAME_BYTES
-        && name
-            .bytes()
-            .all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
+        && name.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
 }
 
 /// Longest name of a catalogue object, in bytes.
--- a/lib/src/operation/digest.rs
+++ b/lib/src/operation/digest.rs
@@ -29,9 +29,7 @@
     pub fn to_hex(&self) -> String {
         const DIGITS: &[u8; 16] = b"0123456789abcdef";
         let nibbles = self.0.iter().flat_map(|it| [it >> 4, it & 15]);
-        nibbles
-            .map(|it| char::from(DIGITS[usize::from(it)]))
-            .collect()
+        nibbles.map(|it| char::from(DIGITS[usize::from(it)])).collect()
     }
 }
 
--- a/lib/src/operation/forward_window.rs
+++ b/lib/src/operation/forward_window.rs
@@ -79,14 +79,11 @@
                 self.senders.remove(&incarnation);
             }
         }
-        let window = self
-            .senders
-            .entry(id.incarnation)
-            .or_insert_with(|| SenderWindow {
-                highest: id.number,
-                seen: Default::default(),
-                used: 0,
-            });
+        let window = self.senders.entry(id.incarnation).or_insert_with(|| SenderWindow {
+            highest: id.number,
+            seen: Default::default(),
+            used: 0,
+        });
         window.used = self.calls;
         window.accept(id.number)
     }
--- a/lib/src/operation/handover.rs
+++ b/lib/src/operation/handover.rs
@@ -46,10 +46,7 @@
             self.gains[0].at = oldest.at.max(self.gains[0].at);
             self.gains[0].earlier_view.clear();
         }
-        self.gains.push(KeyGain {
-            at,
-            earlier_view: earlier_view.to_vec(),
-        });
+        self.gains.push(KeyGain { at, earlier_view: earlier_view.to_vec() });
     }
 
     /// Returns whether a gain has taken effect that the running pull does not cover.
@@ -72,10 +69,7 @@
         let mut waiting: BTreeMap<HostName, u64> = BTreeMap::new();
         waiting.extend(earlier.into_iter().flat_map(|it| it.waiting));
         waiting.extend(sources.into_iter().map(|it| (it.clone(), 0)));
-        self.pull = Some(RecordPull {
-            started: now,
-            waiting,
-        });
+        self.pull = Some(RecordPull { started: now, waiting });
         self.drop_covered_gains();
         self.epoch
     }
--- a/lib/src/operation/ledger.rs
+++ b/lib/src/operation/ledger.rs
@@ -64,10 +64,7 @@
     }
 
     fn removal(&self) -> OperationUpdate {
-        OperationUpdate::Removed {
-            id: self.id.clone(),
-            dispatch: self.dispatch,
-        }
+        OperationUpdate::Removed { id: self.id.clone(), dispatch: self.dispatch }
     }
 }
 
@@ -228,10 +225,7 @@
         };
         let is_ticket = OperationTicket::is_ticket(call.key);
         self.last_dispatch += 1;
-        let dispatch = DispatchId {
-            incarnation: self.incarnation,
-            number: self.last_dispatch,
-        };
+        let dispatch = DispatchId { incarnation: self.incarnation, number: self.last_dispatch };
         let slot = RecordSlot {
             dispatch,
             digest: call.digest,
@@ -263,20 +257,14 @@
         let mut verdict = TicketVerdict::Valid;
         if is_ticket {
             let Some(ticket) = OperationTicket::parse(call.key) else {
-                return Err(Box::new(OperationDecision::NotRun(
-                    NotRunReason::InvalidTicket,
-                )));
+                return Err(Box::new(OperationDecision::NotRun(NotRunReason::InvalidTicket)));
             };
             if ticket.host() == &self.host && ticket.incarnation() != self.incarnation {
-                return Err(Box::new(OperationDecision::Unknown(
-                    UnknownReason::IssuerGone,
-                )));
+                return Err(Box::new(OperationDecision::Unknown(UnknownReason::IssuerGone)));
             }
             verdict = self.issuer.check(now, call.team, &ticket);
             if verdict == TicketVerdict::Invalid {
-                return Err(Box::new(OperationDecision::NotRun(
-                    NotRunReason::InvalidTicket,
-                )));
+                return Err(Box::new(OperationDecision::NotRun(NotRunReason::InvalidTicket)));
             }
         }
 
@@ -292,9 +280,7 @@
             return Err(Box::new(self.answer(slot)));
         }
         if verdict == TicketVerdict::Expired {
-            return Err(Box::new(OperationDecision::Unknown(
-                UnknownReason::TicketExpired,
-            )));
+            return Err(Box::new(OperationDecision::Unknown(UnknownReason::TicketExpired)));
         }
         if !is_ticket {
             if !rights.may_decide(&id, now) {
@@ -305,9 +291,7 @@
             }
         }
         if !self.has_room(&id.team) {
-            return Err(Box::new(OperationDecision::NotRun(
-                NotRunReason::LedgerFull,
-            )));
+            return Err(Box::new(OperationDecision::NotRun(NotRunReason::LedgerFull)));
         }
         Ok(id)
     }
@@ -351,10 +335,7 @@
         let denied = self.give_up(handle, NotRunReason::NoBackup);
         self.merge(now, record, backup);
         match self.slots.get(&handle.id) {
-            Some(slot) => DispatchDenied {
-                decision: self.answer(slot),
-                ..denied
-            },
+            Some(slot) => DispatchDenied { decision: self.answer(slot), ..denied },
             None => denied,
         }
     }
@@ -400,10 +381,7 @@
         if slot.state != expected {
             // An acknowledgement that arrives twice must not cause two dispatches.
             let decision = OperationDecision::Unknown(UnknownReason::InProgress);
-            return Err(Box::new(DispatchDenied {
-                decision,
-                update: None,
-            }));
+            return Err(Box::new(DispatchDenied { decision, update: None }));
         }
         let reason = if !slot.is_backed {
             Some(NotRunReason::NoBackup)
@@ -771,9 +749,7 @@
     }
 
     fn started_mut(&mut self, handle: &OperationHandle) -> Option<&mut RecordSlot> {
-        self.slots
-            .get_mut(&handle.id)
-            .filter(|it| it.is_started && it.dispatch == handle.dispatch)
+        self.slots.get_mut(&handle.id).filter(|it| it.is_started && it.dispatch == handle.dispatch)
     }
 
     /// Removes the record of an attempt whose request was not sent and never will be.
@@ -918,6 +894,5 @@
 
 /// Returns the instant `age_ms` before `now`, or `now` if the clock does not reach back so far.
 fn instant_before(now: Instant, age_ms: u64) -> Instant {
-    now.checked_sub(Duration::from_millis(age_ms))
-        .unwrap_or(now)
+    now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now)
 }
--- a/lib/src/operation/loss.rs
+++ b/lib/src/operation/loss.rs
@@ -96,15 +96,12 @@
         {
             self.push(now, ended);
         }
-        let recent = self
-            .recent
-            .entry(centre.clone())
-            .or_insert_with(|| MarkerSlot {
-                centre: centre.clone(),
-                view: sorted(view),
-                lost: Vec::new(),
-                at: now,
-            });
+        let recent = self.recent.entry(centre.clone()).or_insert_with(|| MarkerSlot {
+            centre: centre.clone(),
+            view: sorted(view),
+            lost: Vec::new(),
+            at: now,
+        });
         recent.at = now;
         for process in lost {
             if !recent.lost.contains(process) {
@@ -172,8 +169,7 @@
     }
 
     pub(super) fn affects(&self, now: Instant, centre: &CentreName, placement: &str) -> bool {
-        self.counting(now)
-            .any(|it| it.centre == *centre && it.affects(placement))
+        self.counting(now).any(|it| it.centre == *centre && it.affects(placement))
     }
 
     pub(super) fn expire(&mut self, now: Instant) {
@@ -190,10 +186,7 @@
         self.markers.push(slot);
         if self.markers.len() > MAX_MARKERS {
             let oldest = self.markers.remove(0);
-            let same = self
-                .markers
-                .iter_mut()
-                .find(|it| it.centre == oldest.centre);
+            let same = self.markers.iter_mut().find(|it| it.centre == oldest.centre);
             if let Some(merged) = same {
                 // The wider marker has to affect every key that either of the two affects.
                 merged.view.extend(oldest.view);
@@ -205,10 +198,7 @@
 }
 
 fn all_lost(view: &[HostName]) -> Vec<LostProcess> {
-    let lost = |host: &HostName| LostProcess {
-        host: host.clone(),
-        incarnation: None,
-    };
+    let lost = |host: &HostName| LostProcess { host: host.clone(), incarnation: None };
     view.iter().map(lost).collect()
 }
 
--- a/lib/src/operation/record.rs
+++ b/lib/src/operation/record.rs
@@ -25,10 +25,7 @@
 impl OperationId {
     /// Identifies the operation of a team's key.
     pub fn new(team: &TeamName, key: &str) -> Self {
-        Self {
-            team: team.clone(),
-            key: KeyDigest::of(key),
-        }
+        Self { team: team.clone(), key: KeyDigest::of(key) }
     }
 
     /// Key for rendezvous hashing over data centres and hosts.
--- a/lib/src/operation/route.rs
+++ b/lib/src/operation/route.rs
@@ -63,22 +63,14 @@
 impl OperationRoute {
     /// Creates the route of a process without a catalogue.
     pub fn new(host: &HostName, incarnation: u64, centre: &CentreName) -> Self {
-        Self {
-            host: host.clone(),
-            incarnation,
-            centre: centre.clone(),
-            sets: Vec::new(),
-        }
+        Self { host: host.clone(), incarnation, centre: centre.clone(), sets: Vec::new() }
     }
 
     /// Takes over the data centres of a newly accepted catalogue.
     pub fn set_catalogue(&mut self, catalogue: &Catalogue) {
         let centres: Vec<CentreName> = catalogue.sharing_centres().cloned().collect();
         if self.sets.last().is_none_or(|it| it.centres != centres) {
-            self.sets.push(CentreSet {
-                revision: catalogue.revision(),
-                centres,
-            });
+            self.sets.push(CentreSet { revision: catalogue.revision(), centres });
         }
     }
 
@@ -143,10 +135,7 @@
 
     /// Returns the rights of this host for [`OperationLedger`](super::OperationLedger).
     pub fn rights<'a>(&'a self, lookup: &'a dyn OwnerLookup) -> RouteRights<'a> {
-        RouteRights {
-            route: self,
-            lookup,
-        }
+        RouteRights { route: self, lookup }
     }
 
     /// Returns the hosts to which the intent is offered, one after the other.
--- a/lib/src/operation/ticket.rs
+++ b/lib/src/operation/ticket.rs
@@ -50,12 +50,7 @@
         for (index, byte) in tag.iter_mut().enumerate() {
             *byte = u8::from_str_radix(&tag_text[2 * index..2 * index + 2], 16).ok()?;
         }
-        let ticket = Self {
-            host: HostName::new(host),
-            incarnation,
-            number,
-            tag,
-        };
+        let ticket = Self { host: HostName::new(host), incarnation, number, tag };
         // Records are found by the text, so a second spelling would be a second operation.
         (ticket.to_string() == key).then_some(ticket)
     }
@@ -77,11 +72,7 @@
 
 impl fmt::Display for OperationTicket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{TICKET_PREFIX}{}.{:x}.{:x}.",
-            self.host, self.incarnation, self.number
-        )?;
+        write!(f, "{TICKET_PREFIX}{}.{:x}.{:x}.", self.host, self.incarnation, self.number)?;
         self.tag.iter().try_for_each(|it| write!(f, "{it:02x}"))
     }
 }
@@ -119,13 +110,7 @@
 impl TicketIssuer {
     /// Creates the issuer of a process; `secret` must be random and stay in this process.
     pub fn new(now: Instant, host: &HostName, incarnation: u64, secret: [u8; 32]) -> Self {
-        Self {
-            host: host.clone(),
-            incarnation,
-            secret,
-            started: now,
-            issued: 0,
-        }
+        Self { host: host.clone(), incarnation, secret, started: now, issued: 0 }
     }
 
     /// Issues a ticket to a team.
@@ -151,14 +136,8 @@
             return TicketVerdict::Invalid;
         }
         let issued = Duration::from_secs(ticket.number >> 32);
-        let age = now
-            .saturating_duration_since(self.started)
-            .saturating_sub(issued);
-        if age >= TICKET_LIFETIME {
-            TicketVerdict::Expired
-        } else {
-            TicketVerdict::Valid
-        }
+        let age = now.saturating_duration_since(self.started).saturating_sub(issued);
+        if age >= TICKET_LIFETIME { TicketVerdict::Expired } else { TicketVerdict::Valid }
     }
 
     /// HMAC-SHA-256 (RFC 2104) over team, incarnation and number, truncated.
@@ -175,10 +154,7 @@
             .chain_update(number.to_be_bytes())
             .chain_update(team.as_str())
             .finalize();
-        let outer = Sha256::new()
-            .chain_update(outer_pad)
-            .chain_update(inner)
-            .finalize();
+        let outer = Sha256::new().chain_update(outer_pad).chain_update(inner).finalize();
         let mut tag = [0; TAG_BYTES];
         tag.copy_from_slice(&outer[..TAG_BYTES]);
         tag
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -49,9 +49,7 @@
             .max_idle_age(MAX_IDLE_AGE)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .build();
-        Self {
-            agent: counted_agent(config),
-        }
+        Self { agent: counted_agent(config) }
     }
 }
 
@@ -106,9 +104,6 @@
 /// Reads and decodes a request of at most the largest message size.
 pub fn decode_message<T: DeserializeOwned>(reader: &mut dyn Read) -> Result<T, String> {
     let mut message = Vec::new();
-    reader
-        .take(MAX_MESSAGE_BYTES)
-        .read_to_end(&mut message)
-        .map_err(|error| error.to_string())?;
+    reader.take(MAX_MESSAGE_BYTES).read_to_end(&mut message).map_err(|error| error.to_string())?;
     rmp_serde::from_slice(&message).map_err(|error| error.to_string())
 }
--- a/lib/src/peer/pool.rs
+++ b/lib/src/peer/pool.rs
@@ -84,20 +84,13 @@
             let state = state.clone();
             threads.spawn("peer-call", move || state.run())?;
         }
-        Ok(Self {
-            calls: Some(sender),
-            on_end,
-            _threads: threads,
-        })
+        Ok(Self { calls: Some(sender), on_end, _threads: threads })
     }
 }
 
 impl<Q: Send, R> PeerCaller<Q, R> for PeerPool<Q, R> {
     fn order(&self, call: PeerCall<Q>) {
-        let calls = self
-            .calls
-            .as_ref()
-            .expect("the sender exists until the pool is dropped");
+        let calls = self.calls.as_ref().expect("the sender exists until the pool is dropped");
         if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) =
             calls.try_send(call)
         {
@@ -116,11 +109,7 @@
 impl<Q, R> PoolState<Q, R> {
     fn run(&self) {
         loop {
-            let next = self
-                .calls
-                .lock()
-                .expect("call queue is never poisoned")
-                .recv();
+            let next = self.calls.lock().expect("call queue is never poisoned").recv();
             let Ok(call) = next else { return };
             let result = self.call(&call);
             (self.on_end)(call, result);
@@ -131,9 +120,7 @@
         if self.failed_recently(call.address) {
             return Err(PeerError::NotSent("a call to this host just failed".into()));
         }
-        let result = self
-            .transport
-            .call(call.address, &call.request, call.timeout);
+        let result = self.transport.call(call.address, &call.request, call.timeout);
         let mut failed = self.failed.lock().expect("failure table is never poisoned");
         match &result {
             Ok(_) => {
--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -32,10 +32,7 @@
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .max_redirects(0)
             .build();
-        Self {
-            agent: counted_agent(config),
-            base: base.trim_end_matches('/').to_owned(),
-        }
+        Self { agent: counted_agent(config), base: base.trim_end_matches('/').to_owned() }
     }
 
     fn watch<T: DeserializeOwned>(
@@ -44,11 +41,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<Option<T>, PlatformError> {
-        let url = format!(
-            "{}/v1/{resource}?after={after}&wait_ms={}",
-            self.base,
-            wait.as_millis()
-        );
+        let url = format!("{}/v1/{resource}?after={after}&wait_ms={}", self.base, wait.as_millis());
         let response = self
             .agent
             .get(&url)
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -117,8 +117,7 @@
         }
         self.strikes.sort_by_key(|it| it.at);
         if let Some(newest) = self.newest() {
-            self.strikes
-                .retain(|it| newest.saturating_duration_since(it.at) < BLOCK_TIME);
+            self.strikes.retain(|it| newest.saturating_duration_since(it.at) < BLOCK_TIME);
         }
         self.strikes.truncate(MAX_STRIKES);
     }
@@ -172,9 +171,7 @@
             return CrashVerdict::Clear;
         };
         match list.blocked_until().filter(|it| *it > now) {
-            Some(until) => CrashVerdict::Blocked {
-                remaining: until - now,
-            },
+            Some(until) => CrashVerdict::Blocked { remaining: until - now },
             None => CrashVerdict::Suspect,
         }
     }
--- a/lib/src/rendezvous.rs
+++ b/lib/src/rendezvous.rs
@@ -34,10 +34,8 @@
     key: &str,
     candidates: impl IntoIterator<Item = &'a T>,
 ) -> Vec<&'a T> {
-    let mut ranked: Vec<(u64, &T)> = candidates
-        .into_iter()
-        .map(|it| (hash_parts(&[key, it.as_ref()]), it))
-        .collect();
+    let mut ranked: Vec<(u64, &T)> =
+        candidates.into_iter().map(|it| (hash_parts(&[key, it.as_ref()]), it)).collect();
     // The name breaks ties so that the order is total.
     ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref())));
     ranked.into_iter().map(|(_, it)| it).collect()
--- a/lib/src/routing/cold.rs
+++ b/lib/src/routing/cold.rs
@@ -166,11 +166,7 @@
 
     fn is_of(&self, fleets: &[HostSet]) -> bool {
         self.fleets.len() == fleets.len()
-            && self
-                .fleets
-                .iter()
-                .zip(fleets)
-                .all(|(a, b)| Arc::ptr_eq(a, b))
+            && self.fleets.iter().zip(fleets).all(|(a, b)| Arc::ptr_eq(a, b))
     }
 
     fn share(&self, upstream: &UpstreamName, allowance: u32) -> u32 {
@@ -192,14 +188,7 @@
     /// `ramp` is the longest ramp-up of a returning upstream. `settle` is the longest lag of a
     /// report: one that arrives earlier after a broken connection may be older than the break.
     pub fn new(own: HostName, ramp: Duration, settle: Duration) -> Self {
-        Self {
-            own,
-            ramp,
-            settle,
-            records: HashMap::new(),
-            limited: HashSet::new(),
-            union: None,
-        }
+        Self { own, ramp, settle, records: HashMap::new(), limited: HashSet::new(), union: None }
     }
 
     /// Returns the own host.
@@ -268,16 +257,11 @@
             GateState::Unknown { broken_at, .. } => {
                 // A report that may be older than the break proves nothing.
                 if broken_at.is_none_or(|it| now.saturating_duration_since(it) >= settle) {
-                    record.state = GateState::Warm {
-                        from: now,
-                        ramp: Duration::ZERO,
-                    };
+                    record.state = GateState::Warm { from: now, ramp: Duration::ZERO };
                 }
             }
             // `cold: false` alone proves nothing: some upstreams never announce a cold start.
-            GateState::Cold {
-                announced: true, ..
-            } => record.warm(now, ramp),
+            GateState::Cold { announced: true, .. } => record.warm(now, ramp),
             GateState::Cold { .. } | GateState::Warm { .. } => {}
         }
         None
@@ -319,10 +303,7 @@
     pub fn broken(&mut self, now: Instant, upstream: &UpstreamName) {
         let record = self.limited_record(upstream);
         if let GateState::Warm { .. } | GateState::Unknown { .. } = record.state {
-            record.state = GateState::Unknown {
-                broken_at: Some(now),
-                responded: None,
-            };
+            record.state = GateState::Unknown { broken_at: Some(now), responded: None };
         }
     }
 
@@ -332,10 +313,8 @@
         match notice.change {
             ColdChange::Started(reason) => {
                 let is_late = notice.incarnation.is_some() && notice.incarnation == record.warmed;
-                let is_repeatable = matches!(
-                    reason,
-                    ColdReason::FirstTokenJump | ColdReason::RefusedConnection
-                );
+                let is_repeatable =
+                    matches!(reason, ColdReason::FirstTokenJump | ColdReason::RefusedConnection);
                 if !is_late || is_repeatable {
                     record.start(notice.incarnation, reason);
                 }
@@ -355,10 +334,7 @@
     pub fn notices(&self) -> Vec<ColdNotice> {
         let mut notices = Vec::new();
         for (upstream, record) in &self.records {
-            if let GateState::Cold {
-                reason, responded, ..
-            } = record.state
-            {
+            if let GateState::Cold { reason, responded, .. } = record.state {
                 let notice = |change| ColdNotice {
                     upstream: upstream.clone(),
                     incarnation: record.incarnation,
@@ -380,14 +356,8 @@
         let Some(record) = self.records.get_mut(upstream) else {
             return ColdPhase::Unknown;
         };
-        if let GateState::Cold {
-            responded: Some(responded),
-            ..
-        }
-        | GateState::Unknown {
-            responded: Some(responded),
-            ..
-        } = record.state
+        if let GateState::Cold { responded: Some(responded), .. }
+        | GateState::Unknown { responded: Some(responded), .. } = record.state
             && now.saturating_duration_since(responded) >= warmup
         {
             record.warm(responded + warmup, ramp);
@@ -433,9 +403,7 @@
             self.union = None;
         }
         let own = &self.own;
-        let union = self
-            .union
-            .get_or_insert_with(|| FleetUnion::new(own, fleets));
+        let union = self.union.get_or_insert_with(|| FleetUnion::new(own, fleets));
         in_flight < union.share(upstream, allowance)
     }
 
@@ -462,10 +430,7 @@
             self.limited.insert(upstream.clone());
         }
         self.records.entry(upstream.clone()).or_insert(GateRecord {
-            state: GateState::Unknown {
-                broken_at: None,
-                responded: None,
-            },
+            state: GateState::Unknown { broken_at: None, responded: None },
             incarnation: None,
             warmed: None,
             refused_at: None,
@@ -497,11 +462,8 @@
             return false;
         }
         self.incarnation = incarnation.or(self.incarnation);
-        self.state = GateState::Cold {
-            reason,
-            announced: reason == ColdReason::Announced,
-            responded: None,
-        };
+        self.state =
+            GateState::Cold { reason, announced: reason == ColdReason::Announced, responded: None };
         true
     }
 
--- a/lib/src/routing/load.rs
+++ b/lib/src/routing/load.rs
@@ -92,10 +92,7 @@
     }
 
     fn max(self, other: Self) -> Self {
-        Self {
-            tokens: self.tokens.max(other.tokens),
-            requests: self.requests.max(other.requests),
-        }
+        Self { tokens: self.tokens.max(other.tokens), requests: self.requests.max(other.requests) }
     }
 }
 
@@ -146,9 +143,7 @@
 
     fn maximum(&mut self, now: Instant, width: Duration) -> LoadAmount {
         self.advance(now, width);
-        self.buckets
-            .iter()
-            .fold(LoadAmount::default(), |max, it| max.max(*it))
+        self.buckets.iter().fold(LoadAmount::default(), |max, it| max.max(*it))
     }
 }
 
@@ -295,11 +290,7 @@
 
     /// Mean of the host's own requests per unit of capacity.
     pub fn mean_own_requests(&self) -> f64 {
-        if self.capacity > 0.0 {
-            self.own.requests / self.capacity
-        } else {
-            0.0
-        }
+        if self.capacity > 0.0 { self.own.requests / self.capacity } else { 0.0 }
     }
 
     /// Mean estimated requests per unit of capacity.
@@ -358,18 +349,14 @@
         };
         self.durations.change(now, 1.0);
         let width = self.bucket_width();
-        self.record(now, upstream)
-            .window
-            .change(now, width, work, 1.0);
+        self.record(now, upstream).window.change(now, width, work, 1.0);
     }
 
     /// Notes the end of an own request; `work` is the value given to [`LoadTable::started`].
     pub fn finished(&mut self, now: Instant, upstream: &UpstreamName, work: u64) {
         self.durations.change(now, -1.0);
         let width = self.bucket_width();
-        self.record(now, upstream)
-            .window
-            .change(now, width, -(work as f64), -1.0);
+        self.record(now, upstream).window.change(now, width, -(work as f64), -1.0);
     }
 
     /// Notes a first-token time and returns whether it is a jump.
@@ -429,12 +416,8 @@
             }
             _ => others,
         };
-        record.held = Some(HeldReport {
-            arrival: now,
-            incarnation: report.incarnation,
-            others,
-            usual,
-        });
+        record.held =
+            Some(HeldReport { arrival: now, incarnation: report.incarnation, others, usual });
         effect
     }
 
@@ -467,9 +450,7 @@
 
     /// Returns the own requests in flight.
     pub fn own_requests(&self, upstream: &UpstreamName) -> u32 {
-        self.indices
-            .get(upstream)
-            .map_or(0, |it| self.records[*it].window.current.requests as u32)
+        self.indices.get(upstream).map_or(0, |it| self.records[*it].window.current.requests as u32)
     }
 
     /// Sums the load of upstreams given with their capacity.
@@ -574,10 +555,8 @@
         let record = &self.records[index.0];
         let own = record.window.current;
         let mean = summary.others();
-        let mean = LoadAmount {
-            tokens: mean.tokens * capacity,
-            requests: mean.requests * capacity,
-        };
+        let mean =
+            LoadAmount { tokens: mean.tokens * capacity, requests: mean.requests * capacity };
         let others = match &record.held {
             Some(held) => {
                 let (others, weight) = self.expected_others(now, held);
@@ -589,9 +568,7 @@
             work: others.tokens + own.tokens,
             requests: others.requests + own.requests,
             own_requests: own.requests as u32,
-            report_age: record
-                .held
-                .map(|it| now.saturating_duration_since(it.arrival)),
+            report_age: record.held.map(|it| now.saturating_duration_since(it.arrival)),
         }
     }
 
--- a/lib/src/routing/pick.rs
+++ b/lib/src/routing/pick.rs
@@ -230,9 +230,7 @@
 impl Ord for OrderedCandidate {
     fn cmp(&self, other: &Self) -> std::cmp::Ordering {
         // Candidates are indexed in the order of their names, which breaks ties on every host alike.
-        self.score
-            .total_cmp(&other.score)
-            .then_with(|| other.position.cmp(&self.position))
+        self.score.total_cmp(&other.score).then_with(|| other.position.cmp(&self.position))
     }
 }
 
@@ -332,8 +330,7 @@
         }
         self.table.forget_first_tokens(now, upstream);
         let incarnation = self.table.last_incarnation(upstream);
-        self.gate
-            .cold(upstream, incarnation, ColdReason::FirstTokenJump)
+        self.gate.cold(upstream, incarnation, ColdReason::FirstTokenJump)
     }
 
     /// Notes the end of a request; `work` is the value given to [`UpstreamPicker::started`].
@@ -373,8 +370,7 @@
             return None;
         }
         let is_new = effect == ReportEffect::NewIncarnation;
-        self.gate
-            .report(now, upstream, report.incarnation, is_new, report.cold)
+        self.gate.report(now, upstream, report.incarnation, is_new, report.cold)
     }
 
     /// Takes the incarnation that a response names; returns the notice for the peers if it is new.
@@ -386,8 +382,7 @@
     ) -> Option<ColdNotice> {
         match self.table.incarnation(now, upstream, incarnation) {
             ReportEffect::NewIncarnation => {
-                self.gate
-                    .cold(upstream, Some(incarnation), ColdReason::NewIncarnation)
+                self.gate.cold(upstream, Some(incarnation), ColdReason::NewIncarnation)
             }
             ReportEffect::First | ReportEffect::Same | ReportEffect::Outdated => None,
         }
@@ -438,10 +433,7 @@
             let is_taking = catalogue.takes_new_work(entry);
             match self.presence.get_mut(name) {
                 None => {
-                    let presence = UpstreamPresence {
-                        is_taking,
-                        since: now,
-                    };
+                    let presence = UpstreamPresence { is_taking, since: now };
                     self.presence.insert(name.clone(), presence);
                     if is_first {
                         self.gate.discovered(name);
@@ -454,10 +446,7 @@
                         let absence = now.saturating_duration_since(presence.since);
                         self.gate.returned(now, name, absence);
                     }
-                    *presence = UpstreamPresence {
-                        is_taking,
-                        since: now,
-                    };
+                    *presence = UpstreamPresence { is_taking, since: now };
                 }
                 Some(_) => {}
             }
@@ -524,10 +513,7 @@
             }
         }
         if attempt.has_untried {
-            PickOutcome::Busy {
-                skipped: attempt.skipped,
-                skipped_count: attempt.skipped_count,
-            }
+            PickOutcome::Busy { skipped: attempt.skipped, skipped_count: attempt.skipped_count }
         } else {
             PickOutcome::NoneEligible
         }
@@ -594,8 +580,7 @@
         let mut summary = LoadSummary::default();
         for (position, candidate) in group.iter().enumerate() {
             let capacity = candidate.capacity * self.share_of(candidate);
-            self.table
-                .add_to_summary(self.now, candidate.index, capacity, &mut summary);
+            self.table.add_to_summary(self.now, candidate.index, capacity, &mut summary);
             scratch.push(OrderedCandidate {
                 score: rendezvous::hashed_score(self.key_hash, candidate.hash, candidate.capacity),
                 position,
@@ -628,11 +613,8 @@
                 };
                 let earlier_load = earlier.relative_load(self.load_of(&earlier.estimate));
                 let later_load = judged.relative_load(self.load_of(&judged.estimate));
-                let (chosen, other) = if later_load < earlier_load {
-                    (judged, earlier)
-                } else {
-                    (earlier, judged)
-                };
+                let (chosen, other) =
+                    if later_load < earlier_load { (judged, earlier) } else { (earlier, judged) };
                 self.skip(&other, SkipReason::MoreLoaded);
                 return Some(self.pick_of(chosen, PickReason::LessLoaded));
             }
@@ -662,9 +644,7 @@
     /// Share of its load that a candidate takes.
     fn share_of(&mut self, candidate: &CandidateUpstream) -> f64 {
         if self.gate.is_limited(&candidate.name) {
-            self.gate
-                .phase(self.now, &candidate.name, candidate.warmup)
-                .chat_share()
+            self.gate.phase(self.now, &candidate.name, candidate.warmup).chat_share()
         } else {
             1.0
         }
@@ -676,8 +656,7 @@
         summary: &LoadSummary,
     ) -> JudgedCandidate<'a> {
         let estimate =
-            self.table
-                .estimate_at(self.now, candidate.index, candidate.capacity, summary);
+            self.table.estimate_at(self.now, candidate.index, candidate.capacity, summary);
         let rank = self.rank;
         self.rank += 1;
         let phase = self.gate.phase(self.now, &candidate.name, candidate.warmup);
--- a/lib/src/schedule/queue.rs
+++ b/lib/src/schedule/queue.rs
@@ -34,10 +34,7 @@
 impl Default for QueueSettings {
     fn default() -> Self {
         // The active requests of a host are limited to 1,024 (docs/design.md, section 10).
-        Self {
-            capacity: 1024,
-            overdue_interval: 9,
-        }
+        Self { capacity: 1024, overdue_interval: 9 }
     }
 }
 
@@ -160,9 +157,7 @@
 
 impl<T> QueueEntry<T> {
     fn expiry(&self) -> Instant {
-        self.request
-            .deadline
-            .min(self.arrival + self.request.queue_time)
+        self.request.deadline.min(self.arrival + self.request.queue_time)
     }
 
     fn is_overdue(&self, now: Instant) -> bool {
@@ -280,8 +275,7 @@
             match self.victim(&request) {
                 Some(position) => {
                     let entry = self.remove(&position);
-                    self.stats_of(&entry.request)
-                        .count_refusal(RefusalReason::Shed);
+                    self.stats_of(&entry.request).count_refusal(RefusalReason::Shed);
                     shed = Some(entry.refused(now, RefusalReason::Shed));
                 }
                 None => {
@@ -309,16 +303,8 @@
         let flow = band
             .flows
             .entry((request.team.clone(), request.class.clone()))
-            .or_insert(TeamFlow {
-                entries: VecDeque::new(),
-                finish: 0.0,
-            });
-        let entry = QueueEntry {
-            number,
-            request,
-            arrival: now,
-            virtual_arrival,
-        };
+            .or_insert(TeamFlow { entries: VecDeque::new(), finish: 0.0 });
+        let entry = QueueEntry { number, request, arrival: now, virtual_arrival };
         let expiry = entry.expiry();
         self.next_expiry = Some(self.next_expiry.map_or(expiry, |it| it.min(expiry)));
         flow.entries.push_back(entry);
@@ -377,8 +363,7 @@
         self.next_expiry = next_expiry;
         for refused in &expired {
             self.leave(&refused.request.team);
-            self.stats_of(&refused.request)
-                .count_refusal(refused.reason);
+            self.stats_of(&refused.request).count_refusal(refused.reason);
         }
         expired
     }
@@ -393,11 +378,7 @@
         let position = self.bands.iter().find_map(|(priority, band)| {
             band.flows.iter().find_map(|(key, flow)| {
                 let index = flow.entries.iter().position(|it| it.number == number)?;
-                Some(EntryPosition {
-                    priority: *priority,
-                    flow: key.clone(),
-                    index,
-                })
+                Some(EntryPosition { priority: *priority, flow: key.clone(), index })
             })
         })?;
         let entry = self.remove(&position);
@@ -420,30 +401,23 @@
 
     /// Returns the counters of every team in every class.
     pub fn reports(&self) -> impl Iterator<Item = QueueReport<'_>> {
-        self.stats
-            .iter()
-            .map(|((team, class), stats)| QueueReport { team, class, stats })
+        self.stats.iter().map(|((team, class), stats)| QueueReport { team, class, stats })
     }
 
     /// Returns the team and class with the smallest share of started requests; among equal ones,
     /// the one with the longest 95th percentile of waits.
     pub fn worst_served(&self) -> Option<QueueReport<'_>> {
-        self.reports()
-            .filter(|it| it.stats.started + it.stats.refused() > 0)
-            .min_by(|a, b| {
-                let (share_a, share_b) = (a.stats.service_share(), b.stats.service_share());
-                let (wait_a, wait_b) = (a.stats.waits.quantile(0.95), b.stats.waits.quantile(0.95));
-                share_a
-                    .total_cmp(&share_b)
-                    .then_with(|| wait_b.cmp(&wait_a))
-            })
+        self.reports().filter(|it| it.stats.started + it.stats.refused() > 0).min_by(|a, b| {
+            let (share_a, share_b) = (a.stats.service_share(), b.stats.service_share());
+            let (wait_a, wait_b) = (a.stats.waits.quantile(0.95), b.stats.waits.quantile(0.95));
+            share_a.total_cmp(&share_b).then_with(|| wait_b.cmp(&wait_a))
+        })
     }
 
     /// Removes the counters of teams that `keep` rejects and that have no waiting request.
     pub fn retain_stats(&mut self, mut keep: impl FnMut(&TeamName) -> bool) {
         let backlogs = &self.backlogs;
-        self.stats
-            .retain(|(team, _), _| backlogs.contains_key(team) || keep(team));
+        self.stats.retain(|(team, _), _| backlogs.contains_key(team) || keep(team));
     }
 
     /// Finds the request to start next, apart from blocked targets.
@@ -473,10 +447,7 @@
                 }
                 let start = entry.virtual_arrival.max(flow.finish);
                 let lead = (start - band.virtual_time).max(0.0);
-                if first
-                    .as_ref()
-                    .is_none_or(|it| (lead, entry.arrival) < (it.0, it.1))
-                {
+                if first.as_ref().is_none_or(|it| (lead, entry.arrival) < (it.0, it.1)) {
                     first = Some((lead, entry.arrival, key, index));
                 }
             }
@@ -491,11 +462,7 @@
                 arrival,
             };
             if best.as_ref().is_none_or(|(other, _)| order < *other) {
-                let position = EntryPosition {
-                    priority: *priority,
-                    flow: key.clone(),
-                    index,
-                };
+                let position = EntryPosition { priority: *priority, flow: key.clone(), index };
                 best = Some((order, position));
             }
         }
@@ -510,14 +477,9 @@
                 band.passed_over = band.passed_over.saturating_add(1);
             }
         }
-        let band = self
-            .bands
-            .get_mut(&position.priority)
-            .expect("the band of a found entry exists");
-        let flow = band
-            .flows
-            .get_mut(&position.flow)
-            .expect("the flow of a found entry exists");
+        let band =
+            self.bands.get_mut(&position.priority).expect("the band of a found entry exists");
+        let flow = band.flows.get_mut(&position.flow).expect("the flow of a found entry exists");
         let entry = &flow.entries[position.index];
         let start = entry.virtual_arrival.max(flow.finish);
         let cost = entry.request.work.max(1) as f64 / valid_weight(entry.request.weight);
@@ -528,10 +490,7 @@
         let stats = self.stats_of(&entry.request);
         stats.started += 1;
         stats.waits.add(wait);
-        StartedRequest {
-            request: entry.request,
-            wait,
-        }
+        StartedRequest { request: entry.request, wait }
     }
 
     /// Finds the request that loses its place in a full queue for `incoming`, if any does.
@@ -540,11 +499,7 @@
     fn victim(&self, incoming: &QueuedRequest<T>) -> Option<EntryPosition> {
         let own_weight = valid_weight(incoming.weight);
         let own_backlog = self.backlogs.get(&incoming.team);
-        let newcomer_weight = if own_backlog.is_none() {
-            own_weight
-        } else {
-            0.0
-        };
+        let newcomer_weight = if own_backlog.is_none() { own_weight } else { 0.0 };
         let total_weight = self.total_weight() + newcomer_weight;
         // The request itself counts, so that a team never grows beyond a limit by one.
         let own_after = TeamBacklog {
@@ -572,17 +527,12 @@
                     own_share <= GREEDY_SHARE && is_lower && share > PROTECTED_SHARE
                 };
                 if may_lose
-                    && best
-                        .as_ref()
-                        .is_none_or(|((priority_best, share_best), _)| {
-                            (*priority, share) > (*priority_best, *share_best)
-                        })
+                    && best.as_ref().is_none_or(|((priority_best, share_best), _)| {
+                        (*priority, share) > (*priority_best, *share_best)
+                    })
                 {
-                    let position = EntryPosition {
-                        priority: *priority,
-                        flow: key.clone(),
-                        index: newest,
-                    };
+                    let position =
+                        EntryPosition { priority: *priority, flow: key.clone(), index: newest };
                     best = Some(((*priority, share), position));
                 }
             }
@@ -605,10 +555,8 @@
     }
 
     fn remove(&mut self, position: &EntryPosition) -> QueueEntry<T> {
-        let band = self
-            .bands
-            .get_mut(&position.priority)
-            .expect("the band of a found entry exists");
+        let band =
+            self.bands.get_mut(&position.priority).expect("the band of a found entry exists");
         let entry = band
             .flows
             .get_mut(&position.flow)
@@ -621,10 +569,8 @@
 
     fn leave(&mut self, team: &TeamName) {
         self.len -= 1;
-        let backlog = self
-            .backlogs
-            .get_mut(team)
-            .expect("a team with a waiting request has a backlog");
+        let backlog =
+            self.backlogs.get_mut(team).expect("a team with a waiting request has a backlog");
         backlog.requests -= 1;
         if backlog.requests == 0 {
             self.backlogs.remove(team);
@@ -632,19 +578,14 @@
     }
 
     fn stats_of(&mut self, request: &QueuedRequest<T>) -> &mut QueueStats {
-        self.stats
-            .entry((request.team.clone(), request.class.clone()))
-            .or_default()
+        self.stats.entry((request.team.clone(), request.class.clone())).or_default()
     }
 }
 
 impl<T> ClassBand<T> {
     fn has_overdue(&self, now: Instant) -> bool {
         self.flows.values().any(|flow| {
-            flow.entries
-                .iter()
-                .find(|it| it.expiry() > now)
-                .is_some_and(|it| it.is_overdue(now))
+            flow.entries.iter().find(|it| it.expiry() > now).is_some_and(|it| it.is_overdue(now))
         })
     }
 
@@ -654,15 +595,10 @@
     /// request in the queue would be served as if it had not been served before.
     fn forget_idle(&mut self) {
         let virtual_time = self.virtual_time;
-        self.flows
-            .retain(|_, it| !it.entries.is_empty() || it.finish > virtual_time);
+        self.flows.retain(|_, it| !it.entries.is_empty() || it.finish > virtual_time);
     }
 }
 
 fn valid_weight(weight: f64) -> f64 {
-    if weight > 0.0 && weight.is_finite() {
-        weight
-    } else {
-        1.0
-    }
+    if weight > 0.0 && weight.is_finite() { weight } else { 1.0 }
 }
--- a/lib/src/schedule/stats.rs
+++ b/lib/src/schedule/stats.rs
@@ -21,9 +21,7 @@
 
 impl Default for WaitHistogram {
     fn default() -> Self {
-        Self {
-            counts: [0; BUCKET_COUNT],
-        }
+        Self { counts: [0; BUCKET_COUNT] }
     }
 }
 
@@ -91,11 +89,7 @@
     /// Returns the share of the decided requests that started; 1 if none is decided.
     pub fn service_share(&self) -> f64 {
         let decided = self.started + self.refused();
-        if decided == 0 {
-            1.0
-        } else {
-            self.started as f64 / decided as f64
-        }
+        if decided == 0 { 1.0 } else { self.started as f64 / decided as f64 }
     }
 
     pub(super) fn count_refusal(&mut self, reason: RefusalReason) {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -139,9 +139,7 @@
             }
         }
         let reader = ValueReader { flags, env };
-        reader
-            .settings()
-            .map(|settings| SettingsOutcome::Run(Box::new(settings)))
+        reader.settings().map(|settings| SettingsOutcome::Run(Box::new(settings)))
     }
 
     /// Returns how long a host waits before it acts as a new owner.
@@ -152,10 +150,7 @@
 
 /// Returns the environment variable of a setting.
 pub fn variable_name(name: &str) -> String {
-    format!(
-        "{ENV_PREFIX}{}",
-        name.to_ascii_uppercase().replace('-', "_")
-    )
+    format!("{ENV_PREFIX}{}", name.to_ascii_uppercase().replace('-', "_"))
 }
 
 /// Returns the text of `--version`.
@@ -185,9 +180,7 @@
 }
 
 fn usage(error: lexopt::Error) -> SettingsError {
-    SettingsError::Usage {
-        reason: error.to_string(),
-    }
+    SettingsError::Usage { reason: error.to_string() }
 }
 
 fn origin_name(name: &str, origin: ValueOrigin) -> String {
@@ -248,10 +241,7 @@
         } else if let Some(value) = spec.default {
             Ok((value.into(), ValueOrigin::Default))
         } else {
-            Err(SettingsError::Missing {
-                name,
-                allowed: spec.allowed,
-            })
+            Err(SettingsError::Missing { name, allowed: spec.allowed })
         }
     }
 
@@ -261,15 +251,12 @@
         parse: impl Fn(&str) -> Option<T>,
     ) -> Result<T, SettingsError> {
         let (value, origin) = self.raw(name)?;
-        value
-            .to_str()
-            .and_then(parse)
-            .ok_or_else(|| SettingsError::Invalid {
-                name,
-                origin,
-                value: value.to_string_lossy().into_owned(),
-                allowed: spec_of(name).allowed,
-            })
+        value.to_str().and_then(parse).ok_or_else(|| SettingsError::Invalid {
+            name,
+            origin,
+            value: value.to_string_lossy().into_owned(),
+            allowed: spec_of(name).allowed,
+        })
     }
 
     fn number(&self, name: &'static str) -> Result<u64, SettingsError> {
@@ -293,10 +280,7 @@
 }
 
 fn spec_of(name: &str) -> &'static SettingSpec {
-    SETTINGS
-        .iter()
-        .find(|it| it.name == name)
-        .expect("every setting that is read is listed")
+    SETTINGS.iter().find(|it| it.name == name).expect("every setting that is read is listed")
 }
 
 fn valid_name(value: &str) -> Option<String> {
@@ -309,18 +293,14 @@
 
 fn address_list(value: &str) -> Option<Vec<SocketAddr>> {
     let parts = value.split(',').filter(|_| !value.is_empty());
-    parts
-        .map(|it| it.parse().ok().filter(|it: &SocketAddr| it.port() != 0))
-        .collect()
+    parts.map(|it| it.parse().ok().filter(|it: &SocketAddr| it.port() != 0)).collect()
 }
 
 fn platform_url(value: &str) -> Option<String> {
     let rest = value.strip_prefix("http://")?;
     let (authority, path) = rest.split_once('/').unwrap_or((rest, ""));
     let address: SocketAddr = authority.parse().ok()?;
-    let plain = path
-        .bytes()
-        .all(|b| b.is_ascii_alphanumeric() || b"/-_.~".contains(&b));
+    let plain = path.bytes().all(|b| b.is_ascii_alphanumeric() || b"/-_.~".contains(&b));
     (address.port() != 0 && plain).then(|| value.trim_end_matches('/').to_owned())
 }
 
--- a/lib/src/settings/spec.rs
+++ b/lib/src/settings/spec.rs
@@ -33,14 +33,7 @@
     allowed: &'static str,
     help: &'static str,
 ) -> SettingSpec {
-    SettingSpec {
-        name,
-        unit,
-        default,
-        allowed,
-        help,
-        range: None,
-    }
+    SettingSpec { name, unit, default, allowed, help, range: None }
 }
 
 const fn number(
@@ -50,14 +43,7 @@
     (range, allowed): ((u64, u64), &'static str),
     help: &'static str,
 ) -> SettingSpec {
-    SettingSpec {
-        name,
-        unit,
-        default: Some(default),
-        allowed,
-        help,
-        range: Some(range),
-    }
+    SettingSpec { name, unit, default: Some(default), allowed, help, range: Some(range) }
 }
 
 const TIME: ((u64, u64), &str) = ((1, MAX_TIME_MS), "1 to 86400000 ms");
@@ -67,27 +53,9 @@
 
 /// All settings in the order of the help text.
 pub const SETTINGS: &[SettingSpec] = &[
-    text(
-        "host",
-        "name",
-        None,
-        NAME,
-        "name of this host in the host list",
-    ),
-    text(
-        "data-centre",
-        "name",
-        None,
-        NAME,
-        "data centre of this host",
-    ),
-    text(
-        "listen",
-        "IP:PORT",
-        Some("127.0.0.1:8080"),
-        ADDRESS,
-        "address for callers",
-    ),
+    text("host", "name", None, NAME, "name of this host in the host list"),
+    text("data-centre", "name", None, NAME, "data centre of this host"),
+    text("listen", "IP:PORT", Some("127.0.0.1:8080"), ADDRESS, "address for callers"),
     text(
         "admin-listen",
         "IP:PORT",
@@ -116,13 +84,7 @@
         TIME,
         "time for which a host list or a peer's confirmation counts",
     ),
-    number(
-        "list-lag-ms",
-        "ms",
-        "10000",
-        TIME_OR_ZERO,
-        "longest lag of the platform's host list",
-    ),
+    number("list-lag-ms", "ms", "10000", TIME_OR_ZERO, "longest lag of the platform's host list"),
     number(
         "margin-ms",
         "ms",
--- a/lib/src/slo/report.rs
+++ b/lib/src/slo/report.rs
@@ -101,11 +101,7 @@
     }
 
     fn set_burn(&mut self) {
-        self.burn = if self.bad == 0 {
-            0.0
-        } else {
-            self.bad as f64 / self.allowed_bad
-        };
+        self.burn = if self.bad == 0 { 0.0 } else { self.bad as f64 / self.allowed_bad };
     }
 }
 
@@ -135,14 +131,7 @@
         short: WindowBurn,
         long: WindowBurn,
     ) -> Self {
-        Self {
-            team,
-            class,
-            objective,
-            short,
-            long,
-            alert: BurnAlert::of(&short, &long),
-        }
+        Self { team, class, objective, short, long, alert: BurnAlert::of(&short, &long) }
     }
 }
 
--- a/lib/src/slo/table.rs
+++ b/lib/src/slo/table.rs
@@ -9,9 +9,7 @@
 impl TextTable {
     /// Creates a table with a header.
     pub fn new(header: &[&str]) -> Self {
-        Self {
-            rows: vec![header.iter().map(|it| (*it).to_owned()).collect()],
-        }
+        Self { rows: vec![header.iter().map(|it| (*it).to_owned()).collect()] }
     }
 
     /// Adds a row.
@@ -39,11 +37,8 @@
             .collect();
         let mut text = String::new();
         for row in &self.rows {
-            let line: String = row
-                .iter()
-                .zip(&widths)
-                .map(|(cell, width)| format!("{cell:<width$}  "))
-                .collect();
+            let line: String =
+                row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}  ")).collect();
             text.push_str(line.trim_end());
             text.push('\n');
         }
--- a/lib/src/slo/tracker.rs
+++ b/lib/src/slo/tracker.rs
@@ -52,10 +52,9 @@
 impl EventCounts {
     fn add(&mut self, event: ServiceEvent) {
         match event {
-            ServiceEvent::Answered {
-                first_chunk,
-                deadline,
-            } if first_chunk <= deadline => self.good += 1,
+            ServiceEvent::Answered { first_chunk, deadline } if first_chunk <= deadline => {
+                self.good += 1
+            }
             ServiceEvent::OverRate => self.over_rate += 1,
             ServiceEvent::Answered { .. }
             | ServiceEvent::Truncated
@@ -80,11 +79,7 @@
 impl BurnTracker {
     /// Creates a tracker without events.
     pub fn new(now: Instant) -> Self {
-        Self {
-            start: now,
-            current: 0,
-            rings: BTreeMap::new(),
-        }
+        Self { start: now, current: 0, rings: BTreeMap::new() }
     }
 
     /// Counts an event of a team.
--- a/lib/src/status.rs
+++ b/lib/src/status.rs
@@ -188,9 +188,8 @@
         let mut parsed = Self::default();
         for pair in query.split('&').filter(|it| !it.is_empty()) {
             let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-            let field = parsed
-                .field(name)
-                .ok_or_else(|| ExplainQueryError::Unknown(name.to_owned()))?;
+            let field =
+                parsed.field(name).ok_or_else(|| ExplainQueryError::Unknown(name.to_owned()))?;
             let value = percent_decode(value)
                 .ok_or_else(|| ExplainQueryError::Encoding(name.to_owned()))?;
             if field.replace(value).is_some() {
--- a/lib/src/telemetry/exposition.rs
+++ b/lib/src/telemetry/exposition.rs
@@ -78,16 +78,10 @@
     kind: &str,
     samples: impl Iterator<Item = String>,
 ) -> String {
-    let help = metric
-        .description()
-        .replace('\\', "\\\\")
-        .replace('\n', "\\n");
+    let help = metric.description().replace('\\', "\\\\").replace('\n', "\\n");
     let mut samples: Vec<String> = samples.collect();
     samples.sort();
-    format!(
-        "# HELP {name} {help}\n# TYPE {name} {kind}\n{}",
-        samples.concat()
-    )
+    format!("# HELP {name} {help}\n# TYPE {name} {kind}\n{}", samples.concat())
 }
 
 fn labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>, bound: Option<&str>) -> String {
@@ -99,23 +93,14 @@
         .collect();
     pairs.sort();
     pairs.extend(bound.map(|it| format!("le=\"{it}\"")));
-    if pairs.is_empty() {
-        String::new()
-    } else {
-        format!("{{{}}}", pairs.join(","))
-    }
+    if pairs.is_empty() { String::new() } else { format!("{{{}}}", pairs.join(",")) }
 }
 
 fn escaped(value: &str) -> String {
-    value
-        .replace('\\', "\\\\")
-        .replace('"', "\\\"")
-        .replace('\n', "\\n")
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
 }
 
 /// Replaces what the text format does not allow in a name, such as the dots that the SDK uses.
 fn sanitized(name: &str) -> String {
-    name.chars()
-        .map(|c| if c.is_ascii_alphanumeric() { c } else { '_' })
-        .collect()
+    name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect()
 }
--- a/lib/src/telemetry/log.rs
+++ b/lib/src/telemetry/log.rs
@@ -113,11 +113,7 @@
         let level = event.metadata().level().as_str().to_ascii_lowercase();
         let time = timestamp(self.clock.wall());
         let name = visitor.name.unwrap_or_else(|| "unnamed".to_owned());
-        writeln!(
-            writer,
-            "time={time} level={level} event={name}{}",
-            visitor.pairs
-        )
+        writeln!(writer, "time={time} level={level} event={name}{}", visitor.pairs)
     }
 }
 
@@ -138,13 +134,10 @@
         if RESERVED_KEYS.contains(&field.name()) {
             self.pairs.push_str("field_");
         }
-        let key = field.name().chars().map(|c| {
-            if c.is_ascii_alphanumeric() || c == '_' || c == '.' {
-                c
-            } else {
-                '_'
-            }
-        });
+        let key = field
+            .name()
+            .chars()
+            .map(|c| if c.is_ascii_alphanumeric() || c == '_' || c == '.' { c } else { '_' });
         self.pairs.extend(key);
         self.pairs.push('=');
         self.pairs.push_str(&quoted(value));
@@ -223,11 +216,7 @@
     let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
     let shifted_month = (5 * day_of_year + 2) / 153;
     let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
-    let month = if shifted_month < 10 {
-        shifted_month + 3
-    } else {
-        shifted_month - 9
-    };
+    let month = if shifted_month < 10 { shifted_month + 3 } else { shifted_month - 9 };
     let year = year_of_era + era * 400 + u64::from(month <= 2);
     (year, month, day)
 }
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -45,14 +45,12 @@
 const OPEN_TEAM: &str = "open";
 
 /// Upper bounds of first-chunk and queue times, in seconds; 0.41 s is the first-token target.
-const WAIT_BOUNDS_S: [f64; 14] = [
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.41, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0,
-];
+const WAIT_BOUNDS_S: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.41, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0];
 
 /// Upper bounds of the time between chunks, in seconds; 0.076 s is the target between tokens.
-const CHUNK_BOUNDS_S: [f64; 12] = [
-    0.005, 0.01, 0.02, 0.04, 0.06, 0.076, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0,
-];
+const CHUNK_BOUNDS_S: [f64; 12] =
+    [0.005, 0.01, 0.02, 0.04, 0.06, 0.076, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0];
 
 /// The SDK exports only on request; this interval is the longest that it may wait without one.
 const EXPORT_INTERVAL: Duration = Duration::from_secs(86_400);
@@ -167,16 +165,10 @@
     /// Creates the instruments of a router that has no catalogue yet.
     pub fn new() -> Self {
         let exposition = Arc::new(Mutex::new(String::new()));
-        let exporter = TextExporter {
-            text: exposition.clone(),
-        };
-        let reader = PeriodicReader::builder(exporter)
-            .with_interval(EXPORT_INTERVAL)
-            .build();
-        let provider = SdkMeterProvider::builder()
-            .with_reader(reader)
-            .with_view(limit_series)
-            .build();
+        let exporter = TextExporter { text: exposition.clone() };
+        let reader = PeriodicReader::builder(exporter).with_interval(EXPORT_INTERVAL).build();
+        let provider =
+            SdkMeterProvider::builder().with_reader(reader).with_view(limit_series).build();
         let meter = provider.meter("snipepond");
         let metrics = Self {
             requests: counter(&meter, "snipepond_requests", "Finished requests."),
@@ -252,21 +244,16 @@
 
     /// Sets the catalogue whose names may be labels.
     pub fn set_catalogue(&self, catalogue: &Arc<Catalogue>) {
-        *self
-            .catalogue
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = catalogue.clone();
+        *self.catalogue.write().unwrap_or_else(PoisonError::into_inner) = catalogue.clone();
     }
 
     /// Counts a finished request.
     pub fn request(&self, labels: RequestLabels<'_>, outcome: &'static str) {
         let catalogue = self.names();
-        let route = labels
-            .route
-            .filter(|name| catalogue.routes().iter().any(|(it, _)| it == *name));
-        let team = labels
-            .team
-            .filter(|it| it.as_str() == OPEN_TEAM || catalogue.team(it).is_some());
+        let route =
+            labels.route.filter(|name| catalogue.routes().iter().any(|(it, _)| it == *name));
+        let team =
+            labels.team.filter(|it| it.as_str() == OPEN_TEAM || catalogue.team(it).is_some());
         self.requests.add(
             1,
             &[
@@ -315,10 +302,8 @@
     pub fn upstream_error(&self, upstream: &UpstreamName, kind: &'static str) {
         let catalogue = self.names();
         let name = Some(upstream).filter(|it| catalogue.upstreams().contains_key(*it));
-        let labels = [
-            label("upstream", name.map(UpstreamName::as_str)),
-            KeyValue::new("kind", kind),
-        ];
+        let labels =
+            [label("upstream", name.map(UpstreamName::as_str)), KeyValue::new("kind", kind)];
         self.upstream_errors.add(1, &labels);
     }
 
@@ -359,18 +344,11 @@
     /// The SDK's collection failed, for example because its thread could not be started.
     pub fn render(&self) -> Result<String, MetricsError> {
         self.provider.force_flush()?;
-        Ok(self
-            .exposition
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone())
+        Ok(self.exposition.lock().unwrap_or_else(PoisonError::into_inner).clone())
     }
 
     fn names(&self) -> Arc<Catalogue> {
-        self.catalogue
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.catalogue.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
@@ -409,10 +387,7 @@
     if !MANY_SERIES.contains(&instrument.name()) {
         return None;
     }
-    Stream::builder()
-        .with_cardinality_limit(MAX_SERIES)
-        .build()
-        .ok()
+    Stream::builder().with_cardinality_limit(MAX_SERIES).build().ok()
 }
 
 fn counter(meter: &Meter, name: &'static str, help: &'static str) -> Counter<u64> {
@@ -429,11 +404,7 @@
     help: &'static str,
     bounds: &[f64],
 ) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_description(help)
-        .with_boundaries(bounds.to_vec())
-        .build()
+    meter.f64_histogram(name).with_description(help).with_boundaries(bounds.to_vec()).build()
 }
 
 fn label(key: &'static str, name: Option<&str>) -> KeyValue {
--- a/lib/src/threads.rs
+++ b/lib/src/threads.rs
@@ -37,12 +37,7 @@
             if left.is_zero() {
                 return false;
             }
-            is_set = self
-                .0
-                .1
-                .wait_timeout(is_set, left)
-                .expect("stop lock is never poisoned")
-                .0;
+            is_set = self.0.1.wait_timeout(is_set, left).expect("stop lock is never poisoned").0;
         }
         true
     }
@@ -86,10 +81,8 @@
     pub fn spawn(&self, name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
         let thread = thread::Builder::new().name(name.to_owned()).spawn(run)?;
         let mut threads = self.threads.lock().expect("thread list is never poisoned");
-        let ended: Vec<usize> = (0..threads.len())
-            .rev()
-            .filter(|it| threads[*it].is_finished())
-            .collect();
+        let ended: Vec<usize> =
+            (0..threads.len()).rev().filter(|it| threads[*it].is_finished()).collect();
         for index in ended {
             join(threads.swap_remove(index));
         }
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -51,18 +51,13 @@
 impl UpstreamAnswer {
     /// Returns the value of a header; `name` is in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(it, _)| it == name)
-            .map(|(_, value)| value.as_str())
+        self.headers.iter().find(|(it, _)| it == name).map(|(_, value)| value.as_str())
     }
 }
 
 impl Debug for UpstreamAnswer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("UpstreamAnswer")
-            .field("status", &self.status)
-            .finish_non_exhaustive()
+        f.debug_struct("UpstreamAnswer").field("status", &self.status).finish_non_exhaustive()
     }
 }
 
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -62,10 +62,7 @@
 impl HttpUpstream {
     /// Creates a client with an empty connection pool.
     pub fn new() -> Self {
-        Self {
-            pooled: agent(MAX_IDLE),
-            unpooled: agent(0),
-        }
+        Self { pooled: agent(MAX_IDLE), unpooled: agent(0) }
     }
 }
 
@@ -104,11 +101,7 @@
 
 impl UpstreamClient for HttpUpstream {
     fn call(&self, call: &UpstreamCall<'_>) -> Result<UpstreamAnswer, CallError> {
-        let agent = if call.reuse_connection {
-            &self.pooled
-        } else {
-            &self.unpooled
-        };
+        let agent = if call.reuse_connection { &self.pooled } else { &self.unpooled };
         let mut builder = Request::builder()
             .method(call.method)
             .uri(format!("http://{}{}", call.address, call.target))
@@ -118,13 +111,10 @@
                 builder = builder.header(name, value);
             }
         }
-        let request = builder
-            .body(call.body)
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
-        let request = agent
-            .configure_request(request)
-            .timeout_recv_response(Some(call.head_timeout))
-            .build();
+        let request =
+            builder.body(call.body).map_err(|error| CallError::NotSent(error.to_string()))?;
+        let request =
+            agent.configure_request(request).timeout_recv_response(Some(call.head_timeout)).build();
         let response = if call.body.is_empty() && !sends_length(call.method) {
             agent.run(request.map(|_| ()))
         } else {
@@ -133,9 +123,7 @@
         let answer = into_answer(response.map_err(classify)?);
         match answer.header(REQUEST_ID) {
             Some(found) if found == call.request_id => Ok(answer),
-            found => Err(CallError::WrongAnswer {
-                found: found.map(str::to_owned),
-            }),
+            found => Err(CallError::WrongAnswer { found: found.map(str::to_owned) }),
         }
     }
 
@@ -149,10 +137,7 @@
             .call()
             .map_err(classify)?;
         if response.status() != 200 {
-            return Err(CallError::Ambiguous(format!(
-                "status {}",
-                response.status()
-            )));
+            return Err(CallError::Ambiguous(format!("status {}", response.status())));
         }
         let mut text = Vec::new();
         response
@@ -212,11 +197,8 @@
 
 fn into_answer(response: Response<ureq::Body>) -> UpstreamAnswer {
     let (parts, body) = response.into_parts();
-    let incarnation = parts
-        .headers
-        .get("x-incarnation")
-        .and_then(|it| it.to_str().ok())
-        .map(incarnation_number);
+    let incarnation =
+        parts.headers.get("x-incarnation").and_then(|it| it.to_str().ok()).map(incarnation_number);
     let headers = parts
         .headers
         .iter()
--- a/lib/tests/catalogue_check.rs
+++ b/lib/tests/catalogue_check.rs
@@ -11,18 +11,9 @@
 
 /// A catalogue without problems.
 const BASE: &[(&str, &str)] = &[
-    (
-        "class/fast",
-        r#"{"priority":0,"deadline_ms":410,"queue_ms":300,"objective":0.95}"#,
-    ),
-    (
-        "data_centre/a",
-        r#"{"region":"north","state":"in_service"}"#,
-    ),
-    (
-        "team/t1",
-        r#"{"owner":"o","class":"fast","rate":5,"burst":10,"weight":2}"#,
-    ),
+    ("class/fast", r#"{"priority":0,"deadline_ms":410,"queue_ms":300,"objective":0.95}"#),
+    ("data_centre/a", r#"{"region":"north","state":"in_service"}"#),
+    ("team/t1", r#"{"owner":"o","class":"fast","rate":5,"burst":10,"weight":2}"#),
     (
         "key/k1",
         r#"{"team":"t1","state":"active","sha256":"ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"}"#,
@@ -47,10 +38,7 @@
 ];
 
 fn entries(changes: &[(&str, &str)]) -> RawEntries {
-    BASE.iter()
-        .chain(changes)
-        .map(|(key, value)| ((*key).into(), (*value).into()))
-        .collect()
+    BASE.iter().chain(changes).map(|(key, value)| ((*key).into(), (*value).into())).collect()
 }
 
 /// Returns the base value of `key` with `from` replaced.
@@ -69,11 +57,7 @@
     let [problem] = found.as_slice() else {
         panic!("{key} = {value}: expected one problem, got {found:?}");
     };
-    assert_eq!(
-        (problem.entry.as_str(), problem.field.as_str()),
-        (key, field),
-        "{problem}"
-    );
+    assert_eq!((problem.entry.as_str(), problem.field.as_str()), (key, field), "{problem}");
     assert!(problem.reason.contains(reason), "{problem}");
 }
 
@@ -152,10 +136,7 @@
         let value = edited("upstream/s1", r#""service":"print","#, to);
         let found = problems(&entries(&[("upstream/s1", &value)]));
         assert_eq!(found.len(), 2, "{found:?}");
-        assert!(
-            found[0].reason.contains("no upstream provides"),
-            "{found:?}"
-        );
+        assert!(found[0].reason.contains("no upstream provides"), "{found:?}");
         assert!(found[1].reason.contains(first), "{found:?}");
     }
 }
@@ -189,10 +170,7 @@
             ("null", "JSON object"),
             ("{}", "missing field"),
             (&*format!("{} 1", value), "trailing characters"),
-            (
-                &*value.replacen('{', r#"{"surplus":1,"#, 1),
-                "unknown field `surplus`",
-            ),
+            (&*value.replacen('{', r#"{"surplus":1,"#, 1), "unknown field `surplus`"),
         ] {
             assert_single(key, wrong, "", reason);
         }
@@ -244,11 +222,8 @@
         for _ in 0..50 {
             changes.shuffle(&mut rng);
             let mut tracker = ConfigTracker::new();
-            let outcome = tracker.apply(&ConfigChange {
-                base: 0,
-                revision: 3,
-                entries: changes.clone(),
-            });
+            let outcome =
+                tracker.apply(&ConfigChange { base: 0, revision: 3, entries: changes.clone() });
             match outcome {
                 ChangeOutcome::Accepted(catalogue) => {
                     assert!(!is_wrong);
@@ -286,16 +261,9 @@
         let value = edited("route/print", "/print", path);
         value.replacen('{', &format!(r#"{{"methods":[{methods}],"#), 1)
     };
-    let (deep, post, all) = (
-        route("/print/jobs", ""),
-        route("/print", r#""POST""#),
-        route("/", r#""GET""#),
-    );
-    let changes = [
-        ("route/deep", deep.as_str()),
-        ("route/post", &post),
-        ("route/root", &all),
-    ];
+    let (deep, post, all) =
+        (route("/print/jobs", ""), route("/print", r#""POST""#), route("/", r#""GET""#));
+    let changes = [("route/deep", deep.as_str()), ("route/post", &post), ("route/root", &all)];
     let catalogue = Catalogue::parse(1, &entries(&changes)).unwrap();
     for (method, path, expected) in [
         ("POST", "/print", Some("post")),
--- a/lib/tests/config_tracker.rs
+++ b/lib/tests/config_tracker.rs
@@ -51,9 +51,7 @@
             let mut entries = history.revisions[index].clone();
             let mut removed = history.removed[index].clone();
             let class = r#"{"priority":0,"deadline_ms":1,"queue_ms":1}"#;
-            entries
-                .entry("class/c".into())
-                .or_insert((revision, class.into()));
+            entries.entry("class/c".into()).or_insert((revision, class.into()));
             let key: Arc<str> = format!("team/t{}", edit % 5).into();
             if edit / 5 % 4 == 0 && entries.remove(&key).is_some() {
                 removed.insert(key, revision);
@@ -64,11 +62,7 @@
                 removed.remove(&key);
                 entries.insert(key, (revision, value.into()));
             }
-            history.valid.push(
-                entries
-                    .values()
-                    .all(|(_, value)| !value.contains(r#""rate":0"#)),
-            );
+            history.valid.push(entries.values().all(|(_, value)| !value.contains(r#""rate":0"#)));
             history.revisions.push(entries);
             history.removed.push(removed);
         }
@@ -80,23 +74,13 @@
         let present = self.revisions[at]
             .iter()
             .map(|(key, (revision, value))| (key, *revision, Some(value.clone())));
-        let removed = self.removed[at]
-            .iter()
-            .map(|(key, revision)| (key, *revision, None));
+        let removed = self.removed[at].iter().map(|(key, revision)| (key, *revision, None));
         let entries = present
             .chain(removed)
             .filter(|(_, revision, value)| *revision > base && (base > 0 || value.is_some()))
-            .map(|(key, revision, value)| EntryChange {
-                key: key.clone(),
-                revision,
-                value,
-            })
+            .map(|(key, revision, value)| EntryChange { key: key.clone(), revision, value })
             .collect();
-        ConfigChange {
-            base,
-            revision,
-            entries,
-        }
+        ConfigChange { base, revision, entries }
     }
 
     /// Compares what is in force with the published revision of the same number.
@@ -127,12 +111,7 @@
         assert!(new_accepted >= accepted, "the revision in force went back");
         assert!(new_seen >= seen, "the highest revision went back");
         assert!(new_accepted <= new_seen);
-        let base_known = change.base
-            <= if change.revision > seen {
-                seen
-            } else {
-                accepted
-            };
+        let base_known = change.base <= if change.revision > seen { seen } else { accepted };
         let valid = history.valid[usize::try_from(change.revision).unwrap()];
         let is_new = change.revision > accepted && change.revision != seen;
         match &outcome {
@@ -175,10 +154,7 @@
         }
     }
     let (to, from) = (replicas[to].revisions(), replicas[from].revisions());
-    assert!(
-        to.0 >= from.0,
-        "the puller stays at {to:?}, the peer has {from:?}"
-    );
+    assert!(to.0 >= from.0, "the puller stays at {to:?}, the peer has {from:?}");
 }
 
 fn run(edits: &[u8], steps: &[Step]) {
@@ -227,9 +203,8 @@
         let options = Options::default().with_max_len(4_096);
         let mut driver = Rng::new(rng, &options);
         let edits = <[u8; REVISIONS as usize]>::generate(&mut driver).expect("enough input");
-        let steps: Vec<Step> = (0..40)
-            .map(|_| Step::generate(&mut driver).expect("enough input"))
-            .collect();
+        let steps: Vec<Step> =
+            (0..40).map(|_| Step::generate(&mut driver).expect("enough input")).collect();
         let run = std::panic::AssertUnwindSafe(|| run(&edits, &steps));
         if let Err(panic) = std::panic::catch_unwind(run) {
             eprintln!("seed {seed}, edits {edits:?}, steps {steps:?}");
@@ -239,11 +214,7 @@
 }
 
 fn entry(key: &str, revision: u64, value: Option<&str>) -> EntryChange {
-    EntryChange {
-        key: key.into(),
-        revision,
-        value: value.map(Into::into),
-    }
+    EntryChange { key: key.into(), revision, value: value.map(Into::into) }
 }
 
 /// A process that starts while the newest revision is rejected must serve the one before it.
@@ -261,16 +232,10 @@
     let mut started = ConfigTracker::new();
     // The platform has only the rejected revision to offer.
     started.apply(&change(0, 2, &setting("0")));
-    assert_eq!(
-        (started.accepted_revision(), started.seen_revision()),
-        (0, 2)
-    );
+    assert_eq!((started.accepted_revision(), started.seen_revision()), (0, 2));
     let outcome = started.apply(&peer.change_since(started.accepted_revision()));
     assert!(matches!(outcome, ChangeOutcome::Accepted(_)), "{outcome:?}");
-    assert_eq!(
-        (started.accepted_revision(), started.seen_revision()),
-        (1, 2)
-    );
+    assert_eq!((started.accepted_revision(), started.seen_revision()), (1, 2));
     assert_eq!(started.problems().len(), 1);
 }
 
@@ -291,9 +256,7 @@
     let removed = ConfigChange {
         base: 1,
         revision: 2,
-        entries: (0..4_999)
-            .map(|index| entry(&format!("class/c{index}"), 2, None))
-            .collect(),
+        entries: (0..4_999).map(|index| entry(&format!("class/c{index}"), 2, None)).collect(),
     };
     tracker.apply(&removed);
     let change = tracker.change_since(peer.accepted_revision());
--- a/lib/tests/control_operations.rs
+++ b/lib/tests/control_operations.rs
@@ -126,11 +126,7 @@
             revision: 1,
             value: Some(r#"{"region":"r","state":"in_service"}"#.into()),
         };
-        let change = ConfigChange {
-            base: 0,
-            revision: 1,
-            entries: vec![entry],
-        };
+        let change = ConfigChange { base: 0, revision: 1, entries: vec![entry] };
         state.handle(self.now, ControlCommand::ConfigRead(change));
         self.hosts[host].state = Some(state);
         self.set_listed(host, true);
@@ -208,8 +204,7 @@
                 let not_sent = || PeerError::NotSent("down".to_owned());
                 let is_lost = match &call.request {
                     PeerRequest::UpdateRecord {
-                        update: OperationUpdate::Changed(record),
-                        ..
+                        update: OperationUpdate::Changed(record), ..
                     } => self.lost_updates.as_ref() == Some(&record.id),
                     _ => false,
                 };
@@ -225,9 +220,8 @@
     /// Does the worker's part of a call up to the last check.
     fn call(&mut self, entry: usize, key: &str) -> CallResult {
         let team = TeamName::new("team");
-        let place = self.ask(entry, |it| {
-            OperationCommand::Locate(team.clone(), key.to_owned(), it)
-        });
+        let place =
+            self.ask(entry, |it| OperationCommand::Locate(team.clone(), key.to_owned(), it));
         let (owner, forward) = match place {
             OperationPlace::Here => (entry, None),
             OperationPlace::Forward { host, id } => {
@@ -245,17 +239,11 @@
             forward,
         };
         match self.ask(owner, |it| OperationCommand::Decide(request, it)) {
-            OperationStart::Dispatch(handle) => CallResult::Started(StartedCall {
-                owner,
-                handle,
-                offered: Vec::new(),
-            }),
+            OperationStart::Dispatch(handle) => {
+                CallResult::Started(StartedCall { owner, handle, offered: Vec::new() })
+            }
             OperationStart::End(verdict) => result_of(verdict),
-            OperationStart::OfferBackup {
-                handle,
-                record,
-                backups,
-            } => {
+            OperationStart::OfferBackup { handle, record, backups } => {
                 let mut offered = Vec::new();
                 let mut conflict = None;
                 for backup in backups {
@@ -267,11 +255,7 @@
                         Some(PeerReply::Stored(StoreReply::Stored)) => {
                             offered.push(backup.name.clone());
                             self.tell(owner, OperationCommand::Backed(handle.clone(), backup.name));
-                            return CallResult::Started(StartedCall {
-                                owner,
-                                handle,
-                                offered,
-                            });
+                            return CallResult::Started(StartedCall { owner, handle, offered });
                         }
                         Some(PeerReply::Stored(StoreReply::Conflict(record))) => {
                             offered.push(backup.name.clone());
@@ -309,10 +293,7 @@
     }
 
     fn finish(&mut self, call: StartedCall) {
-        let response = StoredResponse {
-            status: 201,
-            ..StoredResponse::default()
-        };
+        let response = StoredResponse { status: 201, ..StoredResponse::default() };
         let command = OperationCommand::Ended {
             handle: call.handle,
             offered: call.offered,
@@ -343,10 +324,7 @@
         self.handle(host, ControlCommand::HandOver(sender));
         self.deliver();
         while receiver.try_recv().is_err() {
-            assert!(
-                self.now - since < Duration::from_secs(5),
-                "stop takes too long"
-            );
+            assert!(self.now - since < Duration::from_secs(5), "stop takes too long");
             self.run(TICK);
         }
         self.crash(host);
--- a/lib/tests/limits_faults.rs
+++ b/lib/tests/limits_faults.rs
@@ -23,10 +23,7 @@
     assert_eq!(sim.double_owners, 0, "two owners: {context}");
     for team in 0..sim.teams.len() {
         let excess = sim.excess(team);
-        assert!(
-            excess <= TOLERANCE,
-            "{context}: t{team} exceeds its limit by {excess}"
-        );
+        assert!(excess <= TOLERANCE, "{context}: t{team} exceeds its limit by {excess}");
     }
 }
 
@@ -54,24 +51,14 @@
     let mut sim = fleet(2);
     sim.scheme = Scheme::PerHost(1.0);
     sim.run_until(secs(20));
-    assert!(
-        sim.worst_excess() > 1.0,
-        "full rate per host passes the check"
-    );
+    assert!(sim.worst_excess() > 1.0, "full rate per host passes the check");
 
     // Without the wait, a host that reads the new list takes over from one that does not yet.
-    let timing = ViewTiming {
-        validity: secs(6),
-        list_lag: ms(0),
-        margin: ms(0),
-    };
+    let timing = ViewTiming { validity: secs(6), list_lag: ms(0), margin: ms(0) };
     let mut sim = FleetSim::new(2, &[3, 2], &TEAMS, timing);
     disagree(&mut sim);
     sim.run_until(secs(70));
-    assert!(
-        sim.worst_excess() > 1.0,
-        "takeover without waiting passes the check"
-    );
+    assert!(sim.worst_excess() > 1.0, "takeover without waiting passes the check");
 }
 
 /// A host is removed from the list and runs on; the other hosts of its data centre do not hear
@@ -145,16 +132,13 @@
             sim.at(secs(36), |sim| sim.restart(0));
             sim.at(secs(50), |sim| sim.platform_up = true);
         }),
-        (
-            "host cut off from its data centre and the platform",
-            |sim| {
-                sim.at(secs(25), |sim| {
-                    sim.cut(&[1], true);
-                    sim.hosts[1].reads_platform = false;
-                    sim.set_listed(1, HostState::Leaving);
-                });
-            },
-        ),
+        ("host cut off from its data centre and the platform", |sim| {
+            sim.at(secs(25), |sim| {
+                sim.cut(&[1], true);
+                sim.hosts[1].reads_platform = false;
+                sim.set_listed(1, HostState::Leaving);
+            });
+        }),
         ("new hosts", |sim| {
             sim.at(secs(25), |sim| {
                 sim.add_host(0);
@@ -189,25 +173,21 @@
 /// Guards against: faults that are harmless one by one but not together.
 #[test]
 fn limits_hold_under_random_schedules() {
-    bolero::check!()
-        .exhaustive()
-        .with_generator(0_u64..6)
-        .cloned()
-        .for_each(|seed| {
-            let mut rng = StdRng::seed_from_u64(seed);
-            let mut sim = fleet(seed);
-            sim.net.loss = rng.random_range(0.0..0.1);
-            sim.net.duplication = 0.1;
-            sim.net.delay_between.1 = ms(rng.random_range(1..400));
-            for at in (20..65).step_by(3) {
-                random_fault(&mut sim, &mut rng, at);
-            }
-            sim.run_until(secs(75));
-            let context = format!("seed {seed}");
-            assert_limits(&sim, &context);
-            // Team 2 has one bucket, which may have no owner under so many faults.
-            assert_served(&sim, 0..2, &context);
-        });
+    bolero::check!().exhaustive().with_generator(0_u64..6).cloned().for_each(|seed| {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut sim = fleet(seed);
+        sim.net.loss = rng.random_range(0.0..0.1);
+        sim.net.duplication = 0.1;
+        sim.net.delay_between.1 = ms(rng.random_range(1..400));
+        for at in (20..65).step_by(3) {
+            random_fault(&mut sim, &mut rng, at);
+        }
+        sim.run_until(secs(75));
+        let context = format!("seed {seed}");
+        assert_limits(&sim, &context);
+        // Team 2 has one bucket, which may have no owner under so many faults.
+        assert_served(&sim, 0..2, &context);
+    });
 }
 
 fn random_fault(sim: &mut FleetSim, rng: &mut StdRng, at: u64) {
@@ -230,13 +210,9 @@
         }
         4 => {
             sim.at(at, move |sim| sim.cut(&sim.in_centre(host % 2), true));
-            sim.at(at + length, move |sim| {
-                sim.cut(&sim.in_centre(host % 2), false)
-            });
+            sim.at(at + length, move |sim| sim.cut(&sim.in_centre(host % 2), false));
         }
-        5 => sim.at(at, move |sim| {
-            sim.hosts[host].lag = ms(length.as_millis() as u64 / 2)
-        }),
+        5 => sim.at(at, move |sim| sim.hosts[host].lag = ms(length.as_millis() as u64 / 2)),
         6 => {
             let centre = host % 2;
             let set = move |sim: &mut FleetSim, is_cut: bool| {
@@ -255,9 +231,7 @@
         }
         _ => {
             sim.at(at, move |sim| sim.set_listed(host, HostState::Leaving));
-            sim.at(at + length, move |sim| {
-                sim.set_listed(host, HostState::Live)
-            });
+            sim.at(at + length, move |sim| sim.set_listed(host, HostState::Live));
         }
     }
 }
--- a/lib/tests/limits_state.rs
+++ b/lib/tests/limits_state.rs
@@ -15,10 +15,7 @@
 
 use limits_support::{catalogue, ms, secs};
 
-const SHARE: CentreShare = CentreShare {
-    rate: 10.0,
-    burst: 5 * UNITS_PER_TOKEN,
-};
+const SHARE: CentreShare = CentreShare { rate: 10.0, burst: 5 * UNITS_PER_TOKEN };
 
 fn ask(sequence: u64, tokens: u64, accounts: Vec<GrantAccount>) -> GrantRequest {
     GrantRequest {
@@ -69,10 +66,7 @@
     let first = bucket.grant(now, true, SHARE, &ask(7, 2, vec![]));
     assert_eq!(first.granted, 2 * UNITS_PER_TOKEN);
     assert_eq!(bucket.grant(now, true, SHARE, &ask(7, 2, vec![])), first);
-    assert_eq!(
-        bucket.grant(now, true, SHARE, &ask(6, 2, vec![])).granted,
-        0
-    );
+    assert_eq!(bucket.grant(now, true, SHARE, &ask(6, 2, vec![])).granted, 0);
     assert_eq!(bucket.level(), 3 * UNITS_PER_TOKEN);
     assert_eq!(bucket.outstanding(), 2 * UNITS_PER_TOKEN);
 }
@@ -87,26 +81,15 @@
     bucket.observe(now, true, SHARE);
     assert_eq!(bucket.level(), 3 * UNITS_PER_TOKEN);
     // One token was spent 200 ms ago; the refill since then fits afterwards, no more than one.
-    let account = GrantAccount {
-        sequence: 1,
-        spent: UNITS_PER_TOKEN,
-        returned: 0,
-        age_ms: 200,
-    };
+    let account = GrantAccount { sequence: 1, spent: UNITS_PER_TOKEN, returned: 0, age_ms: 200 };
     bucket.grant(now, true, SHARE, &ask(2, 0, vec![account]));
     assert_eq!(bucket.level(), 4 * UNITS_PER_TOKEN);
     // The same total again, or an account of an unknown grant, changes nothing.
-    let unknown = GrantAccount {
-        sequence: 9,
-        ..account
-    };
+    let unknown = GrantAccount { sequence: 9, ..account };
     bucket.grant(now, true, SHARE, &ask(3, 0, vec![account, unknown]));
     assert_eq!(bucket.level() + bucket.outstanding(), SHARE.burst);
     // A returned token is available again.
-    let returned = GrantAccount {
-        returned: UNITS_PER_TOKEN,
-        ..account
-    };
+    let returned = GrantAccount { returned: UNITS_PER_TOKEN, ..account };
     bucket.grant(now, true, SHARE, &ask(4, 0, vec![returned]));
     assert_eq!((bucket.level(), bucket.outstanding()), (SHARE.burst, 0));
 }
@@ -125,10 +108,7 @@
     assert_eq!(bucket.level(), 2_500, "250 ms at 10 tokens/s");
     bucket.observe(start + secs(5), true, SHARE);
     assert_eq!(bucket.level(), SHARE.burst);
-    let half = CentreShare {
-        rate: 5.0,
-        burst: 2 * UNITS_PER_TOKEN,
-    };
+    let half = CentreShare { rate: 5.0, burst: 2 * UNITS_PER_TOKEN };
     bucket.observe(start + secs(5), true, half);
     assert_eq!(bucket.level(), 2 * UNITS_PER_TOKEN);
 }
@@ -144,10 +124,7 @@
     let ask = TakeOutcome::Ask(vec![centre.clone()]);
     assert_eq!(wallets.take(now, now, &team, &share), ask);
     let request = wallets.request(now, &team, &centre, 1).unwrap();
-    assert!(
-        wallets.request(now, &team, &centre, 1).is_none(),
-        "one request at a time"
-    );
+    assert!(wallets.request(now, &team, &centre, 1).is_none(), "one request at a time");
     let reply = GrantReply {
         team: team.clone(),
         sequence: request.sequence,
@@ -162,14 +139,8 @@
     wallets.on_lost(now + ms(100), &team, &centre, request.sequence);
     wallets.on_reply(now + ms(600), &centre, &reply);
     wallets.on_reply(now + ms(600), &centre, &reply);
-    assert_eq!(
-        wallets.wallet(&team).unwrap().held(now + ms(999)),
-        3 * UNITS_PER_TOKEN
-    );
-    assert_eq!(
-        wallets.take(now + ms(999), now, &team, &share),
-        TakeOutcome::Taken
-    );
+    assert_eq!(wallets.wallet(&team).unwrap().held(now + ms(999)), 3 * UNITS_PER_TOKEN);
+    assert_eq!(wallets.take(now + ms(999), now, &team, &share), TakeOutcome::Taken);
     let late = now + secs(1);
     assert_ne!(wallets.take(late, late, &team, &share), TakeOutcome::Taken);
     // To an owner without tokens to spare, unused tokens are returned, and debited before.
@@ -191,17 +162,13 @@
         data_centre: format!("c{centre}").as_str().into(),
         state: HostState::Live,
     };
-    let hosts = HostList {
-        version: 1,
-        hosts: (0..3).map(record).collect(),
-    };
+    let hosts = HostList { version: 1, hosts: (0..3).map(record).collect() };
     let live = "in_service";
     // Burst 3 to 2 takes the share from one data centre and raises the rate of the others.
     let old = catalogue(1, &[live; 3], &[(12.0, 3)]);
     let new = catalogue(2, &[live; 3], &[(12.0, 2)]);
-    let mut gates: Vec<ShareGate> = (0..3)
-        .map(|it| ShareGate::new(&record(it), secs(17)))
-        .collect();
+    let mut gates: Vec<ShareGate> =
+        (0..3).map(|it| ShareGate::new(&record(it), secs(17))).collect();
     for gate in &mut gates {
         gate.on_catalogue(&old);
         gate.update(start, &hosts);
@@ -220,10 +187,7 @@
     }
     assert!(total(&gates) < 9.0, "old grants may be unspent");
     // A process that restarted with an older revision has the old share again.
-    let growing = gates
-        .iter()
-        .position(|it| it.share(&team).rate > 0.0)
-        .unwrap();
+    let growing = gates.iter().position(|it| it.share(&team).rate > 0.0).unwrap();
     let other = format!("h{}", (growing + 1) % 3).as_str().into();
     let gate = &mut gates[growing];
     gate.confirm(&other, 2, 1);
@@ -258,26 +222,13 @@
         retry_ms: 0,
         is_tight: true,
     };
-    assert!(matches!(
-        wallets.take(start, start, &team, &share),
-        TakeOutcome::Ask(_)
-    ));
+    assert!(matches!(wallets.take(start, start, &team, &share), TakeOutcome::Ask(_)));
     let first = wallets.request(start, &team, &centre, 1).unwrap();
-    wallets.on_reply(
-        start + ms(1),
-        &centre,
-        &grant(first.sequence, UNITS_PER_TOKEN),
-    );
-    assert_eq!(
-        wallets.take(start + ms(1), start, &team, &share),
-        TakeOutcome::Taken
-    );
+    wallets.on_reply(start + ms(1), &centre, &grant(first.sequence, UNITS_PER_TOKEN));
+    assert_eq!(wallets.take(start + ms(1), start, &team, &share), TakeOutcome::Taken);
     // A request arrives, and the report of the spent token is sent a moment later.
     let arrived = start + ms(25);
-    let (_, report) = wallets
-        .due(arrived + ms(1))
-        .pop()
-        .expect("the spending is reported");
+    let (_, report) = wallets.due(arrived + ms(1)).pop().expect("the spending is reported");
     assert_eq!(report.wanted, 0);
     wallets.on_reply(arrived + ms(2), &centre, &grant(report.sequence, 0));
     let outcome = wallets.take(arrived + ms(2), arrived, &team, &share);
@@ -290,10 +241,7 @@
 fn handed_bucket_counts_once() {
     let start = Instant::now();
     let team = TeamName::new("t0");
-    let share = CentreShare {
-        rate: 1.0,
-        burst: 10 * UNITS_PER_TOKEN,
-    };
+    let share = CentreShare { rate: 1.0, burst: 10 * UNITS_PER_TOKEN };
     let handed = |level: u64, outstanding: u64| {
         let units = UNITS_PER_TOKEN;
         vec![HandedBucket {
--- a/lib/tests/limits_support/mod.rs
+++ b/lib/tests/limits_support/mod.rs
@@ -86,18 +86,8 @@
     Tick(usize),
     Arrival(usize),
     Request(usize, usize),
-    Deliver {
-        from: usize,
-        to: usize,
-        message: Message,
-    },
-    Lost {
-        host: usize,
-        incarnation: u64,
-        team: TeamName,
-        centre: CentreName,
-        sequence: u64,
-    },
+    Deliver { from: usize, to: usize, message: Message },
+    Lost { host: usize, incarnation: u64, team: TeamName, centre: CentreName, sequence: u64 },
     Script(Box<dyn FnOnce(&mut FleetSim)>),
 }
 
@@ -336,9 +326,7 @@
 
     pub fn in_centre(&self, centre: usize) -> Vec<usize> {
         let name = CentreName::new(&format!("c{centre}"));
-        (0..self.hosts.len())
-            .filter(|it| self.hosts[*it].record.data_centre == name)
-            .collect()
+        (0..self.hosts.len()).filter(|it| self.hosts[*it].record.data_centre == name).collect()
     }
 
     /// Publishes a catalogue; each host takes it up within 12 s.
@@ -372,9 +360,7 @@
 
     /// Returns the excess of the worst team.
     pub fn worst_excess(&self) -> f64 {
-        (0..self.teams.len())
-            .map(|it| self.excess(it))
-            .fold(f64::NEG_INFINITY, f64::max)
+        (0..self.teams.len()).map(|it| self.excess(it)).fold(f64::NEG_INFINITY, f64::max)
     }
 
     pub fn admitted_between(&self, team: usize, from: Duration, to: Duration) -> usize {
@@ -444,17 +430,9 @@
                 self.pump(host);
             }
             Event::Deliver { from, to, message } => self.receive(from, to, message),
-            Event::Lost {
-                host,
-                incarnation,
-                team,
-                centre,
-                sequence,
-            } => {
+            Event::Lost { host, incarnation, team, centre, sequence } => {
                 if self.hosts[host].incarnation == incarnation {
-                    self.hosts[host]
-                        .wallets
-                        .on_lost(now, &team, &centre, sequence);
+                    self.hosts[host].wallets.on_lost(now, &team, &centre, sequence);
                     self.pump(host);
                 }
             }
@@ -466,17 +444,12 @@
         let team = &self.teams[index];
         let (offered, (favourite, skew)) = (team.offered, team.skew);
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / offered.max(0.01);
-        self.push(
-            self.now + Duration::from_secs_f64(gap.min(1.0)),
-            Event::Arrival(index),
-        );
+        self.push(self.now + Duration::from_secs_f64(gap.min(1.0)), Event::Arrival(index));
         // A gap that was cut short carries no arrival; an exponential gap has no memory.
         if gap > 1.0 {
             return;
         }
-        let live: Vec<usize> = (0..self.hosts.len())
-            .filter(|it| self.hosts[*it].runs)
-            .collect();
+        let live: Vec<usize> = (0..self.hosts.len()).filter(|it| self.hosts[*it].runs).collect();
         if live.is_empty() {
             return;
         }
@@ -591,11 +564,7 @@
             Message::Granted(_, _, it) => rmp_serde::to_vec(it),
         };
         let is_token = matches!(message, Message::Grant(_) | Message::Granted(..));
-        let traffic = if is_token {
-            &mut self.token_traffic
-        } else {
-            &mut self.beat_traffic
-        };
+        let traffic = if is_token { &mut self.token_traffic } else { &mut self.beat_traffic };
         if from == to {
             return self.push(self.now, Event::Deliver { from, to, message });
         }
@@ -605,11 +574,7 @@
             return;
         }
         let is_near = self.hosts[from].record.data_centre == self.hosts[to].record.data_centre;
-        let (low, high) = if is_near {
-            self.net.delay_in_centre
-        } else {
-            self.net.delay_between
-        };
+        let (low, high) = if is_near { self.net.delay_in_centre } else { self.net.delay_between };
         let copies = 1 + usize::from(self.rng.random_bool(self.net.duplication));
         for _ in 0..copies {
             if !self.rng.random_bool(self.net.loss) {
@@ -643,9 +608,7 @@
             Message::Grant(request) => {
                 let team = request.team.clone();
                 let owns = host.views.owns(team.as_str(), now);
-                let reply = host
-                    .buckets
-                    .grant(now, owns, host.gate.share(&team), &request);
+                let reply = host.buckets.grant(now, owns, host.gate.share(&team), &request);
                 let centre = host.record.data_centre.clone();
                 if asker == request.incarnation {
                     self.send(to, from, Message::Granted(asker, centre, reply));
@@ -685,11 +648,7 @@
         // Hosts take up a revision one after another.
         let delay = ms(400) * index as u32;
         let next = host.revision + 1;
-        if self
-            .catalogues
-            .get(next)
-            .is_some_and(|it| it.0 + delay <= self.now)
-        {
+        if self.catalogues.get(next).is_some_and(|it| it.0 + delay <= self.now) {
             host.revision = next;
             host.gate.on_catalogue(&self.catalogues[next].1);
         }
@@ -704,8 +663,7 @@
         let host = &mut self.hosts[index];
         host.gate.update(now, host.views.hosts());
         let views = &host.views;
-        host.buckets
-            .tick(now, host.gate.shares(), |it| views.owns(it.as_str(), now));
+        host.buckets.tick(now, host.gate.shares(), |it| views.owns(it.as_str(), now));
         let beat = host.views.heartbeat(now);
         let peers = host.views.peers(now);
         for to in self.indices(peers.iter()) {
--- a/lib/tests/membership_views.rs
+++ b/lib/tests/membership_views.rs
@@ -28,10 +28,7 @@
 }
 
 fn list(version: u64, names: &[&str]) -> HostList {
-    HostList {
-        version,
-        hosts: names.iter().map(|it| record(it)).collect(),
-    }
+    HostList { version, hosts: names.iter().map(|it| record(it)).collect() }
 }
 
 fn tracker(name: &str, start: Instant) -> ViewTracker {
@@ -130,10 +127,7 @@
             host: record("h3"),
             incarnation: 3,
             view_hash: 0,
-            heard: vec![snipepond::membership::HeardHost {
-                host: record("h2"),
-                incarnation: 2,
-            }],
+            heard: vec![snipepond::membership::HeardHost { host: record("h2"), incarnation: 2 }],
         };
         views.confirm(now, now, &"h3".into(), &reply);
         assert!(owned(&views, now) <= before);
@@ -192,21 +186,11 @@
     let now = start + secs(60.0);
     assert_eq!(owned(&one, now), KEYS.len());
     // A delayed heartbeat of the released process changes nothing.
-    let late = Heartbeat {
-        host: record("h2"),
-        incarnation: release.incarnation,
-        list_version: 1,
-    };
+    let late = Heartbeat { host: record("h2"), incarnation: release.incarnation, list_version: 1 };
     one.hear(now, &late);
     assert_eq!(owned(&one, now), KEYS.len());
     // The next process on the host belongs into the view again.
-    one.hear(
-        now,
-        &Heartbeat {
-            incarnation: 2,
-            ..late
-        },
-    );
+    one.hear(now, &Heartbeat { incarnation: 2, ..late });
     assert!(owned(&one, now) < KEYS.len());
 }
 
@@ -270,10 +254,7 @@
     assert_eq!(views.neighbours().len(), 19);
     let asked = |from: u32, views: &ViewTracker| -> HashSet<HostName> {
         let times = from..from + 4;
-        times
-            .flat_map(|it| views.peers(at(it.into())))
-            .map(|it| it.name)
-            .collect()
+        times.flat_map(|it| views.peers(at(it.into()))).map(|it| it.name).collect()
     };
     assert_eq!(views.peers(at(0.0)).len(), 3);
     assert_eq!(asked(0, &views).len(), 12, "the sample changes");
@@ -324,11 +305,7 @@
         let mut one = tracker("h1", start);
         read(&mut one, start, 0, 20, &list(1, &["h1"]));
         if hears_other {
-            let beat = Heartbeat {
-                host: record("h2"),
-                incarnation: 2,
-                list_version: 2,
-            };
+            let beat = Heartbeat { host: record("h2"), incarnation: 2, list_version: 2 };
             one.hear(start + secs(20.0), &beat);
         }
         for time in 21..60 {
--- a/lib/tests/operation_ledger.rs
+++ b/lib/tests/operation_ledger.rs
@@ -57,12 +57,7 @@
 fn call<'a>(team: &'a TeamName, key: &'a str, body: &str) -> OperationCall<'a> {
     let digest = RequestDigest::of("POST", "/print", body.as_bytes());
     let forward = None;
-    OperationCall {
-        team,
-        key,
-        digest,
-        forward,
-    }
+    OperationCall { team, key, digest, forward }
 }
 
 fn decide(ledger: &mut OperationLedger, now: Instant, key: &str, body: &str) -> OperationDecision {
@@ -93,14 +88,8 @@
     ledger.backup_acknowledged(&handle, &host("backup"));
     dispatch(ledger, now, &handle).expect("dispatch is allowed");
     let body = ByteString(vec![7; size]);
-    let response = StoredResponse {
-        status: 201,
-        body,
-        ..StoredResponse::default()
-    };
-    ledger
-        .finish(now, &handle, Some(response))
-        .expect("state changes")
+    let response = StoredResponse { status: 201, body, ..StoredResponse::default() };
+    ledger.finish(now, &handle, Some(response)).expect("state changes")
 }
 
 #[track_caller]
@@ -129,10 +118,7 @@
     let now = Instant::now();
     let mut issuer = OperationLedger::new(now, &host("a.1"), &CentreName::new("a"), 10, [1; 32]);
     let ticket = issuer.issue_ticket(now, &team()).to_string();
-    assert_eq!(
-        OperationTicket::parse(&ticket).map(|it| it.host().clone()),
-        Some(host("a.1"))
-    );
+    assert_eq!(OperationTicket::parse(&ticket).map(|it| it.host().clone()), Some(host("a.1")));
     assert!(ticket.starts_with("spt1.a.1.a.1."), "{ticket}");
 
     let upper = format!("spt1.{}", ticket[5..].to_uppercase());
@@ -163,9 +149,7 @@
     let Dispatch(handle) = decide(&mut issuer, start, &used, "body") else {
         panic!("ticket is valid");
     };
-    issuer
-        .begin_dispatch(start, &handle, &FixedRights(false))
-        .expect("needs no rights");
+    issuer.begin_dispatch(start, &handle, &FixedRights(false)).expect("needs no rights");
     let update = issuer.finish(start, &handle, None);
     assert_eq!(update, None, "ticket needs no backup");
     answers(&mut issuer, start, &used, Ran);
@@ -173,12 +157,7 @@
     let late = start + RETENTION.max(TICKET_LIFETIME);
     issuer.expire(late);
     assert_eq!(issuer.status().records, 0);
-    answers(
-        &mut issuer,
-        late,
-        &used,
-        Unknown(UnknownReason::TicketExpired),
-    );
+    answers(&mut issuer, late, &used, Unknown(UnknownReason::TicketExpired));
 }
 
 /// Guards the answers to repeats.
@@ -269,9 +248,7 @@
     let (_, intent) = begin(&mut owner, now, "other");
     let result = run(&mut owner, now, "third", 10);
     backup.update(now, &result, &a);
-    let OperationUpdate::Changed(mut late) = result else {
-        panic!("result is a change")
-    };
+    let OperationUpdate::Changed(mut late) = result else { panic!("result is a change") };
     late.state = RecordState::Intent;
     backup.store_intent(now, &late, &a);
     backup.update(now, &OperationUpdate::Changed(late), &a);
@@ -327,10 +304,7 @@
     // Another data centre still owes its records.
     answers(&mut owner, now, &gained[0], waiting);
     let late = now + RETENTION;
-    assert!(matches!(
-        decide(&mut owner, late, &gained[1], "body"),
-        AwaitBackup { .. }
-    ));
+    assert!(matches!(decide(&mut owner, late, &gained[1], "body"), AwaitBackup { .. }));
     owner.retain_sources(&list(&["a1", "a2"]));
     begin(&mut owner, now, &gained[0]);
 }
@@ -344,10 +318,7 @@
         let mut owner = ledger(start, "a1", 2);
         let mut witness = ledger(start, "b1", 3);
         let mut lose = |at, name: &str, view: &[HostName]| {
-            let lost = [LostProcess {
-                host: host(name),
-                incarnation: Some(1),
-            }];
+            let lost = [LostProcess { host: host(name), incarnation: Some(1) }];
             witness.records_lost(at, &CentreName::new(&name[..1]), view, &lost);
         };
         lose(start, "a1", &[host("a1")]);
@@ -398,20 +369,12 @@
     let (mut owner, team) = (ledger(now, "a", 1), team());
     let mut accept = |number| {
         let incarnation = 5;
-        let forward = Some(ForwardId {
-            incarnation,
-            number,
-        });
-        let call = OperationCall {
-            forward,
-            ..call(&team, "key", "body")
-        };
+        let forward = Some(ForwardId { incarnation, number });
+        let call = OperationCall { forward, ..call(&team, "key", "body") };
         let decision = owner.decide(now, &call, &FixedRights(false));
         decision == NotRun(NotRunReason::NotOwner)
     };
-    let numbers = [
-        5, 6, 5, 4, 4, 1_029, 6, 5, 7, 7, 5_000, 1_030, 4_999, 4_999, 5_000,
-    ];
+    let numbers = [5, 6, 5, 4, 4, 1_029, 6, 5, 7, 7, 5_000, 1_030, 4_999, 4_999, 5_000];
     let accepted = [
         true, true, false, true, false, true, false, false, true, false, true, false, true, false,
         false,
@@ -433,10 +396,8 @@
 
 fn catalogue(revision: u64, centres: &[&str]) -> Catalogue {
     let value = r#"{"region":"r","state":"in_service"}"#;
-    let entries: RawEntries = centres
-        .iter()
-        .map(|it| (format!("data_centre/{it}").into(), value.into()))
-        .collect();
+    let entries: RawEntries =
+        centres.iter().map(|it| (format!("data_centre/{it}").into(), value.into())).collect();
     Catalogue::parse(revision, &entries).expect("catalogue is valid")
 }
 
@@ -494,10 +455,7 @@
     let located = route.locate(&team(), &key, &short, &lookup);
     assert_eq!(located, RouteDecision::Unknown(UnknownReason::IssuerGone));
     let issuer = OperationRoute::new(&host("a2"), 7, &CentreName::new("a"));
-    assert_eq!(
-        issuer.locate(&team(), &key, &full, &lookup),
-        RouteDecision::Here
-    );
+    assert_eq!(issuer.locate(&team(), &key, &full, &lookup), RouteDecision::Here);
 
     route.set_catalogue(&catalogue(1, &["a", "b"]));
     let id = OperationId::new(&team(), "key");
--- a/lib/tests/operation_simulation.rs
+++ b/lib/tests/operation_simulation.rs
@@ -137,11 +137,7 @@
 
 impl OwnerLookup for ViewDouble {
     fn owner_in(&self, centre: &CentreName, key: &str) -> Option<&HostRecord> {
-        let mut hosts = self
-            .list
-            .hosts
-            .iter()
-            .filter(|it| it.data_centre == *centre);
+        let mut hosts = self.list.hosts.iter().filter(|it| it.data_centre == *centre);
         let name = rendezvous::first(key, hosts.clone().map(|it| &it.name))?;
         hosts.find(|it| it.name == *name)
     }
@@ -149,12 +145,7 @@
     fn owns(&self, key: &str, now: Instant) -> bool {
         let now = now.duration_since(self.base).as_millis() as u64;
         let earliest = now.saturating_sub(TAKEOVER_WAIT_MS);
-        let ends = self
-            .in_force
-            .iter()
-            .skip(1)
-            .map(|it| it.0)
-            .chain([u64::MAX]);
+        let ends = self.in_force.iter().skip(1).map(|it| it.0).chain([u64::MAX]);
         now < self.read_at + VALIDITY_MS
             && self.confirmed_since <= earliest
             && (self.in_force.iter().zip(ends))
@@ -325,17 +316,14 @@
 
     fn index(&self, name: &HostName) -> usize {
         let mut hosts = self.hosts.iter();
-        hosts
-            .position(|it| it.record.name == *name)
-            .expect("listed host exists")
+        hosts.position(|it| it.record.name == *name).expect("listed host exists")
     }
 
     /// Schedules an action; one of a host is dropped if that process no longer runs.
     fn at(&mut self, at: u64, host: Option<usize>, action: impl Fn(&mut FleetWorld) + 'static) {
         let host = host.map(|it| (it, self.hosts[it].incarnation));
         self.events += 1;
-        self.queue
-            .insert((at, self.events), (host, Rc::new(action)));
+        self.queue.insert((at, self.events), (host, Rc::new(action)));
     }
 
     fn run(&mut self) {
@@ -350,8 +338,7 @@
                     // Events of a paused process happen in order when it resumes.
                     self.events += 1;
                     let place = (host.paused_until, self.events);
-                    self.queue
-                        .insert(place, (Some((index, incarnation)), action));
+                    self.queue.insert(place, (Some((index, incarnation)), action));
                     continue;
                 }
             }
@@ -480,9 +467,7 @@
         for centre in ["east", "west"].map(CentreName::new) {
             let (before, after) = (live_names(&earlier, &centre), live_names(&after, &centre));
             let lost = before.iter().filter(|it| !after.contains(it));
-            let lost: Vec<_> = lost
-                .map(|it| (it.clone(), peers.get(it).copied()))
-                .collect();
+            let lost: Vec<_> = lost.map(|it| (it.clone(), peers.get(it).copied())).collect();
             self.note_loss(index, &centre, &before, &lost);
         }
     }
@@ -570,9 +555,7 @@
         let key = &self.attempts[attempt].key;
         let route = match self.variant {
             Variant::LedgerPerHost => RouteDecision::Here,
-            _ => host
-                .route
-                .locate(&self.team, key, &host.view.list, &host.view),
+            _ => host.route.locate(&self.team, key, &host.view.list, &host.view),
         };
         let owner = match route {
             RouteDecision::Here => return self.decide(entry, attempt, None),
@@ -588,9 +571,7 @@
             incarnation: self.hosts[entry].incarnation,
             number: self.hosts[entry].forwarded,
         };
-        self.send(entry, owner, move |it| {
-            it.decide(owner, attempt, Some((entry, id)))
-        });
+        self.send(entry, owner, move |it| it.decide(owner, attempt, Some((entry, id))));
         self.at(self.now_ms + 3_000, Some(entry), move |it| {
             it.answer(attempt, Unknown(UnknownReason::AnswerLost))
         });
@@ -633,8 +614,7 @@
         };
         let host = &mut self.hosts[index];
         if matches!(self.variant, Variant::LedgerPerHost | Variant::NoLastCheck) {
-            host.ledger
-                .backup_acknowledged(&handle, &HostName::new("none"));
+            host.ledger.backup_acknowledged(&handle, &HostName::new("none"));
             return self.dispatch_soon(operation);
         }
         if host.ledger.waive_backup(&handle, &host.view.list) {
@@ -646,9 +626,7 @@
         let mut at = self.now_ms;
         for to in backups {
             let record = record.clone();
-            self.at(at, Some(index), move |it| {
-                it.offer_intent(operation, to, &record)
-            });
+            self.at(at, Some(index), move |it| it.offer_intent(operation, to, &record));
             at += 500;
         }
         self.at(at, Some(index), move |world| {
@@ -727,9 +705,7 @@
         let host = self.started[operation].host;
         let delay = self.rng.random_range(0..20);
         self.pause_if_armed(operation, false);
-        self.at(self.now_ms + delay, Some(host), move |it| {
-            it.dispatch(operation)
-        });
+        self.at(self.now_ms + delay, Some(host), move |it| it.dispatch(operation));
     }
 
     /// Pauses the host of an operation if such a fault is due; its caller asks elsewhere then.
@@ -756,11 +732,7 @@
     fn schedule_call(&mut self, at: u64, key: &str, body: u8) {
         let entry = self.rng.random_range(0..self.hosts.len());
         let attempt = self.attempts.len();
-        self.attempts.push(Attempt {
-            key: key.to_owned(),
-            body,
-            ..Attempt::default()
-        });
+        self.attempts.push(Attempt { key: key.to_owned(), body, ..Attempt::default() });
         self.at(at, Some(entry), move |it| it.call(entry, attempt));
     }
 
@@ -808,10 +780,9 @@
             let ledger = &mut world.hosts[index].ledger;
             let response = StoredResponse::default();
             let (update, decision) = match fate {
-                0..15 => (
-                    ledger.fail_after_send(now, &handle),
-                    Unknown(UnknownReason::Interrupted),
-                ),
+                0..15 => {
+                    (ledger.fail_after_send(now, &handle), Unknown(UnknownReason::Interrupted))
+                }
                 15..25 => (ledger.finish(now, &handle, None), Ran),
                 _ => (
                     ledger.finish(now, &handle, Some(response.clone())),
@@ -903,8 +874,7 @@
                 }
             }
             kind => {
-                self.cuts
-                    .insert((kind == FaultKind::CutPlatform, centre), end);
+                self.cuts.insert((kind == FaultKind::CutPlatform, centre), end);
             }
         }
     }
--- a/lib/tests/quarantine_register.rs
+++ b/lib/tests/quarantine_register.rs
@@ -124,10 +124,7 @@
         }
     }
     // The bound is reached, so a smaller one would be false.
-    assert!(
-        tight.contains(&(1, false)) && tight.contains(&(3, false)),
-        "{tight:?}"
-    );
+    assert!(tight.contains(&(1, false)) && tight.contains(&(3, false)), "{tight:?}");
     assert!(tight.contains(&(1, true)), "{tight:?}");
 }
 
@@ -135,12 +132,7 @@
 #[test]
 fn late_strikes_exceed_the_bound() {
     let exceeds = |seed| {
-        let plan = CrashPlan {
-            copies: 1,
-            sides: 1,
-            is_late: false,
-            ..plan(seed)
-        };
+        let plan = CrashPlan { copies: 1, sides: 1, is_late: false, ..plan(seed) };
         lost_upstreams(&plan, 5) > 2
     };
     assert!((0..200).any(exceeds));
@@ -185,21 +177,12 @@
     assert_eq!(register.check(start, companion), CrashVerdict::Suspect);
     broke(&mut register, start, companion, "b", false);
     let remaining = WEAK_BLOCK_TIME;
-    assert_eq!(
-        register.check(start, companion),
-        CrashVerdict::Blocked { remaining }
-    );
-    assert_eq!(
-        register.check(start + remaining, companion),
-        CrashVerdict::Suspect
-    );
+    assert_eq!(register.check(start, companion), CrashVerdict::Blocked { remaining });
+    assert_eq!(register.check(start + remaining, companion), CrashVerdict::Suspect);
     let upstream = UpstreamName::new("c");
     let clearance = register.completed(start + remaining, companion, &upstream);
     assert_eq!(clearance.map(|it| it.cleared.len()), Some(2));
-    assert_eq!(
-        register.check(start + remaining, companion),
-        CrashVerdict::Clear
-    );
+    assert_eq!(register.check(start + remaining, companion), CrashVerdict::Clear);
 }
 
 /// Guards against a second strike for companions that are retried together with the cause.
@@ -226,31 +209,16 @@
     broke(&mut register, start, cause, "b", false);
     for number in 0..MAX_ENTRIES + 100 {
         let now = start + Duration::from_millis(number as u64);
-        broke(
-            &mut register,
-            now,
-            fingerprint(&number.to_string()),
-            "c",
-            false,
-        );
+        broke(&mut register, now, fingerprint(&number.to_string()), "c", false);
     }
     assert_eq!(register.len(), MAX_ENTRIES);
     let now = start + Duration::from_secs(10);
-    assert!(matches!(
-        register.check(now, cause),
-        CrashVerdict::Blocked { .. }
-    ));
+    assert!(matches!(register.check(now, cause), CrashVerdict::Blocked { .. }));
     assert_eq!(register.check(now, fingerprint("0")), CrashVerdict::Clear);
 
     let mut copy = CrashRegister::new();
-    register
-        .export(now)
-        .iter()
-        .for_each(|it| copy.merge(now, it));
-    assert!(matches!(
-        copy.check(now, cause),
-        CrashVerdict::Blocked { .. }
-    ));
+    register.export(now).iter().for_each(|it| copy.merge(now, it));
+    assert!(matches!(copy.check(now, cause), CrashVerdict::Blocked { .. }));
     copy.expire(start + BLOCK_TIME + Duration::from_secs(10));
     assert!(copy.is_empty());
 }
--- a/lib/tests/routing_cold.rs
+++ b/lib/tests/routing_cold.rs
@@ -29,18 +29,13 @@
         let fleets: Vec<HostSet> = vec![(0..count).map(host).collect()];
         for allowance in [0, 1, 3, 7, 40] {
             let upstream = UpstreamName::new(&format!("engine-{allowance}"));
-            let shares: Vec<u32> = (0..count)
-                .map(|it| cold_share(&host(it), &upstream, allowance, &fleets))
-                .collect();
+            let shares: Vec<u32> =
+                (0..count).map(|it| cold_share(&host(it), &upstream, allowance, &fleets)).collect();
             assert_eq!(shares.iter().sum::<u32>(), allowance);
             assert!(shares.iter().max().unwrap() - shares.iter().min().unwrap() <= 1);
         }
     }
-    assert_eq!(
-        cold_share(&host(0), &"engine".into(), 9, &[]),
-        0,
-        "a young process has no slot"
-    );
+    assert_eq!(cold_share(&host(0), &"engine".into(), 9, &[]), 0, "a young process has no slot");
 }
 
 /// Largest sum of shares over all hosts as a multiple of the allowance, while the list changes and
@@ -82,10 +77,8 @@
     for second in 40..SECONDS {
         let sum: u32 = (0..HOSTS)
             .map(|index| {
-                let views: HashSet<usize> = in_force[index][second - window..=second]
-                    .iter()
-                    .copied()
-                    .collect();
+                let views: HashSet<usize> =
+                    in_force[index][second - window..=second].iter().copied().collect();
                 let fleets: Vec<HostSet> = views.iter().map(|it| versions[*it].clone()).collect();
                 cold_share(&host(index), &upstream, allowance, &fleets)
             })
@@ -99,10 +92,7 @@
 #[test]
 fn disagreeing_lists_do_not_exceed_the_allowance() {
     let latest_only = (0..12).map(|seed| worst_sum(seed, 0)).fold(0.0, f64::max);
-    assert!(
-        latest_only > 1.0,
-        "the latest list alone must fail this check"
-    );
+    assert!(latest_only > 1.0, "the latest list alone must fail this check");
     for seed in 0..12 {
         let worst = worst_sum(seed, 17);
         assert!(worst <= 1.0, "seed {seed}: {worst} times the allowance");
@@ -124,42 +114,23 @@
     gate.report(start, &engine, 1, false, false);
     assert_eq!(gate.phase(start, &engine, warmup), ColdPhase::Warm(1.0));
     // A new incarnation that never announces anything: its `cold: false` proves nothing.
-    let notice = gate
-        .report(start, &engine, 2, true, false)
-        .expect("this is new");
-    assert_eq!(
-        notice.change,
-        ColdChange::Started(ColdReason::NewIncarnation)
-    );
+    let notice = gate.report(start, &engine, 2, true, false).expect("this is new");
+    assert_eq!(notice.change, ColdChange::Started(ColdReason::NewIncarnation));
     gate.report(start + SECOND, &engine, 2, false, false);
     let cold = ColdPhase::Cold(ColdReason::NewIncarnation);
     assert_eq!(gate.phase(start + 900 * SECOND, &engine, warmup), cold);
     let later = start + 901 * SECOND;
-    let notice = gate
-        .responded(later, &engine)
-        .expect("the first response is news");
+    let notice = gate.responded(later, &engine).expect("the first response is news");
     assert_eq!(notice.change, ColdChange::Responded);
     assert_eq!(gate.responded(later + SECOND, &engine), None);
     assert_eq!(gate.phase(later + warmup - MS, &engine, warmup), cold);
-    assert_eq!(
-        gate.phase(later + warmup, &engine, warmup),
-        ColdPhase::Warm(0.1)
-    );
-    assert_eq!(
-        gate.phase(later + warmup + 30 * SECOND, &engine, warmup),
-        ColdPhase::Warm(1.0)
-    );
+    assert_eq!(gate.phase(later + warmup, &engine, warmup), ColdPhase::Warm(0.1));
+    assert_eq!(gate.phase(later + warmup + 30 * SECOND, &engine, warmup), ColdPhase::Warm(1.0));
     // One that announces its cold start ends it by a report as well.
     gate.report(later, &engine, 2, false, true);
-    assert_eq!(
-        gate.phase(later, &engine, warmup),
-        ColdPhase::Cold(ColdReason::Announced)
-    );
+    assert_eq!(gate.phase(later, &engine, warmup), ColdPhase::Cold(ColdReason::Announced));
     gate.report(later + SECOND, &engine, 2, false, false);
-    assert!(matches!(
-        gate.phase(later + SECOND, &engine, warmup),
-        ColdPhase::Warm(_)
-    ));
+    assert!(matches!(gate.phase(later + SECOND, &engine, warmup), ColdPhase::Warm(_)));
 }
 
 /// Guards against notices of peers that arrive late, twice or for another incarnation.
@@ -184,15 +155,9 @@
     gate.notice(later, &notice(2, ColdChange::Responded));
     gate.notice(later + 5 * MS, &notice(2, ColdChange::Responded));
     assert_eq!(gate.notices().len(), 2);
-    assert_eq!(
-        gate.phase(later + SECOND, &engine, SECOND),
-        ColdPhase::Warm(0.1)
-    );
+    assert_eq!(gate.phase(later + SECOND, &engine, SECOND), ColdPhase::Warm(0.1));
     gate.notice(later + SECOND, &notice(2, started));
-    assert_eq!(
-        gate.phase(later + SECOND, &engine, SECOND),
-        ColdPhase::Warm(0.1)
-    );
+    assert_eq!(gate.phase(later + SECOND, &engine, SECOND), ColdPhase::Warm(0.1));
 }
 
 /// Guards against a broken connection that is taken for nothing: the report that arrives next may
@@ -207,15 +172,9 @@
     // Another response that completes must not make it cold for the whole warm-up time.
     assert_eq!(gate.responded(start, &engine), None);
     gate.report(start + 1999 * MS, &engine, 1, false, false);
-    assert_eq!(
-        gate.phase(start + 1999 * MS, &engine, 10 * SECOND),
-        ColdPhase::Unknown
-    );
+    assert_eq!(gate.phase(start + 1999 * MS, &engine, 10 * SECOND), ColdPhase::Unknown);
     gate.report(start + 2 * SECOND, &engine, 1, false, false);
-    assert_eq!(
-        gate.phase(start + 2 * SECOND, &engine, 10 * SECOND),
-        ColdPhase::Warm(1.0)
-    );
+    assert_eq!(gate.phase(start + 2 * SECOND, &engine, 10 * SECOND), ColdPhase::Warm(1.0));
 }
 
 /// Guards against a picker that does not pass a broken connection on to the gate.
@@ -225,10 +184,9 @@
     let engine = UpstreamName::new("engine");
     let mut picker = UpstreamPicker::new(RoutingSettings::default(), host(0), "dc".into());
     picker.report(start, &engine, &LoadReport::default());
-    for (how, phase) in [
-        (FinishKind::Cancelled, ColdPhase::Warm(1.0)),
-        (FinishKind::Broken, ColdPhase::Unknown),
-    ] {
+    for (how, phase) in
+        [(FinishKind::Cancelled, ColdPhase::Warm(1.0)), (FinishKind::Broken, ColdPhase::Unknown)]
+    {
         picker.finished(start, &engine, 0, how);
         assert_eq!(picker.phase(start, &engine, &Catalogue::default()), phase);
     }
@@ -243,10 +201,7 @@
     gate.discovered(&engine);
     gate.responded(start, &engine);
     assert_eq!(gate.phase(start, &engine, SECOND), ColdPhase::Unknown);
-    assert_eq!(
-        gate.phase(start + SECOND, &engine, SECOND),
-        ColdPhase::Warm(0.1)
-    );
+    assert_eq!(gate.phase(start + SECOND, &engine, SECOND), ColdPhase::Warm(0.1));
 }
 
 type Sign = fn(&mut UpstreamPicker, Instant, &UpstreamName, Duration) -> Option<ColdNotice>;
@@ -264,19 +219,14 @@
         (ColdReason::RefusedConnection, |picker, now, engine, _| {
             picker.finished(now, engine, 0, FinishKind::Refused)
         }),
-        (ColdReason::NewIncarnation, |picker, now, engine, _| {
-            picker.incarnation(now, engine, 2)
-        }),
+        (ColdReason::NewIncarnation, |picker, now, engine, _| picker.incarnation(now, engine, 2)),
     ];
     for (reason, sign) in signs {
         let [mut own, mut peer] =
             [0, 1].map(|it| UpstreamPicker::new(RoutingSettings::default(), host(it), "dc".into()));
         let catalogue = Catalogue::default();
         for picker in [&mut own, &mut peer] {
-            let report = LoadReport {
-                incarnation: 1,
-                ..LoadReport::default()
-            };
+            let report = LoadReport { incarnation: 1, ..LoadReport::default() };
             picker.report(start, &engine, &report);
             for _ in 0..8 {
                 assert_eq!(picker.first_token(start, &engine, 100 * MS), None);
@@ -287,10 +237,7 @@
         assert_eq!(sign(&mut own, start, &engine, slow), None, "told once only");
         peer.notice(start, &notice);
         for picker in [&mut own, &mut peer] {
-            assert_eq!(
-                picker.phase(start, &engine, &catalogue),
-                ColdPhase::Cold(reason)
-            );
+            assert_eq!(picker.phase(start, &engine, &catalogue), ColdPhase::Cold(reason));
         }
     }
 }
@@ -309,9 +256,7 @@
     let mut entries = BTreeMap::new();
     let centre = r#"{"region":"r","state":"in_service"}"#;
     entries.insert("data_centre/dc".into(), centre.into());
-    let names: Vec<_> = (0..3)
-        .map(|it| UpstreamName::new(&format!("engine-{it}")))
-        .collect();
+    let names: Vec<_> = (0..3).map(|it| UpstreamName::new(&format!("engine-{it}"))).collect();
     for name in &names {
         let value = format!(
             r#"{{"owner":"o","kind":"engine","address":"127.0.0.1:9000","data_centre":"dc",
@@ -350,17 +295,12 @@
         };
         let mut signs: Vec<(usize, ColdNotice)> = Vec::new();
         // A restart breaks what runs; the caller learns it at once.
-        let (ended, rest): (Vec<_>, Vec<_>) = running
-            .into_iter()
-            .partition(|it| it.0 <= time || it.3 != incarnation_at(it.2, time));
+        let (ended, rest): (Vec<_>, Vec<_>) =
+            running.into_iter().partition(|it| it.0 <= time || it.3 != incarnation_at(it.2, time));
         running = rest;
         for (_, index, engine, incarnation) in ended {
             let is_whole = incarnation == incarnation_at(engine, time);
-            let how = if is_whole || is_deaf {
-                FinishKind::Complete
-            } else {
-                FinishKind::Broken
-            };
+            let how = if is_whole || is_deaf { FinishKind::Complete } else { FinishKind::Broken };
             if engine == 0 && incarnation == 2 {
                 warm_at.get_or_insert(time + 3_000);
             }
@@ -379,10 +319,7 @@
             if let PickOutcome::Picked(pick) =
                 pickers[index].pick(now, &request, &catalogue, &fleets)
             {
-                let engine = names
-                    .iter()
-                    .position(|it| *it == pick.upstream)
-                    .expect("it exists");
+                let engine = names.iter().position(|it| *it == pick.upstream).expect("it exists");
                 pickers[index].started(now, &pick.upstream, 100);
                 let incarnation = incarnation_at(engine, time);
                 // The response header names the incarnation, first of all to the sender.
@@ -399,11 +336,7 @@
             if time >= 1_000 && time as usize % 1_000 == index * 100 {
                 for (engine, name) in names.iter().enumerate() {
                     let old = time - 1_000;
-                    let incarnation = if is_deaf {
-                        1
-                    } else {
-                        incarnation_at(engine, old)
-                    };
+                    let incarnation = if is_deaf { 1 } else { incarnation_at(engine, old) };
                     let report = report(incarnation, history[old as usize][engine]);
                     signs.extend(picker.report(now, name, &report).map(|it| (index, it)));
                 }
@@ -437,20 +370,11 @@
 fn unannounced_restart_is_held_to_the_allowance() {
     for seed in 0..4 {
         let (worst, warm) = restart_outcome(seed, false);
-        assert!(
-            worst <= 4,
-            "seed {seed}: {worst} requests on the cold engine"
-        );
-        assert!(
-            warm > 4,
-            "seed {seed}: only {warm} requests on the warm engine"
-        );
+        assert!(worst <= 4, "seed {seed}: {worst} requests on the cold engine");
+        assert!(warm > 4, "seed {seed}: only {warm} requests on the warm engine");
     }
     let (worst, _) = restart_outcome(0, true);
-    assert!(
-        worst > 4,
-        "hosts that ignore all signs must fail this check"
-    );
+    assert!(worst > 4, "hosts that ignore all signs must fail this check");
 }
 
 /// Guards against all returning chats on a cold engine at once: its slots go to few chats.
--- a/lib/tests/routing_picker.rs
+++ b/lib/tests/routing_picker.rs
@@ -46,10 +46,8 @@
 }
 
 fn engines(revision: u64, names: &[String]) -> Catalogue {
-    let upstreams: Vec<_> = names
-        .iter()
-        .map(|it| (it.as_str(), "engine", "east-1", "in_service", 64))
-        .collect();
+    let upstreams: Vec<_> =
+        names.iter().map(|it| (it.as_str(), "engine", "east-1", "in_service", 64)).collect();
     catalogue(revision, &upstreams)
 }
 
@@ -62,20 +60,11 @@
 }
 
 fn fleet(count: usize) -> Vec<HostSet> {
-    vec![
-        (0..count)
-            .map(|it| HostName::new(&format!("host-{it}")))
-            .collect(),
-    ]
+    vec![(0..count).map(|it| HostName::new(&format!("host-{it}"))).collect()]
 }
 
 fn report(running: u32, work_tokens: u64) -> LoadReport {
-    LoadReport {
-        incarnation: 1,
-        running,
-        work_tokens,
-        ..LoadReport::default()
-    }
+    LoadReport { incarnation: 1, running, work_tokens, ..LoadReport::default() }
 }
 
 /// Lets the picker know all upstreams as warm and idle.
@@ -137,11 +126,7 @@
             let estimate = table.estimate(now, &engine, 1.0, &summary);
             // A report minus the own work at its arrival would give up to 2 requests too many
             // when requests end, and the plain sum of both twice the work.
-            assert_eq!(
-                estimate.work,
-                own as f64 * 100.0,
-                "lag {lag_ms} ms, step {step}"
-            );
+            assert_eq!(estimate.work, own as f64 * 100.0, "lag {lag_ms} ms, step {step}");
             assert_eq!(u64::from(estimate.own_requests), own);
         }
     }
@@ -209,16 +194,10 @@
     let now = Instant::now();
     let mut table = LoadTable::new(LoadSettings::default());
     let engine = UpstreamName::new("engine");
-    let with = |incarnation| LoadReport {
-        incarnation,
-        ..report(1, 1)
-    };
+    let with = |incarnation| LoadReport { incarnation, ..report(1, 1) };
     assert_eq!(table.report(now, &engine, &with(5)), ReportEffect::First);
     assert_eq!(table.report(now, &engine, &with(5)), ReportEffect::Same);
-    assert_eq!(
-        table.incarnation(now, &engine, 3),
-        ReportEffect::NewIncarnation
-    );
+    assert_eq!(table.incarnation(now, &engine, 3), ReportEffect::NewIncarnation);
     assert_eq!(table.report(now, &engine, &with(5)), ReportEffect::Outdated);
     assert_eq!(table.report(now, &engine, &with(3)), ReportEffect::Same);
     for _ in 0..8 {
@@ -283,15 +262,7 @@
 
 fn homes(picker: &mut UpstreamPicker, now: Instant, catalogue: &Catalogue) -> Vec<String> {
     (0..2_000)
-        .map(|it| {
-            picked(pick(
-                picker,
-                now,
-                catalogue,
-                Some(&format!("chat-{it}")),
-                &[],
-            ))
-        })
+        .map(|it| picked(pick(picker, now, catalogue, Some(&format!("chat-{it}")), &[])))
         .map(|it| it.upstream.to_string())
         .collect()
 }
@@ -327,18 +298,10 @@
         ColdPhase::Cold(_)
     ));
     // ... and all of them after the warm-up and the ramp-up, in steps.
-    picker.finished(
-        later,
-        &UpstreamName::new(&names[0]),
-        0,
-        FinishKind::Complete,
-    );
+    picker.finished(later, &UpstreamName::new(&names[0]), 0, FinishKind::Complete);
     let half = homes(&mut picker, later + 16 * SECOND, &again);
     let half_moved = moved(&before, &half);
-    assert!(
-        (owned * 3 / 10..owned * 7 / 10).contains(&half_moved),
-        "{half_moved} of {owned}"
-    );
+    assert!((owned * 3 / 10..owned * 7 / 10).contains(&half_moved), "{half_moved} of {owned}");
     let after = homes(&mut picker, later + 40 * SECOND, &again);
     assert_eq!(moved(&before, &after), 0);
     // Another host that has seen nothing of this makes the same choices.
@@ -355,10 +318,8 @@
     let start = Instant::now();
     let names = engine_names(10);
     let rows = |state| -> Vec<(&str, &str, &str, &str, u32)> {
-        let mut rows: Vec<_> = names
-            .iter()
-            .map(|it| (it.as_str(), "engine", "east-1", "in_service", 64))
-            .collect();
+        let mut rows: Vec<_> =
+            names.iter().map(|it| (it.as_str(), "engine", "east-1", "in_service", 64)).collect();
         rows[0].3 = state;
         rows
     };
@@ -374,10 +335,7 @@
         let middle = homes(&mut picker, back + ramp / 2, &again);
         let late = homes(&mut picker, back + ramp, &again);
         let [early, middle, late] = [early, middle, late].map(|it| moved(&before, &it));
-        assert!(
-            early > middle && middle > late && late == 0,
-            "{early} {middle} {late}"
-        );
+        assert!(early > middle && middle > late && late == 0, "{early} {middle} {late}");
     }
 }
 
@@ -398,11 +356,8 @@
         warm(picker, start, &catalogue);
     }
     let upstreams: Vec<_> = names.iter().map(|it| UpstreamName::new(it)).collect();
-    let index: HashMap<_, _> = upstreams
-        .iter()
-        .enumerate()
-        .map(|(i, it)| (it.clone(), i))
-        .collect();
+    let index: HashMap<_, _> =
+        upstreams.iter().enumerate().map(|(i, it)| (it.clone(), i)).collect();
     let mut running = vec![0_u32; ENGINES];
     let mut history: Vec<Vec<u32>> = Vec::new();
     let mut ends: BTreeMap<u32, Vec<(usize, usize)>> = BTreeMap::new();
@@ -416,11 +371,7 @@
         }
         for _ in 0..if rng.random_bool(0.2) { 2 } else { 1 } {
             let host = rng.random_range(0..HOSTS);
-            let chat = if rng.random_bool(hot) {
-                0
-            } else {
-                rng.random_range(1..100_000)
-            };
+            let chat = if rng.random_bool(hot) { 0 } else { rng.random_range(1..100_000) };
             let request = PickRequest {
                 target: PickTarget::Model(&model),
                 chat: Some(&format!("chat-{chat}")),
@@ -466,8 +417,5 @@
             assert!(skew <= 1.5, "seed {seed}, hot {hot}: skew {skew:.2}");
         }
     }
-    assert!(
-        skew_outcome(0.3, false, 0) > 1.5,
-        "affinity without a bound must fail this check"
-    );
+    assert!(skew_outcome(0.3, false, 0) > 1.5, "affinity without a bound must fail this check");
 }
--- a/lib/tests/schedule_queue.rs
+++ b/lib/tests/schedule_queue.rs
@@ -32,10 +32,7 @@
 }
 
 fn queue(capacity: usize) -> FairQueue<u64> {
-    FairQueue::new(QueueSettings {
-        capacity,
-        ..QueueSettings::default()
-    })
+    FairQueue::new(QueueSettings { capacity, ..QueueSettings::default() })
 }
 
 fn shed_team(outcome: PushOutcome<u64>) -> Option<String> {
@@ -59,11 +56,7 @@
 
 impl Discipline {
     fn plain(capacity: usize) -> Self {
-        Self::Plain(PlainList {
-            entries: VecDeque::new(),
-            capacity,
-            refused: HashMap::new(),
-        })
+        Self::Plain(PlainList { entries: VecDeque::new(), capacity, refused: HashMap::new() })
     }
 
     fn push(&mut self, now: Instant, request: QueuedRequest<u64>) {
@@ -95,11 +88,9 @@
 
     fn refused(&self, team: &TeamName) -> u64 {
         match self {
-            Self::Fair(queue) => queue
-                .reports()
-                .filter(|it| it.team == team)
-                .map(|it| it.stats.refused())
-                .sum(),
+            Self::Fair(queue) => {
+                queue.reports().filter(|it| it.team == team).map(|it| it.stats.refused()).sum()
+            }
             Self::Plain(list) => list.refused.get(team).copied().unwrap_or(0),
         }
     }
@@ -110,9 +101,7 @@
 fn surge_outcome(mut discipline: Discipline, seed: u64) -> (u64, u128) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut now = Instant::now();
-    let teams: Vec<TeamName> = (0..10)
-        .map(|it| TeamName::new(&format!("team-{it}")))
-        .collect();
+    let teams: Vec<TeamName> = (0..10).map(|it| TeamName::new(&format!("team-{it}"))).collect();
     let mut longest = 0;
     let mut credit = 0.0;
     for _ in 0..20_000 {
@@ -146,15 +135,9 @@
     for seed in 0..3 {
         let (refused, longest) = surge_outcome(Discipline::Fair(queue(200)), seed);
         assert_eq!(refused, 0, "seed {seed}");
-        assert!(
-            longest <= MAX_WAIT_MS,
-            "seed {seed}: longest wait {longest} ms"
-        );
+        assert!(longest <= MAX_WAIT_MS, "seed {seed}: longest wait {longest} ms");
         let (refused, longest) = surge_outcome(Discipline::plain(200), seed);
-        assert!(
-            refused > 0 && longest > MAX_WAIT_MS,
-            "a plain list must fail this check"
-        );
+        assert!(refused > 0 && longest > MAX_WAIT_MS, "a plain list must fail this check");
     }
 }
 
@@ -177,10 +160,7 @@
         }
         now += MS;
         let refused = queue.expire(now);
-        expired += refused
-            .iter()
-            .filter(|it| it.request.team.as_str() == "patient")
-            .count();
+        expired += refused.iter().filter(|it| it.request.team.as_str() == "patient").count();
         if let Some(started) = queue.pop(now, |_| true) {
             if started.request.team.as_str() == "urgent" {
                 longest = longest.max(started.wait.as_millis());
@@ -209,19 +189,10 @@
 #[test]
 fn patient_work_is_served_in_the_end() {
     let (_, patient, expired) = mixed_outcome(queue(100), 1.0, 0);
-    assert!(
-        patient >= 175 && expired == 0,
-        "{patient} served, {expired} expired"
-    );
-    let starving = FairQueue::new(QueueSettings {
-        capacity: 100,
-        overdue_interval: u32::MAX,
-    });
+    assert!(patient >= 175 && expired == 0, "{patient} served, {expired} expired");
+    let starving = FairQueue::new(QueueSettings { capacity: 100, overdue_interval: u32::MAX });
     let (_, patient, expired) = mixed_outcome(starving, 1.0, 0);
-    assert!(
-        patient < 175 && expired > 0,
-        "strict priority must fail this check"
-    );
+    assert!(patient < 175 && expired > 0, "strict priority must fail this check");
 }
 
 /// Guards against an overdue request that stays behind the class above its own.
@@ -311,10 +282,7 @@
         asked.push(it.target.to_string());
         &*it.target == "free"
     });
-    assert_eq!(
-        started.map(|it| it.request.target.to_string()),
-        Some("free".into())
-    );
+    assert_eq!(started.map(|it| it.request.target.to_string()), Some("free".into()));
     assert_eq!(asked, ["busy", "free"]);
     assert!(queue.pop(now, |it| &*it.target == "free").is_none());
     assert_eq!(queue.len(), 2);
@@ -355,18 +323,10 @@
 fn waiting_requests_expire_with_their_reason() {
     let start = Instant::now();
     let mut queue = queue(10);
-    let class = ClassEntry {
-        priority: 0,
-        deadline_ms: 300,
-        queue_ms: 100,
-        objective: 0.95,
-    };
+    let class = ClassEntry { priority: 0, deadline_ms: 300, queue_ms: 100, objective: 0.95 };
     let (name, team) = (ClassName::new("chat"), TeamName::new("team"));
     for (number, queue_ms) in [100, 1_000].into_iter().enumerate() {
-        let entry = ClassEntry {
-            queue_ms,
-            ..class.clone()
-        };
+        let entry = ClassEntry { queue_ms, ..class.clone() };
         let target = Arc::from("model");
         let item =
             QueuedRequest::of_class(start, &name, &entry, &team, 1.0, target, 1, number as u64);
@@ -438,9 +398,8 @@
             }
             now += MS * rng.random_range(0..4);
             assert!(queue.len() <= capacity);
-            let by_team: usize = (0..4)
-                .map(|it| queue.team_len(&TeamName::new(&format!("team-{it}"))))
-                .sum();
+            let by_team: usize =
+                (0..4).map(|it| queue.team_len(&TeamName::new(&format!("team-{it}")))).sum();
             assert_eq!(by_team, queue.len());
         }
         let counted: u64 = queue
--- a/lib/tests/settings_parse.rs
+++ b/lib/tests/settings_parse.rs
@@ -6,20 +6,12 @@
     RouterSettings, SETTINGS, SettingsError, SettingsOutcome, ValueOrigin, variable_name,
 };
 
-const REQUIRED: [&str; 6] = [
-    "--host",
-    "h1",
-    "--data-centre",
-    "a",
-    "--platform",
-    "http://127.0.0.1:9000/",
-];
+const REQUIRED: [&str; 6] =
+    ["--host", "h1", "--data-centre", "a", "--platform", "http://127.0.0.1:9000/"];
 
 fn parse(args: &[&str], env: &[(&str, &str)]) -> Result<SettingsOutcome, SettingsError> {
-    let env: HashMap<String, OsString> = env
-        .iter()
-        .map(|(name, value)| ((*name).to_owned(), (*value).into()))
-        .collect();
+    let env: HashMap<String, OsString> =
+        env.iter().map(|(name, value)| ((*name).to_owned(), (*value).into())).collect();
     RouterSettings::parse(args, |name| env.get(name).cloned())
 }
 
@@ -39,11 +31,7 @@
     assert_eq!(settings.admin_listen.to_string(), "127.0.0.1:8081");
     assert_eq!(settings.takeover_wait(), Duration::from_secs(17));
     assert_eq!(
-        (
-            settings.max_connections,
-            settings.max_active,
-            settings.max_queued
-        ),
+        (settings.max_connections, settings.max_active, settings.max_queued),
         (2048, 1024, 2048)
     );
     assert_eq!(settings.max_body_bytes, 1_048_576);
@@ -56,10 +44,7 @@
 /// A variable must not override what the operator typed.
 #[test]
 fn a_flag_wins_over_the_variable() {
-    let env = [
-        ("SNIPEPOND_HOST", "env-host"),
-        ("SNIPEPOND_MAX_QUEUED", "7"),
-    ];
+    let env = [("SNIPEPOND_HOST", "env-host"), ("SNIPEPOND_MAX_QUEUED", "7")];
     let settings = run(&REQUIRED, &env);
     assert_eq!(settings.host.as_str(), "h1");
     assert_eq!(settings.max_queued, 7);
@@ -101,13 +86,7 @@
         assert!(text.contains("allowed: "), "{text}");
     }
     let error = parse(&REQUIRED, &[("SNIPEPOND_MAX_ACTIVE", "x")]).unwrap_err();
-    assert!(matches!(
-        error,
-        SettingsError::Invalid {
-            origin: ValueOrigin::Environment,
-            ..
-        }
-    ));
+    assert!(matches!(error, SettingsError::Invalid { origin: ValueOrigin::Environment, .. }));
     assert!(error.to_string().contains("SNIPEPOND_MAX_ACTIVE"));
 }
 
--- a/lib/tests/slo_burn.rs
+++ b/lib/tests/slo_burn.rs
@@ -70,12 +70,9 @@
 fn events_are_counted_by_kind() {
     let mut fixture = Fixture::new();
     fixture.record("t", "fast", GOOD, 16);
-    for bad in [
-        LATE,
-        ServiceEvent::Truncated,
-        ServiceEvent::WrongfulRefusal,
-        ServiceEvent::UnknownOutcome,
-    ] {
+    for bad in
+        [LATE, ServiceEvent::Truncated, ServiceEvent::WrongfulRefusal, ServiceEvent::UnknownOutcome]
+    {
         fixture.record("t", "fast", bad, 1);
     }
     fixture.record("t", "fast", ServiceEvent::OverRate, 50);
--- a/lib/tests/telemetry_log.rs
+++ b/lib/tests/telemetry_log.rs
@@ -46,10 +46,7 @@
         tracing::info!(team = %"t1", count = 3, share = 0.5, ready = true, "request_refused");
         tracing::debug!("not selected by the filter");
     });
-    assert_eq!(
-        line,
-        format!("{START}request_refused team=t1 count=3 share=0.5 ready=true\n")
-    );
+    assert_eq!(line, format!("{START}request_refused team=t1 count=3 share=0.5 ready=true\n"));
 }
 
 /// A value from a caller must not forge a second event.
@@ -69,16 +66,8 @@
     ] {
         let line = logged(|| tracing::info!(path = hostile, other = ?hostile, "request"));
         assert_eq!(line.matches('\n').count(), 1, "{line:?}");
-        assert!(
-            line.bytes()
-                .all(|b| b == b'\n' || (b' '..=b'~').contains(&b)),
-            "{line:?}"
-        );
-        assert_eq!(
-            keys(&line),
-            ["time", "level", "event", "path", "other"],
-            "{line:?}"
-        );
+        assert!(line.bytes().all(|b| b == b'\n' || (b' '..=b'~').contains(&b)), "{line:?}");
+        assert_eq!(keys(&line), ["time", "level", "event", "path", "other"], "{line:?}");
     }
 }
 
@@ -86,14 +75,8 @@
 #[test]
 fn messages_and_reserved_keys_cannot_forge_a_key() {
     let line = logged(|| tracing::info!(event = "forged", level = "error", "two words=1\n"));
-    assert_eq!(
-        line,
-        format!("{START}\"two words=1\\n\" field_event=forged field_level=error\n")
-    );
-    assert_eq!(
-        logged(|| tracing::info!(a = 1)),
-        format!("{START}unnamed a=1\n")
-    );
+    assert_eq!(line, format!("{START}\"two words=1\\n\" field_event=forged field_level=error\n"));
+    assert_eq!(logged(|| tracing::info!(a = 1)), format!("{START}unnamed a=1\n"));
 }
 
 /// A path of 16 KiB must not fill the log.
