--- a/lib/tests/telemetry_metrics.rs
+++ b/lib/tests/telemetry_metrics.rs
@@ -10,18 +10,9 @@
 
 fn catalogue() -> Arc<Catalogue> {
     let entries: RawEntries = [
-        (
-            "class/fast",
-            r#"{"priority":0,"deadline_ms":410,"queue_ms":100}"#,
-        ),
-        (
-            "team/t1",
-            r#"{"owner":"o","class":"fast","rate":1,"burst":1}"#,
-        ),
-        (
-            "route/chat",
-            r#"{"owner":"o","path":"/v1/chat/completions","kind":"chat"}"#,
-        ),
+        ("class/fast", r#"{"priority":0,"deadline_ms":410,"queue_ms":100}"#),
+        ("team/t1", r#"{"owner":"o","class":"fast","rate":1,"burst":1}"#),
+        ("route/chat", r#"{"owner":"o","path":"/v1/chat/completions","kind":"chat"}"#),
     ]
     .into_iter()
     .map(|(key, value)| (key.into(), value.into()))
@@ -50,10 +41,8 @@
         metrics.upstream_error(&UpstreamName::new(&format!("u{index}")), "reset");
     }
     let text = metrics.render().unwrap();
-    let series: Vec<&str> = text
-        .lines()
-        .filter(|it| it.starts_with("snipepond_requests_total{"))
-        .collect();
+    let series: Vec<&str> =
+        text.lines().filter(|it| it.starts_with("snipepond_requests_total{")).collect();
     assert_eq!(
         series,
         [
@@ -89,10 +78,7 @@
         r#"snipepond_chunk_gap_seconds_bucket{class="fast",le="0.076"} 1"#,
         r#"snipepond_queue_wait_seconds_count{class="fast"} 1"#,
     ] {
-        assert!(
-            text.lines().any(|it| it == line),
-            "{line} is missing:\n{text}"
-        );
+        assert!(text.lines().any(|it| it == line), "{line} is missing:\n{text}");
     }
 }
 
@@ -125,10 +111,7 @@
         r#"snipepond_operations_total{outcome="unknown"} 2"#,
         r#"snipepond_refusals_total{reason="queue_full"} 2"#,
     ] {
-        assert!(
-            text.lines().any(|it| it == line),
-            "{line} is missing:\n{text}"
-        );
+        assert!(text.lines().any(|it| it == line), "{line} is missing:\n{text}");
     }
 }
 
@@ -136,11 +119,8 @@
 #[test]
 fn all_teams_of_the_target_size_keep_their_own_series() {
     let metrics = RouterMetrics::new();
-    let mut entries: RawEntries = [(
-        "class/fast".into(),
-        r#"{"priority":0,"deadline_ms":410,"queue_ms":100}"#.into(),
-    )]
-    .into();
+    let mut entries: RawEntries =
+        [("class/fast".into(), r#"{"priority":0,"deadline_ms":410,"queue_ms":100}"#.into())].into();
     for index in 0..2_100 {
         entries.insert(
             format!("team/t{index}").into(),
--- a/standin/src/bin/snipepond-standin.rs
+++ b/standin/src/bin/snipepond-standin.rs
@@ -121,10 +121,7 @@
     T: std::str::FromStr,
     T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    parser
-        .value()
-        .and_then(|it| it.parse())
-        .with_context(|| format!("--{name}"))
+    parser.value().and_then(|it| it.parse()).with_context(|| format!("--{name}"))
 }
 
 fn millis(parser: &mut Parser, name: &str) -> Result<Duration> {
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -74,16 +74,12 @@
 
     /// Sets a JSON body with its content type.
     pub fn json(self, value: &serde_json::Value) -> Self {
-        self.header("Content-Type", "application/json")
-            .body(value.to_string())
+        self.header("Content-Type", "application/json").body(value.to_string())
     }
 
     /// Returns the bytes of the request.
     pub fn to_bytes(&self, host: SocketAddr) -> Vec<u8> {
-        let mut head = format!(
-            "{} {} HTTP/1.1\r\nHost: {host}\r\n",
-            self.method, self.target
-        );
+        let mut head = format!("{} {} HTTP/1.1\r\nHost: {host}\r\n", self.method, self.target);
         for (name, value) in &self.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -130,10 +126,7 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(READ_TIMEOUT_S)))?;
         stream.set_write_timeout(Some(Duration::from_secs(READ_TIMEOUT_S)))?;
-        Ok(Self {
-            address,
-            reader: BufReader::new(stream),
-        })
+        Ok(Self { address, reader: BufReader::new(stream) })
     }
 
     /// Sends bytes that need not be a valid request.
@@ -208,10 +201,7 @@
 }
 
 fn malformed(line: &str) -> io::Error {
-    io::Error::new(
-        io::ErrorKind::InvalidData,
-        format!("malformed line in the answer: {line:?}"),
-    )
+    io::Error::new(io::ErrorKind::InvalidData, format!("malformed line in the answer: {line:?}"))
 }
 
 fn read_line(reader: &mut BufReader<TcpStream>) -> io::Result<String> {
@@ -276,17 +266,13 @@
 impl CallerAnswer {
     /// Returns a header by its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|it| it.0 == name)
-            .map(|it| it.1.as_str())
+        self.headers.iter().find(|it| it.0 == name).map(|it| it.1.as_str())
     }
 
     /// Returns whether the framing is complete and, for a stream, the last event is `[DONE]`.
     pub fn is_whole(&self) -> bool {
-        let is_stream = self
-            .header("content-type")
-            .is_some_and(|it| it.starts_with("text/event-stream"));
+        let is_stream =
+            self.header("content-type").is_some_and(|it| it.starts_with("text/event-stream"));
         let is_done = || self.events.last().is_some_and(|it| it.data == "[DONE]");
         self.end == AnswerEnd::Complete && (!is_stream || is_done())
     }
@@ -303,20 +289,14 @@
 
     /// Returns the answer's tokens: the content of each event except `[DONE]`.
     pub fn tokens(&self) -> Vec<String> {
-        self.events
-            .iter()
-            .filter_map(|it| token_of(&it.data))
-            .collect()
+        self.events.iter().filter_map(|it| token_of(&it.data)).collect()
     }
 
     /// Returns the text of a chat answer, streamed or not.
     pub fn chat_text(&self) -> String {
         if self.events.is_empty() {
             let body = self.json();
-            body["choices"][0]["message"]["content"]
-                .as_str()
-                .unwrap_or_default()
-                .to_owned()
+            body["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned()
         } else {
             self.tokens().concat()
         }
@@ -325,9 +305,7 @@
 
 fn token_of(data: &str) -> Option<String> {
     let event: serde_json::Value = serde_json::from_str(data).ok()?;
-    event["choices"][0]["delta"]["content"]
-        .as_str()
-        .map(str::to_owned)
+    event["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
 }
 
 /// An answer whose head was read; dropping it closes the connection.
@@ -365,10 +343,8 @@
     /// The connection cannot be used again.
     pub fn finish_and_keep(mut self) -> io::Result<(CallerAnswer, CallerConnection)> {
         self.read_to_end();
-        let is_last = self
-            .answer
-            .header("connection")
-            .is_some_and(|it| it.eq_ignore_ascii_case("close"));
+        let is_last =
+            self.answer.header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
         if self.answer.end != AnswerEnd::Complete || is_last {
             return Err(io::Error::other("the connection ended with the answer"));
         }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -140,9 +140,7 @@
 fn answer_seed(model: &str, hashes: impl IntoIterator<Item = u64>) -> u64 {
     hashes
         .into_iter()
-        .fold(xxh3_64(model.as_bytes()), |seed, hash| {
-            xxh3_64_with_seed(&hash.to_le_bytes(), seed)
-        })
+        .fold(xxh3_64(model.as_bytes()), |seed, hash| xxh3_64_with_seed(&hash.to_le_bytes(), seed))
 }
 
 fn token_text(seed: u64, index: u64) -> String {
@@ -152,10 +150,7 @@
 
 /// Returns the tokens with which every engine answers these messages (role and text).
 pub fn expected_tokens(model: &str, messages: &[(&str, &str)], count: u64) -> Vec<String> {
-    let seed = answer_seed(
-        model,
-        messages.iter().map(|(role, text)| message_hash(role, text)),
-    );
+    let seed = answer_seed(model, messages.iter().map(|(role, text)| message_hash(role, text)));
     (0..count).map(|it| token_text(seed, it)).collect()
 }
 
@@ -294,8 +289,7 @@
             }),
             _ => {
                 let path = call.path().to_owned();
-                call.answer
-                    .send_error(404, &format!("no control {path} on an engine"));
+                call.answer.send_error(404, &format!("no control {path} on an engine"));
                 return;
             }
         };
@@ -311,11 +305,7 @@
             Ok(request) => request,
             Err(message) => return call.answer.send_error(400, &message),
         };
-        if request
-            .messages
-            .iter()
-            .any(|it| it.text().contains(CRASH_TEXT))
-        {
+        if request.messages.iter().any(|it| it.text().contains(CRASH_TEXT)) {
             {
                 let now = Instant::now();
                 let mut state = lock(&self.state);
@@ -395,11 +385,7 @@
                 cached,
                 fault: state.fault.take(),
                 die_after,
-                factor: if state.warmth.cold {
-                    self.settings.cold_factor
-                } else {
-                    1
-                },
+                factor: if state.warmth.cold { self.settings.cold_factor } else { 1 },
                 incarnation: state.warmth.incarnation.clone(),
             }
         };
@@ -479,18 +465,10 @@
             *open_work -= prefill;
             self.report(&mut state, now);
         }
-        let seed = if fault.mode == AnswerMode::WrongId {
-            !job.seed
-        } else {
-            job.seed
-        };
+        let seed = if fault.mode == AnswerMode::WrongId { !job.seed } else { job.seed };
         let text_of = |index: u64| {
             let text = token_text(seed, index);
-            if fault.mode == AnswerMode::WrongId {
-                format!("foreign-{text}")
-            } else {
-                text
-            }
+            if fault.mode == AnswerMode::WrongId { format!("foreign-{text}") } else { text }
         };
         let mut headers = vec![
             ("x-incarnation", started.incarnation.clone()),
@@ -539,10 +517,7 @@
                     "model": job.model,
                     "choices": [{ "index": 0, "delta": { "content": text } }],
                 });
-                if answer
-                    .chunk(format!("data: {event}\n\n").as_bytes())
-                    .is_err()
-                {
+                if answer.chunk(format!("data: {event}\n\n").as_bytes()).is_err() {
                     return JobEnd::Cancelled;
                 }
             }
@@ -647,20 +622,14 @@
     }
 
     fn new(settings: &EngineSettings, call: &Call, request: ChatRequest) -> Self {
-        let prompt: Vec<(u64, u64)> = request
-            .messages
-            .iter()
-            .map(|it| (it.hash(), message_tokens(&it.text())))
-            .collect();
+        let prompt: Vec<(u64, u64)> =
+            request.messages.iter().map(|it| (it.hash(), message_tokens(&it.text()))).collect();
         let number = |name: &str| call.header(name).and_then(|it| it.parse::<u64>().ok());
         let chat = match call.header("x-chat-id") {
             Some(chat) => chat.to_owned(),
             None => format!("{:016x}", prompt.first().map_or(0, |it| it.0)),
         };
-        let tokens = request
-            .max_tokens
-            .unwrap_or(settings.answer_tokens)
-            .min(MAX_ANSWER_TOKENS);
+        let tokens = request.max_tokens.unwrap_or(settings.answer_tokens).min(MAX_ANSWER_TOKENS);
         let offset = match number("x-resume-offset") {
             Some(offset) if settings.resume => offset.min(tokens),
             _ => 0,
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -21,12 +21,7 @@
 
 impl PrefixCache {
     pub(super) fn new(limit_tokens: u64) -> Self {
-        Self {
-            limit_tokens,
-            used_tokens: 0,
-            next_use: 0,
-            chats: HashMap::new(),
-        }
+        Self { limit_tokens, used_tokens: 0, next_use: 0, chats: HashMap::new() }
     }
 
     pub(super) fn used_tokens(&self) -> u64 {
@@ -73,11 +68,8 @@
             return changes;
         }
         while self.used_tokens + tokens > self.limit_tokens {
-            let Some(oldest) = self
-                .chats
-                .iter()
-                .min_by_key(|it| it.1.last_used)
-                .map(|it| it.0.clone())
+            let Some(oldest) =
+                self.chats.iter().min_by_key(|it| it.1.last_used).map(|it| it.0.clone())
             else {
                 break;
             };
@@ -89,14 +81,7 @@
         self.next_use += 1;
         self.used_tokens += tokens;
         let last_used = self.next_use;
-        self.chats.insert(
-            chat.to_owned(),
-            CachedChat {
-                turns,
-                tokens,
-                last_used,
-            },
-        );
+        self.chats.insert(chat.to_owned(), CachedChat { turns, tokens, last_used });
         if !was_cached {
             changes.push(("stored", chat.to_owned()));
         }
--- a/standin/src/engine/reports.rs
+++ b/standin/src/engine/reports.rs
@@ -32,10 +32,7 @@
 
 impl ReportHistory {
     pub(crate) fn new(lag: Duration) -> Self {
-        Self {
-            lag,
-            reports: VecDeque::new(),
-        }
+        Self { lag, reports: VecDeque::new() }
     }
 
     pub(crate) fn push(&mut self, now: Instant, report: LoadReport) {
@@ -49,10 +46,7 @@
     /// Returns the newest report that is at least as old as the lag, or else the oldest one.
     pub(crate) fn visible(&mut self, now: Instant) -> LoadReport {
         self.drop_old(now);
-        self.reports
-            .front()
-            .map(|it| it.1.clone())
-            .unwrap_or_default()
+        self.reports.front().map(|it| it.1.clone()).unwrap_or_default()
     }
 
     fn drop_old(&mut self, now: Instant) {
@@ -73,12 +67,7 @@
 
 impl EventLog {
     pub(super) fn new(lag: Duration, gap: u64) -> Self {
-        Self {
-            lag,
-            gap,
-            next_number: 1,
-            events: VecDeque::new(),
-        }
+        Self { lag, gap, next_number: 1, events: VecDeque::new() }
     }
 
     pub(super) fn push(&mut self, now: Instant, kind: &'static str, chat: String) {
@@ -87,8 +76,7 @@
         if self.gap != 0 && number.is_multiple_of(self.gap) {
             return;
         }
-        self.events
-            .push_back((now, CacheEvent { number, kind, chat }));
+        self.events.push_back((now, CacheEvent { number, kind, chat }));
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
         }
@@ -101,9 +89,6 @@
             .filter(|it| it.1.number > after && it.0 + self.lag <= now)
             .map(|it| it.1.clone())
             .collect();
-        EventPage {
-            next: events.last().map_or(after, |it| it.number),
-            events,
-        }
+        EventPage { next: events.last().map_or(after, |it| it.number), events }
     }
 }
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -82,9 +82,7 @@
 
 impl Call {
     pub(crate) fn path(&self) -> &str {
-        self.target
-            .split_once('?')
-            .map_or(self.target.as_str(), |it| it.0)
+        self.target.split_once('?').map_or(self.target.as_str(), |it| it.0)
     }
 
     /// Returns the numeric query parameter `name`.
@@ -98,19 +96,12 @@
     }
 
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|it| it.0.eq_ignore_ascii_case(name))
-            .map(|it| it.1.as_str())
+        self.headers.iter().find(|it| it.0.eq_ignore_ascii_case(name)).map(|it| it.1.as_str())
     }
 
     /// Parses the body; an empty body counts as `{}`.
     pub(crate) fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, String> {
-        let body: &[u8] = if self.body.is_empty() {
-            b"{}"
-        } else {
-            &self.body
-        };
+        let body: &[u8] = if self.body.is_empty() { b"{}" } else { &self.body };
         serde_json::from_slice(body).map_err(|err| format!("body: {err}"))
     }
 }
@@ -263,20 +254,13 @@
         let link = Arc::new(TcpLink::start(listen, inner_address)?);
         let handler = Arc::new(make_handler(link.clone()));
         let stopping = Arc::new(AtomicBool::new(false));
-        let dispatcher = thread::Builder::new()
-            .name("standin-dispatch".to_owned())
-            .spawn({
-                let server = server.clone();
-                let link = link.clone();
-                let stopping = stopping.clone();
-                move || dispatch(&server, &link, &stopping, &handler)
-            })?;
-        Ok(Self {
-            link,
-            server,
-            stopping,
-            dispatcher: Mutex::new(Some(dispatcher)),
-        })
+        let dispatcher = thread::Builder::new().name("standin-dispatch".to_owned()).spawn({
+            let server = server.clone();
+            let link = link.clone();
+            let stopping = stopping.clone();
+            move || dispatch(&server, &link, &stopping, &handler)
+        })?;
+        Ok(Self { link, server, stopping, dispatcher: Mutex::new(Some(dispatcher)) })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -349,21 +333,11 @@
     let method = request.method().to_string();
     let target = request.url().to_owned();
     connection.mark_control(target.starts_with("/control/"));
-    let headers = request
-        .headers()
-        .iter()
-        .map(|it| (it.field.to_string(), it.value.to_string()))
-        .collect();
+    let headers =
+        request.headers().iter().map(|it| (it.field.to_string(), it.value.to_string())).collect();
     let mut body = Vec::new();
-    let read = request
-        .as_reader()
-        .take(MAX_BODY_BYTES + 1)
-        .read_to_end(&mut body);
-    let answer = Answer {
-        writer: request.into_writer(),
-        connection,
-        stopping,
-    };
+    let read = request.as_reader().take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+    let answer = Answer { writer: request.into_writer(), connection, stopping };
     if read.is_err() {
         answer.cut();
         return;
@@ -372,11 +346,5 @@
         answer.send_error(413, "the body is longer than 4 MiB");
         return;
     }
-    handler.handle(Call {
-        method,
-        target,
-        headers,
-        body,
-        answer,
-    });
+    handler.handle(Call { method, target, headers, body, answer });
 }
--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -124,10 +124,7 @@
     fn wait_until_passable(&self) -> bool {
         let mut mode = lock(&self.mode);
         while *mode == LinkMode::Held && !self.is_stopping() {
-            mode = self
-                .mode_changed
-                .wait(mode)
-                .unwrap_or_else(|it| it.into_inner());
+            mode = self.mode_changed.wait(mode).unwrap_or_else(|it| it.into_inner());
         }
         *mode == LinkMode::Open && !self.is_stopping()
     }
@@ -159,17 +156,11 @@
             next_number: AtomicU64::new(0),
             connections: Mutex::default(),
         });
-        let acceptor = thread::Builder::new()
-            .name("link-accept".to_owned())
-            .spawn({
-                let shared = shared.clone();
-                move || accept_loop(&listener, &shared)
-            })?;
-        Ok(Self {
-            address,
-            shared,
-            acceptor: Mutex::new(Some(acceptor)),
-        })
+        let acceptor = thread::Builder::new().name("link-accept".to_owned()).spawn({
+            let shared = shared.clone();
+            move || accept_loop(&listener, &shared)
+        })?;
+        Ok(Self { address, shared, acceptor: Mutex::new(Some(acceptor)) })
     }
 
     /// Returns the address on which the link listens.
@@ -303,10 +294,8 @@
     if shared.is_stopping() {
         connection.close();
     }
-    let back = thread::Builder::new()
-        .name("link-back".to_owned())
-        .stack_size(PUMP_STACK_BYTES)
-        .spawn({
+    let back =
+        thread::Builder::new().name("link-back".to_owned()).stack_size(PUMP_STACK_BYTES).spawn({
             let connection = connection.clone();
             let shared = shared.clone();
             move || pump_back(&connection, &shared)
@@ -329,9 +318,7 @@
 
 fn pump_back(connection: &LinkConnection, shared: &LinkShared) {
     let copied = copy(&connection.target, &connection.caller, shared, |bytes| {
-        connection
-            .forwarded
-            .fetch_add(bytes as u64, Ordering::SeqCst);
+        connection.forwarded.fetch_add(bytes as u64, Ordering::SeqCst);
     });
     let ended = copied.is_ok();
     end_direction(connection, copied, &connection.caller);
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -40,11 +40,7 @@
 
 impl Default for PlatformSettings {
     fn default() -> Self {
-        Self {
-            listen: (Ipv4Addr::LOCALHOST, 0).into(),
-            history: 1_000,
-            list_lag: Duration::ZERO,
-        }
+        Self { listen: (Ipv4Addr::LOCALHOST, 0).into(), history: 1_000, list_lag: Duration::ZERO }
     }
 }
 
@@ -126,16 +122,11 @@
         }
         self.horizon = self.horizon.max(self.revision.saturating_sub(history));
         let horizon = self.horizon;
-        self.entries
-            .retain(|_, (revision, value)| value.is_some() || *revision > horizon);
+        self.entries.retain(|_, (revision, value)| value.is_some() || *revision > horizon);
     }
 
     fn page(&self, after: u64) -> Value {
-        let base = if after < self.horizon || after > self.revision {
-            0
-        } else {
-            after
-        };
+        let base = if after < self.horizon || after > self.revision { 0 } else { after };
         let entries: Vec<Value> = self
             .entries
             .iter()
@@ -203,11 +194,7 @@
             .find(|it| visible_until.is_none_or(|until| it.since <= until))
             .or(state.lists.front())
             .cloned()
-            .unwrap_or_else(|| HostState {
-                since: Instant::now(),
-                version: 0,
-                hosts: Vec::new(),
-            })
+            .unwrap_or_else(|| HostState { since: Instant::now(), version: 0, hosts: Vec::new() })
     }
 
     fn visible_list(state: &SharedState, lag: Duration) -> HostState {
@@ -335,11 +322,7 @@
         let mut hosts = last.hosts;
         change(&mut hosts);
         let version = last.version + 1;
-        state.lists.push_back(HostState {
-            since: Instant::now(),
-            version,
-            hosts,
-        });
+        state.lists.push_back(HostState { since: Instant::now(), version, hosts });
         if state.lists.len() > MAX_HOST_LISTS {
             state.lists.pop_front();
         }
@@ -350,11 +333,7 @@
     fn control(&self, call: Call) {
         let result = match call.path() {
             "/control/entries" => call.json::<EntriesRequest>().map(|it| {
-                let set = it
-                    .set
-                    .into_iter()
-                    .map(|(key, value)| (key, value.to_string()))
-                    .collect();
+                let set = it.set.into_iter().map(|(key, value)| (key, value.to_string())).collect();
                 json!({ "revision": self.change_entries(set, it.remove) })
             }),
             "/control/hosts" => call.json::<HostsRequest>().map(|it| {
@@ -382,8 +361,7 @@
             }),
             _ => {
                 let path = call.path().to_owned();
-                call.answer
-                    .send_error(404, &format!("no control {path} on a platform"));
+                call.answer.send_error(404, &format!("no control {path} on a platform"));
                 return;
             }
         };
@@ -449,16 +427,10 @@
     }
 
     fn start_on(store: Arc<PlatformStore>, settings: PlatformSettings) -> io::Result<Self> {
-        let mode = PlatformMode {
-            list_lag: settings.list_lag,
-            ..PlatformMode::default()
-        };
+        let mode = PlatformMode { list_lag: settings.list_lag, ..PlatformMode::default() };
         let shared = Arc::new(PlatformShared {
             store,
-            replica: Mutex::new(ReplicaState {
-                mode,
-                ..ReplicaState::default()
-            }),
+            replica: Mutex::new(ReplicaState { mode, ..ReplicaState::default() }),
         });
         let handler = PlatformHandler(shared.clone());
         let server = HttpServer::start(settings.listen, |_| handler)?;
@@ -487,10 +459,8 @@
 
     /// Sets several entries in one revision and returns it.
     pub fn set_entries<'a>(&self, entries: impl IntoIterator<Item = (&'a str, Value)>) -> u64 {
-        let set = entries
-            .into_iter()
-            .map(|(key, value)| (key.to_owned(), value.to_string()))
-            .collect();
+        let set =
+            entries.into_iter().map(|(key, value)| (key.to_owned(), value.to_string())).collect();
         self.shared.change_entries(set, Vec::new())
     }
 
@@ -502,8 +472,7 @@
 
     /// Removes an entry and returns the new revision.
     pub fn remove_entry(&self, key: &str) -> u64 {
-        self.shared
-            .change_entries(BTreeMap::new(), vec![key.to_owned()])
+        self.shared.change_entries(BTreeMap::new(), vec![key.to_owned()])
     }
 
     /// Replaces the host list and returns its new version.
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -156,9 +156,7 @@
 
     fn control(&self, call: Call) {
         let result = match call.path() {
-            "/control/cold" => call
-                .json::<ColdRequest>()
-                .map(|it| self.become_cold(it.silent)),
+            "/control/cold" => call.json::<ColdRequest>().map(|it| self.become_cold(it.silent)),
             "/control/duration" => call.json::<DurationRequest>().map(|it| {
                 lock(&self.state).duration = Duration::from_millis(it.ms);
             }),
@@ -170,8 +168,7 @@
             }),
             _ => {
                 let path = call.path().to_owned();
-                call.answer
-                    .send_error(404, &format!("no control {path} on a service"));
+                call.answer.send_error(404, &format!("no control {path} on a service"));
                 return;
             }
         };
@@ -229,17 +226,12 @@
         // A call that may have an effect runs to its end even if the caller goes away, as most
         // services do; it is the case that makes a blind repeat dangerous.
         let waited = if is_read {
-            call.answer.wait_until(due, || {
-                lock(&self.state).warmth.generation_ended(generation)
-            })
+            call.answer.wait_until(due, || lock(&self.state).warmth.generation_ended(generation))
         } else {
             std::thread::sleep(due.saturating_duration_since(Instant::now()));
             true
         };
-        let key = call
-            .header("idempotency-key")
-            .unwrap_or_default()
-            .to_owned();
+        let key = call.header("idempotency-key").unwrap_or_default().to_owned();
         let (run, incarnation) = {
             let mut state = lock(&self.state);
             state.calls += 1;
@@ -278,25 +270,16 @@
             "body": request_body,
         })
         .to_string();
-        let mut headers = vec![
-            ("x-incarnation", incarnation),
-            ("Content-Type", "application/json".to_owned()),
-        ];
-        if let Some(id) = call
-            .header("x-request-id")
-            .and_then(|it| fault.echoed_id(it))
-        {
+        let mut headers =
+            vec![("x-incarnation", incarnation), ("Content-Type", "application/json".to_owned())];
+        if let Some(id) = call.header("x-request-id").and_then(|it| fault.echoed_id(it)) {
             headers.push(("x-request-id", id));
         }
         if matches!(fault.mode, AnswerMode::Short | AnswerMode::ShortFramed) {
             call.answer.send_half(&headers, body.as_bytes());
             return false;
         }
-        let body = if call.method == "HEAD" {
-            String::new()
-        } else {
-            body
-        };
+        let body = if call.method == "HEAD" { String::new() } else { body };
         call.answer.send(200, &headers, body.as_bytes());
         true
     }
@@ -354,11 +337,7 @@
                 fault: AnswerFault::default(),
                 break_order: None,
             };
-            let made = Arc::new(ServiceShared {
-                settings,
-                link,
-                state: Mutex::new(state),
-            });
+            let made = Arc::new(ServiceShared { settings, link, state: Mutex::new(state) });
             made.report(&mut lock(&made.state), Instant::now());
             shared = Some(made.clone());
             ServiceHandler(made)
--- a/standin/tests/engine.rs
+++ b/standin/tests/engine.rs
@@ -24,10 +24,7 @@
 }
 
 fn slow() -> EngineSettings {
-    EngineSettings {
-        token: Duration::from_millis(20),
-        ..quick()
-    }
+    EngineSettings { token: Duration::from_millis(20), ..quick() }
 }
 
 fn start(settings: EngineSettings) -> EngineServer {
@@ -35,9 +32,7 @@
 }
 
 fn chat(engine: &EngineServer, text: &str, tokens: u64) -> CallerAnswer {
-    CallerRequest::chat("m", text, tokens, true)
-        .call(engine.address())
-        .expect("answer")
+    CallerRequest::chat("m", text, tokens, true).call(engine.address()).expect("answer")
 }
 
 fn number(engine: &EngineServer, name: &str) -> u64 {
@@ -56,10 +51,7 @@
     let answer = reader.finish();
     assert!(answer.is_whole());
     assert_eq!(answer.header("x-request-id"), Some("r1"));
-    assert_eq!(
-        answer.tokens(),
-        expected_tokens("m", &[("user", "hello")], 5)
-    );
+    assert_eq!(answer.tokens(), expected_tokens("m", &[("user", "hello")], 5));
     // One chunk for each token and one for the end: nothing was collected on the way.
     assert_eq!(answer.piece_count, 6);
     assert_eq!(engine.stats()["runs"]["r1"], 1);
@@ -69,13 +61,8 @@
 /// Guards against a first event that is sent only together with the last one.
 #[test]
 fn first_event_is_sent_while_the_rest_is_open() {
-    let engine = start(EngineSettings {
-        token: Duration::from_secs(60),
-        ..quick()
-    });
-    let mut reader = CallerRequest::chat("m", "hello", 5, true)
-        .start(engine.address())
-        .unwrap();
+    let engine = start(EngineSettings { token: Duration::from_secs(60), ..quick() });
+    let mut reader = CallerRequest::chat("m", "hello", 5, true).start(engine.address()).unwrap();
     assert_eq!(reader.read_events(1), 1);
     assert_eq!(number(&engine, "running"), 1);
     drop(reader);
@@ -87,17 +74,10 @@
 #[test]
 fn plain_answer_has_the_same_text() {
     let engine = start(quick());
-    let answer = CallerRequest::chat("m", "hello", 5, false)
-        .call(engine.address())
-        .unwrap();
+    let answer = CallerRequest::chat("m", "hello", 5, false).call(engine.address()).unwrap();
     assert!(answer.is_whole());
-    assert_eq!(
-        answer.chat_text(),
-        expected_text("m", &[("user", "hello")], 5)
-    );
-    let other = CallerRequest::chat("m", "other", 5, false)
-        .call(engine.address())
-        .unwrap();
+    assert_eq!(answer.chat_text(), expected_text("m", &[("user", "hello")], 5));
+    let other = CallerRequest::chat("m", "other", 5, false).call(engine.address()).unwrap();
     assert_ne!(answer.chat_text(), other.chat_text());
 }
 
@@ -122,10 +102,7 @@
 /// Guards against an engine without resume support that pretends to have it.
 #[test]
 fn engine_without_resume_starts_over() {
-    let engine = start(EngineSettings {
-        resume: false,
-        ..quick()
-    });
+    let engine = start(EngineSettings { resume: false, ..quick() });
     let answer = CallerRequest::chat("m", "hello", 4, true)
         .header("x-resume-offset", "3")
         .call(engine.address())
@@ -136,11 +113,7 @@
 /// Guards against more parallel runs than `capacity`, and against a queue that ignores priority.
 #[test]
 fn waiting_requests_run_by_priority() {
-    let engine = start(EngineSettings {
-        capacity: 1,
-        token: Duration::from_secs(60),
-        ..quick()
-    });
+    let engine = start(EngineSettings { capacity: 1, token: Duration::from_secs(60), ..quick() });
     let address = engine.address();
     let mut blocker = CallerRequest::chat("m", "blocker", 2, true)
         .header("x-request-id", "blocker")
@@ -172,20 +145,12 @@
 /// Guards against a waiting request that still runs after its caller went away.
 #[test]
 fn abandoned_request_leaves_the_queue() {
-    let engine = start(EngineSettings {
-        capacity: 1,
-        token: Duration::from_secs(60),
-        ..quick()
-    });
-    let mut blocker = CallerRequest::chat("m", "blocker", 2, true)
-        .start(engine.address())
-        .unwrap();
+    let engine = start(EngineSettings { capacity: 1, token: Duration::from_secs(60), ..quick() });
+    let mut blocker = CallerRequest::chat("m", "blocker", 2, true).start(engine.address()).unwrap();
     blocker.read_events(1);
     let mut waiting = CallerConnection::open(engine.address()).unwrap();
     let request = CallerRequest::chat("m", "waiting", 1, true).header("x-request-id", "gone");
-    waiting
-        .send_raw(&request.to_bytes(engine.address()))
-        .unwrap();
+    waiting.send_raw(&request.to_bytes(engine.address())).unwrap();
     wait_for("the request", || number(&engine, "waiting") == 1);
     drop(waiting);
     wait_for("the queue to empty", || number(&engine, "waiting") == 0);
@@ -195,10 +160,7 @@
 /// Guards against a cache that forgets a returning chat or exceeds its limit.
 #[test]
 fn prefix_cache_keeps_recent_chats() {
-    let engine = start(EngineSettings {
-        cache_tokens: 12,
-        ..quick()
-    });
+    let engine = start(EngineSettings { cache_tokens: 12, ..quick() });
     let ask = |chat: &str, turns: &[(&str, &str)]| {
         CallerRequest::chat_turns("m", turns, 2, true)
             .header("x-chat-id", chat)
@@ -209,11 +171,7 @@
     assert_eq!(first.header("x-prompt-tokens"), Some("4"));
     assert_eq!(first.header("x-cached-tokens"), Some("0"));
     let answer = first.chat_text();
-    let turns = [
-        ("user", "one two three"),
-        ("assistant", answer.as_str()),
-        ("user", "four"),
-    ];
+    let turns = [("user", "one two three"), ("assistant", answer.as_str()), ("user", "four")];
     // 4 tokens of the first message and 3 of the answer.
     let second = ask("a", &turns);
     assert_eq!(second.header("x-cached-tokens"), Some("7"));
@@ -241,29 +199,19 @@
 /// Guards against a cold engine that bears any load, and against a fall that is not visible.
 #[test]
 fn cold_engine_falls_over_beyond_its_allowance() {
-    let engine = start(EngineSettings {
-        cold: true,
-        cold_allowance: 2,
-        cold_factor: 1,
-        ..slow()
-    });
+    let engine = start(EngineSettings { cold: true, cold_allowance: 2, cold_factor: 1, ..slow() });
     let incarnation = engine.stats()["incarnation"].clone();
     let address = engine.address();
     let readers: Vec<_> = (0..2)
         .map(|it| {
-            let mut reader = CallerRequest::chat("m", &format!("chat {it}"), 1000, true)
-                .start(address)
-                .unwrap();
+            let mut reader =
+                CallerRequest::chat("m", &format!("chat {it}"), 1000, true).start(address).unwrap();
             assert_eq!(reader.read_events(1), 1);
             reader
         })
         .collect();
     assert_eq!(number(&engine, "falls"), 0);
-    assert!(
-        CallerRequest::chat("m", "chat 3", 1, true)
-            .call(address)
-            .is_err()
-    );
+    assert!(CallerRequest::chat("m", "chat 3", 1, true).call(address).is_err());
     for reader in readers {
         assert!(!reader.finish().is_whole());
     }
@@ -273,21 +221,15 @@
     assert_eq!(stats["cold"], true);
     assert_ne!(stats["incarnation"], incarnation);
     // It serves again, as a cold engine.
-    wait_for("the lost requests to end", || {
-        number(&engine, "in_flight") == 0
-    });
+    wait_for("the lost requests to end", || number(&engine, "in_flight") == 0);
     assert!(chat(&engine, "again", 1).is_whole());
 }
 
 /// Guards against an engine that never becomes warm, or is warm before its first answer.
 #[test]
 fn engine_warms_up_after_its_first_answer() {
-    let engine = start(EngineSettings {
-        cold: true,
-        cold_allowance: 1,
-        warmup: Duration::ZERO,
-        ..quick()
-    });
+    let engine =
+        start(EngineSettings { cold: true, cold_allowance: 1, warmup: Duration::ZERO, ..quick() });
     assert_eq!(engine.stats()["cold"], true);
     assert!(chat(&engine, "hello", 1).is_whole());
     wait_for("the engine to be warm", || engine.stats()["cold"] == false);
@@ -314,9 +256,8 @@
 fn crash_drops_all_connections_and_serves_again() {
     let engine = start(slow());
     let incarnation = engine.stats()["incarnation"].clone();
-    let mut reader = CallerRequest::chat("m", "victim", 1000, true)
-        .start(engine.address())
-        .unwrap();
+    let mut reader =
+        CallerRequest::chat("m", "victim", 1000, true).start(engine.address()).unwrap();
     reader.read_events(1);
     let crash = CallerRequest::chat("m", "please [[crash]] now", 1, true).call(engine.address());
     assert!(crash.is_err());
@@ -336,9 +277,7 @@
         token: Duration::from_secs(60),
         ..quick()
     });
-    let mut reader = CallerRequest::chat("m", "hello", 2, true)
-        .start(engine.address())
-        .unwrap();
+    let mut reader = CallerRequest::chat("m", "hello", 2, true).start(engine.address()).unwrap();
     reader.read_events(1);
     assert_eq!(number(&engine, "running"), 1);
     assert_eq!(get(engine.address(), "/load").json()["running"], 0);
@@ -347,20 +286,12 @@
 /// Guards against a current load report that is wrong.
 #[test]
 fn load_report_shows_running_and_waiting() {
-    let engine = start(EngineSettings {
-        capacity: 1,
-        token: Duration::from_secs(60),
-        ..quick()
-    });
-    let mut reader = CallerRequest::chat("m", "hello", 10, true)
-        .start(engine.address())
-        .unwrap();
+    let engine = start(EngineSettings { capacity: 1, token: Duration::from_secs(60), ..quick() });
+    let mut reader = CallerRequest::chat("m", "hello", 10, true).start(engine.address()).unwrap();
     reader.read_events(1);
     let second = CallerRequest::chat("m", "second", 10, true);
     let mut connection = CallerConnection::open(engine.address()).unwrap();
-    connection
-        .send_raw(&second.to_bytes(engine.address()))
-        .unwrap();
+    connection.send_raw(&second.to_bytes(engine.address())).unwrap();
     wait_for("the second request", || number(&engine, "waiting") == 1);
     let load = get(engine.address(), "/load").json();
     assert_eq!(load["running"], 1);
@@ -375,10 +306,7 @@
 /// Guards against cache events without gaps or out of order.
 #[test]
 fn cache_events_have_gaps() {
-    let engine = start(EngineSettings {
-        event_gap: 2,
-        ..quick()
-    });
+    let engine = start(EngineSettings { event_gap: 2, ..quick() });
     for chat_id in ["a", "b", "c"] {
         CallerRequest::chat("m", chat_id, 1, true)
             .header("x-chat-id", chat_id)
@@ -388,10 +316,7 @@
     let page = get(engine.address(), "/events?after=0").json();
     assert_eq!(page["next"], 3);
     let events = page["events"].as_array().unwrap();
-    let chats: Vec<_> = events
-        .iter()
-        .map(|it| it["chat"].as_str().unwrap())
-        .collect();
+    let chats: Vec<_> = events.iter().map(|it| it["chat"].as_str().unwrap()).collect();
     assert_eq!(chats, ["a", "c"]);
     assert_eq!(events[0]["kind"], "stored");
     let rest = get(engine.address(), "/events?after=1").json();
@@ -401,10 +326,7 @@
 /// Guards against cache events that are visible at once.
 #[test]
 fn cache_events_are_late() {
-    let engine = start(EngineSettings {
-        event_lag: Duration::from_secs(60),
-        ..quick()
-    });
+    let engine = start(EngineSettings { event_lag: Duration::from_secs(60), ..quick() });
     chat(&engine, "hello", 1);
     let page = get(engine.address(), "/events?after=0").json();
     assert_eq!(page["next"], 0);
@@ -421,11 +343,7 @@
             .unwrap()
     };
     let set = |mode: &str| {
-        control(
-            engine.address(),
-            "/control/echo",
-            json!({ "mode": mode, "count": 1 }),
-        );
+        control(engine.address(), "/control/echo", json!({ "mode": mode, "count": 1 }));
     };
     set("wrong_id");
     let foreign = ask(true);
@@ -446,11 +364,7 @@
     assert!(!framed.is_whole());
     set("short");
     assert!(matches!(ask(false).end, AnswerEnd::Broken(_)));
-    engine.set_fault(AnswerFault {
-        mode: AnswerMode::Late,
-        count: 1,
-        delay_ms: 1,
-    });
+    engine.set_fault(AnswerFault { mode: AnswerMode::Late, count: 1, delay_ms: 1 });
     assert!(ask(false).is_whole());
 }
 
@@ -475,10 +389,7 @@
 fn wrong_controls_are_refused() {
     let engine = start(quick());
     let refused = |path: &str, body: &str| {
-        CallerRequest::new("POST", path)
-            .body(body)
-            .call(engine.address())
-            .unwrap()
+        CallerRequest::new("POST", path).body(body).call(engine.address()).unwrap()
     };
     assert_eq!(refused("/control/nothing", "{}").status, 404);
     let answer = refused("/control/echo", r#"{"mode":"upside_down"}"#);
@@ -491,19 +402,10 @@
 /// Guards against a stop that hangs on a running stream or leaves the port open.
 #[test]
 fn stop_ends_running_streams() {
-    let engine = start(EngineSettings {
-        token: Duration::from_secs(60),
-        ..quick()
-    });
-    let mut reader = CallerRequest::chat("m", "hello", 10, true)
-        .start(engine.address())
-        .unwrap();
+    let engine = start(EngineSettings { token: Duration::from_secs(60), ..quick() });
+    let mut reader = CallerRequest::chat("m", "hello", 10, true).start(engine.address()).unwrap();
     reader.read_events(1);
     engine.stop();
     assert!(!reader.finish().is_whole());
-    assert!(
-        CallerRequest::new("GET", "/load")
-            .call(engine.address())
-            .is_err()
-    );
+    assert!(CallerRequest::new("GET", "/load").call(engine.address()).is_err());
 }
--- a/standin/tests/link.rs
+++ b/standin/tests/link.rs
@@ -40,9 +40,7 @@
 fn open(address: SocketAddr) -> (TcpLink, TcpStream) {
     let link = TcpLink::start(LOCAL.into(), address).unwrap();
     let stream = TcpStream::connect(link.address()).unwrap();
-    stream
-        .set_read_timeout(Some(Duration::from_secs(10)))
-        .unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     (link, stream)
 }
 
@@ -75,18 +73,11 @@
     TcpStream::connect(link.address()).expect("a held link accepts connections");
     // Nothing can pass however long the test waits; a short wait is enough to catch a link that
     // does not hold, and cannot fail by itself.
-    stream
-        .set_read_timeout(Some(Duration::from_millis(50)))
-        .unwrap();
+    stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
     let err = stream.read(&mut [0; 3]).unwrap_err();
-    assert!(matches!(
-        err.kind(),
-        ErrorKind::WouldBlock | ErrorKind::TimedOut
-    ));
+    assert!(matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut));
     link.set_mode(LinkMode::Open);
-    stream
-        .set_read_timeout(Some(Duration::from_secs(10)))
-        .unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let mut echoed = [0; 3];
     stream.read_exact(&mut echoed).unwrap();
     assert_eq!(&echoed, b"two");
@@ -104,8 +95,7 @@
     let err = stream.read(&mut [0; 3]).unwrap_err();
     assert_eq!(err.kind(), ErrorKind::ConnectionReset);
     let mut next = TcpStream::connect(link.address()).unwrap();
-    next.set_read_timeout(Some(Duration::from_secs(10)))
-        .unwrap();
+    next.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let err = next.read(&mut [0; 3]).unwrap_err();
     assert_eq!(err.kind(), ErrorKind::ConnectionReset);
     assert_eq!(echo.join().unwrap(), b"one");
--- a/standin/tests/platform.rs
+++ b/standin/tests/platform.rs
@@ -71,11 +71,9 @@
 /// Guards against a change from a revision whose later removals are forgotten.
 #[test]
 fn reader_too_far_behind_receives_everything() {
-    let platform = PlatformServer::start(PlatformSettings {
-        history: 2,
-        ..PlatformSettings::default()
-    })
-    .unwrap();
+    let platform =
+        PlatformServer::start(PlatformSettings { history: 2, ..PlatformSettings::default() })
+            .unwrap();
     for number in 0..5 {
         platform.set_entry(&format!("team/{number}"), json!({}));
     }
@@ -121,11 +119,7 @@
 fn host_list_lags() {
     let platform = start();
     platform.set_hosts(vec![host("h1")]);
-    control(
-        platform.address(),
-        "/control/mode",
-        json!({ "list_lag_ms": 60000 }),
-    );
+    control(platform.address(), "/control/mode", json!({ "list_lag_ms": 60000 }));
     platform.set_hosts(vec![host("h1"), host("h2")]);
     // The oldest list is served as long as no list is old enough.
     assert_eq!(hosts(platform.address(), 0)["version"], 1);
@@ -138,18 +132,10 @@
 fn hosts_are_changed_by_control() {
     let platform = start();
     let address = platform.address();
-    control(
-        address,
-        "/control/hosts",
-        json!({ "hosts": [host("h1"), host("h2")] }),
-    );
+    control(address, "/control/hosts", json!({ "hosts": [host("h1"), host("h2")] }));
     let mut leaving = host("h2");
     leaving.state = "leaving".to_owned();
-    control(
-        address,
-        "/control/hosts",
-        json!({ "set": [leaving], "remove": ["h1"] }),
-    );
+    control(address, "/control/hosts", json!({ "set": [leaving], "remove": ["h1"] }));
     let list = hosts(address, 0);
     assert_eq!(list["version"], 2);
     assert_eq!(list["hosts"], json!([leaving]));
@@ -163,9 +149,7 @@
     let address = platform.address();
     platform.set_entry("team/a", json!({}));
     let poll = thread::spawn(move || {
-        CallerRequest::new("GET", "/v1/config?after=1&wait_ms=30000")
-            .call(address)
-            .is_err()
+        CallerRequest::new("GET", "/v1/config?after=1&wait_ms=30000").call(address).is_err()
     });
     wait_for("the poll", || platform.stats()["waiting"] == 1);
     control(address, "/control/mode", json!({ "down": true }));
@@ -183,10 +167,7 @@
     platform.set_entry("team/a", json!({}));
     platform.set_hosts(vec![host("h1")]);
     let replica = platform.start_replica(PlatformSettings::default()).unwrap();
-    let frozen = PlatformMode {
-        frozen: true,
-        ..PlatformMode::default()
-    };
+    let frozen = PlatformMode { frozen: true, ..PlatformMode::default() };
     replica.set_mode(frozen);
     platform.set_entry("team/b", json!({}));
     platform.set_hosts(vec![]);
@@ -195,10 +176,7 @@
     assert_eq!(hosts(replica.address(), 0)["version"], 1);
     // A reader that is ahead gets no news, unless the replica serves older states.
     assert_eq!(config(replica.address(), 2), 304);
-    replica.set_mode(PlatformMode {
-        serve_older: true,
-        ..frozen
-    });
+    replica.set_mode(PlatformMode { serve_older: true, ..frozen });
     let older = config(replica.address(), 2);
     assert_eq!(older["base"], 0);
     assert_eq!(older["revision"], 1);
--- a/standin/tests/service.rs
+++ b/standin/tests/service.rs
@@ -65,11 +65,7 @@
 #[test]
 fn break_after_run_has_its_effect() {
     let service = start(quick());
-    control(
-        service.address(),
-        "/control/break",
-        json!({ "when": "after_run" }),
-    );
+    control(service.address(), "/control/break", json!({ "when": "after_run" }));
     assert!(order("k1").call(service.address()).is_err());
     assert_eq!(service.runs("k1"), 1);
 }
@@ -77,14 +73,9 @@
 /// Guards against a call that is lost because its caller went away.
 #[test]
 fn abandoned_order_still_runs() {
-    let service = start(ServiceSettings {
-        duration: Duration::from_millis(50),
-        ..quick()
-    });
+    let service = start(ServiceSettings { duration: Duration::from_millis(50), ..quick() });
     let mut connection = CallerConnection::open(service.address()).unwrap();
-    connection
-        .send_raw(&order("k1").to_bytes(service.address()))
-        .unwrap();
+    connection.send_raw(&order("k1").to_bytes(service.address())).unwrap();
     wait_for("the call", || service.stats()["in_flight"] == 1);
     drop(connection);
     wait_for("the run", || service.runs("k1") == 1);
@@ -94,19 +85,11 @@
 #[test]
 fn foreign_answer_has_another_id_and_body() {
     let service = start(quick());
-    control(
-        service.address(),
-        "/control/echo",
-        json!({ "mode": "wrong_id" }),
-    );
+    control(service.address(), "/control/echo", json!({ "mode": "wrong_id" }));
     let answer = order("k1").call(service.address()).unwrap();
     assert_eq!(answer.header("x-request-id"), Some("other-r1"));
     assert_eq!(answer.json()["body"], "foreign");
-    control(
-        service.address(),
-        "/control/echo",
-        json!({ "mode": "short" }),
-    );
+    control(service.address(), "/control/echo", json!({ "mode": "short" }));
     let answer = order("k1").call(service.address()).unwrap();
     assert!(matches!(answer.end, AnswerEnd::Broken(_)));
 }
@@ -136,11 +119,7 @@
     let service = start(quick());
     let mut connection = CallerConnection::open(service.address()).unwrap();
     for _ in 0..3 {
-        let (answer, kept) = connection
-            .send(&order("k1"))
-            .unwrap()
-            .finish_and_keep()
-            .unwrap();
+        let (answer, kept) = connection.send(&order("k1")).unwrap().finish_and_keep().unwrap();
         assert_eq!(answer.status, 200);
         connection = kept;
     }
@@ -150,18 +129,11 @@
 /// Guards against a load report without the calls in flight.
 #[test]
 fn load_report_shows_calls_in_flight() {
-    let service = start(ServiceSettings {
-        duration: Duration::from_secs(30),
-        ..quick()
-    });
+    let service = start(ServiceSettings { duration: Duration::from_secs(30), ..quick() });
     let mut connection = CallerConnection::open(service.address()).unwrap();
     let request = CallerRequest::new("GET", "/slow");
-    connection
-        .send_raw(&request.to_bytes(service.address()))
-        .unwrap();
-    wait_for("the call in the report", || {
-        get(service.address(), "/load").json()["running"] == 1
-    });
+    connection.send_raw(&request.to_bytes(service.address())).unwrap();
+    wait_for("the call in the report", || get(service.address(), "/load").json()["running"] == 1);
     assert_eq!(get(service.address(), "/load").json()["cold"], false);
 }
 
