--- a/cli/tests/faults.rs
+++ b/cli/tests/faults.rs
@@ -5,8 +5,9 @@
 use std::{thread, time::Duration};
 
 use snipepond_standin::{
-    AnswerEnd, AnswerFault, AnswerMode, CallerConnection, CallerRequest, EngineSettings, LinkMode,
-    PlatformMode, PlatformSettings, TcpLink, expected_text, expected_tokens,
+    AnswerEnd, AnswerFault, AnswerMode, BreakPoint, CallerConnection, CallerRequest,
+    EngineSettings, LinkMode, PlatformMode, PlatformSettings, TcpLink, expected_text,
+    expected_tokens,
 };
 
 use self::support::{
@@ -509,3 +510,44 @@
         }
     }
 }
+
+/// Guards against a host that cannot serve when it restarts during a platform outage, because it
+/// knows neither the configuration nor any peer.
+#[test]
+fn host_restarts_during_a_platform_outage() {
+    let mut fleet = Fleet::start(two_hosts());
+    fleet.wait_until_lookups_work();
+    let revision = fleet.platform.revision();
+    fleet.platform.set_mode(PlatformMode { down: true, ..PlatformMode::default() });
+    let stopped = fleet.routers.remove(1);
+    let admin = stopped.admin;
+    drop(stopped);
+    let seed: &'static str = Box::leak(fleet.routers[0].admin.to_string().into_boxed_str());
+    let platform = fleet.platform.address();
+    fleet.set_arguments(vec!["--seed-peers", seed]);
+    fleet.add_router_at("h2", "a", platform, admin);
+    wait_for("the restarted host to serve", || status_of(&fleet, 1, KEY_ONE) == Some(200));
+    assert_eq!(fleet.platform.revision(), revision);
+}
+
+/// Guards against look-ups that are refused because another look-up of the same team, also
+/// without a body, was lost with two services.
+#[test]
+fn lost_look_up_does_not_block_others() {
+    let fleet = Fleet::start(FleetPlan {
+        services: vec![("s1", "a", quick_service()), ("s2", "a", quick_service())],
+        ..two_hosts()
+    });
+    fleet.wait_until_lookups_work();
+    for service in &fleet.services {
+        service.server.break_next(BreakPoint::BeforeRun, 1);
+    }
+    let lost = call(fleet.address(0), &lookup("/items/1", KEY_ONE));
+    assert_eq!(outcome_of(&lost), "unknown", "{}", lost.text());
+    for service in &fleet.services {
+        service.server.break_next(BreakPoint::BeforeRun, 0);
+    }
+    wait_for("another look-up to be served", || {
+        lookup("/items/2", KEY_ONE).call(fleet.address(1)).is_ok_and(|it| it.status == 200)
+    });
+}
--- a/cli/tests/support/fleet.rs
+++ b/cli/tests/support/fleet.rs
@@ -172,6 +172,11 @@
         fleet
     }
 
+    /// Sets the further arguments of routers that are started from now on.
+    pub fn set_arguments(&mut self, arguments: Vec<&'static str>) {
+        self.plan.arguments = arguments;
+    }
+
     /// Starts one more router, which is listed from the next [`Fleet::publish_hosts`] on.
     #[track_caller]
     pub fn add_router(&mut self, host: &str, centre: &str, platform: SocketAddr) {
--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -14,7 +14,7 @@
 use crate::{
     catalogue::{Catalogue, KeyHash, RouteEntry},
     front::{CallRefusal, RefusalKind},
-    limits::{GrantReply, GrantRequest, TakeOutcome, TeamShare, UNITS_PER_TOKEN},
+    limits::{GrantReply, GrantRequest, TakeOutcome, UNITS_PER_TOKEN},
     membership::HostRecord,
     names::{CentreName, TeamName},
     peer::PeerError,
@@ -114,7 +114,7 @@
     /// Serves the waiting requests of a team in order, until one has to wait for an answer or for
     /// the bucket to refill.
     pub(super) fn serve_waiting(&mut self, now: Instant, team: &TeamName) {
-        let share = TeamShare::of(self.catalogue(), team).unwrap_or_default();
+        let share = self.gate.split(team).cloned().unwrap_or_default();
         while let Some((arrived, asked_since)) = self.first_waiting(now, team) {
             let waited = now.saturating_duration_since(arrived);
             match self.wallets.take(now, asked_since, team, &share) {
@@ -170,12 +170,11 @@
 
     /// Lets the first request wait until a token can be expected.
     fn postpone_first(&mut self, now: Instant, team: &TeamName, delay: Duration) {
-        let Some(queue) = self.tokens.get_mut(team) else {
-            return;
-        };
+        let asked_since = self.next_arrival(now);
+        let Some(queue) = self.tokens.get_mut(team) else { return };
         queue.not_before = Some(now + delay);
         if let Some(first) = queue.waiting.front_mut() {
-            first.asked_since = now;
+            first.asked_since = asked_since;
         }
     }
 
