control, routing, limits: names of the field

Cause: some names were figurative or private (patience, judge, spread, tell, hear, roomy). Change: max_token_wait, decide and evaluate, broadcast, notify, handle_peer, uncontended. Conclusion: no change of behaviour.

--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -33,7 +33,7 @@
 ///
 /// Tokens arrive in small batches from several owners, so that a request within its team's rate
 /// can come some milliseconds before its token.
-const TOKEN_PATIENCE: Duration = Duration::from_millis(150);
+const REFILL_WAIT: Duration = Duration::from_millis(150);
 
 /// Requests of one team, and of all teams, that wait for a token at the same time. Each holds a
 /// worker thread, and teams over their rate must leave the others enough of them.
@@ -41,7 +41,7 @@
 const MAX_WAITING: usize = 256;
 
 /// Age up to which an owner's answer that its bucket is empty explains a refusal.
-const EMPTY_MEMORY: Duration = Duration::from_millis(1_000);
+const EMPTY_BUCKET_TTL: Duration = Duration::from_millis(1_000);
 
 /// A request that waits for a token.
 pub(super) struct WaitingAdmission {
@@ -124,7 +124,9 @@
                         send_admission(&first.reply, first.admission);
                     }
                 }
-                TakeOutcome::Refused { retry } if waited + retry <= self.patience(now, team) => {
+                TakeOutcome::Refused { retry }
+                    if waited + retry <= self.max_token_wait(now, team) =>
+                {
                     self.postpone_first(now, team, retry);
                     return;
                 }
@@ -159,13 +161,13 @@
     ///
     /// A lost message says nothing about the team's rate, so its requests wait for another
     /// attempt; those of a team with an empty bucket wait only for the next refill.
-    fn patience(&self, now: Instant, team: &TeamName) -> Duration {
-        if self.is_empty_recently(now, team) { TOKEN_PATIENCE } else { TOKEN_WAIT }
+    fn max_token_wait(&self, now: Instant, team: &TeamName) -> Duration {
+        if self.is_empty_recently(now, team) { REFILL_WAIT } else { TOKEN_WAIT }
     }
 
     fn is_empty_recently(&self, now: Instant, team: &TeamName) -> bool {
         let empty_at = self.tokens.get(team).and_then(|it| it.empty_at);
-        empty_at.is_some_and(|it| now.saturating_duration_since(it) <= EMPTY_MEMORY)
+        empty_at.is_some_and(|it| now.saturating_duration_since(it) <= EMPTY_BUCKET_TTL)
     }
 
     /// Lets the first request wait until a token can be expected.
--- a/lib/src/control/command.rs
+++ b/lib/src/control/command.rs
@@ -162,7 +162,7 @@
     pub admission: Arc<CallAdmission>,
     /// What the request needs.
     pub target: DispatchTarget,
-    /// Id of the request; spreads requests without a chat.
+    /// Id of the request; broadcasts requests without a chat.
     pub request_id: String,
     /// Identity of team and body, for the register of requests that broke upstreams.
     pub fingerprint: RequestFingerprint,
--- a/lib/src/control/crash.rs
+++ b/lib/src/control/crash.rs
@@ -20,7 +20,7 @@
 const MAX_EXPORT: usize = 4_096;
 
 /// A strike on its way to the peers; the worker that reported the loss waits for its end.
-struct StrikeSpread {
+struct StrikeBroadcast {
     pending: usize,
     since: Instant,
     reply: Option<ReplySender<()>>,
@@ -28,23 +28,23 @@
 
 /// The strikes on their way, by number.
 #[derive(Default)]
-pub(super) struct SpreadTable {
+pub(super) struct StrikeBroadcasts {
     next: u64,
-    spreads: HashMap<u64, StrikeSpread>,
+    broadcasts: HashMap<u64, StrikeBroadcast>,
 }
 
-impl SpreadTable {
+impl StrikeBroadcasts {
     fn add(&mut self, now: Instant, pending: usize, reply: Option<ReplySender<()>>) -> u64 {
         self.next += 1;
-        self.spreads.insert(self.next, StrikeSpread { pending, since: now, reply });
+        self.broadcasts.insert(self.next, StrikeBroadcast { pending, since: now, reply });
         self.next
     }
 
     /// Counts the end of one call.
     pub(super) fn step(&mut self, number: u64) {
-        if let Some(spread) = self.spreads.get_mut(&number) {
-            spread.pending = spread.pending.saturating_sub(1);
-            if spread.pending == 0 {
+        if let Some(broadcast) = self.broadcasts.get_mut(&number) {
+            broadcast.pending = broadcast.pending.saturating_sub(1);
+            if broadcast.pending == 0 {
                 self.end(number);
             }
         }
@@ -53,7 +53,7 @@
     /// Ends the waits that took too long.
     pub(super) fn expire(&mut self, now: Instant) {
         let late: Vec<u64> = self
-            .spreads
+            .broadcasts
             .iter()
             .filter(|(_, it)| now.saturating_duration_since(it.since) >= STRIKE_WAIT)
             .map(|(number, _)| *number)
@@ -64,7 +64,7 @@
     }
 
     fn end(&mut self, number: u64) {
-        if let Some(reply) = self.spreads.remove(&number).and_then(|it| it.reply) {
+        if let Some(reply) = self.broadcasts.remove(&number).and_then(|it| it.reply) {
             let _ = reply.send(());
         }
     }
@@ -88,7 +88,7 @@
             }
             return;
         }
-        let number = self.spreads.add(now, peers.len(), reply);
+        let number = self.broadcasts.add(now, peers.len(), reply);
         for peer in &peers {
             let request = PeerRequest::Strikes { number, strikes: vec![strike.clone()] };
             let call =
@@ -107,7 +107,7 @@
         if let Some(clearance) = self.crashes.completed(now, fingerprint, upstream) {
             let peers: Vec<HostRecord> = self.other_hosts().cloned().collect();
             for peer in &peers {
-                self.tell(now, peer, PeerRequest::Cleared(clearance.clone()));
+                self.notify(now, peer, PeerRequest::Cleared(clearance.clone()));
             }
         }
     }
--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -40,7 +40,7 @@
 const MIN_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Shortest time without a report after which a host probes an upstream itself.
-const MIN_PATIENCE: Duration = Duration::from_secs(10);
+const MIN_REPORT_SILENCE: Duration = Duration::from_secs(10);
 
 /// Probe intervals without a report after which a host probes an upstream itself.
 const MISSED_PROBES: u32 = 3;
@@ -168,10 +168,10 @@
         loop {
             let mut verdict = None;
             let Self { queue, picker, crashes, config, fleets, .. } = self;
-            let mut judge =
-                HeadJudge { now, catalogue: config.catalogue(), picker, crashes, fleets };
+            let mut dispatcher =
+                HeadDispatcher { now, catalogue: config.catalogue(), picker, crashes, fleets };
             let started = queue.pop(now, |queued| {
-                verdict = judge.judge(&queued.payload.request);
+                verdict = dispatcher.decide(&queued.payload.request);
                 verdict.is_some()
             });
             let (Some(started), Some(verdict)) = (started, verdict) else {
@@ -230,7 +230,7 @@
         let restart =
             incarnation.and_then(|it| self.picker.incarnation(now, &running.upstream, it));
         for notice in [jump, restart].into_iter().flatten() {
-            self.tell_cold(now, &notice);
+            self.notify_cold(now, &notice);
         }
     }
 
@@ -279,16 +279,16 @@
 
     fn finish_dispatch(&mut self, now: Instant, running: &RunningDispatch, how: FinishKind) {
         if let Some(notice) = self.picker.finished(now, &running.upstream, running.work, how) {
-            self.tell_cold(now, &notice);
+            self.notify_cold(now, &notice);
         }
         self.serve_queue(now);
     }
 
     /// Tells every host of the fleet that an upstream turned cold or answered again.
-    fn tell_cold(&self, now: Instant, notice: &ColdNotice) {
+    fn notify_cold(&self, now: Instant, notice: &ColdNotice) {
         tracing::info!(upstream = %notice.upstream, change = ?notice.change, "cold_upstream");
         for host in self.other_hosts() {
-            self.tell(now, host, PeerRequest::Cold(notice.clone()));
+            self.notify(now, host, PeerRequest::Cold(notice.clone()));
         }
     }
 
@@ -297,7 +297,7 @@
         for (upstream, report) in reports {
             self.reported.insert(upstream.clone(), now);
             if let Some(notice) = self.picker.report(now, upstream, report) {
-                self.tell_cold(now, &notice);
+                self.notify_cold(now, &notice);
             }
         }
         self.serve_queue(now);
@@ -312,7 +312,7 @@
         let peers: Vec<HostRecord> = self.views.peers(now);
         for peer in &peers {
             let batch = LoadBatch { reports: reports.clone() };
-            self.tell(now, peer, PeerRequest::Loads(batch));
+            self.notify(now, peer, PeerRequest::Loads(batch));
         }
     }
 
@@ -334,10 +334,10 @@
         let own = catalogue.upstreams().keys().filter(|it| reads(it)).count();
         let interval = interval_of(own);
         // Other hosts read about as many upstreams as this one, so at about the same interval.
-        let patience = (interval * MISSED_PROBES).max(MIN_PATIENCE);
+        let silence_limit = (interval * MISSED_PROBES).max(MIN_REPORT_SILENCE);
         let is_silent = |name: &UpstreamName| {
             let at = self.reported.get(name);
-            at.is_none_or(|it| now.saturating_duration_since(*it) > patience)
+            at.is_none_or(|it| now.saturating_duration_since(*it) > silence_limit)
         };
         let targets = catalogue
             .upstreams()
@@ -359,7 +359,7 @@
 }
 
 /// Decides about the request at the head of the queue.
-struct HeadJudge<'a> {
+struct HeadDispatcher<'a> {
     now: Instant,
     catalogue: &'a Catalogue,
     picker: &'a mut UpstreamPicker,
@@ -367,9 +367,9 @@
     fleets: &'a [HostSet],
 }
 
-impl HeadJudge<'_> {
+impl HeadDispatcher<'_> {
     /// Returns `None` if the request has to wait.
-    fn judge(&mut self, request: &DispatchRequest) -> Option<HeadVerdict> {
+    fn decide(&mut self, request: &DispatchRequest) -> Option<HeadVerdict> {
         if !is_key_valid(self.catalogue, &request.admission) {
             let refusal = CallRefusal::not_run(RefusalKind::KeyInvalid, "the key was withdrawn");
             return Some(HeadVerdict::Refuse(refusal));
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -62,7 +62,7 @@
     }
 
     /// Sends a background message to a host.
-    pub(super) fn tell(&self, now: Instant, host: &HostRecord, request: PeerRequest) {
+    pub(super) fn notify(&self, now: Instant, host: &HostRecord, request: PeerRequest) {
         self.call(now, host, request, MESSAGE_TIMEOUT);
     }
 
@@ -79,7 +79,7 @@
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let heartbeat = self.views.heartbeat(now);
         for peer in self.views.peers(now) {
-            self.tell(now, &peer, PeerRequest::Heartbeat(heartbeat.clone()));
+            self.notify(now, &peer, PeerRequest::Heartbeat(heartbeat.clone()));
         }
     }
 
@@ -87,7 +87,7 @@
     pub(super) fn send_digest(&mut self, now: Instant) {
         let others: Vec<&HostRecord> = self.other_hosts().collect();
         if let Some(peer) = others.choose(&mut rand::rng()) {
-            self.tell(now, peer, PeerRequest::Digest(self.digest()));
+            self.notify(now, peer, PeerRequest::Digest(self.digest()));
         }
     }
 
@@ -105,10 +105,10 @@
         let asked: Vec<&HostRecord> =
             others.choose_multiple(&mut rand::rng(), START_PEERS).collect();
         for peer in &asked {
-            self.tell(now, peer, PeerRequest::Digest(self.digest()));
+            self.notify(now, peer, PeerRequest::Digest(self.digest()));
         }
         if let Some(peer) = asked.first() {
-            self.tell(now, peer, PeerRequest::StrikeList);
+            self.notify(now, peer, PeerRequest::StrikeList);
         }
         self.sync = match asked.len() {
             0 => StartSync::Done,
@@ -139,7 +139,7 @@
     /// Notes a peer's revision and pulls a newer configuration from it.
     ///
     /// Returns whether a pull was ordered.
-    pub(super) fn hear_digest(&mut self, now: Instant, digest: &HostDigest) -> bool {
+    pub(super) fn handle_digest(&mut self, now: Instant, digest: &HostDigest) -> bool {
         self.note_revision(&digest.host, digest.incarnation, digest.accepted);
         self.note_process(now, &digest.host, digest.incarnation);
         let accepted = self.config.accepted_revision();
@@ -170,7 +170,7 @@
         self.observe_buckets(now);
         let buckets = self.buckets_by_next_owner(now);
         let release = self.views.release();
-        self.tell_release(now, &release, buckets);
+        self.notify_release(now, &release, buckets);
     }
 
     /// Takes a host list; a host that it shows as leaving hands its buckets over at once, because
@@ -183,11 +183,11 @@
         let buckets = if is_departure { self.buckets_by_next_owner(now) } else { Vec::new() };
         self.views.read_list(started, now, list);
         if is_departure && let Some(release) = self.views.release_if_leaving() {
-            self.tell_release(now, &release, buckets);
+            self.notify_release(now, &release, buckets);
         }
     }
 
-    fn tell_release(
+    fn notify_release(
         &self,
         now: Instant,
         release: &HostRelease,
@@ -195,10 +195,10 @@
     ) {
         for (owner, buckets) in buckets {
             let handover = BucketHandover { incarnation: self.incarnation, buckets };
-            self.tell(now, &owner, PeerRequest::Buckets(handover));
+            self.notify(now, &owner, PeerRequest::Buckets(handover));
         }
         for peer in self.other_hosts() {
-            self.tell(now, peer, PeerRequest::Release(release.clone()));
+            self.notify(now, peer, PeerRequest::Release(release.clone()));
         }
     }
 
@@ -220,7 +220,7 @@
     }
 
     /// Takes the release of another process.
-    fn hear_release(&mut self, now: Instant, release: HostRelease) {
+    fn handle_release(&mut self, now: Instant, release: HostRelease) {
         self.processes.note_release(&release);
         self.watch_gains(now, now + self.timing.takeover_wait());
         if self.views.released(now, &release.host, release.incarnation) {
@@ -230,7 +230,7 @@
         } else if let Some(host) = self.views.hosts().host(&release.host).cloned() {
             // The release counts only after a recent answer of that process.
             let heartbeat = self.views.heartbeat(now);
-            self.tell(now, &host, PeerRequest::Heartbeat(heartbeat));
+            self.notify(now, &host, PeerRequest::Heartbeat(heartbeat));
             self.unconfirmed_releases.push(release);
         }
     }
@@ -248,7 +248,7 @@
     }
 
     /// Handles a background message of another host.
-    pub(super) fn hear(&mut self, now: Instant, request: PeerRequest) -> PeerReply {
+    pub(super) fn handle_peer(&mut self, now: Instant, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Probe => PeerReply::Done,
             PeerRequest::Heartbeat(heartbeat) => {
@@ -256,7 +256,7 @@
                 PeerReply::Heartbeat(self.views.hear(now, &heartbeat))
             }
             PeerRequest::Release(release) => {
-                self.hear_release(now, release);
+                self.handle_release(now, release);
                 PeerReply::Done
             }
             PeerRequest::Buckets(handover) => {
@@ -264,7 +264,7 @@
                 PeerReply::Done
             }
             PeerRequest::Digest(digest) => {
-                self.hear_digest(now, &digest);
+                self.handle_digest(now, &digest);
                 PeerReply::Digest(self.digest())
             }
             PeerRequest::ConfigSince(base) => PeerReply::Config(self.config_reply(base)),
--- a/lib/src/control/operations.rs
+++ b/lib/src/control/operations.rs
@@ -285,7 +285,7 @@
     fn send_record_update(&self, now: Instant, host: &HostRecord, update: OperationUpdate) {
         let sender = self.identity.name.clone();
         let request = PeerRequest::UpdateRecord { sender, target: host.name.clone(), update };
-        self.tell(now, host, request);
+        self.notify(now, host, request);
     }
 
     pub(super) fn store_intent(
--- a/lib/src/control/state.rs
+++ b/lib/src/control/state.rs
@@ -10,7 +10,7 @@
 use super::{
     admission::{TokenQueue, bucket_key, team_of},
     command::ControlCommand,
-    crash::SpreadTable,
+    crash::StrikeBroadcasts,
     dispatch::{QueuedDispatch, RetryBudget, RunningDispatch},
     gossip::StartSync,
     message::{PeerReply, PeerRequest},
@@ -106,7 +106,7 @@
     pub(super) retries: RetryBudget,
 
     pub(super) crashes: CrashRegister,
-    pub(super) spreads: SpreadTable,
+    pub(super) broadcasts: StrikeBroadcasts,
 
     pub(super) operation_route: OperationRoute,
     pub(super) ledger: OperationLedger,
@@ -165,7 +165,7 @@
             next_dispatch: 0,
             retries: RetryBudget::new(),
             crashes: CrashRegister::new(),
-            spreads: SpreadTable::default(),
+            broadcasts: StrikeBroadcasts::default(),
             operation_route: OperationRoute::new(&host, incarnation, &centre),
             ledger: OperationLedger::new(now, &host, &centre, incarnation, rand::random()),
             last_forward: 0,
@@ -229,7 +229,7 @@
             }
             ControlCommand::LoadsRead(reports) => self.share_loads(now, reports),
             ControlCommand::Peer(request, reply) => {
-                let _ = reply.send(self.hear(now, *request));
+                let _ = reply.send(self.handle_peer(now, *request));
             }
             ControlCommand::PeerEnded(call, result) => self.peer_ended(now, *call, result),
             ControlCommand::SeenRevision(reply) => {
@@ -257,7 +257,7 @@
             self.send_grant_request(now, &centre, request);
         }
         self.serve_all_waiting(now);
-        self.spreads.expire(now);
+        self.broadcasts.expire(now);
         if self.timers.queue.is_due(now) {
             self.serve_queue(now);
             self.continue_hand_over(now);
@@ -376,7 +376,7 @@
                 self.repeat_releases(now, &peer);
             }
             (PeerRequest::Digest(_), Ok(PeerReply::Digest(digest))) => {
-                let is_pulling = self.hear_digest(now, &digest);
+                let is_pulling = self.handle_digest(now, &digest);
                 if !is_pulling {
                     self.sync_step();
                 }
@@ -389,7 +389,7 @@
             (PeerRequest::Grant(request), result) => {
                 self.grant_ended(now, &request, result);
             }
-            (PeerRequest::Strikes { number, .. }, _) => self.spreads.step(number),
+            (PeerRequest::Strikes { number, .. }, _) => self.broadcasts.step(number),
             (PeerRequest::StrikeList, Ok(PeerReply::Strikes(strikes))) => {
                 self.merge_strikes(now, &strikes);
             }
--- a/lib/src/exchange/operation.rs
+++ b/lib/src/exchange/operation.rs
@@ -177,7 +177,7 @@
             match self.exchange.peers.call(backup.address, &request, BACKUP_TIMEOUT) {
                 Ok(PeerReply::Stored(StoreReply::Stored)) => {
                     let command = OperationCommand::Backed(handle.clone(), backup.name.clone());
-                    self.tell(command);
+                    self.notify(command);
                     return Ok(offered);
                 }
                 Ok(PeerReply::Stored(StoreReply::Conflict(record))) => {
@@ -234,11 +234,11 @@
             Err(refusal) => (OperationEnd::AfterSend, OperationAnswer::Refused(refusal)),
         };
         let BegunOperation { handle, offered } = begun;
-        self.tell(OperationCommand::Ended { handle, offered, end });
+        self.notify(OperationCommand::Ended { handle, offered, end });
         answer
     }
 
-    fn tell(&self, command: OperationCommand) {
+    fn notify(&self, command: OperationCommand) {
         self.exchange.control.send(ControlCommand::Operation(Box::new(command)));
     }
 
--- a/lib/src/limits/wallet.rs
+++ b/lib/src/limits/wallet.rs
@@ -18,8 +18,8 @@
 /// As the two above while the owner has tokens to spare: most grants then serve several requests,
 /// and what is left of them expires. One exchange costs about 500 bytes, and a host may spend
 /// 4 KB/s on all control traffic.
-const ROOMY_ADVANCE: Duration = Duration::from_millis(800);
-const ROOMY_MIN_RATE: f64 = 1.0;
+const UNCONTENDED_ADVANCE: Duration = Duration::from_millis(800);
+const UNCONTENDED_MIN_RATE: f64 = 1.0;
 
 /// Time constant of the demand estimate.
 const DEMAND_MEMORY: Duration = Duration::from_millis(500);
@@ -249,8 +249,11 @@
 
     /// Units to request in advance; nothing if the wallet is at least half full.
     fn advance(&self, now: Instant, is_tight: bool) -> u64 {
-        let (span, min_rate) =
-            if is_tight { (ADVANCE, MIN_ADVANCE_RATE) } else { (ROOMY_ADVANCE, ROOMY_MIN_RATE) };
+        let (span, min_rate) = if is_tight {
+            (ADVANCE, MIN_ADVANCE_RATE)
+        } else {
+            (UNCONTENDED_ADVANCE, UNCONTENDED_MIN_RATE)
+        };
         let rate = self.demand.rate(now);
         if rate < min_rate {
             return 0;
--- a/lib/src/routing/pick.rs
+++ b/lib/src/routing/pick.rs
@@ -544,7 +544,7 @@
 }
 
 /// A candidate with what was found out about it.
-struct JudgedCandidate<'a> {
+struct EvaluatedCandidate<'a> {
     candidate: &'a CandidateUpstream,
     rank: usize,
     estimate: LoadEstimate,
@@ -555,7 +555,7 @@
     verdict: Result<(), SkipReason>,
 }
 
-impl JudgedCandidate<'_> {
+impl EvaluatedCandidate<'_> {
     /// Load per unit of the capacity that is open to it.
     fn relative_load(&self, load: f64) -> f64 {
         load / (self.candidate.capacity * self.phase.chat_share())
@@ -599,46 +599,49 @@
         summary: &LoadSummary,
         heap: &mut BinaryHeap<OrderedCandidate>,
     ) -> Option<UpstreamPick> {
-        let mut first: Option<JudgedCandidate<'_>> = None;
-        let mut least: Option<JudgedCandidate<'_>> = None;
+        let mut first: Option<EvaluatedCandidate<'_>> = None;
+        let mut least: Option<EvaluatedCandidate<'_>> = None;
         while let Some(ordered) = heap.pop() {
-            let judged = self.judge(&group[ordered.position], summary);
-            if judged.verdict.is_ok() {
+            let evaluated = self.evaluate(&group[ordered.position], summary);
+            if evaluated.verdict.is_ok() {
                 if self.request.chat.is_some() {
-                    return Some(self.pick_of(judged, PickReason::ChatOrder));
+                    return Some(self.pick_of(evaluated, PickReason::ChatOrder));
                 }
                 let Some(earlier) = first.take() else {
-                    first = Some(judged);
+                    first = Some(evaluated);
                     continue;
                 };
                 let earlier_load = earlier.relative_load(self.load_of(&earlier.estimate));
-                let later_load = judged.relative_load(self.load_of(&judged.estimate));
-                let (chosen, other) =
-                    if later_load < earlier_load { (judged, earlier) } else { (earlier, judged) };
+                let later_load = evaluated.relative_load(self.load_of(&evaluated.estimate));
+                let (chosen, other) = if later_load < earlier_load {
+                    (evaluated, earlier)
+                } else {
+                    (earlier, evaluated)
+                };
                 self.skip(&other, SkipReason::MoreLoaded);
                 return Some(self.pick_of(chosen, PickReason::LessLoaded));
             }
-            if let Err(reason) = judged.verdict {
-                self.skip(&judged, reason);
+            if let Err(reason) = evaluated.verdict {
+                self.skip(&evaluated, reason);
             }
-            if judged.is_possible() {
-                let load = judged.relative_load(self.load_of(&judged.estimate));
+            if evaluated.is_possible() {
+                let load = evaluated.relative_load(self.load_of(&evaluated.estimate));
                 let is_less = least
                     .as_ref()
                     .is_none_or(|it| load < it.relative_load(self.load_of(&it.estimate)));
                 if is_less {
-                    least = Some(judged);
+                    least = Some(evaluated);
                 }
             }
         }
-        if let Some(judged) = first {
-            return Some(self.pick_of(judged, PickReason::LessLoaded));
+        if let Some(evaluated) = first {
+            return Some(self.pick_of(evaluated, PickReason::LessLoaded));
         }
-        let judged = least?;
-        let name = &judged.candidate.name;
+        let evaluated = least?;
+        let name = &evaluated.candidate.name;
         self.skipped.retain(|it| it.upstream != *name);
         self.skipped_count -= 1;
-        Some(self.pick_of(judged, PickReason::LeastLoaded))
+        Some(self.pick_of(evaluated, PickReason::LeastLoaded))
     }
 
     /// Share of its load that a candidate takes.
@@ -650,11 +653,11 @@
         }
     }
 
-    fn judge<'a>(
+    fn evaluate<'a>(
         &mut self,
         candidate: &'a CandidateUpstream,
         summary: &LoadSummary,
-    ) -> JudgedCandidate<'a> {
+    ) -> EvaluatedCandidate<'a> {
         let estimate =
             self.table.estimate_at(self.now, candidate.index, candidate.capacity, summary);
         let rank = self.rank;
@@ -669,7 +672,7 @@
                 PickTarget::Service(_) => summary.mean_requests(),
             };
         let bound = mean * self.skew_multiple.max(1.0);
-        let mut judged = JudgedCandidate {
+        let mut evaluated = EvaluatedCandidate {
             candidate,
             rank,
             estimate,
@@ -679,12 +682,12 @@
             bound,
             verdict: Ok(()),
         };
-        judged.verdict = self.verdict(&judged);
-        judged
+        evaluated.verdict = self.verdict(&evaluated);
+        evaluated
     }
 
-    fn verdict(&mut self, judged: &JudgedCandidate<'_>) -> Result<(), SkipReason> {
-        let (candidate, estimate) = (judged.candidate, &judged.estimate);
+    fn verdict(&mut self, evaluated: &EvaluatedCandidate<'_>) -> Result<(), SkipReason> {
+        let (candidate, estimate) = (evaluated.candidate, &evaluated.estimate);
         if self.request.tried.contains(&candidate.name) {
             return Err(SkipReason::Tried);
         }
@@ -694,7 +697,7 @@
         {
             return Err(SkipReason::Refused);
         }
-        if let ColdPhase::Unknown | ColdPhase::Cold(_) = judged.phase
+        if let ColdPhase::Unknown | ColdPhase::Cold(_) = evaluated.phase
             && !self.gate.has_slot(
                 &candidate.name,
                 candidate.cold_allowance,
@@ -702,12 +705,12 @@
                 self.fleets,
             )
         {
-            return Err(SkipReason::NoColdSlot(judged.phase));
+            return Err(SkipReason::NoColdSlot(evaluated.phase));
         }
         if estimate.requests + 1.0 > candidate.capacity + 1e-6 {
             return Err(SkipReason::Full);
         }
-        let share = judged.phase.chat_share();
+        let share = evaluated.phase.chat_share();
         if self.request.chat.is_some()
             && share < 1.0
             && unit_of(self.key_hash, candidate, RAMP_SALT) >= share
@@ -717,11 +720,11 @@
         if estimate.own_requests == 0 && estimate.requests < self.idle_requests(candidate) {
             return Ok(());
         }
-        if self.is_hot && f64::from(estimate.own_requests) >= self.hot_quota(judged) {
+        if self.is_hot && f64::from(estimate.own_requests) >= self.hot_quota(evaluated) {
             return Err(SkipReason::HotChat);
         }
         let load = self.load_of(estimate);
-        if load + self.request_load() <= judged.bound || load <= judged.mean {
+        if load + self.request_load() <= evaluated.bound || load <= evaluated.mean {
             return Ok(());
         }
         Err(SkipReason::OverBound)
@@ -733,10 +736,10 @@
     /// terms of the own requests needs no reports: if each host stays within a multiple of its own
     /// mean, the sum stays within this multiple of the fleet's mean. The fraction of a request
     /// goes to as many hosts.
-    fn hot_quota(&self, judged: &JudgedCandidate<'_>) -> f64 {
+    fn hot_quota(&self, evaluated: &EvaluatedCandidate<'_>) -> f64 {
         let multiple = 1.0 + HOT_FILL * (self.skew_multiple - 1.0).max(0.0);
-        let quota = multiple * judged.own_mean;
-        let has_one_more = unit_of(self.host_hash, judged.candidate, QUOTA_SALT) < quota.fract();
+        let quota = multiple * evaluated.own_mean;
+        let has_one_more = unit_of(self.host_hash, evaluated.candidate, QUOTA_SALT) < quota.fract();
         quota.floor() + f64::from(u8::from(has_one_more))
     }
 
@@ -760,28 +763,28 @@
         }
     }
 
-    fn skip(&mut self, judged: &JudgedCandidate<'_>, reason: SkipReason) {
+    fn skip(&mut self, evaluated: &EvaluatedCandidate<'_>, reason: SkipReason) {
         self.skipped_count += 1;
         if self.skipped.len() < MAX_DESCRIBED {
             self.skipped.push(SkippedUpstream {
-                upstream: judged.candidate.name.clone(),
-                rank: judged.rank,
-                estimate: judged.estimate,
+                upstream: evaluated.candidate.name.clone(),
+                rank: evaluated.rank,
+                estimate: evaluated.estimate,
                 reason,
             });
         }
     }
 
-    fn pick_of(&mut self, judged: JudgedCandidate<'_>, reason: PickReason) -> UpstreamPick {
+    fn pick_of(&mut self, evaluated: EvaluatedCandidate<'_>, reason: PickReason) -> UpstreamPick {
         UpstreamPick {
-            upstream: judged.candidate.name.clone(),
-            address: judged.candidate.address,
-            rank: judged.rank,
+            upstream: evaluated.candidate.name.clone(),
+            address: evaluated.candidate.address,
+            rank: evaluated.rank,
             reason,
-            estimate: judged.estimate,
-            mean: judged.mean,
-            bound: judged.bound,
-            phase: judged.phase,
+            estimate: evaluated.estimate,
+            mean: evaluated.mean,
+            bound: evaluated.bound,
+            phase: evaluated.phase,
             skipped: std::mem::take(&mut self.skipped),
             skipped_count: self.skipped_count,
         }
