operation: statuses agree with those the router answers

Cause: the outcome types named 502 for a refused connection and an unreachable owner and 503 for missing records, while the router answers 503 and 502. Change: the statuses of the outcome types follow RefusalKind and docs/callers.md. Conclusion: one set of statuses.

--- a/lib/src/operation/outcome.rs
+++ b/lib/src/operation/outcome.rs
@@ -35,7 +35,6 @@
     pub fn status(self) -> u16 {
         match self {
             Self::InvalidTicket => 403,
-            Self::UpstreamRefused | Self::OwnerUnreachable => 502,
             _ => 503,
         }
     }
@@ -90,8 +89,11 @@
         match self {
             Self::InProgress => 409,
             Self::IssuerGone | Self::TicketExpired => 410,
-            Self::HandoverIncomplete | Self::RecordsLost => 503,
-            Self::Interrupted | Self::DuplicateMessage | Self::AnswerLost => 502,
+            Self::Interrupted
+            | Self::HandoverIncomplete
+            | Self::RecordsLost
+            | Self::DuplicateMessage
+            | Self::AnswerLost => 502,
         }
     }
 }
