control: load reports reach every host of the data centre again

Cause: when heartbeats began to go to a sample of hosts, the call that lists the receivers of load reports was renamed along with it, so that reports reached 3 hosts per round only. In a larger data centre the others would have read every upstream themselves. Found by reading. Change: reports go to all neighbours. The name of the pseudo-team of open routes stood in three files and is one constant; a wrapper around change_since is gone.

--- a/lib/src/catalogue/check.rs
+++ b/lib/src/catalogue/check.rs
@@ -11,7 +11,9 @@
     Catalogue, CentreEntry, ClassEntry, FleetSettings, KeyEntry, KeyHash, KeyState, RawEntries,
     RouteEntry, RouteKind, TeamEntry, UpstreamEntry, UpstreamKind,
 };
-use crate::names::{CentreName, ClassName, RouteName, TeamName, UpstreamName, is_valid_name};
+use crate::names::{
+    CentreName, ClassName, OPEN_TEAM, RouteName, TeamName, UpstreamName, is_valid_name,
+};
 
 /// Highest rate and burst of a team, in requests per second and requests.
 const MAX_TEAM_RATE: f64 = 1_000_000.0;
@@ -19,9 +21,6 @@
 /// Longest deadline, queue time or warm-up time: one day, in milliseconds.
 const MAX_TIME_MS: u64 = 86_400_000;
 
-/// Team name under which requests on open routes are queued and counted.
-const OPEN_TEAM: &str = "open";
-
 /// One reason why a catalogue is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 pub struct CatalogueProblem {
--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -16,13 +16,10 @@
     front::{CallRefusal, RefusalKind},
     limits::{GrantReply, GrantRequest, TakeOutcome, UNITS_PER_TOKEN},
     membership::HostRecord,
-    names::{CentreName, TeamName},
+    names::{CentreName, OPEN_TEAM, TeamName},
     peer::PeerError,
 };
 
-/// Name under which requests on open routes share the queue.
-pub(super) const OPEN_TEAM: &str = "open";
-
 /// Time until the reply of an owner; the longest way is between data centres.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -17,7 +17,6 @@
 use crate::{
     catalogue::{Catalogue, RouteKind},
     front::{CallRefusal, RefusalKind},
-    membership::HostRecord,
     names::UpstreamName,
     quarantine::{BrokenRun, CrashRegister, CrashVerdict, RequestFingerprint},
     routing::{
@@ -309,8 +308,7 @@
         if reports.is_empty() {
             return;
         }
-        let peers: Vec<HostRecord> = self.views.peers(now);
-        for peer in &peers {
+        for peer in self.views.neighbours() {
             let batch = LoadBatch { reports: reports.clone() };
             self.notify(now, peer, PeerRequest::Loads(batch));
         }
--- a/lib/src/control/gossip.rs
+++ b/lib/src/control/gossip.rs
@@ -13,7 +13,6 @@
     state::ControlState,
 };
 use crate::{
-    config::ConfigChange,
     limits::HandedBucket,
     membership::{HostList, HostRecord, HostRelease, HostState},
     names::HostName,
@@ -160,10 +159,6 @@
         *known = revision.max(*known);
     }
 
-    pub(super) fn config_reply(&self, base: u64) -> ConfigChange {
-        self.config.change_since(base)
-    }
-
     /// Gives up every right of this process for good.
     pub(super) fn release(&mut self, now: Instant) {
         // Buckets that this host lost without noticing it yet are not handed over.
@@ -267,7 +262,7 @@
                 self.handle_digest(now, &digest);
                 PeerReply::Digest(self.digest())
             }
-            PeerRequest::ConfigSince(base) => PeerReply::Config(self.config_reply(base)),
+            PeerRequest::ConfigSince(base) => PeerReply::Config(self.config.change_since(base)),
             PeerRequest::HostList => PeerReply::HostList(self.views.hosts().clone()),
             PeerRequest::Grant(request) => PeerReply::Grant(self.grant(now, &request)),
             PeerRequest::Cold(notice) => {
--- a/lib/src/control/report.rs
+++ b/lib/src/control/report.rs
@@ -6,14 +6,13 @@
 };
 
 use super::{
-    admission::OPEN_TEAM,
     command::{CallAdmission, RequestEnd},
     state::ControlState,
 };
 use crate::{
     catalogue::{RouteEntry, RouteKind, UpstreamKind},
     front::{OutcomeKind, RefusalKind, chat_identity},
-    names::{ModelName, TeamName, UpstreamName},
+    names::{ModelName, OPEN_TEAM, TeamName, UpstreamName},
     routing::{
         ColdPhase, LoadSummary, PickOutcome, PickRequest, PickTarget, SkippedUpstream, UpstreamPick,
     },
--- a/lib/src/names.rs
+++ b/lib/src/names.rs
@@ -90,5 +90,9 @@
         && name.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.'))
 }
 
+/// Name under which requests on routes that are open to all are counted and queued; no team may
+/// have it.
+pub const OPEN_TEAM: &str = "open";
+
 /// Longest name of a catalogue object, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -25,7 +25,7 @@
 use super::exposition;
 use crate::{
     catalogue::Catalogue,
-    names::{ClassName, RouteName, TeamName, UpstreamName},
+    names::{ClassName, OPEN_TEAM, RouteName, TeamName, UpstreamName},
 };
 
 /// Most label sets of the instruments in [`MANY_SERIES`].
@@ -41,9 +41,6 @@
 /// Label for a name that is not in the catalogue.
 pub const OTHER_LABEL: &str = "other";
 
-/// Pseudo-team of the requests on open routes.
-const OPEN_TEAM: &str = "open";
-
 /// Upper bounds of first-chunk and queue times, in seconds; 0.41 s is the first-token target.
 const WAIT_BOUNDS_S: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.41, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0];
