gateway: event-driven request path and the adapter for the users' platform

The users' hosts have a quarter of a core and no control hosts. A thread and a control exchange per request have no place there, and their platform publishes neither hosts nor team rates.

Adds `gateway` in the library (route table, upstream choice by prompt affinity and reported load, retry budget, cold allowance, connection pool, stream relay with resumption, graceful stop), a log queue on standard output, and the folder `platform/` with header names, store client and entries. Settings come as flags from the deploy file. The reader of settings is shared by both daemons.

--- a/lib/src/exchange/events.rs
+++ b/lib/src/exchange/events.rs
@@ -52,6 +52,11 @@
         Some(EventBatch { bytes, count })
     }
 
+    /// Returns whether a part of an event arrived after the last whole one.
+    pub fn has_part(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Returns whether the final event arrived.
     pub fn is_done(&self) -> bool {
         self.is_done
--- a/lib/src/front/refusal.rs
+++ b/lib/src/front/refusal.rs
@@ -76,6 +76,8 @@
     RetryLimit,
     /// An upstream did not answer to the end.
     UpstreamLost,
+    /// No upstream answered in the time that the route or the caller allows.
+    UpstreamTimeout,
     /// The answer is too large to be delivered whole.
     AnswerTooLarge,
     /// The request broke several upstreams.
@@ -124,6 +126,7 @@
             Self::UpstreamUnreachable => "upstream_unreachable",
             Self::RetryLimit => "retry_limit",
             Self::UpstreamLost => "upstream_lost",
+            Self::UpstreamTimeout => "upstream_timeout",
             Self::AnswerTooLarge => "answer_too_large",
             Self::Quarantined => "quarantined",
             Self::OperationKeyMissing => "operation_key_missing",
@@ -153,6 +156,7 @@
             Self::OverRate => 429,
             Self::InternalError => 500,
             Self::UpstreamLost | Self::AnswerTooLarge | Self::OperationUnknown => 502,
+            Self::UpstreamTimeout => 504,
             Self::LimitUnavailable
             | Self::NoConfiguration
             | Self::Draining
--- /dev/null
+++ b/lib/src/gateway/budget.rs
@@ -0,0 +1,86 @@
+//! Retry budget: repeats are a bounded share of the requests of a service, over all hosts.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use crate::names::ServiceName;
+
+/// Slots of the sliding window.
+const WINDOW_SLOTS: u32 = 10;
+
+/// Share of the fleet-wide allowance that hosts use together. The rest covers requests that are
+/// counted in another window than their repeats.
+const USED_SHARE: f64 = 0.8;
+
+/// Bounds of the repeats of one service, summed over all hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryAllowance {
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Repeats per window besides, summed over all hosts.
+    pub slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WindowSlot {
+    number: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Requests and repeats of each service at this host.
+#[derive(Debug)]
+pub struct RetryBudget {
+    allowance: RetryAllowance,
+    started: Instant,
+    services: HashMap<ServiceName, VecDeque<WindowSlot>>,
+}
+
+impl RetryBudget {
+    /// Creates a budget without any requests.
+    pub fn new(now: Instant, allowance: RetryAllowance) -> Self {
+        Self { allowance, started: now, services: HashMap::new() }
+    }
+
+    /// Counts a caller's request.
+    pub fn request(&mut self, now: Instant, service: &ServiceName) {
+        self.slot(now, service).requests += 1;
+    }
+
+    /// Takes one repeat; returns false if the share of this host is used up.
+    ///
+    /// `hosts` is the number of hosts among which the fixed part is split.
+    pub fn take(&mut self, now: Instant, service: &ServiceName, hosts: usize) -> bool {
+        let RetryAllowance { ratio, slack, .. } = self.allowance;
+        self.slot(now, service);
+        let slots = &self.services[service];
+        let requests: u32 = slots.iter().map(|it| it.requests).sum();
+        let repeats: u32 = slots.iter().map(|it| it.repeats).sum();
+        let share = slack / hosts.max(1) as f64;
+        let allowed = USED_SHARE * (ratio * f64::from(requests) + share);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.slot(now, service).repeats += 1;
+        true
+    }
+
+    fn slot(&mut self, now: Instant, service: &ServiceName) -> &mut WindowSlot {
+        let width = self.allowance.window / WINDOW_SLOTS;
+        let elapsed = now.saturating_duration_since(self.started).as_nanos();
+        let number = (elapsed / width.as_nanos().max(1)) as u64;
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), VecDeque::new());
+        }
+        let slots = self.services.get_mut(service).expect("inserted above");
+        slots.retain(|it| it.number + u64::from(WINDOW_SLOTS) > number);
+        if slots.back().is_none_or(|it| it.number != number) {
+            slots.push_back(WindowSlot { number, ..WindowSlot::default() });
+        }
+        slots.back_mut().expect("pushed above")
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/health.rs
@@ -0,0 +1,82 @@
+//! Health of one upstream as this host's own requests show it; no probe is sent.
+
+use std::time::{Duration, Instant};
+
+/// First pause after an upstream was not reached.
+const MIN_PAUSE: Duration = Duration::from_millis(400);
+
+/// Longest pause; a returning upstream is noticed within this time.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
+/// Weight of one outcome in the running failure share.
+const OUTCOME_WEIGHT: f64 = 0.12;
+
+/// Time in which the failure share fades to 37%, so that an upstream that is avoided is tried again.
+const FAILURE_FADE: Duration = Duration::from_secs(4);
+
+/// Failure share above that of the other upstreams from which an upstream counts as failing.
+const FAILURE_EXCESS: f64 = 0.22;
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// A complete response.
+    Complete,
+    /// The upstream answered with a failure of its own, or not as the protocol asks.
+    Failed,
+    /// The upstream was not reached, or the connection was lost.
+    Unreachable,
+    /// Says nothing of the upstream: the caller left, or the time was up.
+    Cancelled,
+}
+
+/// What recent attempts say of an upstream.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamHealth {
+    failure_share: f64,
+    updated: Option<Instant>,
+    pause: Duration,
+    paused_until: Option<Instant>,
+}
+
+impl UpstreamHealth {
+    /// Notes the end of an attempt.
+    pub fn note(&mut self, now: Instant, end: AttemptEnd) {
+        let failure = match end {
+            AttemptEnd::Cancelled => return,
+            AttemptEnd::Complete => {
+                self.pause = Duration::ZERO;
+                self.paused_until = None;
+                0.0
+            }
+            AttemptEnd::Failed => 1.0,
+            AttemptEnd::Unreachable => {
+                // Attempts that fail together count as one failure.
+                if !self.is_paused(now) {
+                    self.pause = (self.pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+                    self.paused_until = Some(now + self.pause);
+                }
+                1.0
+            }
+        };
+        self.failure_share = self.failure_share(now);
+        self.updated = Some(now);
+        self.failure_share += OUTCOME_WEIGHT * (failure - self.failure_share);
+    }
+
+    /// Returns whether the upstream was not reached a moment ago.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|it| now < it)
+    }
+
+    /// Returns the running share of failed attempts.
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        let age = self.updated.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
+        self.failure_share * (-age.as_secs_f64() / FAILURE_FADE.as_secs_f64()).exp()
+    }
+
+    /// Returns whether the upstream fails clearly more often than `usual`.
+    pub fn is_failing(&self, now: Instant, usual: f64) -> bool {
+        self.failure_share(now) > usual + FAILURE_EXCESS
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/pool.rs
@@ -0,0 +1,243 @@
+//! Connections to upstreams. One is used again only after a complete response to its request.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::{Bytes, Incoming},
+    client::conn::http1::{self, SendRequest},
+    header::{CONNECTION, HeaderMap, HeaderValue},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+use crate::{clock::ClockSource, names::UpstreamName};
+
+/// Longest time to establish a connection. A connection takes a few milliseconds; a lost opening
+/// packet is sent again after a second, and another upstream is faster than that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time without acknowledgement after which the system gives a connection up: an upstream behind a
+/// partition answers nothing.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// Idle time before the first keep-alive probe of the system, and interval of the probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time that is left of an upstream's idle timeout when its connection is no longer used, for the
+/// request to arrive before the close.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Idle time after which connections of upstreams that state no idle timeout are closed.
+const DEFAULT_IDLE: Duration = Duration::from_millis(1_500);
+
+/// Longest idle time of a connection on which a request is sent that must not run twice.
+///
+/// A request that is lost on a connection that the upstream has just closed may have run.
+const ONCE_IDLE: Duration = Duration::from_millis(400);
+
+/// Idle connections kept for one upstream.
+const MAX_IDLE: usize = 8;
+
+/// Why a request got no response head.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request reached the upstream.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The upstream may have run the request.
+    #[error("no response: {0}")]
+    Lost(String),
+}
+
+/// One connection; dropping it closes it, also while a response arrives.
+#[derive(Debug)]
+struct UpstreamConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for UpstreamConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: UpstreamConnection,
+    since: Instant,
+    limit: Duration,
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now: Instant, limit: Duration) -> bool {
+        let idle = now.saturating_duration_since(self.since);
+        let sender = &self.connection.sender;
+        sender.is_ready() && !sender.is_closed() && idle < limit.min(self.limit)
+    }
+}
+
+/// Identifies the upstream to which a connection leads.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PoolKey {
+    /// Name of the upstream.
+    pub upstream: UpstreamName,
+    /// Its incarnation; a restarted upstream has no connection of before.
+    pub incarnation: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A request whose response is under way; dropping it cancels the request at the upstream.
+#[derive(Debug)]
+pub struct UpstreamExchange {
+    connection: UpstreamConnection,
+    pool: Rc<UpstreamPool>,
+    key: PoolKey,
+    idle_limit: Option<Duration>,
+}
+
+impl UpstreamExchange {
+    /// Returns the connection to the pool; to be called after a complete and proper response.
+    pub fn finish(self) {
+        if let Some(limit) = self.idle_limit {
+            self.pool.keep(self.key, self.connection, limit);
+        }
+    }
+}
+
+/// Owner of the idle connections to all upstreams.
+#[derive(Debug)]
+pub struct UpstreamPool {
+    clock: Rc<dyn ClockSource>,
+    idle: RefCell<HashMap<PoolKey, Vec<IdleConnection>>>,
+}
+
+impl UpstreamPool {
+    /// Creates an empty pool.
+    pub fn new(clock: Rc<dyn ClockSource>) -> Self {
+        Self { clock, idle: RefCell::default() }
+    }
+
+    /// Sends a request and returns the response head.
+    ///
+    /// `may_repeat` allows a connection that was idle for a while.
+    pub async fn send(
+        self: &Rc<Self>,
+        key: PoolKey,
+        request: Request<Full<Bytes>>,
+        may_repeat: bool,
+    ) -> Result<(Response<Incoming>, UpstreamExchange), SendError> {
+        let limit = if may_repeat { Duration::MAX } else { ONCE_IDLE };
+        let mut connection = match self.take(&key, limit) {
+            Some(connection) => connection,
+            None => connect(key.address).await?,
+        };
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => match error.take_message() {
+                // The connection ended before it took the request.
+                Some(request) => {
+                    connection = connect(key.address).await?;
+                    let sent = connection.sender.send_request(request).await;
+                    sent.map_err(|error| SendError::Lost(error.to_string()))?
+                }
+                None => return Err(SendError::Lost(error.into_error().to_string())),
+            },
+        };
+        let idle_limit = idle_limit(response.headers());
+        let pool = self.clone();
+        Ok((response, UpstreamExchange { connection, pool, key, idle_limit }))
+    }
+
+    /// Closes connections that are too old to be used; to be called on a timer.
+    pub fn expire(&self) {
+        let now = self.clock.now();
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|it| it.is_usable(now, Duration::MAX));
+            !connections.is_empty()
+        });
+    }
+
+    fn take(&self, key: &PoolKey, limit: Duration) -> Option<UpstreamConnection> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(key)?;
+        // The connection that was used last is the least likely to be closed.
+        while let Some(last) = connections.pop() {
+            if last.is_usable(now, limit) {
+                return Some(last.connection);
+            }
+            if last.is_usable(now, Duration::MAX) {
+                connections.push(last);
+                return None;
+            }
+        }
+        None
+    }
+
+    fn keep(&self, key: PoolKey, connection: UpstreamConnection, limit: Duration) {
+        let idle = IdleConnection { connection, since: self.clock.now(), limit };
+        let mut pool = self.idle.borrow_mut();
+        let connections = pool.entry(key).or_default();
+        if connections.len() >= MAX_IDLE {
+            connections.remove(0);
+        }
+        connections.push(idle);
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<UpstreamConnection, SendError> {
+    let not_sent = |reason: &dyn ToString| SendError::NotSent(reason.to_string());
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(not_sent(&error)),
+        Err(_) => return Err(not_sent(&"the connection was not established in time")),
+    };
+    configure(&stream).map_err(|error| not_sent(&error))?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "upstream_connection_ended");
+        }
+    });
+    Ok(UpstreamConnection { sender, driver })
+}
+
+/// Sends small packets at once, and lets the system notice a peer that has gone silent.
+pub fn configure(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
+    let keepalive = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// Returns how long the connection may stay idle after this response; `None` if it closes.
+fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let has_close = |value: &HeaderValue| {
+        value
+            .to_str()
+            .is_ok_and(|it| it.split(',').any(|option| option.trim().eq_ignore_ascii_case("close")))
+    };
+    if headers.get_all(CONNECTION).iter().any(has_close) {
+        return None;
+    }
+    let stated = headers.get("keep-alive").and_then(|it| it.to_str().ok()).and_then(|value| {
+        let seconds = value.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
+        seconds.parse().ok().map(Duration::from_secs)
+    });
+    let limit = stated.map_or(DEFAULT_IDLE, |it| it.saturating_sub(IDLE_MARGIN));
+    (!limit.is_zero()).then_some(limit)
+}
--- /dev/null
+++ b/lib/src/gateway/server.rs
@@ -0,0 +1,211 @@
+//! The listeners of the gateway, and its graceful stop.
+
+use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
+    task::{JoinHandle, spawn_local},
+    time::{Instant, interval, sleep, sleep_until},
+};
+
+use super::{call::serve, fleet::Gateway, pool::configure};
+
+/// Connections that wait to be accepted. After a kill all callers come back at once, and one that
+/// finds the queue full tries again only after a second.
+const LISTEN_QUEUE: u32 = 4_096;
+
+/// Pause after a failed accept; typically no file descriptor is left.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+
+/// Interval of periodic work.
+const TICK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which a stopping process looks for requests in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Addresses on which a gateway listens.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the readiness checks of the load balancer.
+    pub readiness: SocketAddr,
+    /// For metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// How a gateway stops.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownTimes {
+    /// Time for the load balancer to notice that the host is not ready, while it still serves.
+    pub notice: Duration,
+    /// Time from the signal to the end of the process at the latest.
+    pub limit: Duration,
+}
+
+/// The running listeners of a gateway; they end with it.
+pub struct GatewayServer {
+    gateway: Rc<Gateway>,
+    closing: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl GatewayServer {
+    /// Opens every listener. Must be called within a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on.
+    pub fn start(gateway: &Rc<Gateway>, addresses: &ServerAddresses) -> io::Result<Self> {
+        let closing = watch::Sender::new(false);
+        let callers = listen(addresses.callers)?;
+        let readiness = listen(addresses.readiness)?;
+        let mut tasks = vec![
+            spawn_local(accept_callers(callers, gateway.clone(), closing.subscribe())),
+            spawn_local(accept_checks(readiness, gateway.clone())),
+            spawn_local(tick(gateway.clone())),
+        ];
+        if let Some(address) = addresses.metrics {
+            tasks.push(spawn_local(accept_checks(listen(address)?, gateway.clone())));
+        }
+        Ok(Self { gateway: gateway.clone(), closing, tasks })
+    }
+
+    /// Stops without cutting a request: says that the host is not ready, serves on while the load
+    /// balancer notices, closes idle connections and waits for the requests in flight.
+    ///
+    /// Returns whether all requests ended in time.
+    pub async fn shutdown(self, times: &ShutdownTimes) -> bool {
+        let started = Instant::now();
+        self.gateway.drain();
+        sleep(times.notice).await;
+        self.closing.send_replace(true);
+        let limit = started + times.limit;
+        while self.gateway.active() > 0 && Instant::now() < limit {
+            sleep(DRAIN_POLL).await;
+        }
+        let is_drained = self.gateway.active() == 0;
+        if is_drained {
+            // The last bytes of the last responses leave with the next turns of their tasks.
+            sleep_until((Instant::now() + DRAIN_POLL * 2).min(limit)).await;
+        }
+        is_drained
+    }
+}
+
+impl Drop for GatewayServer {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_QUEUE)
+}
+
+async fn tick(gateway: Rc<Gateway>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        gateway.tick();
+    }
+}
+
+async fn accept_callers(
+    listener: TcpListener,
+    gateway: Rc<Gateway>,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = accept(&listener).await;
+        spawn_local(serve_caller(stream, gateway.clone(), closing.clone()));
+    }
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(%error, "accept_failed");
+                sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(stream: TcpStream, gateway: Rc<Gateway>, mut closing: watch::Receiver<bool>) {
+    if let Err(error) = configure(&stream) {
+        tracing::debug!(%error, "caller_connection_ended");
+        return;
+    }
+    let limits = gateway.table().map(|it| it.limits()).unwrap_or_default();
+    let service = service_fn(move |request| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(serve(gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The time for a head runs on an idle connection as well.
+        .header_read_timeout(limits.idle_timeout.max(limits.read_timeout))
+        .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = closing.wait_for(|it| *it) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        tracing::debug!(%error, "caller_connection_ended");
+    }
+}
+
+/// Smallest buffer that the HTTP library takes.
+const MIN_HEAD_BUFFER: usize = 8 << 10;
+
+/// Serves readiness checks and metrics.
+async fn accept_checks(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        let stream = accept(&listener).await;
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = check_response(&gateway, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "check_connection_ended");
+            }
+        });
+    }
+}
+
+fn check_response(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
+    let (status, body) = match path {
+        "/ready" if gateway.is_ready() => (StatusCode::OK, String::new()),
+        "/ready" => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        "/metrics" => (StatusCode::OK, gateway.metrics_text()),
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/lib/src/gateway/upstreams.rs
@@ -0,0 +1,179 @@
+//! The upstreams that are published, with what this host knows of each, and the choice among them.
+
+mod pick;
+mod presence;
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+pub use self::pick::{PickReason, PickRefusal, PickRequest, UpstreamPick};
+use super::{
+    cold::ColdBucket,
+    health::{AttemptEnd, UpstreamHealth},
+};
+use crate::{
+    names::{CentreName, HostName, ServiceName, UpstreamName},
+    rendezvous,
+};
+
+/// Age at which a load report counts for 37%; the rest is the mean over the service.
+const REPORT_FADE: Duration = Duration::from_secs(4);
+
+/// An upstream as it is published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamRecord {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Service that it provides.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: CentreName,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it announced that it leaves.
+    pub is_leaving: bool,
+    /// How much longer it stays cold.
+    pub cold_for: Duration,
+    /// Changes at each start of the upstream.
+    pub incarnation: u64,
+}
+
+/// Requests at an upstream as it reports them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait inside it.
+    pub waiting: u32,
+}
+
+/// The last report, with this host's own requests at that moment.
+#[derive(Clone, Copy, Debug)]
+struct HeldReport {
+    at: Instant,
+    requests: f64,
+    own: u32,
+}
+
+/// One upstream with everything that this host knows of it.
+#[derive(Debug)]
+struct UpstreamState {
+    record: UpstreamRecord,
+    hash: u64,
+    /// When the upstream stops taking new work; set once it is no longer published.
+    gone_at: Option<Instant>,
+    cold: Option<ColdBucket>,
+    health: UpstreamHealth,
+    report: Option<HeldReport>,
+    own: u32,
+}
+
+impl UpstreamState {
+    fn new(record: UpstreamRecord) -> Self {
+        Self {
+            hash: rendezvous::hash_parts(&[record.name.as_str()]),
+            record,
+            gone_at: None,
+            cold: None,
+            health: UpstreamHealth::default(),
+            report: None,
+            own: 0,
+        }
+    }
+
+    /// Requests here, from the last report and the own requests since.
+    fn load(&self, now: Instant, mean: f64) -> f64 {
+        let own = f64::from(self.own);
+        let Some(report) = self.report else {
+            return own.max(mean);
+        };
+        let age = now.saturating_duration_since(report.at).as_secs_f64();
+        let weight = (-age / REPORT_FADE.as_secs_f64()).exp();
+        let current = report.requests + own - f64::from(report.own);
+        own.max(weight * current + (1.0 - weight) * mean)
+    }
+}
+
+/// Owner of all that is known of upstreams.
+#[derive(Debug)]
+pub struct UpstreamSet {
+    host: HostName,
+    centre: CentreName,
+    upstreams: HashMap<UpstreamName, UpstreamState>,
+    /// Names by service, in the order of names.
+    services: BTreeMap<ServiceName, Vec<UpstreamName>>,
+    /// Data centres that take no new work.
+    closed: HashSet<CentreName>,
+    /// Since when the platform has answered again after an outage; `None` during one.
+    regained: Option<Instant>,
+    is_lost: bool,
+}
+
+impl UpstreamSet {
+    /// Creates an empty set for a host.
+    pub fn new(host: HostName, centre: CentreName) -> Self {
+        Self {
+            host,
+            centre,
+            upstreams: HashMap::new(),
+            services: BTreeMap::new(),
+            closed: HashSet::new(),
+            regained: None,
+            is_lost: false,
+        }
+    }
+
+    /// Returns the number of published upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Returns whether no upstream is published.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    /// Counts a request that is about to be sent.
+    pub fn started(&mut self, name: &UpstreamName) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.own += 1;
+        }
+    }
+
+    /// Counts the end of a request that was sent.
+    pub fn ended(&mut self, now: Instant, name: &UpstreamName, end: AttemptEnd) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.own = state.own.saturating_sub(1);
+            state.health.note(now, end);
+        }
+    }
+
+    /// Takes a load report that a response carried.
+    pub fn reported(&mut self, now: Instant, name: &UpstreamName, load: ReportedLoad) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            let requests = f64::from(load.running) + f64::from(load.waiting);
+            state.report = Some(HeldReport { at: now, requests, own: state.own });
+        }
+    }
+
+    /// Marks an address as taken by another upstream: this one is gone.
+    pub fn replaced(&mut self, now: Instant, name: &UpstreamName) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.gone_at = Some(now);
+        }
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for state in self.upstreams.values() {
+            let names = self.services.entry(state.record.service.clone()).or_default();
+            names.push(state.record.name.clone());
+        }
+        self.services.values_mut().for_each(|it| it.sort());
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -0,0 +1,137 @@
+//! Which upstreams are published, and what an absence means around an outage of the platform.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use super::{UpstreamRecord, UpstreamSet, UpstreamState};
+use crate::{
+    gateway::cold::ColdBucket,
+    names::{CentreName, UpstreamName},
+    rendezvous,
+};
+
+/// Time after an outage of the platform within which entries that lapsed meanwhile come back.
+const LAPSE_RETURN: Duration = Duration::from_millis(2_200);
+
+/// Time for which an entry that vanished without notice is still used while the platform answers.
+/// It is far below the time in which a leaving upstream must get no more work, and long enough to
+/// learn of an outage that the platform has just come back from.
+const REMOVAL_DELAY: Duration = Duration::from_millis(300);
+
+/// Time after which a vanished upstream without requests is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+impl UpstreamSet {
+    /// Adopts one published entry.
+    pub fn publish(&mut self, now: Instant, record: UpstreamRecord) {
+        let name = record.name.clone();
+        let cold_until = now + record.cold_for;
+        let is_new = match self.upstreams.get_mut(&name) {
+            Some(state) if state.record.incarnation == record.incarnation => {
+                let is_moved = state.record.service != record.service;
+                state.gone_at = None;
+                state.record = record;
+                is_moved
+            }
+            _ => {
+                // Another incarnation shares nothing with the one before but its requests in
+                // flight, which are still counted here until they end.
+                let own = self.upstreams.get(&name).map_or(0, |it| it.own);
+                let state = UpstreamState { own, ..UpstreamState::new(record) };
+                self.upstreams.insert(name.clone(), state);
+                true
+            }
+        };
+        if cold_until > now {
+            self.cold_until(now, &name, cold_until);
+        }
+        if is_new {
+            self.index();
+        }
+    }
+
+    /// Notes that an upstream said it stays cold until `until`.
+    pub fn cold_until(&mut self, now: Instant, name: &UpstreamName, until: Instant) {
+        let offset = rendezvous::unit(rendezvous::hash_parts(&[self.host.as_str(), name.as_str()]));
+        if let Some(state) = self.upstreams.get_mut(name) {
+            match &mut state.cold {
+                Some(bucket) if bucket.is_cold(now) => bucket.extend(until),
+                cold => *cold = Some(ColdBucket::new(now, until, offset)),
+            }
+        }
+    }
+
+    /// Notes that an entry is no longer published.
+    pub fn withdraw(&mut self, now: Instant, name: &UpstreamName) {
+        let gone_at = self.absence_counts_from(now);
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.gone_at.get_or_insert(gone_at);
+        }
+    }
+
+    /// Adopts a complete listing: entries that it lacks are no longer published.
+    pub fn replace_all(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
+        let listed: HashSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
+        let missing: Vec<UpstreamName> =
+            self.upstreams.keys().filter(|it| !listed.contains(*it)).cloned().collect();
+        for record in records {
+            self.publish(now, record);
+        }
+        for name in missing {
+            self.withdraw(now, &name);
+        }
+        self.forget(now);
+    }
+
+    /// Opens or closes a data centre for new work.
+    pub fn set_closed(&mut self, centre: &CentreName, is_closed: bool) {
+        if is_closed {
+            self.closed.insert(centre.clone());
+        } else {
+            self.closed.remove(centre);
+        }
+    }
+
+    /// Closes exactly the data centres of a complete listing.
+    pub fn replace_closed(&mut self, centres: impl IntoIterator<Item = CentreName>) {
+        self.closed = centres.into_iter().collect();
+    }
+
+    /// Notes that the platform does not answer.
+    pub fn platform_lost(&mut self) {
+        self.is_lost = true;
+        self.regained = None;
+    }
+
+    /// Notes that the platform answers.
+    pub fn platform_answered(&mut self, now: Instant) {
+        if std::mem::take(&mut self.is_lost) {
+            self.regained = Some(now);
+        }
+    }
+
+    /// From when an absence that is noticed at `now` counts.
+    ///
+    /// Entries lapse while the platform is down although their upstreams run. They are back a
+    /// moment after its return.
+    fn absence_counts_from(&self, now: Instant) -> Instant {
+        let delayed = now + REMOVAL_DELAY;
+        match self.regained {
+            _ if self.is_lost => now + LAPSE_RETURN,
+            Some(regained) if now < regained + LAPSE_RETURN => delayed.max(regained + LAPSE_RETURN),
+            _ => delayed,
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let before = self.upstreams.len();
+        self.upstreams.retain(|_, state| {
+            state.own > 0 || state.gone_at.is_none_or(|it| now < it + FORGET_AFTER)
+        });
+        if self.upstreams.len() != before {
+            self.index();
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod exchange;
 pub mod front;
+pub mod gateway;
 pub mod limits;
 pub mod membership;
 pub mod names;
--- /dev/null
+++ b/lib/src/settings/gateway.rs
@@ -0,0 +1,146 @@
+//! Settings of a gateway process.
+
+use std::{ffi::OsString, net::SocketAddr, time::Duration};
+
+use super::{
+    reader::{
+        FlagOutcome, SettingsError, ValueReader, address_list, help_of, read_flags, valid_filter,
+        valid_name,
+    },
+    spec::{ADDRESS, NAME, SettingSpec, text},
+};
+use crate::names::{CentreName, HostName};
+
+const DECIMAL: &str = "a number, not negative";
+const SECONDS: &str = "0 to 86400 s";
+
+/// All settings of a gateway in the order of the help text.
+pub const GATEWAY_SETTINGS: &[SettingSpec] = &[
+    text("host", "name", None, NAME, "name of this host"),
+    text("data-centre", "name", None, NAME, "data centre of this host"),
+    text("listen", "IP:PORT", None, ADDRESS, "address for callers"),
+    text("ready-listen", "IP:PORT", None, ADDRESS, "address for readiness checks"),
+    text("peer-listen", "IP:PORT", None, ADDRESS, "address for other hosts"),
+    text("metrics-listen", "IP:PORT", None, ADDRESS, "address for metrics"),
+    text("store", "IP:PORT", None, ADDRESS, "store of the platform"),
+    text(
+        "seed-peers",
+        "IP:PORT,...",
+        Some(""),
+        "IP:PORT of other hosts, separated by commas, or nothing",
+        "hosts asked first for the other hosts",
+    ),
+    text("retry-ratio", "1", Some("0.2"), DECIMAL, "repeats per request of a service"),
+    text("retry-window-s", "s", Some("10"), SECONDS, "time over which repeats are counted"),
+    text(
+        "retry-slack",
+        "requests",
+        Some("50"),
+        DECIMAL,
+        "repeats per window that all hosts may make besides",
+    ),
+    text(
+        "config-bound-s",
+        "s",
+        Some("2"),
+        SECONDS,
+        "time in which a published change is in force on every host",
+    ),
+    text("stop-limit-s", "s", Some("8"), SECONDS, "longest time of a planned stop"),
+    text(
+        "log",
+        "filter",
+        Some("info"),
+        "a tracing filter such as info or snipepond=debug,info",
+        "which events are logged",
+    ),
+];
+
+/// Checked settings of a gateway process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewayOptions {
+    /// Name of this host.
+    pub host: HostName,
+    /// Data centre in which the host runs.
+    pub data_centre: CentreName,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for readiness checks.
+    pub ready_listen: SocketAddr,
+    /// Address for other hosts.
+    pub peer_listen: SocketAddr,
+    /// Address for metrics.
+    pub metrics_listen: SocketAddr,
+    /// Store of the platform.
+    pub store: SocketAddr,
+    /// Other hosts that are asked first.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Repeats per request of a service.
+    pub retry_ratio: f64,
+    /// Time over which repeats are counted.
+    pub retry_window: Duration,
+    /// Repeats per window that all hosts may make besides.
+    pub retry_slack: f64,
+    /// Time in which a published change is in force on every host.
+    pub config_bound: Duration,
+    /// Longest time of a planned stop.
+    pub stop_limit: Duration,
+    /// Filter of the log, in the syntax of `tracing_subscriber::EnvFilter`.
+    pub log: String,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayOutcome {
+    /// Run a gateway with these settings.
+    Run(Box<GatewayOptions>),
+    /// Print this text and exit with status 0.
+    Print(String),
+}
+
+impl GatewayOptions {
+    /// Reads settings from `args` (without the program name) and from environment variables.
+    ///
+    /// # Errors
+    ///
+    /// A setting is absent or not allowed, or the command line cannot be read.
+    pub fn parse(
+        args: impl IntoIterator<Item = impl Into<OsString>>,
+        env: impl Fn(&str) -> Option<OsString>,
+    ) -> Result<GatewayOutcome, SettingsError> {
+        let usage = "snipepond-gateway --host NAME --data-centre NAME [--SETTING VALUE]...";
+        let version = || format!("snipepond-gateway {}\n", env!("CARGO_PKG_VERSION"));
+        let flags = match read_flags(GATEWAY_SETTINGS, args)? {
+            FlagOutcome::Values(flags) => flags,
+            FlagOutcome::Help => {
+                return Ok(GatewayOutcome::Print(help_of(usage, GATEWAY_SETTINGS)));
+            }
+            FlagOutcome::Version => return Ok(GatewayOutcome::Print(version())),
+        };
+        let reader = ValueReader { specs: GATEWAY_SETTINGS, flags, env };
+        Self::read(&reader).map(|options| GatewayOutcome::Run(Box::new(options)))
+    }
+
+    fn read<E>(reader: &ValueReader<E>) -> Result<Self, SettingsError>
+    where
+        E: Fn(&str) -> Option<OsString>,
+    {
+        let address = |name| reader.read(name, |it| it.parse().ok());
+        Ok(Self {
+            host: HostName::new(&reader.read("host", valid_name)?),
+            data_centre: CentreName::new(&reader.read("data-centre", valid_name)?),
+            listen: address("listen")?,
+            ready_listen: address("ready-listen")?,
+            peer_listen: address("peer-listen")?,
+            metrics_listen: address("metrics-listen")?,
+            store: address("store")?,
+            seed_peers: reader.read("seed-peers", address_list)?,
+            retry_ratio: reader.decimal("retry-ratio")?,
+            retry_window: reader.seconds("retry-window-s")?,
+            retry_slack: reader.decimal("retry-slack")?,
+            config_bound: reader.seconds("config-bound-s")?,
+            stop_limit: reader.seconds("stop-limit-s")?,
+            log: reader.read("log", valid_filter)?,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/settings/reader.rs
@@ -0,0 +1,213 @@
+//! Reads settings from flags and environment variables of the same names.
+
+use std::{collections::HashMap, ffi::OsString, net::SocketAddr, time::Duration};
+
+use tracing_subscriber::EnvFilter;
+
+use super::spec::SettingSpec;
+use crate::names::is_valid_name;
+
+/// Prefix of the environment variables.
+const ENV_PREFIX: &str = "SNIPEPOND_";
+
+/// Where a value came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueOrigin {
+    /// A flag.
+    Flag,
+    /// An environment variable.
+    Environment,
+    /// The default.
+    Default,
+}
+
+/// Why settings were refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// A required setting is absent.
+    #[error(
+        "setting {name} is required: set --{name} or {}; allowed: {allowed}",
+        variable_name(name)
+    )]
+    Missing {
+        /// Name of the setting.
+        name: &'static str,
+        /// Values that are allowed.
+        allowed: &'static str,
+    },
+    /// A value is not allowed.
+    #[error("setting {}: value {value:?} is not allowed; allowed: {allowed}", origin_name(name, *origin))]
+    Invalid {
+        /// Name of the setting.
+        name: &'static str,
+        /// Where the value came from.
+        origin: ValueOrigin,
+        /// The value as given; bytes that are not UTF-8 are replaced.
+        value: String,
+        /// Values that are allowed.
+        allowed: &'static str,
+    },
+    /// The command line cannot be read.
+    #[error("{reason}; --help lists the settings")]
+    Usage {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// What the flags of a command line are.
+pub(super) enum FlagOutcome {
+    Values(HashMap<&'static str, OsString>),
+    Help,
+    Version,
+}
+
+/// Reads the flags of `specs`; the first `--help` or `--version` ends reading.
+pub(super) fn read_flags(
+    specs: &'static [SettingSpec],
+    args: impl IntoIterator<Item = impl Into<OsString>>,
+) -> Result<FlagOutcome, SettingsError> {
+    let mut flags = HashMap::new();
+    let args: Vec<OsString> = args.into_iter().map(Into::into).collect();
+    let mut parser = lexopt::Parser::from_args(args);
+    while let Some(arg) = parser.next().map_err(usage)? {
+        match arg {
+            lexopt::Arg::Short('h') | lexopt::Arg::Long("help") => return Ok(FlagOutcome::Help),
+            lexopt::Arg::Short('V') | lexopt::Arg::Long("version") => {
+                return Ok(FlagOutcome::Version);
+            }
+            lexopt::Arg::Long(name) => match specs.iter().find(|it| it.name == name) {
+                Some(spec) => {
+                    flags.insert(spec.name, parser.value().map_err(usage)?);
+                }
+                None => return Err(usage(arg.unexpected())),
+            },
+            _ => return Err(usage(arg.unexpected())),
+        }
+    }
+    Ok(FlagOutcome::Values(flags))
+}
+
+/// Returns the environment variable of a setting.
+pub fn variable_name(name: &str) -> String {
+    format!("{ENV_PREFIX}{}", name.to_ascii_uppercase().replace('-', "_"))
+}
+
+/// Returns the text of `--help`: `usage` and the settings.
+pub(super) fn help_of(usage: &str, specs: &[SettingSpec]) -> String {
+    let mut text = format!(
+        "Usage: {usage}\n\
+         \n\
+         Every setting can also be given as an environment variable: --admin-listen is\n\
+         SNIPEPOND_ADMIN_LISTEN. A flag wins over the variable.\n\n",
+    );
+    for spec in specs {
+        let default = spec.default.unwrap_or("required");
+        text.push_str(&format!(
+            "  --{:<18} {} [unit: {}] [default: {default}]\n  {:20} allowed: {}\n",
+            spec.name, spec.help, spec.unit, "", spec.allowed
+        ));
+    }
+    text.push_str(
+        "  --help               print this text\n  --version            print the version\n",
+    );
+    text
+}
+
+fn usage(error: lexopt::Error) -> SettingsError {
+    SettingsError::Usage { reason: error.to_string() }
+}
+
+fn origin_name(name: &str, origin: ValueOrigin) -> String {
+    match origin {
+        ValueOrigin::Flag => format!("--{name}"),
+        ValueOrigin::Environment => variable_name(name),
+        ValueOrigin::Default => format!("{name} (default)"),
+    }
+}
+
+/// Looks up values by setting and checks them.
+pub(super) struct ValueReader<E> {
+    pub(super) specs: &'static [SettingSpec],
+    pub(super) flags: HashMap<&'static str, OsString>,
+    pub(super) env: E,
+}
+
+impl<E: Fn(&str) -> Option<OsString>> ValueReader<E> {
+    pub(super) fn raw(&self, name: &'static str) -> Result<(OsString, ValueOrigin), SettingsError> {
+        let spec = self.spec_of(name);
+        if let Some(value) = self.flags.get(name) {
+            Ok((value.clone(), ValueOrigin::Flag))
+        } else if let Some(value) = (self.env)(&variable_name(name)) {
+            Ok((value, ValueOrigin::Environment))
+        } else if let Some(value) = spec.default {
+            Ok((value.into(), ValueOrigin::Default))
+        } else {
+            Err(SettingsError::Missing { name, allowed: spec.allowed })
+        }
+    }
+
+    pub(super) fn read<T>(
+        &self,
+        name: &'static str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Result<T, SettingsError> {
+        let (value, origin) = self.raw(name)?;
+        value.to_str().and_then(parse).ok_or_else(|| SettingsError::Invalid {
+            name,
+            origin,
+            value: value.to_string_lossy().into_owned(),
+            allowed: self.spec_of(name).allowed,
+        })
+    }
+
+    fn number(&self, name: &'static str) -> Result<u64, SettingsError> {
+        let range = self.spec_of(name).range.expect("a number has a range");
+        self.read(name, |it| {
+            // Rust's parser takes a leading '+', which no other tool that reads these values does.
+            let digits = it.bytes().all(|b| b.is_ascii_digit());
+            let number = it.parse().ok().filter(|_| digits)?;
+            (range.0..=range.1).contains(&number).then_some(number)
+        })
+    }
+
+    pub(super) fn milliseconds(&self, name: &'static str) -> Result<Duration, SettingsError> {
+        self.number(name).map(Duration::from_millis)
+    }
+
+    pub(super) fn count(&self, name: &'static str) -> Result<usize, SettingsError> {
+        let number = self.number(name)?;
+        Ok(usize::try_from(number).expect("ranges fit into usize"))
+    }
+
+    /// Reads a number that may have a fraction.
+    pub(super) fn decimal(&self, name: &'static str) -> Result<f64, SettingsError> {
+        self.read(name, |it| it.parse().ok().filter(|it: &f64| it.is_finite() && *it >= 0.0))
+    }
+
+    /// Reads a time in seconds that may have a fraction.
+    pub(super) fn seconds(&self, name: &'static str) -> Result<Duration, SettingsError> {
+        self.decimal(name).map(|it| Duration::from_secs_f64(it.min(MAX_SECONDS)))
+    }
+
+    fn spec_of(&self, name: &str) -> &'static SettingSpec {
+        let spec = self.specs.iter().find(|it| it.name == name);
+        spec.expect("every setting that is read is listed")
+    }
+}
+
+/// Longest time of a setting in seconds: one day.
+const MAX_SECONDS: f64 = 86_400.0;
+
+pub(super) fn valid_name(value: &str) -> Option<String> {
+    is_valid_name(value).then(|| value.to_owned())
+}
+
+pub(super) fn valid_filter(value: &str) -> Option<String> {
+    (!value.is_empty() && EnvFilter::try_new(value).is_ok()).then(|| value.to_owned())
+}
+
+pub(super) fn address_list(value: &str) -> Option<Vec<SocketAddr>> {
+    let parts = value.split(',').filter(|_| !value.is_empty());
+    parts.map(|it| it.parse().ok().filter(|it: &SocketAddr| it.port() != 0)).collect()
+}
--- a/lib/src/settings/spec.rs
+++ b/lib/src/settings/spec.rs
@@ -26,7 +26,7 @@
     pub(super) range: Option<(u64, u64)>,
 }
 
-const fn text(
+pub(super) const fn text(
     name: &'static str,
     unit: &'static str,
     default: Option<&'static str>,
@@ -36,7 +36,7 @@
     SettingSpec { name, unit, default, allowed, help, range: None }
 }
 
-const fn number(
+pub(super) const fn number(
     name: &'static str,
     unit: &'static str,
     default: &'static str,
@@ -48,8 +48,8 @@
 
 const TIME: ((u64, u64), &str) = ((1, MAX_TIME_MS), "1 to 86400000 ms");
 const TIME_OR_ZERO: ((u64, u64), &str) = ((0, MAX_TIME_MS), "0 to 86400000 ms");
-const NAME: &str = "1 to 64 of A-Z a-z 0-9 - _ .";
-const ADDRESS: &str = "IP:PORT";
+pub(super) const NAME: &str = "1 to 64 of A-Z a-z 0-9 - _ .";
+pub(super) const ADDRESS: &str = "IP:PORT";
 
 /// All settings in the order of the help text.
 pub const SETTINGS: &[SettingSpec] = &[
--- a/lib/src/telemetry/log.rs
+++ b/lib/src/telemetry/log.rs
@@ -45,6 +45,9 @@
     /// The process already has a subscriber.
     #[error("logging was already set up")]
     AlreadySet,
+    /// The thread that writes cannot be started.
+    #[error("log thread cannot be started: {0}")]
+    Thread(#[source] io::Error),
 }
 
 /// Sends the events that `filter` selects to standard error, for the whole process.
--- /dev/null
+++ b/lib/src/telemetry/queue.rs
@@ -0,0 +1,143 @@
+//! Log lines on standard output through a bounded queue, so that no event waits for a reader.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use tracing_subscriber::fmt::MakeWriter;
+
+use super::log::{TelemetryError, log_subscriber};
+use crate::clock::ClockSource;
+
+/// Lines that may wait; more are dropped and counted. Several seconds of a busy host.
+const WAITING_LINES: usize = 4_096;
+
+/// Time for which lines are gathered into one write, because every write and wake-up costs.
+const GATHER_TIME: Duration = Duration::from_millis(50);
+
+/// Writes the log until it is dropped; dropping it writes what waits and joins its thread.
+#[derive(Debug)]
+pub struct LogQueue {
+    lines: Option<SyncSender<Vec<u8>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Makes a writer for each event; what it gets becomes one line of the queue.
+#[derive(Clone, Debug)]
+pub struct QueueWriter {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LogQueue {
+    /// Starts the thread that writes to `output`.
+    ///
+    /// # Errors
+    ///
+    /// The thread cannot be started.
+    pub fn start(output: impl Write + Send + 'static) -> io::Result<(Self, QueueWriter)> {
+        let (lines, waiting) = sync_channel(WAITING_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counter = dropped.clone();
+        let thread = thread::Builder::new()
+            .name("log".into())
+            .spawn(move || write_lines(&waiting, &counter, output))?;
+        let queue = Self { lines: Some(lines.clone()), thread: Some(thread) };
+        Ok((queue, QueueWriter { lines, dropped }))
+    }
+}
+
+impl Drop for LogQueue {
+    fn drop(&mut self) {
+        if let Some(lines) = self.lines.take() {
+            // An empty line ends the thread; the writer of the subscriber lives on.
+            let _ = lines.send(Vec::new());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
+    while let Ok(first) = waiting.recv() {
+        let mut is_last = first.is_empty();
+        if !is_last {
+            thread::sleep(GATHER_TIME);
+        }
+        let mut batch = first;
+        for line in waiting.try_iter() {
+            is_last |= line.is_empty();
+            batch.extend_from_slice(&line);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            batch.extend_from_slice(format!("event=log_lines_dropped count={lost}\n").as_bytes());
+        }
+        // Without a reader there is nowhere left to report to.
+        let _ = output.write_all(&batch).and_then(|()| output.flush());
+        if is_last {
+            return;
+        }
+    }
+}
+
+impl<'a> MakeWriter<'a> for QueueWriter {
+    type Writer = LineBuffer<'a>;
+
+    fn make_writer(&'a self) -> LineBuffer<'a> {
+        LineBuffer { writer: self, line: Vec::new() }
+    }
+}
+
+/// Collects the bytes of one event.
+#[derive(Debug)]
+pub struct LineBuffer<'a> {
+    writer: &'a QueueWriter,
+    line: Vec<u8>,
+}
+
+impl Write for LineBuffer<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Drop for LineBuffer<'_> {
+    fn drop(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        if line.is_empty() {
+            return;
+        }
+        if let Err(TrySendError::Full(_)) = self.writer.lines.try_send(line) {
+            self.writer.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Sends the events that `filter` selects to standard output, for the whole process.
+///
+/// # Errors
+///
+/// The filter cannot be read, the process already has a subscriber, or no thread can be started.
+pub fn init_log_queue(
+    filter: &str,
+    clock: Arc<dyn ClockSource>,
+) -> Result<LogQueue, TelemetryError> {
+    let (queue, writer) = LogQueue::start(io::stdout()).map_err(TelemetryError::Thread)?;
+    let subscriber = log_subscriber(filter, clock, writer)?;
+    tracing::subscriber::set_global_default(subscriber).map_err(|_| TelemetryError::AlreadySet)?;
+    Ok(queue)
+}
