gateway: prompts stay with their engine up to 1.7 times the mean load

At these loads a step of an engine takes 4 to 5 ms either way, so the bound only has to keep the operators' multiple of 2.

Change: bound of 1.7 times the mean plus 2.5. Each pick is logged with its inputs.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -369,8 +369,10 @@
             return Err("retry_budget");
         }
         let pick = state.upstreams.pick(now, &request).map_err(PickRefusal::as_str)?;
-        tracing::debug!(
+        tracing::info!(
             request_id = %self.call.head.request_id,
+            affinity = self.call.head.affinity.map(|it| format!("{it:016x}")),
+            shared_tokens = self.call.head.shared_tokens,
             upstream = %pick.name,
             reason = pick.reason.as_str(),
             rank = pick.rank,
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -13,10 +13,10 @@
 
 /// Load of an engine, as a multiple of the mean, up to which it gets the requests whose prompt it
 /// has cached. The bound of the operators is 2; the rest covers the lag of reports.
-const AFFINITY_LOAD_MULTIPLE: f64 = 1.3;
+const AFFINITY_LOAD_MULTIPLE: f64 = 1.7;
 
 /// Requests added to that bound, so that it does not bind when engines are nearly idle.
-const AFFINITY_LOAD_SLACK: f64 = 2.0;
+const AFFINITY_LOAD_SLACK: f64 = 2.5;
 
 /// Load per slot of the own data centre from which a service's upstreams elsewhere are used. Bytes
 /// between data centres cost more than a short wait, but a queue costs the latency target.
