gateway: connections, not requests, find out whether an upstream can be reached

Change: an upstream that is not reached gets no request until a connection to it succeeds; no answer to a connection puts its whole data centre under that test. Attempts of which nothing was sent cost no budget. A connection without acknowledgement for 350 ms is given up.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod health;
 mod pool;
+mod reach;
 mod server;
 mod stream;
 mod table;
@@ -30,7 +31,7 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        PickReason, PickRefusal, PickRequest, ReportedLoad, UpstreamPick, UpstreamRecord,
-        UpstreamSet,
+        DoubtedUpstream, PickReason, PickRefusal, PickRequest, ReportedLoad, UpstreamPick,
+        UpstreamRecord, UpstreamSet,
     },
 };
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -236,6 +236,8 @@
 
 /// How one attempt ended without a response for the caller.
 pub(super) enum FailedAttempt {
+    /// Nothing of the request reached the upstream.
+    NotSent(&'static str),
     /// The upstream did not run the request and never will.
     NotRun(&'static str),
     /// The upstream may have run the request.
@@ -295,6 +297,8 @@
     pub(super) gateway: Rc<Gateway>,
     pub(super) call: Rc<AdmittedCall>,
     tried: Vec<UpstreamName>,
+    /// Attempts that reached an upstream; the retry budget bounds those beyond the first.
+    arrivals: u32,
     /// Attempts after which an upstream may have run the request.
     runs: u32,
     /// Whether the budget has been charged for the next attempt.
@@ -303,7 +307,7 @@
 
 impl CallRun {
     fn new(gateway: Rc<Gateway>, call: Rc<AdmittedCall>) -> Self {
-        Self { gateway, call, tried: Vec::new(), runs: 0, is_charged: false }
+        Self { gateway, call, tried: Vec::new(), arrivals: 0, runs: 0, is_charged: false }
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
@@ -319,15 +323,23 @@
             };
             self.tried.push(pick.name);
             let may_go_on = match &failed {
-                FailedAttempt::NotRun(_) => self.runs == 0 || self.may_repeat(),
+                FailedAttempt::NotSent(_) => self.runs == 0 || self.may_repeat(),
+                FailedAttempt::NotRun(_) => {
+                    self.arrivals += 1;
+                    self.runs == 0 || self.may_repeat()
+                }
                 FailedAttempt::MayHaveRun(_) | FailedAttempt::Answered(_) => {
-                    self.runs += 1;
+                    self.note_run();
                     self.may_repeat()
                 }
             };
             // An earlier response of an upstream says more than a refusal that followed it.
             last = match (last, failed) {
-                (Some(earlier), FailedAttempt::NotRun(_)) if self.runs > 0 => Some(earlier),
+                (Some(earlier), FailedAttempt::NotRun(_) | FailedAttempt::NotSent(_))
+                    if self.runs > 0 =>
+                {
+                    Some(earlier)
+                }
                 (_, failed) => Some(failed),
             };
             if !may_go_on || self.tried.len() >= MAX_OFFERS {
@@ -361,8 +373,7 @@
             cold_rate: self.call.cold_rate,
             hosts: state.hosts,
         };
-        let is_repeat = !self.tried.is_empty();
-        if is_repeat
+        if self.arrivals > 0
             && !std::mem::take(&mut self.is_charged)
             && !state.budget.take(now, &self.call.service, state.hosts)
         {
@@ -399,7 +410,9 @@
         self.is_charged
     }
 
+    /// Counts an attempt after which an upstream may have run the request.
     pub(super) fn note_run(&mut self) {
+        self.arrivals += 1;
         self.runs += 1;
     }
 
@@ -460,11 +473,13 @@
             Some(FailedAttempt::MayHaveRun(kind)) => {
                 CallRefusal::unknown(kind, message("no upstream answered to the end"))
             }
-            Some(FailedAttempt::NotRun(_)) | None if self.runs > 0 => CallRefusal::unknown(
-                RefusalKind::UpstreamLost,
-                message("no upstream answered to the end"),
-            ),
-            Some(FailedAttempt::NotRun(cause)) => {
+            Some(FailedAttempt::NotRun(_) | FailedAttempt::NotSent(_)) | None if self.runs > 0 => {
+                CallRefusal::unknown(
+                    RefusalKind::UpstreamLost,
+                    message("no upstream answered to the end"),
+                )
+            }
+            Some(FailedAttempt::NotRun(cause) | FailedAttempt::NotSent(cause)) => {
                 CallRefusal::not_run(RefusalKind::UpstreamUnreachable, message(cause))
                     .retry_after(self.call.retry_after())
             }
@@ -574,8 +589,11 @@
         Err(error) => {
             log_failure(gateway, call, &pick.name, "unreachable", &error);
             guard.end(AttemptEnd::Unreachable);
+            gateway.doubt(&pick.name, matches!(error, SendError::NoConnection));
             return Err(match error {
-                SendError::NotSent(_) => FailedAttempt::NotRun("no upstream was reached"),
+                SendError::NotSent(_) | SendError::NoConnection => {
+                    FailedAttempt::NotSent("no upstream was reached")
+                }
                 SendError::Lost(_) => FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost),
             });
         }
--- a/lib/src/gateway/health.rs
+++ b/lib/src/gateway/health.rs
@@ -1,13 +1,7 @@
-//! Health of one upstream as this host's own requests show it; no probe is sent.
+//! Health of one upstream as this host's own requests and connections show it.
 
 use std::time::{Duration, Instant};
 
-/// First pause after an upstream was not reached.
-const MIN_PAUSE: Duration = Duration::from_millis(400);
-
-/// Longest pause; a returning upstream is noticed within this time.
-const MAX_PAUSE: Duration = Duration::from_secs(3);
-
 /// Weight of one outcome in the running failure share.
 const OUTCOME_WEIGHT: f64 = 0.12;
 
@@ -35,8 +29,7 @@
 pub struct UpstreamHealth {
     failure_share: f64,
     updated: Option<Instant>,
-    pause: Duration,
-    paused_until: Option<Instant>,
+    is_unreachable: bool,
 }
 
 impl UpstreamHealth {
@@ -45,28 +38,24 @@
         let failure = match end {
             AttemptEnd::Cancelled => return,
             AttemptEnd::Complete => {
-                self.pause = Duration::ZERO;
-                self.paused_until = None;
+                self.is_unreachable = false;
                 0.0
             }
-            AttemptEnd::Failed => 1.0,
-            AttemptEnd::Unreachable => {
-                // Attempts that fail together count as one failure.
-                if !self.is_paused(now) {
-                    self.pause = (self.pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
-                    self.paused_until = Some(now + self.pause);
-                }
-                1.0
-            }
+            AttemptEnd::Failed | AttemptEnd::Unreachable => 1.0,
         };
         self.failure_share = self.failure_share(now);
         self.updated = Some(now);
         self.failure_share += OUTCOME_WEIGHT * (failure - self.failure_share);
     }
 
-    /// Returns whether the upstream was not reached a moment ago.
-    pub fn is_paused(&self, now: Instant) -> bool {
-        self.paused_until.is_some_and(|it| now < it)
+    /// Notes whether a connection can be established.
+    pub fn set_reachable(&mut self, is_reachable: bool) {
+        self.is_unreachable = !is_reachable;
+    }
+
+    /// Returns whether the upstream is doubted until a connection to it is established.
+    pub fn is_unreachable(&self) -> bool {
+        self.is_unreachable
     }
 
     /// Returns the running share of failed attempts.
--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -26,9 +26,10 @@
 /// packet is sent again after a second, and another upstream is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time without acknowledgement after which the system gives a connection up: an upstream behind a
-/// partition answers nothing.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time without acknowledgement after which the system gives a connection to an upstream up. A lost
+/// packet is sent again and acknowledged within 210 ms; an upstream behind a partition acknowledges
+/// nothing, and its requests can still be answered in time elsewhere.
+const SILENCE_LIMIT: Duration = Duration::from_millis(350);
 
 /// Idle time before the first keep-alive probe of the system, and interval of the probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -54,6 +55,9 @@
     /// No byte of the request reached the upstream.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// No connection was established in time, so perhaps a whole data centre is cut off.
+    #[error("not sent: no connection in {} ms", CONNECT_TIMEOUT.as_millis())]
+    NoConnection,
     /// The upstream may have run the request.
     #[error("no response: {0}")]
     Lost(String),
@@ -160,6 +164,17 @@
         Ok((response, UpstreamExchange { connection, pool, key, idle_limit }))
     }
 
+    /// Establishes a connection for later use; returns whether that succeeded.
+    pub async fn try_connect(&self, key: PoolKey) -> bool {
+        match connect(key.address).await {
+            Ok(connection) => {
+                self.keep(key, connection, DEFAULT_IDLE);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Closes connections that are too old to be used; to be called on a timer.
     pub fn expire(&self) {
         let now = self.clock.now();
@@ -202,9 +217,9 @@
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(not_sent(&error)),
-        Err(_) => return Err(not_sent(&"the connection was not established in time")),
+        Err(_) => return Err(SendError::NoConnection),
     };
-    configure(&stream).map_err(|error| not_sent(&error))?;
+    configure(&stream, SILENCE_LIMIT).map_err(|error| not_sent(&error))?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
     let driver = tokio::task::spawn_local(async move {
@@ -215,11 +230,12 @@
     Ok(UpstreamConnection { sender, driver })
 }
 
-/// Sends small packets at once, and lets the system notice a peer that has gone silent.
-pub fn configure(stream: &TcpStream) -> io::Result<()> {
+/// Sends small packets at once, and lets the system notice a peer that has acknowledged nothing for
+/// `silence`.
+pub fn configure(stream: &TcpStream, silence: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
+    socket.set_tcp_user_timeout(Some(silence))?;
     let keepalive = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)
 }
--- /dev/null
+++ b/lib/src/gateway/reach.rs
@@ -0,0 +1,53 @@
+//! Tries connections to upstreams that were not reached, so that no request has to.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::{task::spawn_local, time::sleep};
+
+use super::{fleet::Gateway, pool::PoolKey, upstreams::DoubtedUpstream};
+use crate::names::UpstreamName;
+
+/// Pause before a connection is tried again; doubled up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause; an upstream that is back gets requests after this time at the latest.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+impl Gateway {
+    /// Sends no request to an upstream that was not reached until a connection to it succeeds.
+    ///
+    /// With `whole_centre` the same holds for all upstreams of its data centre: no answer at all
+    /// to one connection is how a partition between data centres shows first.
+    pub(super) fn doubt(self: &Rc<Self>, upstream: &UpstreamName, whole_centre: bool) {
+        let doubted = self.state.borrow_mut().upstreams.doubt(upstream, whole_centre);
+        for upstream in doubted {
+            spawn_local(try_until_reached(self.clone(), upstream));
+        }
+    }
+}
+
+async fn try_until_reached(gateway: Rc<Gateway>, upstream: DoubtedUpstream) {
+    let mut pause = MIN_PAUSE;
+    let mut tries = 1;
+    loop {
+        let key = PoolKey {
+            upstream: upstream.name.clone(),
+            incarnation: upstream.incarnation,
+            address: upstream.address,
+        };
+        if gateway.pool.try_connect(key).await {
+            tracing::info!(upstream = %upstream.name, tries, "upstream_reached");
+            return gateway.state.borrow_mut().upstreams.reached(&upstream.name);
+        }
+        if tries == 1 {
+            tracing::warn!(upstream = %upstream.name, address = %upstream.address, "upstream_lost");
+        }
+        sleep(pause).await;
+        if !gateway.state.borrow().upstreams.is_doubted(&upstream) {
+            tracing::info!(upstream = %upstream.name, tries, "upstream_tries_ended");
+            return;
+        }
+        pause = (pause * 2).min(MAX_PAUSE);
+        tries += 1;
+    }
+}
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -26,6 +26,9 @@
 /// Pause after a failed accept; typically no file descriptor is left.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
+/// Time without acknowledgement after which the system gives a caller's connection up.
+const CALLER_SILENCE: Duration = Duration::from_secs(3);
+
 /// Interval of periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -147,7 +150,7 @@
 }
 
 async fn serve_caller(stream: TcpStream, gateway: Rc<Gateway>, mut closing: watch::Receiver<bool>) {
-    if let Err(error) = configure(&stream) {
+    if let Err(error) = configure(&stream, CALLER_SILENCE) {
         tracing::debug!(%error, "caller_connection_ended");
         return;
     }
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -43,6 +43,17 @@
     pub incarnation: u64,
 }
 
+/// An upstream to which a connection has to be tried.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DoubtedUpstream {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// Requests at an upstream as it reports them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -168,6 +179,46 @@
         }
     }
 
+    /// Doubts an upstream that was not reached until a connection to it is established, and with
+    /// `whole_centre` every other upstream of its data centre.
+    ///
+    /// Returns those that were not doubted before; a connection to each has to be tried.
+    pub fn doubt(&mut self, name: &UpstreamName, whole_centre: bool) -> Vec<DoubtedUpstream> {
+        let Some(centre) = self.upstreams.get(name).map(|it| it.record.data_centre.clone()) else {
+            return Vec::new();
+        };
+        let mut doubted = Vec::new();
+        for state in self.upstreams.values_mut() {
+            let is_meant =
+                state.record.name == *name || (whole_centre && state.record.data_centre == centre);
+            if is_meant && !state.health.is_unreachable() && state.gone_at.is_none() {
+                state.health.set_reachable(false);
+                doubted.push(DoubtedUpstream {
+                    name: state.record.name.clone(),
+                    incarnation: state.record.incarnation,
+                    address: state.record.address,
+                });
+            }
+        }
+        doubted
+    }
+
+    /// Ends the doubt about an upstream.
+    pub fn reached(&mut self, name: &UpstreamName) {
+        if let Some(state) = self.upstreams.get_mut(name) {
+            state.health.set_reachable(true);
+        }
+    }
+
+    /// Returns whether this incarnation of an upstream is published and doubted.
+    pub fn is_doubted(&self, doubted: &DoubtedUpstream) -> bool {
+        self.upstreams.get(&doubted.name).is_some_and(|it| {
+            it.record.incarnation == doubted.incarnation
+                && it.gone_at.is_none()
+                && it.health.is_unreachable()
+        })
+    }
+
     fn index(&mut self) {
         self.services.clear();
         for state in self.upstreams.values() {
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -164,7 +164,7 @@
     /// health.
     pub fn has_other(&self, now: Instant, service: &ServiceName, tried: &[UpstreamName]) -> bool {
         let is_open = |name: &UpstreamName| {
-            !tried.contains(name) && !self.upstreams[name].health.is_paused(now)
+            !tried.contains(name) && !self.upstreams[name].health.is_unreachable()
         };
         self.eligible(now, service).iter().filter(|it| is_open(it)).count() > 1
     }
@@ -196,7 +196,7 @@
             .map(|name| {
                 let state = &self.upstreams[name];
                 let is_failing = state.health.is_failing(now, usual_failure);
-                let is_sound = !is_failing && !state.health.is_paused(now);
+                let is_sound = !is_failing && !state.health.is_unreachable();
                 Candidate { state, load: state.load(now, mean), is_sound }
             })
             .collect();
