--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -124,7 +124,7 @@
                 request_id = %head.request_id,
                 reason = refusal.kind.as_str(),
                 status = refusal.kind.status(),
-                message = %refusal.message,
+                detail = %refusal.message,
                 "request_refused"
             );
             return gateway.refuse(&head.request_id, &refusal);
