gateway: hosts know each other by digests, pass entries on, and split the cold allowance by rank

The store turned 28 hosts away for 8 s while it served the others, and these hosts had no other source.

Change: hosts exchange digests (members, revision) twice a second and pull entries from one that knows more; two hosts of a data centre read the store and the others wait at one of them; a cold engine gets requests from the few hosts that rank first for its name. The entry log of the configuration tracker is shared with the gateway. The adapter is a source and a decoder of entries; connections, retries and listings moved into the library.

--- a/lib/src/config/tracker.rs
+++ b/lib/src/config/tracker.rs
@@ -1,35 +1,9 @@
 //! Tracks the newest and the accepted revision of the configuration.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
-use crate::catalogue::{Catalogue, CatalogueProblem, RawEntries, RejectedCatalogue};
-
-/// Removed entries that are remembered so that peers can be sent a delta.
-const MAX_TOMBSTONES: usize = 4_096;
-
-/// One entry as it stands at its last change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryChange {
-    /// Key of the entry.
-    pub key: Arc<str>,
-    /// Revision of the entry's last change.
-    pub revision: u64,
-    /// JSON text, or nothing if the entry was removed.
-    pub value: Option<Arc<str>>,
-}
-
-/// A step from one revision to a higher one, from the platform or a peer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfigChange {
-    /// Revision on which the step is based; 0 for a whole configuration.
-    pub base: u64,
-    /// Revision after the step.
-    pub revision: u64,
-    /// Entries that changed after `base`.
-    pub entries: Vec<EntryChange>,
-}
+use super::entry_log::{ConfigChange, EntryLog};
+use crate::catalogue::{Catalogue, CatalogueProblem, RejectedCatalogue};
 
 /// What became of a change.
 #[derive(Clone, Debug)]
@@ -44,81 +18,14 @@
     Gap,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Snapshot {
-    revision: u64,
-    values: RawEntries,
-    /// Revision of each entry's last change; an entry without a value is a tombstone.
-    changed: BTreeMap<Arc<str>, u64>,
-    /// Revision up to which tombstones were dropped.
-    horizon: u64,
-}
-
-impl Snapshot {
-    fn apply(&mut self, change: &ConfigChange) {
-        if change.base == 0 {
-            // Entries that are absent from a whole configuration were removed at an unknown
-            // revision, so no delta can be computed from before it.
-            self.values.clear();
-            self.changed.clear();
-            self.horizon = change.revision;
-        }
-        for entry in &change.entries {
-            match &entry.value {
-                Some(value) => {
-                    self.values.insert(entry.key.clone(), value.clone());
-                }
-                None => {
-                    self.values.remove(&entry.key);
-                }
-            }
-            self.changed.insert(entry.key.clone(), entry.revision);
-        }
-        self.revision = change.revision;
-        self.drop_old_tombstones();
-    }
-
-    fn drop_old_tombstones(&mut self) {
-        while self.changed.len() > self.values.len() + MAX_TOMBSTONES {
-            let oldest = self
-                .changed
-                .iter()
-                .filter(|(key, _)| !self.values.contains_key(*key))
-                .min_by_key(|(_, revision)| **revision)
-                .map(|(key, revision)| (key.clone(), *revision));
-            let Some((key, revision)) = oldest else {
-                return;
-            };
-            self.changed.remove(&key);
-            self.horizon = self.horizon.max(revision);
-        }
-    }
-
-    fn change_since(&self, base: u64) -> ConfigChange {
-        let base = if base < self.horizon { 0 } else { base };
-        let entries = self
-            .changed
-            .iter()
-            .filter(|(_, revision)| **revision > base)
-            .map(|(key, revision)| EntryChange {
-                key: key.clone(),
-                revision: *revision,
-                value: self.values.get(key).cloned(),
-            })
-            .filter(|it| base != 0 || it.value.is_some())
-            .collect();
-        ConfigChange { base, revision: self.revision, entries }
-    }
-}
-
 /// Owner of the configuration of one process.
 ///
 /// `seen` follows every published revision, also rejected ones, because later changes are
 /// based on them; `accepted` is what is in force.
 #[derive(Debug, Default)]
 pub struct ConfigTracker {
-    seen: Snapshot,
-    accepted: Snapshot,
+    seen: EntryLog,
+    accepted: EntryLog,
     catalogue: Arc<Catalogue>,
     rejection: Option<RejectedCatalogue>,
 }
@@ -131,17 +38,17 @@
 
     /// Applies a change if it leads to a higher revision than the one in force.
     pub fn apply(&mut self, change: &ConfigChange) -> ChangeOutcome {
-        if change.revision <= self.accepted.revision || change.revision == self.seen.revision {
+        if change.revision <= self.accepted.revision() || change.revision == self.seen.revision() {
             return ChangeOutcome::Stale;
         }
-        if change.revision < self.seen.revision {
+        if change.revision < self.seen.revision() {
             return self.apply_skipped(change);
         }
-        if change.base > self.seen.revision {
+        if change.base > self.seen.revision() {
             return ChangeOutcome::Gap;
         }
         self.seen.apply(change);
-        match Catalogue::parse(self.seen.revision, &self.seen.values) {
+        match Catalogue::parse(self.seen.revision(), self.seen.values()) {
             Ok(catalogue) => {
                 self.accepted = self.seen.clone();
                 self.catalogue = Arc::new(catalogue);
@@ -161,12 +68,12 @@
     /// one first. Without this it would keep its older catalogue, or none, until the next
     /// revision, while its peers serve the one before the rejected.
     fn apply_skipped(&mut self, change: &ConfigChange) -> ChangeOutcome {
-        if change.base > self.accepted.revision {
+        if change.base > self.accepted.revision() {
             return ChangeOutcome::Gap;
         }
         let mut snapshot = self.accepted.clone();
         snapshot.apply(change);
-        match Catalogue::parse(snapshot.revision, &snapshot.values) {
+        match Catalogue::parse(snapshot.revision(), snapshot.values()) {
             Ok(catalogue) => {
                 self.accepted = snapshot;
                 self.catalogue = Arc::new(catalogue);
@@ -183,12 +90,12 @@
 
     /// Returns the revision in force.
     pub fn accepted_revision(&self) -> u64 {
-        self.accepted.revision
+        self.accepted.revision()
     }
 
     /// Returns the highest revision known, accepted or not.
     pub fn seen_revision(&self) -> u64 {
-        self.seen.revision
+        self.seen.revision()
     }
 
     /// Returns the problems of the newest revision if it was rejected.
@@ -204,7 +111,7 @@
     /// changes are based on them. A peer that lacks the accepted revision before a rejected
     /// one receives the accepted one first.
     pub fn change_since(&self, base: u64) -> ConfigChange {
-        if base < self.accepted.revision {
+        if base < self.accepted.revision() {
             self.accepted.change_since(base)
         } else {
             self.seen.change_since(base)
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,9 +8,14 @@
 mod budget;
 mod call;
 mod cold;
+mod connection;
 mod dialect;
+mod feed;
 mod fleet;
+mod follow;
 mod health;
+mod members;
+mod peers;
 mod pool;
 mod reach;
 mod server;
@@ -20,11 +25,18 @@
 
 pub use self::{
     budget::{RetryAllowance, RetryBudget},
-    cold::ColdBucket,
+    cold::{ColdBucket, own_cold_rate},
+    connection::{CallClient, CallFailure, ConnectError, ConnectTimes, HttpConnection},
     dialect::{AnswerHead, AttemptHead, CallHead, WireDialect},
+    feed::{
+        EntryDecoder, EntryFeed, EntrySource, FeedOutcome, SourceError, SourceFuture, SourceState,
+    },
     fleet::{FleetChange, Gateway, GatewaySettings},
+    follow::follow_entries,
     health::{AttemptEnd, UpstreamHealth},
-    pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool, configure},
+    members::{MemberNews, MemberRecord, MemberTable},
+    peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure},
+    pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses, ShutdownTimes},
     table::{
         CallerIdentity, CallerLimits, RepeatRule, RouteRecord, RouteTable, ServiceRecord,
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -18,8 +18,9 @@
 
 use super::{
     body::ResponseBody,
+    cold::own_cold_rate,
     dialect::{AnswerHead, AttemptHead, CallHead},
-    fleet::Gateway,
+    fleet::{Gateway, GatewayState},
     health::AttemptEnd,
     pool::{PoolKey, SendError, UpstreamExchange},
     stream::{StreamSource, open_stream},
@@ -370,8 +371,7 @@
             service: &self.call.service,
             affinity: self.call.head.affinity,
             tried: &self.tried,
-            cold_rate: self.call.cold_rate,
-            hosts: state.hosts,
+            has_cold_limit: self.call.cold_rate > 0.0,
         };
         if self.arrivals > 0
             && !std::mem::take(&mut self.is_charged)
@@ -379,7 +379,13 @@
         {
             return Err("retry_budget");
         }
-        let pick = state.upstreams.pick(now, &request).map_err(PickRefusal::as_str)?;
+        let GatewayState { upstreams, members, hosts, .. } = state;
+        let cold_rate = |name: &UpstreamName| {
+            own_cold_rate(self.call.cold_rate, *hosts, |count| {
+                members.is_among_first(now, name.as_str(), count)
+            })
+        };
+        let pick = upstreams.pick(now, &request, cold_rate).map_err(PickRefusal::as_str)?;
         tracing::info!(
             request_id = %self.call.head.request_id,
             affinity = self.call.head.affinity.map(|it| format!("{it:016x}")),
--- a/lib/src/gateway/cold.rs
+++ b/lib/src/gateway/cold.rs
@@ -6,6 +6,24 @@
 /// every second.
 const SAVED_SPAN: Duration = Duration::from_millis(400);
 
+/// Share of a cold upstream's allowance that is used. Hosts do not agree at every moment on who they
+/// are.
+const USED_SHARE: f64 = 0.8;
+
+/// Lowest rate of a host that sends at all, in requests per second. Below it the first request of
+/// each of many hosts would exceed the allowance.
+const MIN_HOST_RATE: f64 = 2.0;
+
+/// Returns the requests per second that this host may send to one cold upstream.
+///
+/// `rate` is what the upstream tolerates from all `hosts`; `is_among_first` tells whether this host
+/// is one of that many that the upstream's name ranks first.
+pub fn own_cold_rate(rate: f64, hosts: usize, is_among_first: impl Fn(usize) -> bool) -> f64 {
+    let used = USED_SHARE * rate;
+    let senders = ((used / MIN_HOST_RATE) as usize).clamp(1, hosts.max(1));
+    if is_among_first(senders) { used / senders as f64 } else { 0.0 }
+}
+
 /// This host's share of the requests that one cold upstream may get.
 #[derive(Clone, Debug)]
 pub struct ColdBucket {
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -4,19 +4,23 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+use tokio::sync::watch;
+
 use super::{
     budget::{RetryAllowance, RetryBudget},
     dialect::WireDialect,
+    feed::{EntryDecoder, EntryFeed, SourceState},
+    members::{MemberRecord, MemberTable},
     pool::UpstreamPool,
     table::RouteTable,
     upstreams::{UpstreamRecord, UpstreamSet},
 };
 use crate::{
     clock::ClockSource,
-    names::{CentreName, HostName, UpstreamName},
+    names::{CentreName, UpstreamName},
     telemetry::RouterMetrics,
 };
 
@@ -26,10 +30,8 @@
 /// Settings of a [`Gateway`].
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
-    /// Name of this host.
-    pub host: HostName,
-    /// Data centre of this host.
-    pub centre: CentreName,
+    /// This host as others know it.
+    pub identity: MemberRecord,
     /// Bounds of repeats.
     pub retries: RetryAllowance,
 }
@@ -65,7 +67,12 @@
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) upstreams: UpstreamSet,
     pub(super) budget: RetryBudget,
+    pub(super) feed: EntryFeed,
+    pub(super) members: MemberTable,
+    /// Hosts over which bounded sums are split.
     pub(super) hosts: usize,
+    pub(super) source: SourceState,
+    is_source_lost: bool,
 }
 
 /// The gateway of one host.
@@ -77,6 +84,8 @@
     pub(super) metrics: Rc<RouterMetrics>,
     /// Requests that were read and have no complete response yet.
     pub(super) active: Cell<usize>,
+    /// Revision of the entries, for peers that wait for changes.
+    pub(super) revisions: watch::Sender<u64>,
     is_listed: Cell<bool>,
     is_draining: Cell<bool>,
 }
@@ -87,13 +96,19 @@
         settings: GatewaySettings,
         clock: Rc<dyn ClockSource>,
         dialect: Rc<dyn WireDialect>,
+        decoder: Rc<dyn EntryDecoder>,
         metrics: Rc<RouterMetrics>,
     ) -> Rc<Self> {
+        let MemberRecord { host, centre, .. } = settings.identity.clone();
         let state = GatewayState {
             table: None,
-            upstreams: UpstreamSet::new(settings.host, settings.centre),
+            upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
+            feed: EntryFeed::new(decoder),
+            members: MemberTable::new(settings.identity),
             hosts: ASSUMED_HOSTS,
+            source: SourceState::default(),
+            is_source_lost: false,
         };
         Rc::new(Self {
             pool: Rc::new(UpstreamPool::new(clock.clone())),
@@ -102,6 +117,7 @@
             state: RefCell::new(state),
             metrics,
             active: Cell::new(0),
+            revisions: watch::Sender::new(0),
             is_listed: Cell::new(false),
             is_draining: Cell::new(false),
         })
@@ -144,8 +160,18 @@
                 state.upstreams.replace_closed(closed);
                 self.is_listed.set(true);
             }
-            FleetChange::SourceLost => state.upstreams.platform_lost(),
-            FleetChange::SourceAnswered => state.upstreams.platform_answered(now),
+            FleetChange::SourceLost => {
+                state.is_source_lost = true;
+                state.upstreams.platform_lost();
+            }
+            FleetChange::SourceAnswered => {
+                if std::mem::take(&mut state.is_source_lost) {
+                    tracing::info!("source_regained");
+                    state.source.regained = Some(now);
+                }
+                state.source.answered = Some(now);
+                state.upstreams.platform_seen(state.source);
+            }
         }
     }
 
@@ -169,8 +195,30 @@
         self.state.borrow().table.clone()
     }
 
-    /// Does the periodic work.
-    pub fn tick(&self) {
+    /// Returns the revision of the entries that are known.
+    pub fn revision(&self) -> u64 {
+        self.state.borrow().feed.revision()
+    }
+
+    /// Returns whether the platform does not answer this host.
+    pub(super) fn is_source_lost(&self) -> bool {
+        self.state.borrow().is_source_lost
+    }
+
+    /// Notes when the platform answered a host that told this one.
+    pub(super) fn note_source(&self, source: SourceState) {
+        let state = &mut *self.state.borrow_mut();
+        state.source.answered = state.source.answered.max(source.answered);
+        state.source.regained = state.source.regained.max(source.regained);
+    }
+
+    /// Does the periodic work; `interval` is the time since the last call.
+    pub fn tick(&self, interval: Duration) {
+        let now = self.now();
+        let lost = self.state.borrow_mut().members.expire(now, interval);
+        for host in lost {
+            tracing::warn!(%host, "member_lost");
+        }
         self.pool.expire();
         self.metrics.in_flight(self.active.get() as u64);
     }
--- /dev/null
+++ b/lib/src/gateway/members.rs
@@ -0,0 +1,203 @@
+//! The hosts of the fleet as they tell each other; the platform does not list them.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    names::{CentreName, HostName},
+    rendezvous,
+};
+
+/// Time without a sign of life after which a host counts as lost. Heartbeats cross a fleet of a
+/// hundred hosts in a few seconds.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Time for which lost hosts still count where a sum over all hosts is bounded: they may run behind
+/// a partition.
+const LOST_COUNTS: Duration = Duration::from_secs(30);
+
+/// Hosts of a data centre that read the platform themselves; the others ask these.
+const RELAYS: usize = 2;
+
+/// Time for which a relay that failed is not asked.
+const DISTRUST_TIME: Duration = Duration::from_secs(3);
+
+/// Records of other hosts in one message.
+const MAX_RECORDS: usize = 12;
+
+/// What hosts tell each other about one host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Name of the host.
+    pub host: HostName,
+    /// Data centre in which it runs.
+    pub centre: CentreName,
+    /// Address for other hosts.
+    pub address: SocketAddr,
+    /// Start of its process in Unix milliseconds; a later process replaces an earlier one.
+    pub incarnation: u64,
+    /// Rises while the process runs.
+    pub heartbeat: u64,
+}
+
+#[derive(Clone, Debug)]
+struct MemberState {
+    record: MemberRecord,
+    heard: Instant,
+    distrusted: Option<Instant>,
+}
+
+/// What a host learned about another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberNews {
+    /// The host was not known, or had been lost.
+    Joined,
+    /// The process was replaced by a later one.
+    Restarted,
+}
+
+/// Owner of what one host knows of the others.
+#[derive(Debug)]
+pub struct MemberTable {
+    own: MemberRecord,
+    members: BTreeMap<HostName, MemberState>,
+    /// Largest number of hosts a moment ago, and when it was last reached.
+    most: (usize, Option<Instant>),
+}
+
+impl MemberTable {
+    /// Creates a table that knows this host only.
+    pub fn new(own: MemberRecord) -> Self {
+        Self { own, members: BTreeMap::new(), most: (1, None) }
+    }
+
+    /// Returns the record of this host.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Counts one more heartbeat of this host.
+    pub fn beat(&mut self) {
+        self.own.heartbeat += 1;
+    }
+
+    /// Takes the record that a host sent of itself.
+    pub fn heard(&mut self, now: Instant, record: MemberRecord) -> Option<MemberNews> {
+        self.take(now, record, true)
+    }
+
+    /// Takes a record that another host passed on.
+    pub fn told(&mut self, now: Instant, record: MemberRecord) -> Option<MemberNews> {
+        self.take(now, record, false)
+    }
+
+    fn take(&mut self, now: Instant, record: MemberRecord, is_direct: bool) -> Option<MemberNews> {
+        if record.host == self.own.host {
+            return None;
+        }
+        let state = MemberState { record, heard: now, distrusted: None };
+        let Some(known) = self.members.get_mut(&state.record.host) else {
+            self.members.insert(state.record.host.clone(), state);
+            return Some(MemberNews::Joined);
+        };
+        if known.record.incarnation == state.record.incarnation {
+            if state.record.heartbeat <= known.record.heartbeat {
+                return None;
+            }
+            let was_lost = now.saturating_duration_since(known.heard) >= MEMBER_TIMEOUT;
+            known.record = state.record;
+            known.heard = now;
+            return was_lost.then_some(MemberNews::Joined);
+        }
+        // The time of day may have been set back between two starts, so only the host itself is
+        // believed when its incarnation falls.
+        if is_direct || state.record.incarnation > known.record.incarnation {
+            *known = state;
+            return Some(MemberNews::Restarted);
+        }
+        None
+    }
+
+    /// Returns the other hosts that are alive.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
+        self.members
+            .values()
+            .filter(move |it| now.saturating_duration_since(it.heard) < MEMBER_TIMEOUT)
+            .map(|it| &it.record)
+    }
+
+    /// Returns the number of hosts over which a bounded sum is split: those alive, this one, and
+    /// those lost a moment ago.
+    pub fn sharing_hosts(&mut self, now: Instant) -> usize {
+        let count = self.live(now).count() + 1;
+        let (most, at) = self.most;
+        let is_old = at.is_none_or(|it| now.saturating_duration_since(it) >= LOST_COUNTS);
+        if count >= most || is_old {
+            self.most = (count, Some(now));
+        }
+        self.most.0
+    }
+
+    /// Returns whether this host is among the first `count` hosts in the rendezvous order of `key`.
+    pub fn is_among_first(&self, now: Instant, key: &str, count: usize) -> bool {
+        let order = |host: &HostName| rendezvous::hash_parts(&[key, host.as_str()]);
+        let own = order(&self.own.host);
+        self.live(now).filter(|it| order(&it.host) > own).count() < count
+    }
+
+    /// Returns the relays that this host may ask, in order; empty if it reads the platform itself.
+    pub fn relays(&self, now: Instant) -> Vec<&MemberRecord> {
+        let centre = &self.own.centre;
+        let order = |it: &MemberRecord| rendezvous::hash_parts(&["relay", it.host.as_str()]);
+        let mut hosts: Vec<&MemberRecord> =
+            self.live(now).filter(|it| it.centre == *centre).chain([&self.own]).collect();
+        hosts.sort_by_key(|it| std::cmp::Reverse(order(it)));
+        hosts.truncate(RELAYS);
+        if hosts.iter().any(|it| it.host == self.own.host) {
+            return Vec::new();
+        }
+        hosts.retain(|it| {
+            let distrusted = self.members.get(&it.host).and_then(|it| it.distrusted);
+            distrusted.is_none_or(|at| now.saturating_duration_since(at) >= DISTRUST_TIME)
+        });
+        hosts
+    }
+
+    /// Returns whether other hosts of the data centre depend on this one.
+    pub fn has_followers(&self, now: Instant) -> bool {
+        let neighbours = self.live(now).filter(|it| it.centre == self.own.centre).count();
+        neighbours >= RELAYS && self.relays(now).is_empty()
+    }
+
+    /// Notes that a relay failed.
+    pub fn distrust(&mut self, now: Instant, host: &HostName) {
+        if let Some(state) = self.members.get_mut(host) {
+            state.distrusted = Some(now);
+        }
+    }
+
+    /// Returns the records for one message; `position` moves through the hosts from message to
+    /// message.
+    pub fn records(&self, now: Instant, position: usize) -> Vec<MemberRecord> {
+        let live: Vec<&MemberRecord> = self.live(now).collect();
+        let count = live.len().min(MAX_RECORDS);
+        (0..count).map(|it| live[(position + it) % live.len()].clone()).collect()
+    }
+
+    /// Forgets hosts that were lost long ago; returns those that were lost since the last call.
+    pub fn expire(&mut self, now: Instant, interval: Duration) -> Vec<HostName> {
+        let age = |it: &MemberState| now.saturating_duration_since(it.heard);
+        let lost = self
+            .members
+            .values()
+            .filter(|it| (MEMBER_TIMEOUT..MEMBER_TIMEOUT + interval).contains(&age(it)));
+        let lost = lost.map(|it| it.record.host.clone()).collect();
+        self.members.retain(|_, it| age(it) < MEMBER_TIMEOUT + LOST_COUNTS);
+        lost
+    }
+}
--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    io,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -13,13 +12,10 @@
 use hyper::{
     Request, Response,
     body::{Bytes, Incoming},
-    client::conn::http1::{self, SendRequest},
     header::{CONNECTION, HeaderMap, HeaderValue},
 };
-use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use super::connection::{ConnectError, ConnectTimes, HttpConnection};
 use crate::{clock::ClockSource, names::UpstreamName};
 
 /// Longest time to establish a connection. A connection takes a few milliseconds; a lost opening
@@ -31,9 +27,6 @@
 /// nothing, and its requests can still be answered in time elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_millis(350);
 
-/// Idle time before the first keep-alive probe of the system, and interval of the probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time that is left of an upstream's idle timeout when its connection is no longer used, for the
 /// request to arrive before the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -63,22 +56,9 @@
     Lost(String),
 }
 
-/// One connection; dropping it closes it, also while a response arrives.
-#[derive(Debug)]
-struct UpstreamConnection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: JoinHandle<()>,
-}
-
-impl Drop for UpstreamConnection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 #[derive(Debug)]
 struct IdleConnection {
-    connection: UpstreamConnection,
+    connection: HttpConnection,
     since: Instant,
     limit: Duration,
 }
@@ -86,8 +66,7 @@
 impl IdleConnection {
     fn is_usable(&self, now: Instant, limit: Duration) -> bool {
         let idle = now.saturating_duration_since(self.since);
-        let sender = &self.connection.sender;
-        sender.is_ready() && !sender.is_closed() && idle < limit.min(self.limit)
+        self.connection.is_usable() && idle < limit.min(self.limit)
     }
 }
 
@@ -105,7 +84,7 @@
 /// A request whose response is under way; dropping it cancels the request at the upstream.
 #[derive(Debug)]
 pub struct UpstreamExchange {
-    connection: UpstreamConnection,
+    connection: HttpConnection,
     pool: Rc<UpstreamPool>,
     key: PoolKey,
     idle_limit: Option<Duration>,
@@ -184,7 +163,7 @@
         });
     }
 
-    fn take(&self, key: &PoolKey, limit: Duration) -> Option<UpstreamConnection> {
+    fn take(&self, key: &PoolKey, limit: Duration) -> Option<HttpConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(key)?;
@@ -201,7 +180,7 @@
         None
     }
 
-    fn keep(&self, key: PoolKey, connection: UpstreamConnection, limit: Duration) {
+    fn keep(&self, key: PoolKey, connection: HttpConnection, limit: Duration) {
         let idle = IdleConnection { connection, since: self.clock.now(), limit };
         let mut pool = self.idle.borrow_mut();
         let connections = pool.entry(key).or_default();
@@ -212,32 +191,12 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<UpstreamConnection, SendError> {
-    let not_sent = |reason: &dyn ToString| SendError::NotSent(reason.to_string());
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(not_sent(&error)),
-        Err(_) => return Err(SendError::NoConnection),
-    };
-    configure(&stream, SILENCE_LIMIT).map_err(|error| not_sent(&error))?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
-    let driver = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(%error, "upstream_connection_ended");
-        }
-    });
-    Ok(UpstreamConnection { sender, driver })
-}
-
-/// Sends small packets at once, and lets the system notice a peer that has acknowledged nothing for
-/// `silence`.
-pub fn configure(stream: &TcpStream, silence: Duration) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(silence))?;
-    let keepalive = TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL);
-    socket.set_tcp_keepalive(&keepalive)
+async fn connect(address: SocketAddr) -> Result<HttpConnection, SendError> {
+    let times = ConnectTimes { connect: CONNECT_TIMEOUT, silence: SILENCE_LIMIT };
+    HttpConnection::open(address, &times).await.map_err(|error| match error {
+        ConnectError::Refused(reason) => SendError::NotSent(reason),
+        ConnectError::Silent => SendError::NoConnection,
+    })
 }
 
 /// Returns how long the connection may stay idle after this response; `None` if it closes.
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -17,7 +17,12 @@
     time::{Instant, interval, sleep, sleep_until},
 };
 
-use super::{call::serve, fleet::Gateway, pool::configure};
+use super::{
+    call::serve,
+    connection::configure,
+    fleet::Gateway,
+    peers::{answer_peer, spread_digests},
+};
 
 /// Connections that wait to be accepted. After a kill all callers come back at once, and one that
 /// finds the queue full tries again only after a second.
@@ -42,8 +47,10 @@
     pub callers: SocketAddr,
     /// For the readiness checks of the load balancer.
     pub readiness: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
     /// For metrics.
-    pub metrics: Option<SocketAddr>,
+    pub metrics: SocketAddr,
 }
 
 /// How a gateway stops.
@@ -68,18 +75,24 @@
     /// # Errors
     ///
     /// An address cannot be listened on.
-    pub fn start(gateway: &Rc<Gateway>, addresses: &ServerAddresses) -> io::Result<Self> {
+    pub fn start(
+        gateway: &Rc<Gateway>,
+        addresses: &ServerAddresses,
+        seeds: Vec<SocketAddr>,
+    ) -> io::Result<Self> {
         let closing = watch::Sender::new(false);
         let callers = listen(addresses.callers)?;
         let readiness = listen(addresses.readiness)?;
-        let mut tasks = vec![
+        let peers = listen(addresses.peers)?;
+        let metrics = listen(addresses.metrics)?;
+        let tasks = vec![
             spawn_local(accept_callers(callers, gateway.clone(), closing.subscribe())),
             spawn_local(accept_checks(readiness, gateway.clone())),
+            spawn_local(accept_checks(metrics, gateway.clone())),
+            spawn_local(accept_peers(peers, gateway.clone())),
+            spawn_local(spread_digests(gateway.clone(), seeds)),
             spawn_local(tick(gateway.clone())),
         ];
-        if let Some(address) = addresses.metrics {
-            tasks.push(spawn_local(accept_checks(listen(address)?, gateway.clone())));
-        }
         Ok(Self { gateway: gateway.clone(), closing, tasks })
     }
 
@@ -122,7 +135,7 @@
     let mut ticks = interval(TICK_INTERVAL);
     loop {
         ticks.tick().await;
-        gateway.tick();
+        gateway.tick(TICK_INTERVAL);
     }
 }
 
@@ -178,6 +191,9 @@
     }
 }
 
+/// Time for which a peer's connection may stay idle.
+const PEER_IDLE: Duration = Duration::from_secs(10);
+
 /// Smallest buffer that the HTTP library takes.
 const MIN_HEAD_BUFFER: usize = 8 << 10;
 
@@ -201,6 +217,27 @@
     }
 }
 
+/// Serves other hosts.
+async fn accept_peers(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        let stream = accept(&listener).await;
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| {
+                let gateway = gateway.clone();
+                async move { Ok::<_, Infallible>(answer_peer(gateway, request).await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(PEER_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "peer_connection_ended");
+            }
+        });
+    }
+}
+
 fn check_response(gateway: &Gateway, path: &str) -> Response<Full<Bytes>> {
     let (status, body) = match path {
         "/ready" if gateway.is_ready() => (StatusCode::OK, String::new()),
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -120,7 +120,7 @@
     services: BTreeMap<ServiceName, Vec<UpstreamName>>,
     /// Data centres that take no new work.
     closed: HashSet<CentreName>,
-    /// Since when the platform has answered again after an outage; `None` during one.
+    /// Since when the platform has answered again after its last outage.
     regained: Option<Instant>,
     is_lost: bool,
 }
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -22,10 +22,6 @@
 /// between data centres cost more than a short wait, but a queue costs the latency target.
 const LOCAL_LOAD_LIMIT: f64 = 0.5;
 
-/// Share of a cold upstream's allowance that is used. Hosts do not agree at every moment on how
-/// many they are.
-const COLD_SHARE: f64 = 0.8;
-
 /// What a choice depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct PickRequest<'a> {
@@ -35,10 +31,8 @@
     pub affinity: Option<u64>,
     /// Upstreams that this request was sent to already.
     pub tried: &'a [UpstreamName],
-    /// Requests per second that a cold upstream of the service tolerates; 0 without a limit.
-    pub cold_rate: f64,
-    /// Number of hosts among which that rate is split.
-    pub hosts: usize,
+    /// Whether the service has upstreams that need care while they are cold.
+    pub has_cold_limit: bool,
 }
 
 /// Why an upstream was chosen.
@@ -121,16 +115,18 @@
 
 impl UpstreamSet {
     /// Chooses an upstream, and takes a token of its allowance if it is cold.
+    ///
+    /// `cold_rate` returns the requests per second that this host may send to a cold upstream.
     pub fn pick(
         &mut self,
         now: Instant,
         request: &PickRequest<'_>,
+        cold_rate: impl Fn(&UpstreamName) -> f64,
     ) -> Result<UpstreamPick, PickRefusal> {
         let eligible = self.eligible(now, request.service);
         if eligible.is_empty() {
             return Err(PickRefusal::NoneEligible);
         }
-        let cold_rate = COLD_SHARE * request.cold_rate / request.hosts.max(1) as f64;
         let mut untried = Vec::with_capacity(eligible.len());
         let mut has_cold = false;
         for name in eligible {
@@ -138,11 +134,11 @@
                 continue;
             }
             let state = self.upstreams.get_mut(&name).expect("listed from the map");
-            let is_open = request.cold_rate <= 0.0
+            let is_open = !request.has_cold_limit
                 || state
                     .cold
                     .as_mut()
-                    .is_none_or(|it| !it.is_cold(now) || it.has_token(now, cold_rate));
+                    .is_none_or(|it| !it.is_cold(now) || it.has_token(now, cold_rate(&name)));
             if is_open {
                 untried.push(name);
             } else {
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -7,7 +7,7 @@
 
 use super::{UpstreamRecord, UpstreamSet, UpstreamState};
 use crate::{
-    gateway::cold::ColdBucket,
+    gateway::{cold::ColdBucket, feed::SourceState},
     names::{CentreName, UpstreamName},
     rendezvous,
 };
@@ -102,14 +102,12 @@
     /// Notes that the platform does not answer.
     pub fn platform_lost(&mut self) {
         self.is_lost = true;
-        self.regained = None;
     }
 
-    /// Notes that the platform answers.
-    pub fn platform_answered(&mut self, now: Instant) {
-        if std::mem::take(&mut self.is_lost) {
-            self.regained = Some(now);
-        }
+    /// Notes when the platform answered this host or one that told it.
+    pub fn platform_seen(&mut self, source: SourceState) {
+        self.is_lost = false;
+        self.regained = self.regained.max(source.regained);
     }
 
     /// From when an absence that is noticed at `now` counts.
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -7,7 +7,7 @@
         FlagOutcome, SettingsError, ValueReader, address_list, help_of, read_flags, valid_filter,
         valid_name,
     },
-    spec::{ADDRESS, NAME, SettingSpec, text},
+    spec::{ADDRESS, NAME, SettingSpec, TIME, number, text},
 };
 use crate::names::{CentreName, HostName};
 
@@ -39,11 +39,11 @@
         DECIMAL,
         "repeats per window that all hosts may make besides",
     ),
-    text(
-        "config-bound-s",
-        "s",
-        Some("2"),
-        SECONDS,
+    number(
+        "config-bound-ms",
+        "ms",
+        "2000",
+        TIME,
         "time in which a published change is in force on every host",
     ),
     text("stop-limit-s", "s", Some("8"), SECONDS, "longest time of a planned stop"),
@@ -138,7 +138,7 @@
             retry_ratio: reader.decimal("retry-ratio")?,
             retry_window: reader.seconds("retry-window-s")?,
             retry_slack: reader.decimal("retry-slack")?,
-            config_bound: reader.seconds("config-bound-s")?,
+            config_bound: reader.milliseconds("config-bound-ms")?,
             stop_limit: reader.seconds("stop-limit-s")?,
             log: reader.read("log", valid_filter)?,
         })
--- a/lib/src/settings/spec.rs
+++ b/lib/src/settings/spec.rs
@@ -46,7 +46,7 @@
     SettingSpec { name, unit, default: Some(default), allowed, help, range: Some(range) }
 }
 
-const TIME: ((u64, u64), &str) = ((1, MAX_TIME_MS), "1 to 86400000 ms");
+pub(super) const TIME: ((u64, u64), &str) = ((1, MAX_TIME_MS), "1 to 86400000 ms");
 const TIME_OR_ZERO: ((u64, u64), &str) = ((0, MAX_TIME_MS), "0 to 86400000 ms");
 pub(super) const NAME: &str = "1 to 64 of A-Z a-z 0-9 - _ .";
 pub(super) const ADDRESS: &str = "IP:PORT";
