gateway: compressed changes, relays by bandwidth, lapsed entries only where many vanish together

Three things met there: (1) one host's short outage spread to all as 'the platform has just come back', so that every withdrawn engine was kept 2.2 s longer; (2) relays with 10 Mbit/s sent a configuration of some 100 KB to 20 hosts for every version of a storm; (3) with 12 records a message and a time-out of 8 s, live hosts were taken for lost and the choice of relays changed all the time.

Change: (1) an outage counts only for the host that saw it and those that read from it, and only entries that vanish together are kept; (2) changes are compressed once for all hosts that wait, and the hosts with the most bandwidth are relays; (3) all near hosts in messages within a data centre, 12 s.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod health;
 mod members;
+mod packed;
 mod peers;
 mod pool;
 mod reach;
@@ -35,6 +36,7 @@
     follow::follow_entries,
     health::{AttemptEnd, UpstreamHealth},
     members::{MemberNews, MemberRecord, MemberTable},
+    packed::PackedChange,
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure},
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses, ShutdownTimes},
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -14,6 +14,7 @@
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
     members::{MemberRecord, MemberTable},
+    packed::PackedChanges,
     pool::UpstreamPool,
     table::RouteTable,
     upstreams::{UpstreamRecord, UpstreamSet},
@@ -86,6 +87,7 @@
     pub(super) active: Cell<usize>,
     /// Revision of the entries, for peers that wait for changes.
     pub(super) revisions: watch::Sender<u64>,
+    pub(super) packed: PackedChanges,
     is_listed: Cell<bool>,
     is_draining: Cell<bool>,
 }
@@ -118,6 +120,7 @@
             metrics,
             active: Cell::new(0),
             revisions: watch::Sender::new(0),
+            packed: PackedChanges::default(),
             is_listed: Cell::new(false),
             is_draining: Cell::new(false),
         })
@@ -205,11 +208,13 @@
         self.state.borrow().is_source_lost
     }
 
-    /// Notes when the platform answered a host that told this one.
+    /// Notes when the platform answered a host that told this one. What is learned from that host
+    /// has its meaning from that host's outages.
     pub(super) fn note_source(&self, source: SourceState) {
         let state = &mut *self.state.borrow_mut();
         state.source.answered = state.source.answered.max(source.answered);
-        state.source.regained = state.source.regained.max(source.regained);
+        state.source.regained = source.regained;
+        state.upstreams.platform_seen(state.source);
     }
 
     /// Does the periodic work; `interval` is the time since the last call.
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -13,9 +13,9 @@
     rendezvous,
 };
 
-/// Time without a sign of life after which a host counts as lost. Heartbeats cross a fleet of a
-/// hundred hosts in a few seconds.
-const MEMBER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time without a sign of life after which a host counts as lost. With twelve records a message a
+/// heartbeat crosses a hundred hosts in five seconds, and a few take twice that.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Time for which lost hosts still count where a sum over all hosts is bounded: they may run behind
 /// a partition.
@@ -27,8 +27,11 @@
 /// Time for which a relay that failed is not asked.
 const DISTRUST_TIME: Duration = Duration::from_secs(3);
 
-/// Records of other hosts in one message.
-const MAX_RECORDS: usize = 12;
+/// Records of hosts of the same data centre in a message to one of them, where bytes cost nothing.
+const MAX_NEAR_RECORDS: usize = 32;
+
+/// Records of other hosts in a message.
+const MAX_FAR_RECORDS: usize = 12;
 
 /// What hosts tell each other about one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +46,8 @@
     pub incarnation: u64,
     /// Rises while the process runs.
     pub heartbeat: u64,
+    /// Bandwidth of the host in Mbit/s; the fastest hosts are relays.
+    pub bandwidth: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -153,7 +158,9 @@
     /// Returns the relays that this host may ask, in order; empty if it reads the platform itself.
     pub fn relays(&self, now: Instant) -> Vec<&MemberRecord> {
         let centre = &self.own.centre;
-        let order = |it: &MemberRecord| rendezvous::hash_parts(&["relay", it.host.as_str()]);
+        let order = |it: &MemberRecord| {
+            (it.bandwidth, rendezvous::hash_parts(&["relay", it.host.as_str()]))
+        };
         let mut hosts: Vec<&MemberRecord> =
             self.live(now).filter(|it| it.centre == *centre).chain([&self.own]).collect();
         hosts.sort_by_key(|it| std::cmp::Reverse(order(it)));
@@ -181,12 +188,21 @@
         }
     }
 
-    /// Returns the records for one message; `position` moves through the hosts from message to
-    /// message.
-    pub fn records(&self, now: Instant, position: usize) -> Vec<MemberRecord> {
-        let live: Vec<&MemberRecord> = self.live(now).collect();
-        let count = live.len().min(MAX_RECORDS);
-        (0..count).map(|it| live[(position + it) % live.len()].clone()).collect()
+    /// Returns the records for one message to a host of the data centre or to another one;
+    /// `position` moves through the hosts from message to message.
+    pub fn records(&self, now: Instant, is_near: bool, position: usize) -> Vec<MemberRecord> {
+        let (near, far): (Vec<_>, Vec<_>) =
+            self.live(now).partition(|it| it.centre == self.own.centre);
+        let window = |hosts: &[&MemberRecord], most: usize| {
+            let count = hosts.len().min(most);
+            (0..count).map(|it| hosts[(position + it) % hosts.len()].clone()).collect::<Vec<_>>()
+        };
+        if is_near {
+            let near = window(&near, MAX_NEAR_RECORDS);
+            near.into_iter().chain(window(&far, MAX_FAR_RECORDS)).collect()
+        } else {
+            window(&near.into_iter().chain(far).collect::<Vec<_>>(), MAX_FAR_RECORDS)
+        }
     }
 
     /// Forgets hosts that were lost long ago; returns those that were lost since the last call.
--- /dev/null
+++ b/lib/src/gateway/packed.rs
@@ -0,0 +1,102 @@
+//! Changes of entries in compressed form: a relay sends the same one to all hosts that wait.
+
+use std::{
+    cell::RefCell,
+    io::{self, Write},
+};
+
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use serde::{Deserialize, Serialize};
+
+use super::feed::EntryFeed;
+use crate::{
+    config::ConfigChange,
+    peer::{decode_message, encode_message},
+};
+
+/// Changes that are kept packed; hosts that wait at one relay know one of the last revisions.
+const KEPT_CHANGES: usize = 4;
+
+/// A [`ConfigChange`], encoded and compressed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedChange(#[serde(with = "byte_string")] Vec<u8>);
+
+impl PackedChange {
+    /// Encodes and compresses a change.
+    pub fn pack(change: &ConfigChange) -> Self {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        let packed = encoder.write_all(&encode_message(change)).and_then(|()| encoder.finish());
+        Self(packed.expect("writing to memory does not fail"))
+    }
+
+    /// Returns the change.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no change.
+    pub fn unpack(&self) -> io::Result<ConfigChange> {
+        let mut decoder = DeflateDecoder::new(&self.0[..]);
+        decode_message(&mut decoder).map_err(io::Error::other)
+    }
+}
+
+/// Encodes bytes as one string instead of a list of numbers.
+mod byte_string {
+    use std::fmt;
+
+    use serde::{Deserializer, Serializer, de::Visitor};
+
+    pub(super) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(bytes)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<u8>, D::Error> {
+        struct BytesVisitor;
+        impl Visitor<'_> for BytesVisitor {
+            type Value = Vec<u8>;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("bytes")
+            }
+
+            fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(bytes.to_vec())
+            }
+
+            fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(bytes)
+            }
+        }
+        deserializer.deserialize_byte_buf(BytesVisitor)
+    }
+}
+
+#[derive(Debug)]
+struct KeptChange {
+    base: u64,
+    revision: u64,
+    packed: PackedChange,
+}
+
+/// The changes that were packed last.
+#[derive(Debug, Default)]
+pub(super) struct PackedChanges(RefCell<Vec<KeptChange>>);
+
+impl PackedChanges {
+    /// Returns what a host lacks that knows `base`.
+    pub(super) fn change_since(&self, feed: &EntryFeed, base: u64) -> PackedChange {
+        let revision = feed.revision();
+        let mut kept = self.0.borrow_mut();
+        if let Some(known) = kept.iter().find(|it| it.base == base && it.revision == revision) {
+            return known.packed.clone();
+        }
+        let packed = PackedChange::pack(&feed.change_since(base));
+        if kept.len() >= KEPT_CHANGES {
+            kept.remove(0);
+        }
+        kept.push(KeptChange { base, revision, packed: packed.clone() });
+        packed
+    }
+}
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -21,6 +21,7 @@
     feed::{FeedOutcome, SourceState},
     fleet::Gateway,
     members::{MemberNews, MemberRecord},
+    packed::PackedChange,
 };
 use crate::{
     config::ConfigChange,
@@ -77,8 +78,8 @@
 /// Changes of the entries, with the age of the belief that there are no others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangesReply {
-    /// The changes; none if there were none in time.
-    pub change: Option<ConfigChange>,
+    /// The changes in compressed form; none if there were none in time.
+    pub change: Option<PackedChange>,
     /// Time since the platform last answered, in milliseconds.
     pub answered_age_ms: Option<u64>,
     /// Time since it answered again after an outage, in milliseconds.
@@ -188,8 +189,9 @@
     match path {
         DIGEST_PATH => {
             let digest: PeerDigest = decode_message(&mut &body[..]).ok()?;
+            let is_near = gateway.is_near(&digest.sender);
             gateway.take_digest(digest);
-            Some(encode_message(&gateway.digest()))
+            Some(encode_message(&gateway.digest(is_near)))
         }
         CHANGES_PATH => {
             let request: ChangesRequest = decode_message(&mut &body[..]).ok()?;
@@ -208,7 +210,7 @@
         let targets = gateway.digest_targets(round, &seeds);
         for (address, is_near) in targets {
             let mut client = PeerClient::new(address);
-            match client.digest(&gateway.digest()).await {
+            match client.digest(&gateway.digest(is_near)).await {
                 Ok(digest) => {
                     let (host, revision) = (digest.sender.host.clone(), digest.revision);
                     gateway.take_digest(digest);
@@ -234,18 +236,23 @@
 
 impl Gateway {
     /// Returns what this host tells another one.
-    fn digest(&self) -> PeerDigest {
+    fn digest(&self, is_near: bool) -> PeerDigest {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         state.members.beat();
         let position = rand::rng().random_range(0..usize::MAX / 2);
         PeerDigest {
             sender: state.members.own().clone(),
-            members: state.members.records(now, position),
+            members: state.members.records(now, is_near, position),
             revision: state.feed.revision(),
         }
     }
 
+    /// Returns whether a host is in the own data centre.
+    fn is_near(&self, host: &MemberRecord) -> bool {
+        self.state.borrow().members.own().centre == host.centre
+    }
+
     fn take_digest(&self, digest: PeerDigest) {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
@@ -294,13 +301,16 @@
 
     /// Adopts what another host knows of the entries.
     pub(super) fn take_reply(&self, reply: ChangesReply, host: &HostName) {
-        let source = reply.source(self.now());
-        self.state.borrow_mut().upstreams.platform_seen(source);
-        self.note_source(source);
-        if let Some(change) = reply.change
-            && !self.take_entries(&change, host.as_str())
-        {
-            tracing::warn!(%host, base = change.base, "changes_with_gap");
+        self.note_source(reply.source(self.now()));
+        let Some(packed) = reply.change else {
+            return;
+        };
+        match packed.unpack() {
+            Ok(change) if !self.take_entries(&change, host.as_str()) => {
+                tracing::warn!(%host, base = change.base, "changes_with_gap");
+            }
+            Ok(_) => {}
+            Err(error) => tracing::warn!(%host, %error, "changes_unreadable"),
         }
     }
 
@@ -339,7 +349,7 @@
             |at: Option<Instant>| at.map(|it| now.saturating_duration_since(it).as_millis() as u64);
         let source = state.source;
         ChangesReply {
-            change: is_newer.then(|| state.feed.change_since(request.after)),
+            change: is_newer.then(|| self.packed.change_since(&state.feed, request.after)),
             answered_age_ms: age(source.answered),
             regained_age_ms: age(source.regained),
         }
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -123,6 +123,8 @@
     /// Since when the platform has answered again after its last outage.
     regained: Option<Instant>,
     is_lost: bool,
+    /// Entries that vanished a moment ago without notice.
+    withdrawn: Vec<(Instant, ServiceName, UpstreamName)>,
 }
 
 impl UpstreamSet {
@@ -136,6 +138,7 @@
             closed: HashSet::new(),
             regained: None,
             is_lost: false,
+            withdrawn: Vec::new(),
         }
     }
 
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -8,7 +8,7 @@
 use super::{UpstreamRecord, UpstreamSet, UpstreamState};
 use crate::{
     gateway::{cold::ColdBucket, feed::SourceState},
-    names::{CentreName, UpstreamName},
+    names::{CentreName, ServiceName, UpstreamName},
     rendezvous,
 };
 
@@ -20,6 +20,13 @@
 /// learn of an outage that the platform has just come back from.
 const REMOVAL_DELAY: Duration = Duration::from_millis(300);
 
+/// Entries of a service that vanish without notice within this time vanish together.
+const LAPSE_WINDOW: Duration = Duration::from_millis(1_500);
+
+/// Fewest entries, and part of a service's entries, that count as lapsed when they vanish together.
+const MIN_LAPSED: usize = 2;
+const LAPSED_PARTS: usize = 3;
+
 /// Time after which a vanished upstream without requests is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -65,9 +72,46 @@
 
     /// Notes that an entry is no longer published.
     pub fn withdraw(&mut self, now: Instant, name: &UpstreamName) {
-        let gone_at = self.absence_counts_from(now);
-        if let Some(state) = self.upstreams.get_mut(name) {
-            state.gone_at.get_or_insert(gone_at);
+        let Some(state) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        if state.gone_at.is_some() {
+            return;
+        }
+        state.gone_at = Some(now + REMOVAL_DELAY);
+        if state.record.is_leaving {
+            return;
+        }
+        let service = state.record.service.clone();
+        self.withdrawn.retain(|(at, _, _)| now.saturating_duration_since(*at) < LAPSE_WINDOW);
+        self.withdrawn.push((now, service.clone(), name.clone()));
+        self.keep_lapsed(now, &service);
+    }
+
+    /// Keeps upstreams whose entries vanished together around an outage of the platform.
+    ///
+    /// Entries lapse while the platform is down although their upstreams run. They are back a
+    /// moment after its return.
+    fn keep_lapsed(&mut self, now: Instant, service: &ServiceName) {
+        let until = match self.regained {
+            _ if self.is_lost => now + LAPSE_RETURN,
+            Some(regained) if now < regained + LAPSE_RETURN => regained + LAPSE_RETURN,
+            _ => return,
+        };
+        let lapsed: Vec<UpstreamName> = self
+            .withdrawn
+            .iter()
+            .filter(|(_, it, _)| it == service)
+            .map(|(_, _, name)| name.clone())
+            .collect();
+        let published = self.services.get(service).map_or(0, Vec::len);
+        if lapsed.len() < MIN_LAPSED || lapsed.len() * LAPSED_PARTS < published {
+            return;
+        }
+        for name in lapsed {
+            if let Some(state) = self.upstreams.get_mut(&name) {
+                state.gone_at = state.gone_at.map(|it| it.max(until));
+            }
         }
     }
 
@@ -110,19 +154,6 @@
         self.regained = self.regained.max(source.regained);
     }
 
-    /// From when an absence that is noticed at `now` counts.
-    ///
-    /// Entries lapse while the platform is down although their upstreams run. They are back a
-    /// moment after its return.
-    fn absence_counts_from(&self, now: Instant) -> Instant {
-        let delayed = now + REMOVAL_DELAY;
-        match self.regained {
-            _ if self.is_lost => now + LAPSE_RETURN,
-            Some(regained) if now < regained + LAPSE_RETURN => delayed.max(regained + LAPSE_RETURN),
-            _ => delayed,
-        }
-    }
-
     fn forget(&mut self, now: Instant) {
         let before = self.upstreams.len();
         self.upstreams.retain(|_, state| {
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -30,6 +30,13 @@
         "IP:PORT of other hosts, separated by commas, or nothing",
         "hosts asked first for the other hosts",
     ),
+    text(
+        "bandwidth-mbps",
+        "Mbit/s",
+        Some("1000"),
+        DECIMAL,
+        "bandwidth of this host; the fastest hosts of a data centre are relays",
+    ),
     text("retry-ratio", "1", Some("0.2"), DECIMAL, "repeats per request of a service"),
     text("retry-window-s", "s", Some("10"), SECONDS, "time over which repeats are counted"),
     text(
@@ -75,6 +82,8 @@
     pub store: SocketAddr,
     /// Other hosts that are asked first.
     pub seed_peers: Vec<SocketAddr>,
+    /// Bandwidth of this host in Mbit/s.
+    pub bandwidth: u32,
     /// Repeats per request of a service.
     pub retry_ratio: f64,
     /// Time over which repeats are counted.
@@ -135,6 +144,7 @@
             metrics_listen: address("metrics-listen")?,
             store: address("store")?,
             seed_peers: reader.read("seed-peers", address_list)?,
+            bandwidth: reader.decimal("bandwidth-mbps")? as u32,
             retry_ratio: reader.decimal("retry-ratio")?,
             retry_window: reader.seconds("retry-window-s")?,
             retry_slack: reader.decimal("retry-slack")?,
