--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -187,12 +187,6 @@
     if head.request_id.is_empty() {
         return Err(invalid("the request has no id"));
     }
-    if parts.headers.contains_key(header::CONTENT_LENGTH)
-        && parts.headers.contains_key(header::TRANSFER_ENCODING)
-    {
-        // Two statements of the length are how a second request is hidden in a body.
-        return Err(invalid("the request states its length in two ways"));
-    }
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let authority = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let path = parts.uri.path();
