--- /dev/null
+++ b/lib/src/gateway/call/headers.rs
@@ -0,0 +1,44 @@
+//! Headers that end at the router and headers that go through it.
+
+use hyper::{
+    Response, StatusCode,
+    header::{self, HeaderMap, HeaderName},
+};
+
+/// Headers that describe one connection and are not forwarded.
+const HOP_HEADERS: [HeaderName; 10] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// Removes the headers that concern one connection only, and the length, which is set anew.
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .filter_map(|it| it.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
+
+/// Starts a response with the head of a stream.
+pub(in crate::gateway) fn stream_head(status: StatusCode, headers: HeaderMap) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    *response.headers_mut() = end_to_end(headers);
+    response
+}
--- a/lib/src/gateway/table.rs
+++ b/lib/src/gateway/table.rs
@@ -107,8 +107,6 @@
     pub name: ServiceName,
     /// Requests per second that a cold upstream tolerates; 0 if it needs no care.
     pub cold_rate: f64,
-    /// Time for which an upstream that has just started is cold.
-    pub cold_time: Duration,
 }
 
 /// Bounds of what callers may send.
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -161,16 +161,6 @@
         }
     }
 
-    /// Returns the number of published upstreams.
-    pub fn len(&self) -> usize {
-        self.upstreams.len()
-    }
-
-    /// Returns whether no upstream is published.
-    pub fn is_empty(&self) -> bool {
-        self.upstreams.is_empty()
-    }
-
     /// Counts a request that is about to be sent.
     pub fn started(&mut self, name: &UpstreamName) {
         if let Some(state) = self.upstreams.get_mut(name) {
