gateway: a process that has just started sends nothing to cold upstreams

A host is one of the few that send to a cold engine if few others rank before it. After a loss of power no host knows another for a second or two, so each of them would be the first, and the sum over a large fleet would exceed the allowance.

Change: for its first 3 s a process is not among the senders.

--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -107,7 +107,7 @@
             upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
             feed: EntryFeed::new(decoder),
-            members: MemberTable::new(settings.identity),
+            members: MemberTable::new(clock.now(), settings.identity),
             hosts: ASSUMED_HOSTS,
             source: SourceState::default(),
             is_source_lost: false,
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -21,6 +21,10 @@
 /// a partition.
 const LOST_COUNTS: Duration = Duration::from_secs(30);
 
+/// Age of a process from which it knows enough of the others to be one of the few that send to a cold
+/// upstream. Until then every process of a fleet that restarts would take itself for the first.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Hosts of a data centre that read the platform themselves; the others ask these.
 const RELAYS: usize = 2;
 
@@ -73,12 +77,13 @@
     members: BTreeMap<HostName, MemberState>,
     /// Largest number of hosts a moment ago, and when it was last reached.
     most: (usize, Option<Instant>),
+    started: Instant,
 }
 
 impl MemberTable {
     /// Creates a table that knows this host only.
-    pub fn new(own: MemberRecord) -> Self {
-        Self { own, members: BTreeMap::new(), most: (1, None) }
+    pub fn new(now: Instant, own: MemberRecord) -> Self {
+        Self { own, members: BTreeMap::new(), most: (1, None), started: now }
     }
 
     /// Returns the record of this host.
@@ -148,11 +153,13 @@
         self.most.0
     }
 
-    /// Returns whether this host is among the first `count` hosts in the rendezvous order of `key`.
+    /// Returns whether this host is among the first `count` hosts in the rendezvous order of `key`; a
+    /// process that has just started is not.
     pub fn is_among_first(&self, now: Instant, key: &str, count: usize) -> bool {
         let order = |host: &HostName| rendezvous::hash_parts(&[key, host.as_str()]);
         let own = order(&self.own.host);
-        self.live(now).filter(|it| order(&it.host) > own).count() < count
+        let is_settled = now.saturating_duration_since(self.started) >= SETTLE_TIME;
+        is_settled && self.live(now).filter(|it| order(&it.host) > own).count() < count
     }
 
     /// Returns the relays that this host may ask, in order; empty if it reads the platform itself.
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -40,6 +40,12 @@
 /// Interval at which a stopping process looks for requests in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time for which a peer's connection may stay idle.
+const PEER_IDLE: Duration = Duration::from_secs(10);
+
+/// Smallest buffer that the HTTP library takes.
+const MIN_HEAD_BUFFER: usize = 8 << 10;
+
 /// Addresses on which a gateway listens.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerAddresses {
@@ -191,12 +197,6 @@
     }
 }
 
-/// Time for which a peer's connection may stay idle.
-const PEER_IDLE: Duration = Duration::from_secs(10);
-
-/// Smallest buffer that the HTTP library takes.
-const MIN_HEAD_BUFFER: usize = 8 << 10;
-
 /// Serves readiness checks and metrics.
 async fn accept_checks(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
