gateway: read-through: twins, a copy and repeated work removed

Cause: reading the whole change. The log setting stood in two lists, the eligible upstreams were listed twice per pick, replies to peers were copied once more, a parameter was always empty and one method was an alias. Behaviour is meant to stay as it is; no test changed.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -149,7 +149,7 @@
     }
 
     /// Returns whether a request that may have run may be sent to one more upstream.
-    fn may_repeat(&self) -> bool {
+    pub(super) fn may_repeat(&self) -> bool {
         self.call.route.repeat.may_repeat() && self.runs < self.call.route.max_attempts
     }
 
@@ -221,16 +221,12 @@
         self.runs += 1;
     }
 
-    pub(super) fn can_resume(&self) -> bool {
-        self.may_repeat()
-    }
-
     async fn attempt(&mut self, pick: &UpstreamPick) -> AttemptOutcome {
         let patience = self.call.patience();
         let started = self.gateway.now();
         let (gateway, call) = (self.gateway.clone(), self.call.clone());
         let time_left = call.ends.saturating_duration_since(started);
-        let mut run = Box::pin(timeout(time_left, attempt(gateway, call, pick, None)));
+        let mut run = Box::pin(timeout(time_left, attempt(gateway, call, pick)));
         let result = tokio::select! {
             result = &mut run => result,
             () = sleep(patience) => {
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -113,9 +113,8 @@
     gateway: Rc<Gateway>,
     call: Rc<AdmittedCall>,
     pick: &UpstreamPick,
-    resume_after: Option<u64>,
 ) -> Result<Answer, FailedAttempt> {
-    let open = open_answer(&gateway, &call, pick, resume_after).await?;
+    let open = open_answer(&gateway, &call, pick, None).await?;
     if call.route.repeat.is_stream() && open.response.status().is_success() {
         let mut source = StreamSource::new(open);
         return match source.next_events().await {
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -181,10 +181,9 @@
             None
         }
     };
-    let mut response = Response::new(Full::new(Bytes::from(reply.clone().unwrap_or_default())));
-    if reply.is_none() {
-        *response.status_mut() = StatusCode::BAD_REQUEST;
-    }
+    let status = if reply.is_some() { StatusCode::OK } else { StatusCode::BAD_REQUEST };
+    let mut response = Response::new(Full::new(Bytes::from(reply.unwrap_or_default())));
+    *response.status_mut() = status;
     response
 }
 
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -215,7 +215,7 @@
         self.run.note_run();
         let mut lost = lost;
         loop {
-            if !self.run.can_resume() {
+            if !self.run.may_repeat() {
                 return Err("stream_cut");
             }
             let pick = self.run.next_upstream(Some(&lost))?;
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -127,6 +127,7 @@
         if eligible.is_empty() {
             return Err(PickRefusal::NoneEligible);
         }
+        let mean = self.mean_load(now, &eligible);
         let mut untried = Vec::with_capacity(eligible.len());
         let mut has_cold = false;
         for name in eligible {
@@ -148,7 +149,7 @@
         if untried.is_empty() {
             return Err(if has_cold { PickRefusal::ColdLimit } else { PickRefusal::AllTried });
         }
-        let pick = self.choose(now, request, &untried);
+        let pick = self.choose(now, request, &untried, mean);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the map");
         if let Some(cold) = state.cold.as_mut().filter(|it| it.is_cold(now)) {
             cold.take();
@@ -184,8 +185,8 @@
         now: Instant,
         request: &PickRequest<'_>,
         names: &[UpstreamName],
+        mean: f64,
     ) -> UpstreamPick {
-        let mean = self.mean_load(now, request.service);
         let usual_failure = self.usual_failure(now, names);
         let mut candidates: Vec<Candidate<'_>> = names
             .iter()
@@ -210,16 +211,11 @@
                 return pick_of(now, &candidates[rank], PickReason::Affinity, rank, mean);
             }
         } else {
-            let local: Vec<usize> = (0..candidates.len())
-                .filter(|it| candidates[*it].state.record.data_centre == self.centre)
-                .filter(|it| candidates[*it].relative_load() < LOCAL_LOAD_LIMIT)
-                .collect();
-            if !local.is_empty() {
-                let mut position = 0;
-                candidates.retain(|_| {
-                    position += 1;
-                    local.contains(&(position - 1))
-                });
+            let is_local = |it: &Candidate<'_>| {
+                it.state.record.data_centre == self.centre && it.relative_load() < LOCAL_LOAD_LIMIT
+            };
+            if candidates.iter().any(is_local) {
+                candidates.retain(is_local);
             }
         }
         let reason = if has_sound { PickReason::LeastLoaded } else { PickReason::LastResort };
@@ -231,12 +227,11 @@
         pick_of(now, candidate, reason, rank, mean)
     }
 
-    /// Mean load of the upstreams of a service that take new work.
-    fn mean_load(&self, now: Instant, service: &ServiceName) -> f64 {
-        let names = self.eligible(now, service);
+    /// Mean load of upstreams; there is at least one.
+    fn mean_load(&self, now: Instant, names: &[UpstreamName]) -> f64 {
         // Without a report the own requests are all that is known.
         let loads = names.iter().map(|name| self.upstreams[name].load(now, 0.0));
-        loads.sum::<f64>() / names.len().max(1) as f64
+        loads.sum::<f64>() / names.len() as f64
     }
 
     /// Median of the failure shares.
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -7,7 +7,7 @@
         FlagOutcome, SettingsError, ValueReader, address_list, help_of, read_flags, valid_filter,
         valid_name,
     },
-    spec::{ADDRESS, NAME, SettingSpec, TIME, number, text},
+    spec::{ADDRESS, LOG, NAME, SettingSpec, TIME, number, text},
 };
 use crate::names::{CentreName, HostName};
 
@@ -54,13 +54,7 @@
         "time in which a published change is in force on every host",
     ),
     text("stop-limit-s", "s", Some("8"), SECONDS, "longest time of a planned stop"),
-    text(
-        "log",
-        "filter",
-        Some("info"),
-        "a tracing filter such as info or snipepond=debug,info",
-        "which events are logged",
-    ),
+    LOG,
 ];
 
 /// Checked settings of a gateway process.
--- a/lib/src/settings/spec.rs
+++ b/lib/src/settings/spec.rs
@@ -51,6 +51,15 @@
 pub(super) const NAME: &str = "1 to 64 of A-Z a-z 0-9 - _ .";
 pub(super) const ADDRESS: &str = "IP:PORT";
 
+/// The log filter, which every daemon has.
+pub(super) const LOG: SettingSpec = text(
+    "log",
+    "filter",
+    Some("info"),
+    "a tracing filter such as info or snipepond=debug,info",
+    "which events are logged",
+);
+
 /// All settings in the order of the help text.
 pub const SETTINGS: &[SettingSpec] = &[
     text("host", "name", None, NAME, "name of this host in the host list"),
@@ -141,11 +150,5 @@
         TIME_OR_ZERO,
         "longest wait for running requests at a planned stop; 0 waits without a limit",
     ),
-    text(
-        "log",
-        "filter",
-        Some("info"),
-        "a tracing filter such as info or snipepond=debug,info",
-        "which events are logged",
-    ),
+    LOG,
 ];
