gateway: a planned stop ends with the last used connection

A stop closes idle connections 2.3 s after the signal.

Change: the stop waits until no connection of a caller that has carried a request is open; nothing runs between that look and the end of the loop. A connection that has just been accepted is served once before it closes, and a request that has arrived is read before its connection is closed as idle.

Tests (lib/tests/gateway_server.rs), both fail before: a request 20 ms after the last one was lost; a 12 MB response to a slow caller was cut.

--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -83,8 +83,10 @@
     pub(super) state: RefCell<GatewayState>,
     pub(super) pool: Rc<UpstreamPool>,
     pub(super) metrics: Rc<RouterMetrics>,
-    /// Requests that were read and have no complete response yet.
+    /// Requests that were read and whose response has not begun, and streams that are relayed.
     pub(super) active: Cell<usize>,
+    /// Callers' connections that have carried a request.
+    used_connections: Cell<usize>,
     /// Revision of the entries, for peers that wait for changes.
     pub(super) revisions: watch::Sender<u64>,
     pub(super) packed: PackedChanges,
@@ -119,6 +121,7 @@
             state: RefCell::new(state),
             metrics,
             active: Cell::new(0),
+            used_connections: Cell::new(0),
             revisions: watch::Sender::new(0),
             packed: PackedChanges::default(),
             is_listed: Cell::new(false),
@@ -193,6 +196,19 @@
         self.active.get()
     }
 
+    /// Returns the number of callers' connections that have carried a request.
+    pub(super) fn used_connections(&self) -> usize {
+        self.used_connections.get()
+    }
+
+    pub(super) fn connection_used(&self) {
+        self.used_connections.set(self.used_connections.get() + 1);
+    }
+
+    pub(super) fn used_connection_ended(&self) {
+        self.used_connections.set(self.used_connections.get() - 1);
+    }
+
     /// Returns the current configuration.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
         self.state.borrow().table.clone()
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -37,7 +37,7 @@
 /// Interval of periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which a stopping process looks for requests in flight.
+/// Interval at which a stopping process looks for responses that are not complete.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// Time for which a peer's connection may stay idle.
@@ -103,24 +103,24 @@
     }
 
     /// Stops without cutting a request: says that the host is not ready, serves on while the load
-    /// balancer notices, closes idle connections and waits for the requests in flight.
+    /// balancer notices, closes idle connections and waits for the responses that are not complete.
     ///
-    /// Returns whether all requests ended in time.
+    /// Returns whether all responses were complete in time. A caller's request that has not been
+    /// read by then is not read any more if the event loop ends with this call.
     pub async fn shutdown(self, times: &ShutdownTimes) -> bool {
         let started = Instant::now();
         self.gateway.drain();
         sleep(times.notice).await;
         self.closing.send_replace(true);
         let limit = started + times.limit;
-        while self.gateway.active() > 0 && Instant::now() < limit {
-            sleep(DRAIN_POLL).await;
-        }
-        let is_drained = self.gateway.active() == 0;
-        if is_drained {
-            // The last bytes of the last responses leave with the next turns of their tasks.
-            sleep_until((Instant::now() + DRAIN_POLL * 2).min(limit)).await;
+        // The connections close in their own turns, so the first look comes after a pause.
+        loop {
+            sleep_until((Instant::now() + DRAIN_POLL).min(limit)).await;
+            let is_drained = self.gateway.used_connections() == 0;
+            if is_drained || Instant::now() >= limit {
+                return is_drained;
+            }
         }
-        is_drained
     }
 }
 
@@ -174,7 +174,10 @@
         return;
     }
     let limits = gateway.table().map(|it| it.limits()).unwrap_or_default();
+    let connection_use = Rc::new(ConnectionUse::new(&gateway));
+    let noted_use = connection_use.clone();
     let service = service_fn(move |request| {
+        noted_use.note_request();
         let gateway = gateway.clone();
         async move { Ok::<_, Infallible>(serve(gateway, request).await) }
     });
@@ -185,9 +188,17 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let must_close = async {
+        // The parent that stops the server also holds the sender.
+        let _ = closing.wait_for(|it| *it).await;
+        // A caller that has just connected is about to send; its connection closes after that.
+        connection_use.first_request().await;
+    };
     let result = tokio::select! {
+        biased;
+        // First, so that a request that has arrived is read before the connection closes.
         result = connection.as_mut() => result,
-        _ = closing.wait_for(|it| *it) => {
+        () = must_close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -197,6 +208,38 @@
     }
 }
 
+/// Counts a caller's connection from its first request to its end. While the server closes, each of
+/// them has a response that is not complete.
+struct ConnectionUse {
+    gateway: Rc<Gateway>,
+    is_used: watch::Sender<bool>,
+}
+
+impl ConnectionUse {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        Self { gateway: gateway.clone(), is_used: watch::Sender::new(false) }
+    }
+
+    fn note_request(&self) {
+        if !self.is_used.send_replace(true) {
+            self.gateway.connection_used();
+        }
+    }
+
+    async fn first_request(&self) {
+        // The sender lives as long as this.
+        let _ = self.is_used.subscribe().wait_for(|it| *it).await;
+    }
+}
+
+impl Drop for ConnectionUse {
+    fn drop(&mut self) {
+        if *self.is_used.borrow() {
+            self.gateway.used_connection_ended();
+        }
+    }
+}
+
 /// Serves readiness checks and metrics.
 async fn accept_checks(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
