gateway: a host without a source follows a relay of another data centre

Both relays of a data centre were cut from the store, the host was not. Their followers learn at once what a relay learns, but such a relay learned of changes only by its digests, one of them a second to a host elsewhere.

Change: while neither the store nor a relay of its data centre answers, a host waits for changes at one of the relays of the other data centres. A host that is served by a relay again no longer counts its source as lost. A reply that cannot be used is a failure of the relay, so it is not asked again at once.

The doubles of gateway_server moved to gateway_support.

--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -73,7 +73,6 @@
     /// Hosts over which bounded sums are split.
     pub(super) hosts: usize,
     pub(super) source: SourceState,
-    is_source_lost: bool,
 }
 
 /// The gateway of one host.
@@ -89,6 +88,8 @@
     used_connections: Cell<usize>,
     /// Revision of the entries, for peers that wait for changes.
     pub(super) revisions: watch::Sender<u64>,
+    /// Whether neither the platform nor a relay of the data centre answers this host.
+    pub(super) source_lost: watch::Sender<bool>,
     pub(super) packed: PackedChanges,
     is_listed: Cell<bool>,
     is_draining: Cell<bool>,
@@ -112,7 +113,6 @@
             members: MemberTable::new(clock.now(), settings.identity),
             hosts: ASSUMED_HOSTS,
             source: SourceState::default(),
-            is_source_lost: false,
         };
         Rc::new(Self {
             pool: Rc::new(UpstreamPool::new(clock.clone())),
@@ -123,6 +123,7 @@
             active: Cell::new(0),
             used_connections: Cell::new(0),
             revisions: watch::Sender::new(0),
+            source_lost: watch::Sender::new(false),
             packed: PackedChanges::default(),
             is_listed: Cell::new(false),
             is_draining: Cell::new(false),
@@ -167,11 +168,11 @@
                 self.is_listed.set(true);
             }
             FleetChange::SourceLost => {
-                state.is_source_lost = true;
+                self.source_lost.send_replace(true);
                 state.upstreams.platform_lost();
             }
             FleetChange::SourceAnswered => {
-                if std::mem::take(&mut state.is_source_lost) {
+                if self.source_lost.send_replace(false) {
                     tracing::info!("source_regained");
                     state.source.regained = Some(now);
                 }
@@ -219,11 +220,6 @@
         self.state.borrow().feed.revision()
     }
 
-    /// Returns whether the platform does not answer this host.
-    pub(super) fn is_source_lost(&self) -> bool {
-        self.state.borrow().is_source_lost
-    }
-
     /// Notes when the platform answered a host that told this one. What is learned from that host
     /// has its meaning from that host's outages.
     pub(super) fn note_source(&self, source: SourceState) {
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -1,8 +1,9 @@
 //! Keeps the entries up to date: from the platform, from a relay of the data centre, and from any
 //! host that knows more.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use rand::seq::IteratorRandom;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{
@@ -36,26 +37,55 @@
 ///
 /// `gather` is the shortest time between two watches. Each one ends at the first change and every
 /// call counts, so changes in quick succession are read together.
-pub async fn follow_entries(
-    gateway: Rc<Gateway>,
-    mut source: Box<dyn EntrySource>,
-    gather: Duration,
-) {
+pub async fn follow_entries(gateway: Rc<Gateway>, source: Box<dyn EntrySource>, gather: Duration) {
+    tokio::join!(follow_source(gateway.clone(), source, gather), follow_elsewhere(gateway));
+}
+
+/// Follows the relays of other data centres while nothing else answers this host.
+///
+/// If a data centre's relays cannot reach the platform, the hosts that depend on them learn of
+/// changes this way without waiting for the next digest from elsewhere.
+async fn follow_elsewhere(gateway: Rc<Gateway>) {
+    let mut source_lost = gateway.source_lost.subscribe();
+    let mut relay: Option<PeerClient> = None;
+    loop {
+        if !*source_lost.borrow_and_update() {
+            relay = None;
+            // The gateway holds the sender.
+            let _ = source_lost.wait_for(|it| *it).await;
+        }
+        let Some(member) = gateway.far_relay(relay.as_ref().map(PeerClient::address)) else {
+            sleep(MAX_PAUSE).await;
+            continue;
+        };
+        let client = client_of(&mut relay, &member);
+        if !gateway.ask_relay(client, &member).await {
+            sleep(MIN_PAUSE).await;
+        }
+    }
+}
+
+/// Returns the client of a relay, with a kept connection if it was asked before.
+fn client_of<'a>(client: &'a mut Option<PeerClient>, relay: &MemberRecord) -> &'a mut PeerClient {
+    let kept = client.take().filter(|it| it.address() == relay.address);
+    client.insert(kept.unwrap_or_else(|| {
+        tracing::info!(relay = %relay.host, address = %relay.address, "relay_chosen");
+        PeerClient::new(relay.address)
+    }))
+}
+
+async fn follow_source(gateway: Rc<Gateway>, mut source: Box<dyn EntrySource>, gather: Duration) {
     let mut follower = EntryFollower { gateway, is_lost: false, needs_all: true };
     let mut relay: Option<PeerClient> = None;
     let mut pause = MIN_PAUSE;
     loop {
         let called = Instant::now();
         if let Some(member) = follower.relay() {
-            let is_same = relay.as_ref().is_some_and(|it| it.address() == member.address);
-            if !is_same {
-                tracing::info!(relay = %member.host, address = %member.address, "relay_chosen");
+            let client = client_of(&mut relay, &member);
+            if follower.gateway.ask_relay(client, &member).await {
+                follower.is_lost = false;
+                follower.gateway.source_lost.send_replace(false);
             }
-            let client = match &mut relay {
-                Some(client) if is_same => client,
-                other => other.insert(PeerClient::new(member.address)),
-            };
-            follower.ask(client, &member).await;
             continue;
         }
         relay = None;
@@ -126,23 +156,35 @@
             WATCH_WAIT
         }
     }
+}
 
-    /// Asks a relay for changes, and no longer relies on it if it has nothing recent to say.
-    async fn ask(&mut self, client: &mut PeerClient, member: &MemberRecord) {
-        let revision = self.gateway.revision();
+impl Gateway {
+    /// Returns a relay of another data centre: the one at `current` while it may be asked.
+    fn far_relay(&self, current: Option<SocketAddr>) -> Option<MemberRecord> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let relays = state.members.far_relays(now);
+        let kept = relays.iter().find(|it| Some(it.address) == current);
+        kept.or_else(|| relays.iter().choose(&mut rand::rng())).map(|it| (*it).clone())
+    }
+
+    /// Asks a relay for changes; returns false and no longer relies on it if it has nothing recent to
+    /// say.
+    async fn ask_relay(&self, client: &mut PeerClient, relay: &MemberRecord) -> bool {
+        let revision = self.revision();
         let reason = match client.changes(revision, FOLLOW_WAIT).await {
             Ok(reply) => {
                 let age = reply.answered_age();
-                if age.is_some_and(|it| it < RELAY_STALE) {
-                    self.is_lost = false;
-                    return self.gateway.take_reply(reply, &member.host);
+                let is_recent = age.is_some_and(|it| it < RELAY_STALE);
+                if is_recent && self.take_reply(reply, &relay.host) {
+                    return true;
                 }
-                format!("no answer of the platform for {age:?}")
+                format!("no usable changes, or no answer of the platform for {age:?}")
             }
             Err(error) => error.to_string(),
         };
-        tracing::warn!(relay = %member.host, revision, reason, "relay_failed");
-        let now = self.gateway.now();
-        self.gateway.state.borrow_mut().members.distrust(now, &member.host);
+        tracing::warn!(relay = %relay.host, revision, reason, "relay_failed");
+        self.state.borrow_mut().members.distrust(self.now(), &relay.host);
+        false
     }
 }
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -164,22 +164,27 @@
 
     /// Returns the relays that this host may ask, in order; empty if it reads the platform itself.
     pub fn relays(&self, now: Instant) -> Vec<&MemberRecord> {
-        let centre = &self.own.centre;
-        let order = |it: &MemberRecord| {
-            (it.bandwidth, rendezvous::hash_parts(&["relay", it.host.as_str()]))
-        };
-        let mut hosts: Vec<&MemberRecord> =
-            self.live(now).filter(|it| it.centre == *centre).chain([&self.own]).collect();
-        hosts.sort_by_key(|it| std::cmp::Reverse(order(it)));
-        hosts.truncate(RELAYS);
-        if hosts.iter().any(|it| it.host == self.own.host) {
+        let hosts = self.live(now).filter(|it| it.centre == self.own.centre).chain([&self.own]);
+        let relays = first_relays(hosts.collect());
+        if relays.iter().any(|it| it.host == self.own.host) {
             return Vec::new();
         }
-        hosts.retain(|it| {
-            let distrusted = self.members.get(&it.host).and_then(|it| it.distrusted);
-            distrusted.is_none_or(|at| now.saturating_duration_since(at) >= DISTRUST_TIME)
-        });
-        hosts
+        relays.into_iter().filter(|it| self.is_trusted(now, it)).collect()
+    }
+
+    /// Returns the relays of the other data centres that this host may ask.
+    pub fn far_relays(&self, now: Instant) -> Vec<&MemberRecord> {
+        let mut centres: BTreeMap<&CentreName, Vec<&MemberRecord>> = BTreeMap::new();
+        for record in self.live(now).filter(|it| it.centre != self.own.centre) {
+            centres.entry(&record.centre).or_default().push(record);
+        }
+        let relays = centres.into_values().flat_map(first_relays);
+        relays.filter(|it| self.is_trusted(now, it)).collect()
+    }
+
+    fn is_trusted(&self, now: Instant, relay: &MemberRecord) -> bool {
+        let distrusted = self.members.get(&relay.host).and_then(|it| it.distrusted);
+        distrusted.is_none_or(|at| now.saturating_duration_since(at) >= DISTRUST_TIME)
     }
 
     /// Returns whether other hosts of the data centre depend on this one.
@@ -224,3 +229,12 @@
         lost
     }
 }
+
+/// Returns the relays among the hosts of one data centre, in order.
+fn first_relays(mut hosts: Vec<&MemberRecord>) -> Vec<&MemberRecord> {
+    let order =
+        |it: &MemberRecord| (it.bandwidth, rendezvous::hash_parts(&["relay", it.host.as_str()]));
+    hosts.sort_by_key(|it| std::cmp::Reverse(order(it)));
+    hosts.truncate(RELAYS);
+    hosts
+}
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -223,7 +223,7 @@
                     let now = gateway.now();
                     let since = *behind_since.get_or_insert(now);
                     let is_late = now.saturating_duration_since(since) >= BEHIND_TIME;
-                    if is_near || is_late || gateway.is_source_lost() {
+                    if is_near || is_late || *gateway.source_lost.borrow() {
                         gateway.pull(&mut client, &host).await;
                         behind_since = None;
                     }
@@ -300,23 +300,29 @@
     /// Asks a host that knows more for what this one lacks.
     async fn pull(&self, client: &mut PeerClient, host: &HostName) {
         match client.changes(self.revision(), Duration::ZERO).await {
-            Ok(reply) => self.take_reply(reply, host),
+            Ok(reply) => {
+                self.take_reply(reply, host);
+            }
             Err(error) => tracing::debug!(%host, %error, "pull_failed"),
         }
     }
 
-    /// Adopts what another host knows of the entries.
-    pub(super) fn take_reply(&self, reply: ChangesReply, host: &HostName) {
+    /// Adopts what another host knows of the entries; returns false if it cannot be used.
+    pub(super) fn take_reply(&self, reply: ChangesReply, host: &HostName) -> bool {
         self.note_source(reply.source(self.now()));
         let Some(packed) = reply.change else {
-            return;
+            return true;
         };
         match packed.unpack() {
-            Ok(change) if !self.take_entries(&change, host.as_str()) => {
+            Ok(change) if self.take_entries(&change, host.as_str()) => true,
+            Ok(change) => {
                 tracing::warn!(%host, base = change.base, "changes_with_gap");
+                false
+            }
+            Err(error) => {
+                tracing::warn!(%host, %error, "changes_unreadable");
+                false
             }
-            Ok(_) => {}
-            Err(error) => tracing::warn!(%host, %error, "changes_unreadable"),
         }
     }
 
--- a/lib/tests/gateway_members.rs
+++ b/lib/tests/gateway_members.rs
@@ -175,3 +175,26 @@
     assert_eq!(rate(now + 2 * SECOND), 0.0);
     assert!(rate(now + 3 * SECOND) > 0.0, "a host may be the only one");
 }
+
+/// Guards against a host whose relays cannot reach the platform and that knows no other way, or asks
+/// one that has just failed.
+#[test]
+fn the_relays_of_other_data_centres_are_known() {
+    let now = Instant::now();
+    let mut table = table(0, "a");
+    for index in 1..10 {
+        let centre = ["a", "b", "c"][index % 3];
+        let bandwidth = if index < 7 { 100 } else { 10 };
+        table.heard(now, MemberRecord { bandwidth, ..record(index, centre) });
+    }
+    let names = |table: &MemberTable, at: Instant| {
+        let mut names: Vec<String> =
+            table.far_relays(at).iter().map(|it| it.host.as_str().to_owned()).collect();
+        names.sort();
+        names
+    };
+    assert_eq!(names(&table, now), ["h1", "h2", "h4", "h5"], "the two fastest of b and of c");
+    table.distrust(now, &HostName::new("h4"));
+    assert_eq!(names(&table, now), ["h1", "h2", "h5"]);
+    assert_eq!(names(&table, now + 3 * SECOND).len(), 4);
+}
--- a/lib/tests/gateway_server.rs
+++ b/lib/tests/gateway_server.rs
@@ -1,9 +1,9 @@
 //! Planned stop of a gateway, with connections on loopback.
 
+mod gateway_support;
+
 use std::{
     net::SocketAddr,
-    process,
-    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicU16, Ordering},
@@ -12,24 +12,19 @@
     time::Duration,
 };
 
-use hyper::{HeaderMap, StatusCode};
+use gateway_support::{addresses, new_gateway, run_local};
 use snipepond::{
-    clock::SystemClock,
-    config::EntryChange,
     gateway::{
-        AnswerHead, AttemptHead, CallHead, CallerLimits, EntryDecoder, FleetChange, Gateway,
-        GatewayServer, GatewaySettings, MemberRecord, RepeatRule, RetryAllowance, RouteRecord,
-        RouteTable, ServerAddresses, ShutdownTimes, UpstreamRecord, WeightedService, WireDialect,
+        CallerLimits, FleetChange, GatewayServer, RepeatRule, RouteRecord, RouteTable,
+        ShutdownTimes, UpstreamRecord, WeightedService,
     },
-    names::{CentreName, HostName, RouteName, ServiceName, UpstreamName},
-    telemetry::RouterMetrics,
+    names::{CentreName, RouteName, ServiceName, UpstreamName},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    runtime::Builder,
     sync::{Notify, oneshot, watch},
-    task::{LocalSet, spawn_local},
+    task::spawn_local,
     time::sleep,
 };
 
@@ -42,35 +37,6 @@
 /// A response that does not fit into the buffers of a connection.
 const LARGE_BODY: usize = 12 << 20;
 
-/// Reads nothing but the id of a request, and accepts every response as its upstream's.
-#[derive(Debug)]
-struct PlainDialect;
-
-impl WireDialect for PlainDialect {
-    fn read_call(&self, headers: &HeaderMap) -> CallHead {
-        let request_id = headers.get("id").and_then(|it| it.to_str().ok()).unwrap_or_default();
-        CallHead { request_id: request_id.to_owned(), ..CallHead::default() }
-    }
-
-    fn write_attempt(&self, _: &mut HeaderMap, _: &AttemptHead<'_>) {}
-
-    fn read_answer(&self, _: StatusCode, _: &HeaderMap, _: &str) -> AnswerHead {
-        AnswerHead { is_own: true, is_signed: true, ..AnswerHead::default() }
-    }
-
-    fn write_refusal(&self, _: &mut HeaderMap, _: &str) {}
-}
-
-/// Nothing is read from a platform.
-#[derive(Debug)]
-struct NoEntries;
-
-impl EntryDecoder for NoEntries {
-    fn decode(&self, _: &EntryChange) -> Option<FleetChange> {
-        None
-    }
-}
-
 fn routes() -> RouteTable {
     let route = RouteRecord {
         name: RouteName::new("orders"),
@@ -98,24 +64,17 @@
 impl GatewayThread {
     async fn start(upstream: SocketAddr) -> Self {
         static NEXT: AtomicU16 = AtomicU16::new(1);
-        let number = NEXT.fetch_add(1, Ordering::SeqCst);
-        let at = move |port: u16| -> SocketAddr {
-            let [_, _, _, process] = process::id().to_be_bytes();
-            let [high, low] = number.to_be_bytes();
-            SocketAddr::from(([127, 32 | (process & 0x1f), high, low], port))
-        };
+        let addresses = addresses(NEXT.fetch_add(1, Ordering::SeqCst));
         let stop = Arc::new(Notify::new());
         let (ready, is_ready) = oneshot::channel();
         let stop_requested = stop.clone();
         let thread = thread::spawn(move || {
             run_local(async move {
-                let gateway = gateway_of(upstream, at(8_003));
-                let addresses = ServerAddresses {
-                    callers: at(8_000),
-                    readiness: at(8_001),
-                    peers: at(8_003),
-                    metrics: at(8_002),
-                };
+                let gateway = new_gateway(&addresses);
+                gateway.apply(FleetChange::Routes(Arc::new(routes())));
+                let listing =
+                    FleetChange::Listing { upstreams: vec![desk(upstream)], closed: vec![] };
+                gateway.apply(listing);
                 let server = GatewayServer::start(&gateway, &addresses, vec![]).unwrap();
                 ready.send(()).unwrap();
                 stop_requested.notified().await;
@@ -124,7 +83,7 @@
             });
         });
         is_ready.await.unwrap();
-        Self { callers: at(8_000), stop, thread }
+        Self { callers: addresses.callers, stop, thread }
     }
 
     async fn connect(&self) -> TcpStream {
@@ -145,36 +104,17 @@
     }
 }
 
-fn gateway_of(upstream: SocketAddr, peers: SocketAddr) -> Rc<Gateway> {
-    let identity = MemberRecord {
-        host: HostName::new("h1"),
-        centre: CentreName::new("a"),
-        address: peers,
-        incarnation: 1,
-        heartbeat: 0,
-        bandwidth: 1,
-    };
-    let retries = RetryAllowance { ratio: 0.2, window: Duration::from_secs(10), slack: 10.0 };
-    let gateway = Gateway::new(
-        GatewaySettings { identity, retries },
-        Rc::new(SystemClock),
-        Rc::new(PlainDialect),
-        Rc::new(NoEntries),
-        Rc::new(RouterMetrics::new()),
-    );
-    gateway.apply(FleetChange::Routes(Arc::new(routes())));
-    let record = UpstreamRecord {
+fn desk(address: SocketAddr) -> UpstreamRecord {
+    UpstreamRecord {
         name: UpstreamName::new("d1"),
         service: ServiceName::new("desk"),
-        address: upstream,
+        address,
         data_centre: CentreName::new("a"),
         slots: 8,
         is_leaving: false,
         cold_for: Duration::ZERO,
         incarnation: 1,
-    };
-    gateway.apply(FleetChange::Listing { upstreams: vec![record], closed: vec![] });
-    gateway
+    }
 }
 
 /// An upstream that takes a while for each request.
@@ -242,11 +182,6 @@
     stream.read_exact(&mut vec![0; length]).await.is_ok()
 }
 
-fn run_local(test: impl Future<Output = ()>) {
-    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, test);
-}
-
 /// Guards against a request that is passed on while the process ends, because no request was in
 /// flight a moment before.
 #[test]
--- /dev/null
+++ b/lib/tests/gateway_support/mod.rs
@@ -0,0 +1,85 @@
+//! Doubles for a gateway with listeners on loopback.
+
+use std::{net::SocketAddr, process, rc::Rc, time::Duration};
+
+use hyper::{HeaderMap, StatusCode};
+use snipepond::{
+    clock::SystemClock,
+    config::EntryChange,
+    gateway::{
+        AnswerHead, AttemptHead, CallHead, EntryDecoder, FleetChange, Gateway, GatewaySettings,
+        MemberRecord, RetryAllowance, ServerAddresses, WireDialect,
+    },
+    names::{CentreName, HostName},
+    telemetry::RouterMetrics,
+};
+use tokio::{runtime::Builder, task::LocalSet};
+
+/// Reads nothing but the id of a request, and accepts every response as its upstream's.
+#[derive(Debug)]
+pub struct PlainDialect;
+
+impl WireDialect for PlainDialect {
+    fn read_call(&self, headers: &HeaderMap) -> CallHead {
+        let request_id = headers.get("id").and_then(|it| it.to_str().ok()).unwrap_or_default();
+        CallHead { request_id: request_id.to_owned(), ..CallHead::default() }
+    }
+
+    fn write_attempt(&self, _: &mut HeaderMap, _: &AttemptHead<'_>) {}
+
+    fn read_answer(&self, _: StatusCode, _: &HeaderMap, _: &str) -> AnswerHead {
+        AnswerHead { is_own: true, is_signed: true, ..AnswerHead::default() }
+    }
+
+    fn write_refusal(&self, _: &mut HeaderMap, _: &str) {}
+}
+
+/// Nothing is read from a platform.
+#[derive(Debug)]
+pub struct NoEntries;
+
+impl EntryDecoder for NoEntries {
+    fn decode(&self, _: &EntryChange) -> Option<FleetChange> {
+        None
+    }
+}
+
+/// Returns the addresses of a gateway; no other test process uses them at the same time.
+pub fn addresses(number: u16) -> ServerAddresses {
+    let at = |port: u16| -> SocketAddr {
+        let [_, _, _, process] = process::id().to_be_bytes();
+        let [high, low] = number.to_be_bytes();
+        SocketAddr::from(([127, 32 | (process & 0x1f), high, low], port))
+    };
+    ServerAddresses {
+        callers: at(8_000),
+        readiness: at(8_001),
+        metrics: at(8_002),
+        peers: at(8_003),
+    }
+}
+
+/// Creates a gateway in the data centre `a` that knows nothing yet.
+pub fn new_gateway(addresses: &ServerAddresses) -> Rc<Gateway> {
+    let identity = MemberRecord {
+        host: HostName::new("h1"),
+        centre: CentreName::new("a"),
+        address: addresses.peers,
+        incarnation: 1,
+        heartbeat: 0,
+        bandwidth: 1,
+    };
+    let retries = RetryAllowance { ratio: 0.2, window: Duration::from_secs(10), slack: 10.0 };
+    Gateway::new(
+        GatewaySettings { identity, retries },
+        Rc::new(SystemClock),
+        Rc::new(PlainDialect),
+        Rc::new(NoEntries),
+        Rc::new(RouterMetrics::new()),
+    )
+}
+
+pub fn run_local(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
