gateway: metrics count every failed attempt

Cause: attempts log their failures with a function of their own, and only its namesake of the whole request counted, so snipepond_upstream_errors missed lost answers, refusals, wrong answers and failures of upstreams.

Change: the one function that logs a failed attempt also counts it.

Test: metrics_count_every_failed_attempt (fails before at the first kind). No decision depends on it; not measured on its own.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -292,7 +292,6 @@
         kind: &'static str,
         error: &dyn ToString,
     ) {
-        self.gateway.metrics.upstream_error(upstream, kind);
         log_failure(&self.gateway, &self.call, upstream, kind, error);
     }
 
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -84,7 +84,7 @@
     pub(in crate::gateway) guard: AttemptGuard,
 }
 
-/// Logs why an attempt failed.
+/// Logs and counts a failed attempt.
 pub(super) fn log_failure(
     gateway: &Gateway,
     call: &AdmittedCall,
@@ -92,6 +92,7 @@
     kind: &'static str,
     error: &dyn ToString,
 ) {
+    gateway.metrics.upstream_error(upstream, kind);
     tracing::warn!(
         request_id = %call.head.request_id,
         upstream = %upstream,
