gateway: upstreams that left long ago are forgotten on a timer

Cause: found by reading. Only a complete listing forgot them, and a host reads one at its start and after the store lost its history. Between these, each engine that came and went stayed in the tables, and every choice of an upstream looked at it.

Change: the periodic work forgets them, as it does lost hosts.

Test: upstreams_that_left_long_ago_are_forgotten. It cannot compile before; it covers the state, not that the timer calls it.

--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -232,7 +232,11 @@
     /// Does the periodic work; `interval` is the time since the last call.
     pub fn tick(&self, interval: Duration) {
         let now = self.now();
-        let lost = self.state.borrow_mut().members.expire(now, interval);
+        let lost = {
+            let state = &mut *self.state.borrow_mut();
+            state.upstreams.forget_gone(now);
+            state.members.expire(now, interval)
+        };
         for host in lost {
             tracing::warn!(%host, "member_lost");
         }
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -161,6 +161,16 @@
         }
     }
 
+    /// Returns the number of upstreams that are known, with those that left a moment ago.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Returns whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// Counts a request that is about to be sent.
     pub fn started(&mut self, name: &UpstreamName) {
         if let Some(state) = self.upstreams.get_mut(name) {
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -126,7 +126,6 @@
         for name in missing {
             self.withdraw(now, &name);
         }
-        self.forget(now);
     }
 
     /// Opens or closes a data centre for new work.
@@ -154,7 +153,8 @@
         self.regained = self.regained.max(source.regained);
     }
 
-    fn forget(&mut self, now: Instant) {
+    /// Forgets upstreams that left long ago; to be called on a timer.
+    pub fn forget_gone(&mut self, now: Instant) {
         let before = self.upstreams.len();
         self.upstreams.retain(|_, state| {
             state.own > 0 || state.gone_at.is_none_or(|it| now < it + FORGET_AFTER)
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -17,7 +17,7 @@
     UpstreamRecord {
         name: UpstreamName::new(&format!("{service}-{index}")),
         service: ServiceName::new(service),
-        address: format!("10.0.0.{index}:80").parse().unwrap(),
+        address: format!("10.0.{}.{}:80", index / 250, index % 250).parse().unwrap(),
         data_centre: CentreName::new(centre),
         slots: 64,
         is_leaving: false,
@@ -263,3 +263,24 @@
     set.publish(now, UpstreamRecord { incarnation: 2, ..record(0, "chat", "a") });
     assert!((0..20).any(|key| pick(&mut set, now, key).name == name));
 }
+
+/// Guards against memory and time that grow with every upstream that ever was.
+#[test]
+fn upstreams_that_left_long_ago_are_forgotten() {
+    let start = Instant::now();
+    let mut set = set(start, 3);
+    for index in 3..500 {
+        set.publish(start, record(index, "chat", "a"));
+        set.withdraw(start, &UpstreamName::new(&format!("chat-{index}")));
+    }
+    let running = UpstreamName::new("chat-400");
+    set.started(&running);
+    set.forget_gone(start + 20 * SECOND);
+    assert_eq!(set.len(), 500, "a process may still name one that has just left");
+    set.forget_gone(start + 40 * SECOND);
+    assert_eq!(set.len(), 4, "a request runs at one of them");
+    set.ended(start + 40 * SECOND, &running, AttemptEnd::Complete);
+    set.forget_gone(start + 41 * SECOND);
+    assert_eq!(set.len(), 3);
+    assert!(pick_with(&mut set, start + 41 * SECOND, Some(1), &[]).is_ok());
+}
