gateway: engines copy the prompt parts that another engine holds

A prompt moves when its engine is overloaded (the next of the order reads it), when an engine joins (and becomes the first) and when one leaves. In each case the parts lie at an engine that every host can name: the next or the former first of the same rendezvous order. The engines offer to fetch them; nobody asked for it.

Change: a choice names the holder, the first in the order besides the chosen engine that is published, reachable and was not published within the last 4 s. An engine that leaves counts. What the chosen engine holds itself is not copied, so naming a holder in steady state costs nothing.

Weighed: hosts telling each other which engine served a prompt last; needs traffic and is late, and the order says the same. Copies kept at a second engine ahead of a crash cost more than the crashes.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -45,7 +45,7 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        DoubtedUpstream, LoadSample, PickReason, PickRefusal, PickRequest, ReportedLoad,
-        UpstreamPick, UpstreamRecord, UpstreamSet,
+        DoubtedUpstream, LoadSample, PickReason, PickRefusal, PickRequest, PromptHolder,
+        ReportedLoad, UpstreamPick, UpstreamRecord, UpstreamSet,
     },
 };
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -195,6 +195,7 @@
             load = pick.load,
             mean = pick.mean,
             report_age_ms = pick.report_age.map(|it| it.as_millis() as u64),
+            prompt_holder = pick.prompt_holder.as_ref().map(|it| it.name.as_str()),
             attempt = self.tried.len() + 1,
             "upstream_picked"
         );
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -255,6 +255,7 @@
         time_left: call.ends.saturating_duration_since(gateway.now()),
         priority: call.priority(),
         resume_after: resume_after.or(call.head.resume_after),
+        prompt_holder: pick.prompt_holder.as_ref().map(|it| it.address),
     };
     gateway.dialect.write_attempt(&mut headers, &attempt);
     let mut request = Request::new(Full::new(call.body.clone()));
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -1,6 +1,6 @@
 //! What the request path needs from heads on the wire; header names belong to the adapter.
 
-use std::{fmt::Debug, time::Duration};
+use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
 use hyper::{HeaderMap, StatusCode};
 
@@ -37,6 +37,8 @@
     pub priority: u8,
     /// Last event that the caller has, if the stream is continued.
     pub resume_after: Option<u64>,
+    /// Another upstream from which this one may copy the parts of the prompt that it lacks.
+    pub prompt_holder: Option<SocketAddr>,
 }
 
 /// What an upstream's response head says.
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -2,6 +2,7 @@
 
 mod pick;
 mod presence;
+mod prompt;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -11,7 +12,10 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use self::pick::{PickReason, PickRefusal, PickRequest, UpstreamPick};
+pub use self::{
+    pick::{PickReason, PickRefusal, PickRequest, UpstreamPick},
+    prompt::PromptHolder,
+};
 use super::{
     cold::ColdBucket,
     health::{AttemptEnd, UpstreamHealth},
@@ -95,6 +99,8 @@
 struct UpstreamState {
     record: UpstreamRecord,
     hash: u64,
+    /// When it was first published; none if it was there before this host knew of any.
+    joined: Option<Instant>,
     /// When the upstream stops taking new work; set once it is no longer published.
     gone_at: Option<Instant>,
     cold: Option<ColdBucket>,
@@ -107,6 +113,7 @@
     fn new(record: UpstreamRecord) -> Self {
         Self {
             hash: rendezvous::hash_parts(&[record.name.as_str()]),
+            joined: None,
             record,
             gone_at: None,
             cold: None,
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{UpstreamSet, UpstreamState};
+use super::{PromptHolder, UpstreamSet, UpstreamState};
 use crate::{
     names::{ServiceName, UpstreamName},
     rendezvous,
@@ -76,6 +76,8 @@
     pub mean: f64,
     /// Age of its last load report.
     pub report_age: Option<Duration>,
+    /// Another upstream that probably holds the prompt.
+    pub prompt_holder: Option<PromptHolder>,
 }
 
 /// Why no upstream was chosen.
@@ -149,7 +151,8 @@
         if untried.is_empty() {
             return Err(if has_cold { PickRefusal::ColdLimit } else { PickRefusal::AllTried });
         }
-        let pick = self.choose(now, request, &untried, mean);
+        let mut pick = self.choose(now, request, &untried, mean);
+        pick.prompt_holder = self.prompt_holder(now, request, &pick.name);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the map");
         if let Some(cold) = state.cold.as_mut().filter(|it| it.is_cold(now)) {
             cold.take();
@@ -260,5 +263,6 @@
         load: candidate.load,
         mean,
         report_age: candidate.state.report.map(|it| now.saturating_duration_since(it.at)),
+        prompt_holder: None,
     }
 }
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -46,7 +46,7 @@
                 // Another incarnation shares nothing with the one before but its requests in
                 // flight, which are still counted here until they end.
                 let own = self.upstreams.get(&name).map_or(0, |it| it.own);
-                let state = UpstreamState { own, ..UpstreamState::new(record) };
+                let state = UpstreamState { own, joined: Some(now), ..UpstreamState::new(record) };
                 self.upstreams.insert(name.clone(), state);
                 true
             }
@@ -117,12 +117,16 @@
 
     /// Adopts a complete listing: entries that it lacks are no longer published.
     pub fn replace_all(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
+        let is_first = self.upstreams.is_empty();
         let listed: HashSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
         let missing: Vec<UpstreamName> =
             self.upstreams.keys().filter(|it| !listed.contains(*it)).cloned().collect();
         for record in records {
             self.publish(now, record);
         }
+        if is_first {
+            self.upstreams.values_mut().for_each(|it| it.joined = None);
+        }
         for name in missing {
             self.withdraw(now, &name);
         }
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -284,3 +284,60 @@
     assert_eq!(set.len(), 3);
     assert!(pick_with(&mut set, start + 41 * SECOND, Some(1), &[]).is_ok());
 }
+
+fn holder(pick: &UpstreamPick) -> Option<&str> {
+    pick.prompt_holder.as_ref().map(|it| it.name.as_str())
+}
+
+/// Guards against prompts that are read again although an upstream holds them: when the first of
+/// the order is overloaded, leaves, or has just joined.
+#[test]
+fn the_chosen_upstream_learns_who_holds_the_prompt() {
+    let start = Instant::now();
+    let mut set = set(start, 5);
+    let home = pick(&mut set, start, 7).name;
+    // Overloaded: the next one copies from it.
+    for _ in 0..20 {
+        set.started(&home);
+    }
+    let other = pick(&mut set, start, 7);
+    assert_ne!(other.name, home);
+    assert_eq!(holder(&other), Some(home.as_str()));
+    for _ in 0..20 {
+        set.ended(start, &home, AttemptEnd::Complete);
+    }
+    // Leaving: it takes no work, but still holds what it has read.
+    let index: usize = home.as_str().strip_prefix("chat-").unwrap().parse().unwrap();
+    let leaving = UpstreamRecord { is_leaving: true, ..record(index, "chat", "a") };
+    set.publish(start, leaving.clone());
+    let successor = pick(&mut set, start, 7);
+    assert_ne!(successor.name, home);
+    assert_eq!(holder(&successor), Some(home.as_str()));
+    // Not reached, or no longer published: nothing can be copied from it.
+    set.doubt(&home, false);
+    assert_ne!(holder(&pick(&mut set, start, 7)), Some(home.as_str()));
+    set.reached(&home);
+    set.withdraw(start, &home);
+    assert_ne!(holder(&pick(&mut set, start, 7)), Some(home.as_str()));
+    // Back as another process: it is the first again, and the successor holds the prompt.
+    let later = start + 10 * SECOND;
+    set.publish(later, UpstreamRecord { incarnation: 2, is_leaving: false, ..leaving });
+    let back = pick(&mut set, later, 7);
+    assert_eq!(back.name, home);
+    assert_eq!(holder(&back), Some(successor.name.as_str()));
+    // For another upstream it is not the holder before it has been there for a while.
+    for _ in 0..20 {
+        set.started(&home);
+    }
+    let other = pick(&mut set, later, 7);
+    assert_ne!(holder(&other), Some(home.as_str()));
+    assert_eq!(holder(&pick(&mut set, later + 5 * SECOND, 7)), Some(home.as_str()));
+}
+
+/// Guards against requests without a prompt that name a holder.
+#[test]
+fn a_request_without_a_prompt_has_no_holder() {
+    let now = Instant::now();
+    let mut set = set(now, 3);
+    assert_eq!(pick_with(&mut set, now, None, &[]).unwrap().prompt_holder, None);
+}
