gateway: requests wait a moment for the first configuration

The hosts need 0.33 s (median) from their start to their first listing, as all read the store at once, and the callers come back after 0.5 s.

Change: a request waits for the first configuration up to 0.4 s, and at most a quarter of its deadline. The table of routes is a watched value, which the waiting requests are told of.

Test: a_request_waits_for_the_first_configuration (the second request was refused before).

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -15,7 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::{
-    admission::{AdmittedCall, admit, read_body},
+    admission::{AdmittedCall, admit, configuration_patience, read_body},
     attempt::{Answer, FailedAttempt, attempt, log_failure},
 };
 pub(super) use self::{
@@ -47,7 +47,7 @@
     let _active = ActiveGuard::new(&gateway);
     let (parts, body) = request.into_parts();
     let head = gateway.dialect.read_call(&parts.headers);
-    let table = gateway.table();
+    let table = gateway.table_within(configuration_patience(&head)).await;
     let admitted = match read_body(body, table.as_deref()).await {
         Ok(body) => admit(table, head.clone(), parts, body, arrived),
         Err(refusal) => Err(refusal),
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -37,6 +37,14 @@
 /// Time after which a caller comes back to a host that has no configuration yet.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest time for which a request waits for the first configuration. A process that has just
+/// started has it after some tenths of a second when all hosts start at once, and a caller that is
+/// refused comes back later than that.
+const CONFIGURATION_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Parts of the caller's deadline of which that wait takes one, so that time is left to run.
+const PATIENCE_PARTS: u32 = 4;
+
 /// Deadline of callers that state none, and longest one, for arithmetic to stay in range.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -74,6 +82,12 @@
     }
 }
 
+/// Returns how long a request waits for the first configuration.
+pub(super) fn configuration_patience(head: &CallHead) -> Duration {
+    head.deadline
+        .map_or(CONFIGURATION_PATIENCE, |it| CONFIGURATION_PATIENCE.min(it / PATIENCE_PARTS))
+}
+
 /// Reads the whole body, within the bounds of the configuration.
 pub(super) async fn read_body(
     body: Incoming,
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout};
 
 use super::{
     budget::{RetryAllowance, RetryBudget},
@@ -65,7 +65,6 @@
 
 /// What requests read and change.
 pub(super) struct GatewayState {
-    pub(super) table: Option<Arc<RouteTable>>,
     pub(super) upstreams: UpstreamSet,
     pub(super) budget: RetryBudget,
     pub(super) feed: EntryFeed,
@@ -86,6 +85,8 @@
     pub(super) active: Cell<usize>,
     /// Callers' connections that have carried a request.
     used_connections: Cell<usize>,
+    /// The configuration in force; none before the first one is known.
+    table: watch::Sender<Option<Arc<RouteTable>>>,
     /// Revision of the entries, for peers that wait for changes.
     pub(super) revisions: watch::Sender<u64>,
     /// Whether neither the platform nor a relay of the data centre answers this host.
@@ -106,7 +107,6 @@
     ) -> Rc<Self> {
         let MemberRecord { host, centre, .. } = settings.identity.clone();
         let state = GatewayState {
-            table: None,
             upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
             feed: EntryFeed::new(decoder),
@@ -122,6 +122,7 @@
             metrics,
             active: Cell::new(0),
             used_connections: Cell::new(0),
+            table: watch::Sender::new(None),
             revisions: watch::Sender::new(0),
             source_lost: watch::Sender::new(false),
             packed: PackedChanges::default(),
@@ -136,12 +137,13 @@
         let state = &mut *self.state.borrow_mut();
         match change {
             FleetChange::Routes(table) => {
-                let before = state.table.as_ref().map_or(0, |it| it.version());
-                let is_newer = state.table.is_none() || table.version() > before;
+                let before = self.table().map(|it| it.version());
+                let is_newer = before.is_none_or(|it| table.version() > it);
+                let before = before.unwrap_or_default();
                 tracing::info!(version = table.version(), before, is_newer, "routes_published");
                 if is_newer {
                     self.metrics.config_revision(table.version(), table.version());
-                    state.table = Some(table);
+                    self.table.send_replace(Some(table));
                 }
             }
             FleetChange::Upstream(record) => {
@@ -184,7 +186,7 @@
 
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.is_listed.get() && !self.is_draining.get() && self.state.borrow().table.is_some()
+        self.is_listed.get() && !self.is_draining.get() && self.table.borrow().is_some()
     }
 
     /// From now on the host is not ready; requests are still served.
@@ -212,7 +214,18 @@
 
     /// Returns the current configuration.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.state.borrow().table.clone()
+        self.table.borrow().clone()
+    }
+
+    /// Returns the current configuration, or the first one if it becomes known within `limit`.
+    pub(super) async fn table_within(&self, limit: Duration) -> Option<Arc<RouteTable>> {
+        let known = self.table();
+        if known.is_some() {
+            return known;
+        }
+        let mut table = self.table.subscribe();
+        let known = timeout(limit, table.wait_for(Option::is_some)).await;
+        known.ok()?.ok()?.clone()
     }
 
     /// Returns the revision of the entries that are known.
--- a/lib/tests/gateway_server.rs
+++ b/lib/tests/gateway_server.rs
@@ -229,3 +229,28 @@
         gateway.join();
     });
 }
+
+/// Guards against requests that are refused in the moment before a process knows its first
+/// configuration, and against ones that wait for it for ever.
+#[test]
+fn a_request_waits_for_the_first_configuration() {
+    run_local(async {
+        let upstream = Upstream::start(10).await;
+        let addresses = addresses(1_000);
+        let gateway = new_gateway(&addresses);
+        let _server = GatewayServer::start(&gateway, &addresses, vec![]).unwrap();
+        let mut caller = TcpStream::connect(addresses.callers).await.unwrap();
+        send(&mut caller, "refused").await;
+        let head = read_head(&mut caller).await.unwrap();
+        assert!(head.starts_with("HTTP/1.1 503"), "{head}");
+        let mut caller = TcpStream::connect(addresses.callers).await.unwrap();
+        send(&mut caller, "served").await;
+        while gateway.active() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        gateway.apply(FleetChange::Routes(Arc::new(routes())));
+        let listing = vec![desk(upstream.address)];
+        gateway.apply(FleetChange::Listing { upstreams: listing, closed: vec![] });
+        assert!(receive(&mut caller).await);
+    });
+}
