gateway: digests tell news only, and those between data centres are bounded

Each host sent one digest of twelve records a second to another data centre.

Change: a digest carries the heartbeats that are news, nine bytes each. Records go only to hosts that know fewer others or ask for them. A heartbeat rises with time, not with each message. All hosts of a large data centre send four digests a round elsewhere, in place of one every second round each.

Weighed: all heartbeats in each message grows with the square of the fleet; relays only for digests elsewhere makes membership depend on two hosts.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -35,7 +35,7 @@
     fleet::{FleetChange, Gateway, GatewaySettings},
     follow::follow_entries,
     health::{AttemptEnd, UpstreamHealth},
-    members::{MemberNews, MemberRecord, MemberTable},
+    members::{MemberBeat, MemberDigest, MemberNews, MemberRecord, MemberTable},
     packed::PackedChange,
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure},
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -1,11 +1,12 @@
 //! The hosts of the fleet as they tell each other; the platform does not list them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -13,8 +14,8 @@
     rendezvous,
 };
 
-/// Time without a sign of life after which a host counts as lost. With twelve records a message a
-/// heartbeat crosses a hundred hosts in five seconds, and a few take twice that.
+/// Time without a sign of life after which a host counts as lost. A heartbeat crosses 400 hosts in some
+/// four seconds, and a few are missed.
 const MEMBER_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Time for which lost hosts still count where a sum over all hosts is bounded: they may run behind
@@ -31,11 +32,23 @@
 /// Time for which a relay that failed is not asked.
 const DISTRUST_TIME: Duration = Duration::from_secs(3);
 
-/// Records of hosts of the same data centre in a message to one of them, where bytes cost nothing.
-const MAX_NEAR_RECORDS: usize = 32;
+/// Interval in which the heartbeat of a host rises. Three of them fit into [`MEMBER_TIMEOUT`], so one
+/// may get lost.
+const BEAT_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Records of other hosts in a message.
-const MAX_FAR_RECORDS: usize = 12;
+/// Time for which a host passes a new heartbeat on, in some five messages. With 500 ms hosts of a fleet
+/// of 88 miss three heartbeats in a row; a longer time makes messages larger.
+const NEWS_TIME: Duration = Duration::from_millis(1_250);
+
+/// Records in a message, for hosts that have just joined or restarted.
+const MAX_RECORDS: usize = 32;
+
+/// Digests that all hosts of a data centre send elsewhere in one round.
+const FAR_DIGESTS: f64 = 4.0;
+
+/// Largest share of the rounds in which a host with neighbours tells a host elsewhere, where bytes
+/// cost.
+const MAX_FAR_SHARE: f64 = 0.5;
 
 /// What hosts tell each other about one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,9 +67,35 @@
     pub bandwidth: u32,
 }
 
+impl MemberRecord {
+    /// Identifies the process in heartbeats; a restarted host has another one.
+    fn beat_id(&self) -> u32 {
+        let incarnation = self.incarnation.to_string();
+        rendezvous::hash_parts(&["beat", self.host.as_str(), &incarnation]) as u32
+    }
+}
+
+/// The heartbeat of one process, in short form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberBeat(u32, u64);
+
+/// What one host tells another one about the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberDigest {
+    /// Number of hosts that the sender knows.
+    pub known: usize,
+    /// Heartbeats that the sender has learned a moment ago.
+    pub beats: Vec<MemberBeat>,
+    /// Processes of which the sender has a heartbeat, but no record.
+    pub wanted: Vec<u32>,
+    /// Records that the receiver lacks.
+    pub records: Vec<MemberRecord>,
+}
+
 #[derive(Clone, Debug)]
 struct MemberState {
     record: MemberRecord,
+    beat_id: u32,
     heard: Instant,
     distrusted: Option<Instant>,
 }
@@ -75,6 +114,8 @@
 pub struct MemberTable {
     own: MemberRecord,
     members: BTreeMap<HostName, MemberState>,
+    /// Processes of which only a heartbeat is known.
+    wanted: BTreeSet<u32>,
     /// Largest number of hosts a moment ago, and when it was last reached.
     most: (usize, Option<Instant>),
     started: Instant,
@@ -83,7 +124,13 @@
 impl MemberTable {
     /// Creates a table that knows this host only.
     pub fn new(now: Instant, own: MemberRecord) -> Self {
-        Self { own, members: BTreeMap::new(), most: (1, None), started: now }
+        Self {
+            own,
+            members: BTreeMap::new(),
+            wanted: BTreeSet::new(),
+            most: (1, None),
+            started: now,
+        }
     }
 
     /// Returns the record of this host.
@@ -91,9 +138,10 @@
         &self.own
     }
 
-    /// Counts one more heartbeat of this host.
-    pub fn beat(&mut self) {
-        self.own.heartbeat += 1;
+    /// Raises the heartbeat of this host with the time that has passed.
+    fn beat(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.started).as_millis();
+        self.own.heartbeat = (age / BEAT_INTERVAL.as_millis()) as u64 + 1;
     }
 
     /// Takes the record that a host sent of itself.
@@ -110,7 +158,9 @@
         if record.host == self.own.host {
             return None;
         }
-        let state = MemberState { record, heard: now, distrusted: None };
+        let beat_id = record.beat_id();
+        self.wanted.remove(&beat_id);
+        let state = MemberState { record, beat_id, heard: now, distrusted: None };
         let Some(known) = self.members.get_mut(&state.record.host) else {
             self.members.insert(state.record.host.clone(), state);
             return Some(MemberNews::Joined);
@@ -135,10 +185,13 @@
 
     /// Returns the other hosts that are alive.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
-        self.members
-            .values()
-            .filter(move |it| now.saturating_duration_since(it.heard) < MEMBER_TIMEOUT)
-            .map(|it| &it.record)
+        self.live_states(now).map(|it| &it.record)
+    }
+
+    fn live_states(&self, now: Instant) -> impl Iterator<Item = &MemberState> {
+        let is_live =
+            move |it: &&MemberState| now.saturating_duration_since(it.heard) < MEMBER_TIMEOUT;
+        self.members.values().filter(is_live)
     }
 
     /// Returns the number of hosts over which a bounded sum is split: those alive, this one, and
@@ -200,21 +253,76 @@
         }
     }
 
-    /// Returns the records for one message to a host of the data centre or to another one;
-    /// `position` moves through the hosts from message to message.
-    pub fn records(&self, now: Instant, is_near: bool, position: usize) -> Vec<MemberRecord> {
-        let (near, far): (Vec<_>, Vec<_>) =
-            self.live(now).partition(|it| it.centre == self.own.centre);
-        let window = |hosts: &[&MemberRecord], most: usize| {
-            let count = hosts.len().min(most);
-            (0..count).map(|it| hosts[(position + it) % hosts.len()].clone()).collect::<Vec<_>>()
-        };
-        if is_near {
-            let near = window(&near, MAX_NEAR_RECORDS);
-            near.into_iter().chain(window(&far, MAX_FAR_RECORDS)).collect()
-        } else {
-            window(&near.into_iter().chain(far).collect::<Vec<_>>(), MAX_FAR_RECORDS)
+    /// Returns the share of the rounds of digests in which this host tells a host elsewhere. The
+    /// messages between data centres do not grow with the number of hosts in each.
+    pub fn far_share(&self, now: Instant) -> f64 {
+        let neighbours = self.live(now).filter(|it| it.centre == self.own.centre).count();
+        if neighbours == 0 {
+            return 1.0;
+        }
+        (FAR_DIGESTS / (neighbours + 1) as f64).min(MAX_FAR_SHARE)
+    }
+
+    /// Returns what this host tells another one, as an answer to `asked` if that one told first.
+    pub fn digest(&mut self, now: Instant, asked: Option<&MemberDigest>) -> MemberDigest {
+        self.beat(now);
+        let is_news = |it: &&MemberState| now.saturating_duration_since(it.heard) < NEWS_TIME;
+        let beats = self.live_states(now).filter(is_news);
+        let beats = beats.map(|it| MemberBeat(it.beat_id, it.record.heartbeat)).collect();
+        MemberDigest {
+            known: self.live(now).count(),
+            beats,
+            wanted: self.wanted.iter().copied().take(MAX_RECORDS).collect(),
+            records: asked.map(|it| self.lacking(now, it)).unwrap_or_default(),
+        }
+    }
+
+    /// Records for a host that asks for some, or knows fewer hosts than this one.
+    fn lacking(&self, now: Instant, asked: &MemberDigest) -> Vec<MemberRecord> {
+        let (wanted, others): (Vec<_>, Vec<_>) =
+            self.live_states(now).partition(|it| asked.wanted.contains(&it.beat_id));
+        let has_fewer = asked.known < wanted.len() + others.len();
+        let mut rng = rand::rng();
+        let others =
+            others.into_iter().filter(|_| has_fewer).choose_multiple(&mut rng, MAX_RECORDS);
+        let records = wanted.into_iter().chain(others).map(|it| it.record.clone());
+        records.take(MAX_RECORDS).collect()
+    }
+
+    /// Takes what another host told; returns what changed.
+    pub fn take_digest(
+        &mut self,
+        now: Instant,
+        sender: MemberRecord,
+        digest: &MemberDigest,
+    ) -> Vec<(HostName, MemberNews)> {
+        let mut news = Vec::new();
+        let host = sender.host.clone();
+        news.extend(self.heard(now, sender).map(|it| (host, it)));
+        for record in &digest.records {
+            news.extend(self.told(now, record.clone()).map(|it| (record.host.clone(), it)));
+        }
+        let mut beats: HashMap<u32, u64> =
+            digest.beats.iter().map(|MemberBeat(id, heartbeat)| (*id, *heartbeat)).collect();
+        beats.remove(&self.own.beat_id());
+        for (host, state) in &mut self.members {
+            let Some(heartbeat) = beats.remove(&state.beat_id) else {
+                continue;
+            };
+            if heartbeat > state.record.heartbeat {
+                if now.saturating_duration_since(state.heard) >= MEMBER_TIMEOUT {
+                    news.push((host.clone(), MemberNews::Joined));
+                }
+                state.record.heartbeat = heartbeat;
+                state.heard = now;
+            }
+        }
+        // A record that nobody has in a while is not waited for.
+        if self.wanted.len() > MAX_RECORDS {
+            self.wanted.clear();
         }
+        self.wanted.extend(beats.into_keys());
+        news
     }
 
     /// Forgets hosts that were lost long ago; returns those that were lost since the last call.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -20,7 +20,7 @@
     connection::{CallClient, CallFailure, ConnectTimes},
     feed::{FeedOutcome, SourceState},
     fleet::Gateway,
-    members::{MemberNews, MemberRecord},
+    members::{MemberDigest, MemberRecord},
     packed::PackedChange,
     upstreams::LoadSample,
 };
@@ -40,9 +40,6 @@
 /// Interval of digests to a host of the own data centre.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Digests to the own data centre for each one elsewhere, where bytes cost.
-const NEAR_DIGESTS: u64 = 2;
-
 /// Time for which another host may know more before its changes are asked for, so that a change
 /// that reaches this host anyway is not sent twice.
 const BEHIND_TIME: Duration = Duration::from_millis(400);
@@ -61,8 +58,8 @@
 pub struct PeerDigest {
     /// The sender.
     pub sender: MemberRecord,
-    /// Some of the hosts that the sender knows.
-    pub members: Vec<MemberRecord>,
+    /// What the sender knows of the hosts.
+    pub members: MemberDigest,
     /// Revision of the entries that the sender knows.
     pub revision: u64,
     /// Recent load reports; told within a data centre only, where bytes cost nothing.
@@ -192,8 +189,9 @@
         DIGEST_PATH => {
             let digest: PeerDigest = decode_message(&mut &body[..]).ok()?;
             let is_near = gateway.is_near(&digest.sender);
+            let reply = gateway.digest(is_near, Some(&digest.members));
             gateway.take_digest(digest);
-            Some(encode_message(&gateway.digest(is_near)))
+            Some(encode_message(&reply))
         }
         CHANGES_PATH => {
             let request: ChangesRequest = decode_message(&mut &body[..]).ok()?;
@@ -205,14 +203,12 @@
 
 /// Exchanges digests with other hosts until the process ends.
 pub(super) async fn spread_digests(gateway: Rc<Gateway>, seeds: Vec<SocketAddr>) {
-    let mut round = 0_u64;
     let mut behind_since = None;
     loop {
-        round += 1;
-        let targets = gateway.digest_targets(round, &seeds);
+        let targets = gateway.digest_targets(&seeds);
         for (address, is_near) in targets {
             let mut client = PeerClient::new(address);
-            match client.digest(&gateway.digest(is_near)).await {
+            match client.digest(&gateway.digest(is_near, None)).await {
                 Ok(digest) => {
                     let (host, revision) = (digest.sender.host.clone(), digest.revision);
                     gateway.take_digest(digest);
@@ -237,15 +233,13 @@
 }
 
 impl Gateway {
-    /// Returns what this host tells another one.
-    fn digest(&self, is_near: bool) -> PeerDigest {
+    /// Returns what this host tells another one, as an answer to `asked` if that one told first.
+    fn digest(&self, is_near: bool, asked: Option<&MemberDigest>) -> PeerDigest {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        state.members.beat();
-        let position = rand::rng().random_range(0..usize::MAX / 2);
         PeerDigest {
+            members: state.members.digest(now, asked),
             sender: state.members.own().clone(),
-            members: state.members.records(now, is_near, position),
             revision: state.feed.revision(),
             loads: if is_near { state.upstreams.recent_loads(now) } else { Vec::new() },
         }
@@ -260,16 +254,8 @@
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         let sender = digest.sender.host.clone();
-        let note = |host: &HostName, news: Option<MemberNews>| {
-            if let Some(news) = news {
-                tracing::info!(%host, told_by = %sender, news = ?news, "member_changed");
-            }
-        };
-        let host = digest.sender.host.clone();
-        note(&host, state.members.heard(now, digest.sender));
-        for record in digest.members {
-            let host = record.host.clone();
-            note(&host, state.members.told(now, record));
+        for (host, news) in state.members.take_digest(now, digest.sender, &digest.members) {
+            tracing::info!(%host, told_by = %sender, news = ?news, "member_changed");
         }
         for sample in &digest.loads {
             state.upstreams.told_load(now, sample);
@@ -278,7 +264,7 @@
     }
 
     /// Chooses the hosts of one round of digests, with whether they are in the own data centre.
-    fn digest_targets(&self, round: u64, seeds: &[SocketAddr]) -> Vec<(SocketAddr, bool)> {
+    fn digest_targets(&self, seeds: &[SocketAddr]) -> Vec<(SocketAddr, bool)> {
         let now = self.now();
         let state = self.state.borrow();
         let own = state.members.own();
@@ -287,8 +273,8 @@
         let near = near.map(|it| (it.address, true)).choose(&mut rng);
         let far = state.members.live(now).filter(|it| it.centre != own.centre);
         let far = far.map(|it| (it.address, false)).choose(&mut rng);
-        // Without a host of the own data centre the others carry all digests.
-        let far = far.filter(|_| round.is_multiple_of(NEAR_DIGESTS) || near.is_none());
+        let share = state.members.far_share(now);
+        let far = far.filter(|_| rng.random_bool(share));
         let mut targets: Vec<(SocketAddr, bool)> = near.into_iter().chain(far).collect();
         if targets.is_empty() {
             let others = seeds.iter().filter(|it| **it != own.address);
