gateway: requests that crash engines are recognised over all hosts

Attempts bound the engines that one try of a caller reaches, but a caller that tries again, through any host, reaches the next ones.

Change: a request lost with its connection gets a strike of the product's crash register if its engine then refuses connections; a reset connection or a partition gives none. Strikes are told with the digests. A stream that is lost now also puts its engine under the test of a connection, as other losses do.

Weighed: fingerprints of requests without a prompt were left out, because look-ups of the same thing are equal and two crashes would block all of them.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -9,6 +9,7 @@
 mod call;
 mod cold;
 mod connection;
+mod crashes;
 mod dialect;
 mod feed;
 mod fleet;
@@ -28,6 +29,7 @@
     budget::{RetryAllowance, RetryBudget},
     cold::{ColdBucket, own_cold_rate},
     connection::{CallClient, CallFailure, ConnectError, ConnectTimes, HttpConnection},
+    crashes::{CrashWatch, LostRun, UpstreamProcess},
     dialect::{AnswerHead, AttemptHead, CallHead, WireDialect},
     feed::{
         EntryDecoder, EntryFeed, EntrySource, FeedOutcome, SourceError, SourceFuture, SourceState,
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -32,6 +32,7 @@
 use crate::{
     front::{CallRefusal, OutcomeKind, RefusalKind},
     names::UpstreamName,
+    quarantine::CrashVerdict,
     telemetry::RequestLabels,
 };
 
@@ -166,6 +167,17 @@
             return Err("time_is_up");
         }
         let state = &mut *self.gateway.state.borrow_mut();
+        if !state.crashes.is_empty()
+            && let Some(fingerprint) = self.call.fingerprint()
+            && matches!(state.crashes.check(now, fingerprint), CrashVerdict::Blocked { .. })
+        {
+            tracing::warn!(
+                request_id = %self.call.head.request_id,
+                failed_attempts = self.tried.len(),
+                "request_quarantined"
+            );
+            return Err("quarantined");
+        }
         let request = PickRequest {
             service: &self.call.service,
             affinity: self.call.head.affinity,
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -20,7 +20,8 @@
         dialect::CallHead,
         table::{CallerIdentity, RouteRecord, RouteTable, TeamRecord},
     },
-    names::ServiceName,
+    names::{ServiceName, TeamName},
+    quarantine::RequestFingerprint,
 };
 
 /// Latency targets after which a request that may be repeated goes to another upstream. Work takes
@@ -70,6 +71,15 @@
         self.team.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
     }
 
+    /// Identifies the request by its content; none without a prompt, because look-ups of the same
+    /// thing are alike and do not crash engines.
+    pub(super) fn fingerprint(&self) -> Option<RequestFingerprint> {
+        let team = self.team.as_ref().map_or_else(|| TeamName::new(""), |it| it.name.clone());
+        let prompt = self.head.prompt?.to_be_bytes();
+        let path = self.uri.path_and_query().map_or("", |it| it.as_str()).as_bytes();
+        Some(RequestFingerprint::of(&team, &[&prompt, path, b"\0", &self.body].concat()))
+    }
+
     /// Time after which another upstream is tried although the first one has not failed.
     pub(super) fn patience(&self) -> Duration {
         let multiple =
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one upstream.
 
-use std::{error::Error, rc::Rc};
+use std::{error::Error, rc::Rc, time::Instant};
 
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::{
@@ -14,6 +14,7 @@
     front::RefusalKind,
     gateway::{
         body::ResponseBody,
+        crashes::{LostRun, UpstreamProcess},
         dialect::{AnswerHead, AttemptHead},
         fleet::Gateway,
         health::AttemptEnd,
@@ -49,15 +50,22 @@
 /// Counts a request at an upstream until it ends; without a verdict it counts as cancelled.
 pub(in crate::gateway) struct AttemptGuard {
     gateway: Rc<Gateway>,
-    upstream: UpstreamName,
+    call: Rc<AdmittedCall>,
+    process: UpstreamProcess,
+    dispatched: Instant,
     end: AttemptEnd,
 }
 
 impl AttemptGuard {
-    fn new(gateway: &Rc<Gateway>, upstream: &UpstreamName) -> Self {
-        gateway.state.borrow_mut().upstreams.started(upstream);
-        let (gateway, upstream) = (gateway.clone(), upstream.clone());
-        Self { gateway, upstream, end: AttemptEnd::Cancelled }
+    fn new(gateway: &Rc<Gateway>, call: &Rc<AdmittedCall>, pick: &UpstreamPick) -> Self {
+        gateway.state.borrow_mut().upstreams.started(&pick.name);
+        Self {
+            gateway: gateway.clone(),
+            call: call.clone(),
+            process: UpstreamProcess { upstream: pick.name.clone(), incarnation: pick.incarnation },
+            dispatched: gateway.now(),
+            end: AttemptEnd::Cancelled,
+        }
     }
 
     /// Ends the attempt with a verdict on the upstream.
@@ -65,15 +73,35 @@
         self.end = end;
     }
 
+    /// Ends an attempt that was lost with its connection. Whether the upstream crashed shows in the
+    /// connection that is tried next.
+    pub(in crate::gateway) fn end_lost(self, has_response: bool) {
+        if let Some(fingerprint) = self.call.fingerprint() {
+            let run = LostRun { fingerprint, dispatched: self.dispatched, has_response };
+            let now = self.gateway.now();
+            self.gateway.state.borrow_mut().crashes.lost(now, &self.process, run);
+        }
+        let (gateway, upstream) = (self.gateway.clone(), self.process.upstream.clone());
+        self.end(AttemptEnd::Unreachable);
+        gateway.doubt(&upstream, false);
+    }
+
     pub(in crate::gateway) fn upstream(&self) -> &UpstreamName {
-        &self.upstream
+        &self.process.upstream
     }
 }
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = self.gateway.now();
-        self.gateway.state.borrow_mut().upstreams.ended(now, &self.upstream, self.end);
+        let state = &mut *self.gateway.state.borrow_mut();
+        state.upstreams.ended(now, &self.process.upstream, self.end);
+        if self.end == AttemptEnd::Complete
+            && !state.crashes.is_empty()
+            && let Some(fingerprint) = self.call.fingerprint()
+        {
+            state.crashes.completed(now, fingerprint, &self.process.upstream);
+        }
     }
 }
 
@@ -137,7 +165,7 @@
     pick: &UpstreamPick,
     resume_after: Option<u64>,
 ) -> Result<OpenAnswer, FailedAttempt> {
-    let guard = AttemptGuard::new(gateway, &pick.name);
+    let guard = AttemptGuard::new(gateway, call, pick);
     let request = upstream_request(gateway, call, pick, resume_after);
     let key = PoolKey {
         upstream: pick.name.clone(),
@@ -149,14 +177,13 @@
         Ok(sent) => sent,
         Err(error) => {
             log_failure(gateway, call, &pick.name, "unreachable", &error);
+            if matches!(error, SendError::Lost(_)) {
+                guard.end_lost(false);
+                return Err(FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost));
+            }
             guard.end(AttemptEnd::Unreachable);
             gateway.doubt(&pick.name, matches!(error, SendError::NoConnection));
-            return Err(match error {
-                SendError::NotSent(_) | SendError::NoConnection => {
-                    FailedAttempt::NotSent("no upstream was reached")
-                }
-                SendError::Lost(_) => FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost),
-            });
+            return Err(FailedAttempt::NotSent("no upstream was reached"));
         }
     };
     let status = response.status();
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -20,6 +20,8 @@
     pub resume_after: Option<u64>,
     /// Hash of the prompt part that is shared with other requests.
     pub affinity: Option<u64>,
+    /// Hash of all parts of the prompt, with the request's own one.
+    pub prompt: Option<u64>,
     /// Tokens of all prompt parts up to and including that one.
     pub shared_tokens: u32,
 }
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 
 use super::{
     budget::{RetryAllowance, RetryBudget},
+    crashes::CrashWatch,
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
     members::{MemberRecord, MemberTable},
@@ -72,6 +73,7 @@
     /// Hosts over which bounded sums are split.
     pub(super) hosts: usize,
     pub(super) source: SourceState,
+    pub(super) crashes: CrashWatch,
 }
 
 /// The gateway of one host.
@@ -113,6 +115,7 @@
             members: MemberTable::new(clock.now(), settings.identity),
             hosts: ASSUMED_HOSTS,
             source: SourceState::default(),
+            crashes: CrashWatch::default(),
         };
         Rc::new(Self {
             pool: Rc::new(UpstreamPool::new(clock.clone())),
@@ -248,6 +251,7 @@
         let lost = {
             let state = &mut *self.state.borrow_mut();
             state.upstreams.forget_gone(now);
+            state.crashes.expire(now);
             state.members.expire(now, interval)
         };
         for host in lost {
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -28,6 +28,7 @@
     config::ConfigChange,
     names::HostName,
     peer::{decode_message, encode_message},
+    quarantine::CrashStrike,
 };
 
 /// Paths of the messages.
@@ -62,6 +63,8 @@
     pub members: MemberDigest,
     /// Revision of the entries that the sender knows.
     pub revision: u64,
+    /// Requests that were lost in a crash a moment ago.
+    pub strikes: Vec<CrashStrike>,
     /// Recent load reports; told within a data centre only, where bytes cost nothing.
     pub loads: Vec<LoadSample>,
 }
@@ -241,6 +244,7 @@
             members: state.members.digest(now, asked),
             sender: state.members.own().clone(),
             revision: state.feed.revision(),
+            strikes: state.crashes.told(now),
             loads: if is_near { state.upstreams.recent_loads(now) } else { Vec::new() },
         }
     }
@@ -257,6 +261,7 @@
         for (host, news) in state.members.take_digest(now, digest.sender, &digest.members) {
             tracing::info!(%host, told_by = %sender, news = ?news, "member_changed");
         }
+        state.crashes.take(now, &digest.strikes);
         for sample in &digest.loads {
             state.upstreams.told_load(now, sample);
         }
--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -143,15 +143,15 @@
         Ok((response, UpstreamExchange { connection, pool, key, idle_limit }))
     }
 
-    /// Establishes a connection for later use; returns whether that succeeded.
-    pub async fn try_connect(&self, key: PoolKey) -> bool {
-        match connect(key.address).await {
-            Ok(connection) => {
-                self.keep(key, connection, DEFAULT_IDLE);
-                true
-            }
-            Err(_) => false,
-        }
+    /// Establishes a connection for later use.
+    ///
+    /// # Errors
+    ///
+    /// The upstream was not reached.
+    pub async fn try_connect(&self, key: PoolKey) -> Result<(), SendError> {
+        let connection = connect(key.address).await?;
+        self.keep(key, connection, DEFAULT_IDLE);
+        Ok(())
     }
 
     /// Closes connections that are too old to be used; to be called on a timer.
--- a/lib/src/gateway/reach.rs
+++ b/lib/src/gateway/reach.rs
@@ -4,7 +4,12 @@
 
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{fleet::Gateway, pool::PoolKey, upstreams::DoubtedUpstream};
+use super::{
+    crashes::UpstreamProcess,
+    fleet::Gateway,
+    pool::{PoolKey, SendError},
+    upstreams::DoubtedUpstream,
+};
 use crate::names::UpstreamName;
 
 /// Pause before a connection is tried again; doubled up to [`MAX_PAUSE`].
@@ -27,6 +32,8 @@
 }
 
 async fn try_until_reached(gateway: Rc<Gateway>, upstream: DoubtedUpstream) {
+    let process =
+        UpstreamProcess { upstream: upstream.name.clone(), incarnation: upstream.incarnation };
     let mut pause = MIN_PAUSE;
     let mut tries = 1;
     loop {
@@ -35,15 +42,27 @@
             incarnation: upstream.incarnation,
             address: upstream.address,
         };
-        if gateway.pool.try_connect(key).await {
-            tracing::info!(upstream = %upstream.name, tries, "upstream_reached");
-            return gateway.state.borrow_mut().upstreams.reached(&upstream.name);
-        }
-        if tries == 1 {
-            tracing::warn!(upstream = %upstream.name, address = %upstream.address, "upstream_lost");
+        match gateway.pool.try_connect(key).await {
+            Ok(()) => {
+                tracing::info!(upstream = %upstream.name, tries, "upstream_reached");
+                let state = &mut *gateway.state.borrow_mut();
+                state.crashes.accepted(&process);
+                return state.upstreams.reached(&upstream.name);
+            }
+            Err(error) => {
+                if tries == 1 {
+                    let address = upstream.address;
+                    tracing::warn!(upstream = %upstream.name, %address, %error, "upstream_lost");
+                }
+                // Silence may be a partition.
+                if !matches!(error, SendError::NoConnection) {
+                    gateway.state.borrow_mut().crashes.refused(gateway.now(), &process);
+                }
+            }
         }
         sleep(pause).await;
         if !gateway.state.borrow().upstreams.is_doubted(&upstream) {
+            gateway.state.borrow_mut().crashes.gone(&process);
             tracing::info!(upstream = %upstream.name, tries, "upstream_tries_ended");
             return;
         }
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -99,7 +99,7 @@
 
     /// Ends a stream whose upstream was lost.
     pub(super) fn fail(self) {
-        self.guard.end(AttemptEnd::Unreachable);
+        self.guard.end_lost(true);
     }
 
     /// Ends a stream that an upstream completed.
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -82,8 +82,13 @@
                 bandwidth: 100,
             };
             // By its digests it knows no more than the host.
-            let digest =
-                PeerDigest { sender, members: MemberDigest::default(), revision: 0, loads: vec![] };
+            let digest = PeerDigest {
+                sender,
+                members: MemberDigest::default(),
+                revision: 0,
+                strikes: vec![],
+                loads: vec![],
+            };
             encode_message(&digest)
         } else {
             let request: ChangesRequest = decode_message(&mut &body[..]).unwrap();
