standin: one copy of the signals that tests send

Change: ProcessSignal of the stand-ins sends a signal to a child. No behaviour of the product is concerned; not measured.

--- a/cli/tests/drain.rs
+++ b/cli/tests/drain.rs
@@ -4,14 +4,14 @@
 
 use std::time::Duration;
 
-use snipepond_standin::{AnswerReader, CallerConnection, EngineSettings, ServiceSettings};
+use snipepond_standin::{
+    AnswerReader, CallerConnection, EngineSettings, ProcessSignal, ServiceSettings,
+};
 
 use self::support::{
     Fleet, FleetPlan, KEY_ONE, MODEL, assert_not_run, call, call_until_run, chat,
     fleet::{quick_engine, quick_service},
-    order, outcome_of,
-    router::Signal,
-    wait_for,
+    order, outcome_of, wait_for,
 };
 
 /// Tokens of a stream that runs during a change: 3 s at 10 ms each.
@@ -126,7 +126,7 @@
     let reader = kept.send(&lookup("/items/before")).unwrap();
     let (_, kept) = reader.finish_and_keep().unwrap();
     let (reader, text) = stream_on(&fleet, 0);
-    fleet.routers[0].signal(Signal::Terminate);
+    fleet.routers[0].signal(ProcessSignal::Terminate);
     // From some moment on, new work is refused with `not_run` or the port is closed.
     let mut number = 0;
     wait_for("new work to be refused", || {
@@ -175,7 +175,7 @@
     wait_for("the order to reach the service", || {
         fleet.services[0].server.stats()["in_flight"] == 1
     });
-    fleet.routers[0].signal(Signal::Terminate);
+    fleet.routers[0].signal(ProcessSignal::Terminate);
     let answer = connection.read_head(false).unwrap().finish();
     assert_eq!(answer.status, 200, "{}", answer.text());
     assert!(answer.is_whole());
@@ -209,7 +209,7 @@
             .collect();
         fleet.publish_leaving(0);
         let mut leaving = fleet.routers.remove(0);
-        leaving.signal(Signal::Terminate);
+        leaving.signal(ProcessSignal::Terminate);
         for number in 0..20 {
             let request = chat(&format!("r{round} {number}"), 1);
             let answer = call_until_run(fleet.address(0), &request);
--- a/cli/tests/faults.rs
+++ b/cli/tests/faults.rs
@@ -6,16 +6,14 @@
 
 use snipepond_standin::{
     AnswerEnd, AnswerFault, AnswerMode, BreakPoint, CallerConnection, CallerRequest,
-    EngineSettings, LinkMode, PlatformMode, PlatformSettings, TcpLink, expected_text,
-    expected_tokens,
+    EngineSettings, LinkMode, PlatformMode, PlatformSettings, ProcessSignal, TcpLink,
+    expected_text, expected_tokens,
 };
 
 use self::support::{
     Fleet, FleetPlan, KEY_ONE, KEY_TWO, MODEL, assert_not_run, call, call_until_run, chat,
     fleet::{ANY_PORT, TAKEOVER_WAIT, quick_engine, quick_service, reserve_address},
-    order, outcome_of,
-    router::Signal,
-    ticket, wait_for,
+    order, outcome_of, ticket, wait_for,
 };
 
 fn lookup(target: &str, key: &str) -> CallerRequest {
@@ -165,7 +163,7 @@
     fleet.wait_until_orders_work();
     let keys: Vec<_> = (0..30).map(|it| format!("pause-{it}")).collect();
     let paused = fleet.address(0);
-    fleet.routers[0].signal(Signal::Stop);
+    fleet.routers[0].signal(ProcessSignal::Stop);
     // These orders wait in the sockets of the paused process.
     let waiting: Vec<_> = keys
         .iter()
@@ -187,7 +185,7 @@
             answer.text()
         );
     }
-    fleet.routers[0].signal(Signal::Continue);
+    fleet.routers[0].signal(ProcessSignal::Continue);
     for connection in waiting {
         // An answer or a broken connection; what counts is what ran.
         if let Ok(reader) = connection.read_head(false) {
--- a/cli/tests/limits.rs
+++ b/cli/tests/limits.rs
@@ -8,12 +8,11 @@
     time::{Duration, Instant},
 };
 
-use snipepond_standin::CallerRequest;
+use snipepond_standin::{CallerRequest, ProcessSignal};
 
 use self::support::{
     Fleet, FleetPlan, KEY_ONE, assert_not_run, call,
     fleet::{TAKEOVER_WAIT, quick_service},
-    router::Signal,
 };
 
 fn plan() -> FleetPlan {
@@ -101,7 +100,7 @@
     for _ in 0..2 {
         fleet.publish_leaving(0);
         let mut leaving = fleet.routers.remove(0);
-        leaving.signal(Signal::Terminate);
+        leaving.signal(ProcessSignal::Terminate);
         let started = Instant::now();
         while started.elapsed() < TAKEOVER_WAIT {
             for router in &fleet.routers {
--- a/cli/tests/operations.rs
+++ b/cli/tests/operations.rs
@@ -4,11 +4,11 @@
 
 use std::{collections::BTreeSet, sync::Barrier, thread, time::Duration};
 
-use snipepond_standin::{BreakPoint, CallerAnswer, ServiceSettings};
+use snipepond_standin::{BreakPoint, CallerAnswer, ProcessSignal, ServiceSettings};
 
 use self::support::{
     Fleet, FleetPlan, KEY_ONE, KEY_TWO, assert_not_run, call, fleet::quick_service, order,
-    outcome_of, router::Signal, ticket, wait_for,
+    outcome_of, ticket, wait_for,
 };
 
 /// Hosts that receive an order at the same time.
@@ -244,7 +244,7 @@
         assert_eq!(answer.status, 200, "{}", answer.text());
     }
     let issued = ticket(fleet.address(2), KEY_ONE);
-    fleet.routers[2].signal(Signal::Kill);
+    fleet.routers[2].signal(ProcessSignal::Kill);
     fleet.routers[2].wait_for_exit();
     let mut hosts = fleet.host_entries();
     hosts.pop();
--- a/cli/tests/support/router.rs
+++ b/cli/tests/support/router.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use snipepond_standin::CallerRequest;
+use snipepond_standin::{CallerRequest, ProcessSignal};
 
 use super::{WAIT_LIMIT_S, wait_for};
 
@@ -20,19 +20,6 @@
 /// Lines of a router's log that are printed if a test fails.
 const LOG_LINES: usize = 200;
 
-/// Signals that tests send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Signal {
-    /// Ends the process after a graceful shutdown.
-    Terminate,
-    /// Ends the process at once.
-    Kill,
-    /// Pauses the process.
-    Stop,
-    /// Resumes a paused process.
-    Continue,
-}
-
 /// Settings of one router process.
 #[derive(Clone, Debug)]
 pub struct RouterSettings {
@@ -136,20 +123,13 @@
     /// # Panics
     /// The process has exited already.
     #[track_caller]
-    pub fn signal(&mut self, signal: Signal) {
+    pub fn signal(&mut self, signal: ProcessSignal) {
         assert!(
             !self.has_exited && self.child.try_wait().expect("process state").is_none(),
             "router {} has exited already",
             self.host
         );
-        let number = match signal {
-            Signal::Terminate => libc::SIGTERM,
-            Signal::Kill => libc::SIGKILL,
-            Signal::Stop => libc::SIGSTOP,
-            Signal::Continue => libc::SIGCONT,
-        };
-        let id = libc::pid_t::try_from(self.child.id()).expect("process id");
-        assert_eq!(send_signal(id, number), 0, "the signal was not sent");
+        signal.send(&self.child).expect("the signal is sent");
     }
 
     /// Waits until the process has exited.
@@ -190,13 +170,6 @@
     }
 }
 
-#[allow(unsafe_code, reason = "the standard library sends no signal but SIGKILL")]
-fn send_signal(id: libc::pid_t, number: libc::c_int) -> libc::c_int {
-    // SAFETY: `kill` takes no pointers. The id is that of a child that was not waited for, so it
-    // cannot belong to another process.
-    unsafe { libc::kill(id, number) }
-}
-
 fn parse_addresses(line: &str) -> Option<(SocketAddr, SocketAddr)> {
     let field =
         |name: &str| line.split_whitespace().find_map(|it| it.strip_prefix(name)?.parse().ok());
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod link;
 mod platform;
 mod service;
+mod signal;
 mod warmth;
 
 pub use self::{
@@ -23,4 +24,5 @@
     link::{LinkMode, TcpLink},
     platform::{HostEntry, PlatformMode, PlatformServer, PlatformSettings},
     service::{BreakPoint, ServiceServer, ServiceSettings},
+    signal::ProcessSignal,
 };
