--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -193,20 +193,25 @@
 async fn answer_message(gateway: &Rc<Gateway>, path: &str, body: &[u8]) -> Option<Vec<u8>> {
     match path {
         DIGEST_PATH => {
-            let digest: PeerDigest = decode_message(&mut &body[..]).ok()?;
+            let digest: PeerDigest = read_message(path, body)?;
             let is_near = gateway.is_near(&digest.sender);
             let reply = gateway.digest(is_near, Some(&digest.members));
             gateway.take_digest(digest);
             Some(encode_message(&reply))
         }
         CHANGES_PATH => {
-            let request: ChangesRequest = decode_message(&mut &body[..]).ok()?;
+            let request: ChangesRequest = read_message(path, body)?;
             Some(encode_message(&gateway.changes_after(request).await))
         }
         _ => None,
     }
 }
 
+fn read_message<T: DeserializeOwned>(path: &str, body: &[u8]) -> Option<T> {
+    let message = decode_message(&mut &body[..]);
+    message.inspect_err(|error| tracing::warn!(path, error, "peer_message_unreadable")).ok()
+}
+
 /// Exchanges digests with other hosts until the process ends.
 pub(super) async fn spread_digests(gateway: Rc<Gateway>, seeds: Vec<SocketAddr>) {
     let mut behind_since = None;
