gateway: outcomes are told after a quarter of a second

The first guess, that hosts learn too slowly which engines fail, is ruled out: the failures are spread evenly over all 60 engines, so there is none to prefer. The search showed that a host waits up to a second for a slot of outcomes to be complete.

Change: slots of 250 ms, 24 of them told.

Test: times of an_outcome_is_taken_once follow the slot; nothing else changed.

Measured: simulation of 22 hosts, share of an upstream that fails half of its requests 0.45 to 0.37 of a fair one.

--- a/lib/src/gateway/health.rs
+++ b/lib/src/gateway/health.rs
@@ -8,8 +8,8 @@
 const OUTCOME_WEIGHT: f64 = 0.12;
 
 /// Time in which the failure share fades to 37%, so that an upstream that is avoided is tried again.
-/// In a simulation of 22 hosts an upstream that fails half of its requests got 0.82 of a fair share of
-/// them with 4 s, 0.59 with 8 s and 0.45 with 12 s.
+/// In a simulation of 22 hosts that tell outcomes an upstream that fails half of its requests got 0.82
+/// of a fair share of them with 4 s, 0.59 with 8 s and 0.45 with 12 s.
 const FAILURE_FADE: Duration = Duration::from_secs(12);
 
 /// Failure share above that of the other upstreams from which an upstream counts as failing.
--- a/lib/src/gateway/outcomes.rs
+++ b/lib/src/gateway/outcomes.rs
@@ -13,12 +13,13 @@
 
 use crate::names::{HostName, UpstreamName};
 
-/// Length of a slot; an outcome is told once its slot is complete.
-const SLOT_TIME: Duration = Duration::from_secs(1);
+/// Length of a slot; an outcome is told once its slot is complete. In a simulation of 22 hosts an
+/// upstream that fails half of its requests got 0.45 of a fair share of them with 1 s, 0.37 with this.
+const SLOT_TIME: Duration = Duration::from_millis(250);
 
 /// Complete slots that are told. Two hosts of a data centre of twenty exchange digests every five
 /// seconds on average, and older outcomes say little of an upstream.
-const TOLD_SLOTS: u64 = 6;
+const TOLD_SLOTS: u64 = 24;
 
 /// Upstreams in a slot at most.
 const MAX_UPSTREAMS: usize = 64;
--- a/lib/tests/gateway_outcomes.rs
+++ b/lib/tests/gateway_outcomes.rs
@@ -24,19 +24,19 @@
     let mut listener = OutcomeLog::new(start);
     teller.note(start, &upstream, true);
     teller.note(start, &upstream, false);
-    assert!(teller.told(start + 500 * MS).is_empty(), "the slot is not complete");
-    teller.note(start + 1_200 * MS, &upstream, false);
-    let told = teller.told(start + 1_500 * MS);
+    assert!(teller.told(start + 200 * MS).is_empty(), "the slot is not complete");
+    teller.note(start + 300 * MS, &upstream, false);
+    let told = teller.told(start + 400 * MS);
     let first = listener.take(&host(1), 7, &told);
     assert_eq!(first[&upstream], OutcomeCount { complete: 1, failed: 1 });
     assert!(listener.take(&host(1), 7, &told).is_empty());
-    let told = teller.told(start + 2_500 * MS);
+    let told = teller.told(start + 600 * MS);
     let second = listener.take(&host(1), 7, &told);
     assert_eq!(second[&upstream], OutcomeCount { complete: 0, failed: 1 });
     // A restarted process counts its slots from the beginning.
     let mut restarted = OutcomeLog::new(start + 3_000 * MS);
     restarted.note(start + 3_000 * MS, &upstream, false);
-    let told = restarted.told(start + 4_500 * MS);
+    let told = restarted.told(start + 3_300 * MS);
     assert_eq!(listener.take(&host(1), 8, &told).len(), 1);
     // What is old is not told.
     assert!(teller.told(start + 20_000 * MS).is_empty());
