daemon, standin: serve each connection as soon as it arrives

Cause: the task pool of tiny_http 0.12 can queue a connection behind a thread that was given another one but still counts as idle. If that other connection stays open, the queued one is never read.

Change: the administration port uses hyper, on the listener that served callers so far (now the module listener). Bodies of peer messages have a size and a time limit, and a panic of one request ends as a 500. The stand-ins read requests with httparse on one thread for each connection, and a stop joins all of them. tiny_http is gone.

--- a/lib/examples/state_measure.rs
+++ b/lib/examples/state_measure.rs
@@ -8,7 +8,7 @@
     alloc::{GlobalAlloc, Layout, System},
     hint::black_box,
     io::{Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -625,41 +625,32 @@
     println!();
 }
 
-/// Exchanges a message with a server whose response head is written by `tiny_http`.
+/// Exchanges a message with a server whose response head is that of a router.
 ///
 /// Returns the sizes of the request and of the response without their bodies, in bytes.
 fn http_head_bytes() -> (usize, usize) {
-    let server = tiny_http::Server::http((Ipv4Addr::LOCALHOST, 0)).expect("a server");
-    let target = server.server_addr().to_ip().expect("an address");
-    let proxy = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    let address = proxy.local_addr().expect("an address");
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
     let message = PeerRequest::ConfigSince(7);
     let reply = encode_message(&PeerReply::Done);
-    let reply_length = reply.len();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/vnd.msgpack\r\ncontent-length: {}\r\n\r\n",
+        reply.len()
+    );
+    let head_length = head.len();
     let server_thread = thread::spawn(move || {
-        let request = server.recv().expect("a request");
-        let kind = tiny_http::Header::from_bytes("content-type", "application/vnd.msgpack")
-            .expect("the header is valid");
-        let response = tiny_http::Response::from_data(reply).with_header(kind);
-        request.respond(response).expect("the response is sent");
-    });
-    let proxy_thread = thread::spawn(move || {
-        let (mut client, _) = proxy.accept().expect("a connection");
-        let mut upstream = TcpStream::connect(target).expect("a connection");
+        let (mut client, _) = listener.accept().expect("a connection");
         let mut buffer = [0; 4_096];
         // One read receives a whole message, which is smaller than a loopback segment.
-        let sent = client.read(&mut buffer).expect("a request");
-        upstream.write_all(&buffer[..sent]).expect("sent");
-        let received = upstream.read(&mut buffer).expect("a response");
-        client.write_all(&buffer[..received]).expect("sent");
-        (sent, received)
+        let received = client.read(&mut buffer).expect("a request");
+        client.write_all(&[head.as_bytes(), &reply[..]].concat()).expect("sent");
+        received
     });
     let peer = HttpPeer::new();
     let timeout = Duration::from_secs(10);
     let _: PeerReply = peer.call(address, &message, timeout).expect("a reply");
-    server_thread.join().expect("the server ends");
-    let (sent, received) = proxy_thread.join().expect("the proxy ends");
-    (sent - encode_message(&message).len(), received - reply_length)
+    let received = server_thread.join().expect("the server ends");
+    (received - encode_message(&message).len(), head_length)
 }
 
 fn print_message_sizes() {
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The router process: starts all components, and drains requests before it stops.
 
 mod admin;
+mod admin_server;
 mod peers;
 #[cfg(test)]
 mod tests;
@@ -19,7 +20,8 @@
 pub use self::peers::RouterTransport;
 pub(crate) use self::traffic::byte_counting_agent;
 use self::{
-    admin::AdminServer,
+    admin::start_admin,
+    admin_server::AdminServer,
     peers::SplitCaller,
     traffic::{CountedLoads, CountedPeers, CountedPlatform},
     watch::{bootstrap_from_seeds, read_loads, watch_config, watch_hosts},
@@ -101,7 +103,7 @@
             settings.host.clone(),
             metrics.clone(),
         ));
-        let admin = AdminServer::start(admin_listener, control.handle(), metrics, exchange.clone())
+        let admin = start_admin(admin_listener, control.handle(), metrics, exchange.clone())
             .context("cannot start the server for peers and administration")?;
         let front = FrontServer::start(caller_listener, front_limits(&settings), exchange.clone())
             .context("cannot start the server for callers")?;
--- a/lib/src/daemon/tests.rs
+++ b/lib/src/daemon/tests.rs
@@ -12,10 +12,8 @@
     time::Duration,
 };
 
-use tiny_http::Server;
-
 use super::{
-    admin::{AdminResponse, request_bytes, respond_and_count},
+    admin_server::{AdminHandler, AdminRequest, AdminResponse, AdminServer},
     traffic::{ByteCount, CountedPeers, CountedPlatform, count_bytes},
     watch::{watch_config, watch_hosts},
 };
@@ -135,43 +133,107 @@
     assert_counted(&metrics, ControlPurpose::Grant, nothing);
 }
 
-/// Guards against a computed size that differs from what tiny_http reads and writes, for a reply
-/// with a content length and for one long enough to be sent in chunks.
+/// Gives the same reply to each message and counts its bytes.
+struct CountingHandler {
+    reply: PeerReply,
+    metrics: Arc<RouterMetrics>,
+}
+
+impl AdminHandler for CountingHandler {
+    fn handle(&self, request: &AdminRequest) -> AdminResponse {
+        let response = AdminResponse::message(&self.reply);
+        let purpose = ControlPurpose::AntiEntropy;
+        self.metrics.count_control_received(purpose, request.wire_bytes());
+        self.metrics.count_control_sent(purpose, response.wire_bytes());
+        response
+    }
+}
+
+/// Guards against a computed size that differs from what the server reads and writes, for a short
+/// and a long reply.
 #[test]
 fn served_messages_are_counted_to_the_byte() {
     for filler in [1, 100_000] {
-        let server = Server::http(ANY_PORT).expect("a server");
-        let address = server.server_addr().to_ip().expect("an address");
-        let metrics = Arc::new(RouterMetrics::new());
-        let client = thread::spawn(move || {
-            let peer = HttpPeer::new();
-            let request = PeerRequest::ConfigSince(7);
-            let (reply, count) =
-                count_bytes(|| PeerTransport::call(&peer, address, &request, TIMEOUT));
-            let _: PeerReply = reply.expect("a reply");
-            count
-        });
-        let mut request = server.recv_timeout(TIMEOUT).expect("no fault").expect("a request");
-        let purpose = ControlPurpose::AntiEntropy;
-        metrics.count_control_received(purpose, request_bytes(&request));
-        let mut message = Vec::new();
-        request.as_reader().read_to_end(&mut message).expect("a body");
-        let reply = PeerReply::Config(crate::config::ConfigChange {
-            base: 0,
+        let entries = vec![crate::config::EntryChange {
+            key: "k".into(),
             revision: 1,
-            entries: vec![crate::config::EntryChange {
-                key: "k".into(),
-                revision: 1,
-                value: Some("x".repeat(filler).into()),
-            }],
-        });
-        respond_and_count(request, AdminResponse::message(&reply), &metrics, purpose);
-        let seen = client.join().expect("the client ends");
+            value: Some("x".repeat(filler).into()),
+        }];
+        let reply = PeerReply::Config(ConfigChange { base: 0, revision: 1, entries });
+        let metrics = Arc::new(RouterMetrics::new());
+        let handler = Arc::new(CountingHandler { reply, metrics: metrics.clone() });
+        let listener = TcpListener::bind(ANY_PORT).expect("a port");
+        let server = AdminServer::start(listener, handler, 1).expect("the server starts");
+        let peer = HttpPeer::new();
+        let request = PeerRequest::ConfigSince(7);
+        let (reply, seen) =
+            count_bytes(|| PeerTransport::call(&peer, server.address(), &request, TIMEOUT));
+        let _: PeerReply = reply.expect("a reply");
         let count = ByteCount { sent: seen.received, received: seen.sent };
-        assert_counted(&metrics, purpose, count);
+        assert_counted(&metrics, ControlPurpose::AntiEntropy, count);
+    }
+}
+
+/// Answers each request with its target, or panics.
+struct EchoHandler;
+
+impl AdminHandler for EchoHandler {
+    fn handle(&self, request: &AdminRequest) -> AdminResponse {
+        assert_ne!(request.target(), "/panic", "a request that fails");
+        AdminResponse::text(200, request.target())
     }
 }
 
+fn connect(server: &AdminServer) -> TcpStream {
+    let stream = TcpStream::connect(server.address()).expect("a connection");
+    stream.set_read_timeout(Some(TIMEOUT)).expect("a socket");
+    stream
+}
+
+fn get(stream: &mut TcpStream, target: &str) -> String {
+    write!(stream, "GET {target} HTTP/1.1\r\nHost: a\r\n\r\n").expect("sent");
+    let mut buffer = [0; 1_024];
+    let count = stream.read(&mut buffer).expect("a response in time");
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
+
+/// Guards against a message that waits until another connection, which is idle but open, is
+/// closed. The former server did so if connections arrived at the same time.
+#[test]
+fn connections_that_arrive_together_are_all_served() {
+    for _ in 0..20 {
+        let listener = TcpListener::bind(ANY_PORT).expect("a port");
+        let server =
+            AdminServer::start(listener, Arc::new(EchoHandler), 2).expect("the server starts");
+        let callers: Vec<_> = (0..8)
+            .map(|_| {
+                let mut stream = connect(&server);
+                thread::spawn(move || {
+                    assert!(get(&mut stream, "/a").ends_with("/a"));
+                    stream
+                })
+            })
+            .collect();
+        // The connections stay open until the last one was served.
+        let streams: Vec<_> = callers.into_iter().map(|it| it.join().expect("served")).collect();
+        drop(streams);
+    }
+}
+
+/// Guards against a panic or a malformed message that ends more than one request.
+#[test]
+fn failed_request_ends_alone() {
+    let listener = TcpListener::bind(ANY_PORT).expect("a port");
+    let server = AdminServer::start(listener, Arc::new(EchoHandler), 1).expect("the server starts");
+    assert!(get(&mut connect(&server), "/panic").starts_with("HTTP/1.1 500"));
+    let mut malformed = connect(&server);
+    malformed.write_all(b"\0\xff\r\n\r\n").expect("sent");
+    let mut head = [0; 12];
+    malformed.read_exact(&mut head).expect("a refusal");
+    assert_eq!(&head, b"HTTP/1.1 400");
+    assert!(get(&mut connect(&server), "/a").ends_with("/a"));
+}
+
 /// Platform that returns a new revision and a new host list for every read.
 #[derive(Debug, Default)]
 struct ChangingPlatform {
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -1,7 +1,6 @@
 //! The HTTP server for callers.
 
 use std::{
-    convert::Infallible,
     io,
     net::{SocketAddr, TcpListener},
     sync::{
@@ -13,11 +12,10 @@
 };
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, Response, body::Incoming};
 use tokio::{
     runtime::{Builder, Handle},
-    sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
+    sync::{Semaphore, oneshot, watch},
     time::timeout,
 };
 
@@ -26,6 +24,7 @@
     request::CallerRequest,
     respond::{CallerResponder, CallerResponse, ChannelBody},
 };
+use crate::listener::{ListenerLimits, serve_listener};
 
 /// Longest request id that is accepted from a caller; a longer one is replaced by a random id.
 const MAX_REQUEST_ID_BYTES: usize = 128;
@@ -36,12 +35,6 @@
 /// Idle time after which a worker thread ends.
 const WORKER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Longest wait at shutdown for connections that are still sending a response.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Limits of the server for callers.
 #[derive(Clone, Copy, Debug)]
 pub struct FrontLimits {
@@ -71,7 +64,6 @@
 struct FrontState {
     handler: Arc<dyn RequestHandler>,
     limits: FrontLimits,
-    connection_permits: Arc<Semaphore>,
     worker_permits: Arc<Semaphore>,
     active_requests: AtomicUsize,
     is_draining: AtomicBool,
@@ -97,7 +89,6 @@
         let state = Arc::new(FrontState {
             handler,
             limits,
-            connection_permits: Arc::new(Semaphore::new(limits.max_connections)),
             worker_permits: Arc::new(Semaphore::new(limits.max_active)),
             active_requests: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
@@ -109,10 +100,16 @@
             .thread_keep_alive(WORKER_IDLE_TIMEOUT)
             .thread_stack_size(WORKER_STACK_BYTES)
             .build()?;
-        let server_state = state.clone();
-        let thread = thread::Builder::new()
-            .name("front".into())
-            .spawn(move || runtime.block_on(serve(listener, server_state)))?;
+        let (service_state, stop) = (state.clone(), state.stop.subscribe());
+        let service = move |request| serve_request(request, service_state.clone());
+        let listener_limits = ListenerLimits {
+            max_connections: limits.max_connections,
+            max_head_bytes: limits.max_head_bytes,
+            head_timeout: limits.head_timeout,
+        };
+        let thread = thread::Builder::new().name("front".into()).spawn(move || {
+            runtime.block_on(serve_listener(listener, listener_limits, stop, service))
+        })?;
         Ok(Self { address, state, thread: Some(thread) })
     }
 
@@ -133,8 +130,8 @@
 }
 
 impl Drop for FrontServer {
-    /// Closes idle connections, waits up to `CLOSE_TIMEOUT` for responses that are still being
-    /// sent, and joins the server's thread.
+    /// Closes idle connections, waits a few seconds for responses that are still being sent, and
+    /// joins the server's thread.
     fn drop(&mut self) {
         self.state.stop.send_replace(true);
         if let Some(thread) = self.thread.take()
@@ -145,70 +142,6 @@
     }
 }
 
-async fn serve(listener: TcpListener, state: Arc<FrontState>) {
-    let listener = match tokio::net::TcpListener::from_std(listener) {
-        Ok(listener) => listener,
-        Err(error) => return tracing::error!(%error, "listen_failed"),
-    };
-    let mut stop = state.stop.subscribe();
-    loop {
-        tokio::select! {
-            () = accept(&listener, &state) => {}
-            _ = stop.changed() => break,
-        }
-    }
-    let all_permits = u32::try_from(state.limits.max_connections).unwrap_or(u32::MAX);
-    let _ = timeout(CLOSE_TIMEOUT, state.connection_permits.acquire_many(all_permits)).await;
-}
-
-async fn accept(listener: &tokio::net::TcpListener, state: &Arc<FrontState>) {
-    let Ok(permit) = state.connection_permits.clone().acquire_owned().await else {
-        return;
-    };
-    match listener.accept().await {
-        Ok((stream, _)) => {
-            let _ = stream.set_nodelay(true);
-            tokio::spawn(serve_connection(stream, permit, state.clone()));
-        }
-        Err(error) => {
-            // Usually the process is out of file descriptors; closing a connection frees one.
-            tracing::warn!(%error, "accept_failed");
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-        }
-    }
-}
-
-async fn serve_connection(
-    stream: tokio::net::TcpStream,
-    permit: OwnedSemaphorePermit,
-    state: Arc<FrontState>,
-) {
-    let limits = state.limits;
-    let mut stop = state.stop.subscribe();
-    let service = service_fn(move |request| {
-        let state = state.clone();
-        async move { Ok::<_, Infallible>(serve_request(request, state).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.max_head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
-    let stopped = async move { stop.wait_for(|it| *it).await.map(drop) };
-    tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        _ = stopped => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        tracing::debug!(%error, "caller_connection_ended");
-    }
-    drop(permit);
-}
-
 /// Counts a request as active until the guard is dropped.
 struct ActiveGuard(Arc<FrontState>);
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod gateway;
 pub mod limits;
+mod listener;
 pub mod membership;
 pub mod names;
 pub mod operation;
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -17,7 +17,7 @@
 
 /// Largest message; large enough for a complete configuration and for the body of a forwarded
 /// request.
-const MAX_MESSAGE_BYTES: u64 = 16 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
 /// Age at which an idle connection is closed.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(60);
@@ -78,7 +78,7 @@
         response
             .into_body()
             .into_reader()
-            .take(MAX_MESSAGE_BYTES)
+            .take(MAX_MESSAGE_BYTES as u64)
             .read_to_end(&mut reply)
             .map_err(|error| PeerError::Ambiguous(error.to_string()))?;
         rmp_serde::from_slice(&reply).map_err(|error| PeerError::Ambiguous(error.to_string()))
@@ -108,6 +108,9 @@
 /// Reads and decodes a MessagePack message; one of more than 16 MiB is cut off and fails to decode.
 pub fn decode_message<T: DeserializeOwned>(reader: &mut dyn Read) -> Result<T, String> {
     let mut message = Vec::new();
-    reader.take(MAX_MESSAGE_BYTES).read_to_end(&mut message).map_err(|error| error.to_string())?;
+    reader
+        .take(MAX_MESSAGE_BYTES as u64)
+        .read_to_end(&mut message)
+        .map_err(|error| error.to_string())?;
     rmp_serde::from_slice(&message).map_err(|error| error.to_string())
 }
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -1,12 +1,13 @@
-//! HTTP server of the stand-ins: tiny_http behind a [`TcpLink`].
+//! HTTP server of the stand-ins: one thread for each connection, behind a [`TcpLink`].
 //!
-//! tiny_http gives no access to its sockets. The link in front of it lets a stand-in close a
-//! connection after a chosen byte and detect that a caller has disconnected.
+//! Responses are written byte by byte as a handler chooses, also malformed ones. The link in front
+//! lets a stand-in close a connection after a chosen byte and detect that a caller has
+//! disconnected.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    io::{self, Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    io::{self, Write},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -15,22 +16,25 @@
     time::{Duration, Instant},
 };
 
-use crate::link::{LinkConnection, TcpLink, lock};
+use crate::{
+    link::{LinkConnection, TcpLink, lock},
+    request_reader::{ReadError, RequestReader, header},
+};
 
 /// Interval at which waiting threads check for a disconnected caller or a server stop, in
 /// milliseconds.
 const POLL_INTERVAL_MS: u64 = 5;
 
-/// Longest request body, in bytes.
-const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+/// Connections that one server serves concurrently; further ones wait in the listen backlog.
+const MAX_CONNECTIONS: usize = 1_024;
 
-/// Requests that one server handles concurrently, including long polls; further ones wait.
-const MAX_CONCURRENT_REQUESTS: usize = 1_024;
+/// Delay after a failed accept, typically for want of file descriptors, in milliseconds.
+const ACCEPT_RETRY_DELAY_MS: u64 = 10;
 
 /// Distinct values that are recorded for each header name, and distinct request targets.
 const MAX_LOGGED_VALUES: usize = 4_096;
 
-/// Stack of a thread that handles a request, in bytes.
+/// Stack of a thread that serves a connection, in bytes.
 const WORKER_STACK_BYTES: usize = 512 * 1024;
 
 /// Distinct headers and request targets that a stand-in received.
@@ -97,7 +101,7 @@
     }
 
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|it| it.0.eq_ignore_ascii_case(name)).map(|it| it.1.as_str())
+        header(&self.headers, name)
     }
 
     /// Parses the body as JSON; an empty body counts as `{}`.
@@ -109,7 +113,7 @@
 
 /// Writes the response to a request.
 pub(crate) struct ResponseWriter {
-    writer: Box<dyn Write + Send>,
+    stream: TcpStream,
     connection: Arc<LinkConnection>,
     stopping: Arc<AtomicBool>,
 }
@@ -137,8 +141,7 @@
 
     fn write(&mut self, data: &[u8]) -> io::Result<()> {
         self.connection.add_written(data.len());
-        self.writer.write_all(data)?;
-        self.writer.flush()
+        self.stream.write_all(data)
     }
 
     fn head(status: u16, headers: &[(&str, String)], length: &str) -> String {
@@ -222,25 +225,23 @@
     }
 }
 
-/// Handles requests, each on its own thread.
+/// Handles requests; each connection has its own thread.
 pub(crate) trait RequestHandler: Send + Sync + 'static {
     fn handle(&self, request: ServerRequest);
 }
 
-/// A running HTTP server. [`HttpServer::stop`] joins the threads that this crate has started.
-///
-/// The accept thread and the connection threads of tiny_http end by themselves after the server
-/// is dropped; tiny_http has no function to join them.
+/// A running HTTP server. [`HttpServer::stop`] joins its threads.
 pub(crate) struct HttpServer {
     link: Arc<TcpLink>,
-    server: Arc<tiny_http::Server>,
+    /// Address to which the link forwards connections.
+    inner_address: SocketAddr,
     stopping: Arc<AtomicBool>,
-    dispatcher: Mutex<Option<JoinHandle<()>>>,
+    acceptor: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl HttpServer {
-    /// Listens on `listen` and forwards connections to tiny_http on a loopback port.
-    /// `make_handler` receives the link that forwards them.
+    /// Listens on `listen` and forwards connections to a loopback port. `make_handler` receives
+    /// the link that forwards them.
     pub(crate) fn start<H: RequestHandler>(
         listen: SocketAddr,
         make_handler: impl FnOnce(Arc<TcpLink>) -> H,
@@ -250,22 +251,16 @@
         // each token for up to 40 ms until the delayed acknowledgement of the previous one, so
         // tokens arrive in bursts.
         socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
-        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
-        let server = Arc::new(server);
-        let server_address = server
-            .server_addr()
-            .to_ip()
-            .ok_or_else(|| io::Error::other("the HTTP server has no IP address"))?;
-        let link = Arc::new(TcpLink::start(listen, server_address)?);
+        let inner_address = listener.local_addr()?;
+        let link = Arc::new(TcpLink::start(listen, inner_address)?);
         let handler = Arc::new(make_handler(link.clone()));
         let stopping = Arc::new(AtomicBool::new(false));
-        let dispatcher = thread::Builder::new().name("standin-dispatch".to_owned()).spawn({
-            let server = server.clone();
+        let acceptor = thread::Builder::new().name("standin-accept".to_owned()).spawn({
             let link = link.clone();
             let stopping = stopping.clone();
-            move || dispatch(&server, &link, &stopping, &handler)
+            move || accept_connections(&listener, &link, &stopping, &handler)
         })?;
-        Ok(Self { link, server, stopping, dispatcher: Mutex::new(Some(dispatcher)) })
+        Ok(Self { link, inner_address, stopping, acceptor: Mutex::new(Some(acceptor)) })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -275,11 +270,13 @@
     pub(crate) fn stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
         self.link.stop();
-        self.server.unblock();
-        if let Some(dispatcher) = lock(&self.dispatcher).take()
-            && dispatcher.join().is_err()
-        {
-            eprintln!("event=dispatcher_panicked address={}", self.address());
+        let Some(acceptor) = lock(&self.acceptor).take() else {
+            return;
+        };
+        // `accept` has no timeout, so a connection to the listener wakes the acceptor.
+        let _ = TcpStream::connect_timeout(&self.inner_address, Duration::from_secs(1));
+        if acceptor.join().is_err() {
+            eprintln!("event=acceptor_panicked address={}", self.address());
         }
     }
 }
@@ -290,35 +287,34 @@
     }
 }
 
-/// Starts a worker thread for each request until the server stops, then joins the workers.
-fn dispatch<H: RequestHandler>(
-    server: &tiny_http::Server,
+/// Starts a thread for each connection until the server stops, then joins the threads.
+fn accept_connections<H: RequestHandler>(
+    listener: &TcpListener,
     link: &Arc<TcpLink>,
     stopping: &Arc<AtomicBool>,
     handler: &Arc<H>,
 ) {
     let mut workers: Vec<JoinHandle<()>> = Vec::new();
-    while !stopping.load(Ordering::SeqCst) {
-        let Ok(Some(request)) = server.recv_timeout(Duration::from_millis(100)) else {
-            workers.retain(|it| !it.is_finished());
-            continue;
-        };
+    for stream in listener.incoming() {
+        if stopping.load(Ordering::SeqCst) {
+            break;
+        }
         workers.retain(|it| !it.is_finished());
-        while workers.len() >= MAX_CONCURRENT_REQUESTS && !stopping.load(Ordering::SeqCst) {
+        while workers.len() >= MAX_CONNECTIONS && !stopping.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(POLL_INTERVAL_MS));
             workers.retain(|it| !it.is_finished());
         }
-        let Some(connection) = request.remote_addr().and_then(|it| link.connection(*it)) else {
-            // The connection is closed already, or it did not come through the link.
+        let Ok(stream) = stream else {
+            thread::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS));
             continue;
         };
         let worker = thread::Builder::new()
             .name("standin-call".to_owned())
             .stack_size(WORKER_STACK_BYTES)
             .spawn({
+                let (link, stopping) = (link.clone(), stopping.clone());
                 let handler = handler.clone();
-                let stopping = stopping.clone();
-                move || serve(request, connection, stopping, &*handler)
+                move || serve_connection(&stream, &link, &stopping, &*handler)
             });
         match worker {
             Ok(worker) => workers.push(worker),
@@ -330,28 +326,45 @@
     }
 }
 
-/// Reads the body of a request and passes the request to the handler.
-fn serve(
-    mut request: tiny_http::Request,
-    connection: Arc<LinkConnection>,
-    stopping: Arc<AtomicBool>,
+/// Serves the requests of one connection, one after the other, until it ends.
+fn serve_connection(
+    stream: &TcpStream,
+    link: &TcpLink,
+    stopping: &Arc<AtomicBool>,
     handler: &dyn RequestHandler,
 ) {
-    let method = request.method().to_string();
-    let target = request.url().to_owned();
-    connection.set_control(target.starts_with("/control/"));
-    let headers =
-        request.headers().iter().map(|it| (it.field.to_string(), it.value.to_string())).collect();
-    let mut body = Vec::new();
-    let read_result = request.as_reader().take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
-    let response = ResponseWriter { writer: request.into_writer(), connection, stopping };
-    if read_result.is_err() {
-        response.disconnect();
-        return;
-    }
-    if body.len() as u64 > MAX_BODY_BYTES {
-        response.send_error(413, "the body is longer than 4 MiB");
-        return;
+    let mut reader = RequestReader::new(stream);
+    while !stopping.load(Ordering::SeqCst) {
+        let request = reader.next_request();
+        // The link registers a connection before it forwards the first byte. A connection that it
+        // does not know is closed already, or did not come through the link.
+        let connection = stream.peer_addr().ok().and_then(|it| link.connection(it));
+        let (Some(connection), Ok(response_stream)) = (connection, stream.try_clone()) else {
+            break;
+        };
+        let stopping = stopping.clone();
+        let response = ResponseWriter { stream: response_stream, connection, stopping };
+        let request = match request {
+            Ok(request) => request,
+            Err(ReadError::BodyTooLarge) => {
+                response.send_error(413, "the body is longer than 4 MiB");
+                break;
+            }
+            Err(ReadError::Closed | ReadError::Malformed) => break,
+        };
+        response.connection.set_control(request.target.starts_with("/control/"));
+        let is_last = request.is_last();
+        handler.handle(ServerRequest {
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            body: request.body,
+            response,
+        });
+        if is_last {
+            break;
+        }
     }
-    handler.handle(ServerRequest { method, target, headers, body, response });
+    // The shutdown fails if the connection is closed already.
+    let _ = stream.shutdown(Shutdown::Both);
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 mod http;
 mod link;
 mod platform;
+mod request_reader;
 mod service;
 mod signal;
 mod warmth;
