gateway: a stopping host refuses requests that can outlast it

Cause: after the drain delay of a planned stop, new connections were still accepted and their first request forwarded.

Change: the module shutdown decides which requests a stopping host accepts: all within the drain delay, and afterwards those whose final response is due before the process ends. The others get a 503 that says not_run and a short Retry-After, before any upstream sees them.

Measured: the test of the server fails without the check (the request is forwarded, 200) and passes with it. The route of the older shutdown tests has a time limit shorter than the stop now, since a request that could outlast the stop is refused; their checks are the same.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod reach;
 mod server;
+mod shutdown;
 mod stream;
 mod table;
 mod upstreams;
@@ -43,7 +44,8 @@
     packed::PackedChange,
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure},
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
-    server::{GatewayServer, ServerAddresses, ShutdownTimes},
+    server::{GatewayServer, ServerAddresses},
+    shutdown::{ShutdownTimes, ShutdownWindow},
     table::{
         CallerIdentity, CallerLimits, RetryRule, RouteRecord, RouteTable, ServiceRecord,
         TeamRecord, WeightedService,
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -4,7 +4,7 @@
 mod attempt;
 mod headers;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use http_body_util::{Either, Full};
 use hyper::{
@@ -40,6 +40,10 @@
 /// were refused by one.
 const MAX_UPSTREAMS_TRIED: usize = 5;
 
+/// Time after which a caller that a stopping host refused is told to retry; other hosts can serve
+/// it at once.
+const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Serves one request of a caller.
 pub(super) async fn serve(
     gateway: Rc<Gateway>,
@@ -54,6 +58,9 @@
         Ok(body) => admit(table, head.clone(), parts, body, arrived),
         Err(refusal) => Err(refusal),
     };
+    let admitted = admitted.and_then(|request| {
+        if gateway.accepts(request.expires_at) { Ok(request) } else { Err(draining_refusal()) }
+    });
     let request = match admitted {
         Ok(request) => request,
         Err(refusal) => {
@@ -71,6 +78,11 @@
     RequestAttempts::new(gateway, Rc::new(request)).run().await
 }
 
+fn draining_refusal() -> RequestRefusal {
+    let message = "the host stops before the time of the request is over";
+    RequestRefusal::not_run(RefusalKind::Draining, message).with_retry_after(DRAINING_RETRY_AFTER)
+}
+
 /// Counts a request as active while it exists: until the response head is known, and for a stream
 /// while its events are relayed.
 pub(super) struct ActiveGuard(Rc<Gateway>);
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -19,6 +19,7 @@
     outcomes::OutcomeLog,
     packed::ChangeCache,
     pool::UpstreamPool,
+    shutdown::ShutdownWindow,
     table::RouteTable,
     upstreams::{UpstreamRecord, UpstreamSet},
 };
@@ -101,7 +102,8 @@
     pub(super) change_cache: ChangeCache,
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
-    is_draining: Cell<bool>,
+    /// The shutdown, once it has begun.
+    shutdown: Cell<Option<ShutdownWindow>>,
 }
 
 impl Gateway {
@@ -137,7 +139,7 @@
             source_unavailable: watch::Sender::new(false),
             change_cache: ChangeCache::default(),
             has_listing: Cell::new(false),
-            is_draining: Cell::new(false),
+            shutdown: Cell::new(None),
         })
     }
 
@@ -197,12 +199,21 @@
     /// Returns whether the load balancer should send requests to this host: it knows the
     /// configuration and the fleet, and does not drain.
     pub fn is_ready(&self) -> bool {
-        self.has_listing.get() && !self.is_draining.get() && self.route_table.borrow().is_some()
+        self.has_listing.get()
+            && self.shutdown.get().is_none()
+            && self.route_table.borrow().is_some()
     }
 
-    /// Starts to drain: the host is no longer ready, but still serves requests.
-    pub fn drain(&self) {
-        self.is_draining.set(true);
+    /// Starts to drain: the host is no longer ready, but still serves the requests that `window`
+    /// accepts.
+    pub fn drain(&self, window: ShutdownWindow) {
+        self.shutdown.set(Some(window));
+    }
+
+    /// Returns whether a request may start that has its final response at `expires_at` at the
+    /// latest.
+    pub(super) fn accepts(&self, expires_at: Instant) -> bool {
+        self.shutdown.get().is_none_or(|it| it.accepts(self.now(), expires_at))
     }
 
     /// Returns the number of requests in flight, relayed streams included.
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -22,6 +22,7 @@
     connection::set_socket_options,
     fleet::Gateway,
     peers::{handle_peer_request, run_gossip},
+    shutdown::{ShutdownTimes, ShutdownWindow},
 };
 
 /// Backlog of connections that wait to be accepted. After a host is killed all its callers
@@ -59,16 +60,6 @@
     pub metrics: SocketAddr,
 }
 
-/// Times of a graceful shutdown.
-#[derive(Clone, Copy, Debug)]
-pub struct ShutdownTimes {
-    /// Time for which the host reports not ready but accepts requests as before, so that the load
-    /// balancer stops sending them.
-    pub drain_delay: Duration,
-    /// Longest time from the start of the shutdown to its end.
-    pub limit: Duration,
-}
-
 /// The running listeners of a gateway; dropping it stops them.
 pub struct GatewayServer {
     gateway: Rc<Gateway>,
@@ -104,13 +95,14 @@
     }
 
     /// Shuts down without truncating a response: reports not ready, serves on for the drain delay,
-    /// then closes idle connections and waits for the responses that are not complete.
+    /// then closes idle connections and waits for the responses that are not complete. A request
+    /// that arrives after the drain delay is accepted as [`ShutdownWindow`] says.
     ///
     /// Returns whether all responses were complete in time. A request that has not been read when
     /// this returns stays unread if the event loop ends with it.
     pub async fn shutdown(self, times: &ShutdownTimes) -> bool {
         let started = Instant::now();
-        self.gateway.drain();
+        self.gateway.drain(ShutdownWindow::new(self.gateway.now(), times));
         sleep(times.drain_delay).await;
         self.closing.send_replace(true);
         let limit = started + times.limit;
--- /dev/null
+++ b/lib/src/gateway/shutdown.rs
@@ -0,0 +1,42 @@
+//! Which requests a host still accepts after a planned stop has begun.
+
+use std::time::{Duration, Instant};
+
+/// Times of a graceful shutdown.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownTimes {
+    /// Time for which the host reports not ready but accepts requests as before, so that the load
+    /// balancer stops sending them.
+    pub drain_delay: Duration,
+    /// Longest time from the start of the shutdown to its end.
+    pub limit: Duration,
+}
+
+/// A shutdown that has begun.
+///
+/// A load balancer may send requests to a stopping host until its end, for instance because the
+/// other hosts of the data centre stop as well. A request that can last longer than the process is
+/// then refused at once, before any upstream sees it, so that its caller can turn to another host.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownWindow {
+    delay_end: Instant,
+    end: Instant,
+}
+
+impl ShutdownWindow {
+    /// Creates the window of a shutdown that began at `started`.
+    pub fn new(started: Instant, times: &ShutdownTimes) -> Self {
+        Self { delay_end: started + times.drain_delay.min(times.limit), end: started + times.limit }
+    }
+
+    /// Returns when the shutdown ends at the latest.
+    pub fn end(&self) -> Instant {
+        self.end
+    }
+
+    /// Returns whether a request that arrives at `now` is accepted. `expires_at` is when it has its
+    /// final response at the latest.
+    pub fn accepts(&self, now: Instant, expires_at: Instant) -> bool {
+        now < self.delay_end || expires_at <= self.end
+    }
+}
--- a/lib/tests/gateway_server.rs
+++ b/lib/tests/gateway_server.rs
@@ -37,21 +37,34 @@
 /// Size of a response that does not fit into the buffers of a connection.
 const LARGE_BODY_BYTES: usize = 12 << 20;
 
-fn route_table() -> RouteTable {
-    let route = RouteRecord {
-        name: RouteName::new("orders"),
+/// Time limit of a request; a stopping gateway accepts those that it can answer before its end.
+const REQUEST_TIME_LIMIT: Duration = Duration::from_secs(10);
+
+/// Prefix of a route whose requests may last longer than a shutdown.
+const LONG_PREFIX: &str = "/long/";
+
+fn route_record(prefix: &str, timeout: Duration) -> RouteRecord {
+    RouteRecord {
+        name: RouteName::new(prefix),
         host: "site.example".into(),
-        prefix: "/".into(),
+        prefix: prefix.into(),
         retry_rule: RetryRule::Once,
-        timeout: STOP_TIME_LIMIT,
-        target_latency: STOP_TIME_LIMIT,
+        timeout,
+        target_latency: timeout,
         event_gap: Duration::ZERO,
         priority: 0,
         services: vec![WeightedService { service: ServiceName::new("desk"), weight: 1 }],
         max_attempts: 1,
         is_open: true,
-    };
-    RouteTable::new(1, vec![route], vec![], vec![], CallerLimits::default())
+    }
+}
+
+fn route_table() -> RouteTable {
+    let routes = vec![
+        route_record("/", REQUEST_TIME_LIMIT),
+        route_record(LONG_PREFIX, STOP_TIME_LIMIT + REQUEST_TIME_LIMIT),
+    ];
+    RouteTable::new(1, routes, vec![], vec![], CallerLimits::default())
 }
 
 /// A gateway with one upstream, in a thread that ends at shutdown as the process would.
@@ -169,7 +182,11 @@
 
 /// Sends a request. Errors are ignored, because a lost request shows in the missing response.
 async fn send_request(stream: &mut TcpStream, id: &str) {
-    let text = format!("POST / HTTP/1.1\r\nhost: site.example\r\nid: {id}\r\n\r\n");
+    send_request_to(stream, "/", id).await;
+}
+
+async fn send_request_to(stream: &mut TcpStream, path: &str, id: &str) {
+    let text = format!("POST {path} HTTP/1.1\r\nhost: site.example\r\nid: {id}\r\n\r\n");
     let _ = stream.write_all(text.as_bytes()).await;
 }
 
@@ -216,6 +233,34 @@
     });
 }
 
+/// Guards against a request that a stopping host forwards although it may last longer than the
+/// process. The refusal must come at once, say when to retry, and be true.
+#[test]
+fn a_stop_refuses_a_request_that_it_cannot_wait_for() {
+    run_local(async {
+        let upstream = SlowUpstream::start(10).await;
+        let gateway = GatewayThread::start(upstream.address).await;
+        let mut first = gateway.connect().await;
+        send_request(&mut first, "first").await;
+        while upstream.arrived() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        gateway.stop();
+        sleep(PROCESSING_TIME / 4).await;
+        let mut long = gateway.connect().await;
+        send_request_to(&mut long, LONG_PREFIX, "long").await;
+        let head = read_head(&mut long).await.expect("a refusal").to_ascii_lowercase();
+        assert!(head.starts_with("http/1.1 503"), "{head}");
+        assert!(head.contains("retry-after:"), "{head}");
+        let mut short = gateway.connect().await;
+        send_request(&mut short, "short").await;
+        assert!(receive_response(&mut short).await);
+        assert!(receive_response(&mut first).await);
+        gateway.join();
+        assert_eq!(upstream.arrived(), 2);
+    });
+}
+
 /// Guards against a response that a shutdown truncates because its caller reads slowly.
 #[test]
 fn a_stop_waits_for_the_last_byte_of_a_response() {
