gateway: long-lived tasks start again after a panic

Cause: a panic of the accept loop, the gossip, the timer or the task that follows the store would end that task only; the process would run on, ready, without it.

Change: supervise starts such a task again after 0.2 s and logs task_panicked.

Measured: tests of the restart and of its end.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -25,6 +25,7 @@
 mod server;
 mod shutdown;
 mod stream;
+mod supervise;
 mod table;
 mod upstreams;
 
@@ -48,6 +49,7 @@
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses},
     shutdown::{ShutdownTimes, ShutdownWindow},
+    supervise::supervise,
     table::{
         CallerIdentity, CallerLimits, RetryRule, RouteRecord, RouteTable, ServiceRecord,
         TeamRecord, WeightedService,
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -23,6 +23,7 @@
     fleet::Gateway,
     peers::{handle_peer_request, run_gossip},
     shutdown::{ShutdownTimes, ShutdownWindow},
+    supervise::supervise,
 };
 
 /// Backlog of connections that wait to be accepted. After a host is killed all its callers
@@ -83,13 +84,16 @@
         let readiness = listen(addresses.readiness)?;
         let peers = listen(addresses.peers)?;
         let metrics = listen(addresses.metrics)?;
+        let is_closing = closing.subscribe();
         let tasks = vec![
-            spawn_local(accept_callers(callers, gateway.clone(), closing.subscribe())),
-            spawn_local(accept_checks(readiness, gateway.clone())),
-            spawn_local(accept_checks(metrics, gateway.clone())),
-            spawn_local(accept_peers(peers, gateway.clone())),
-            spawn_local(run_gossip(gateway.clone(), seeds)),
-            spawn_local(tick(gateway.clone())),
+            start("accept_callers", gateway, move |gateway| {
+                accept_callers(callers.clone(), gateway, is_closing.clone())
+            }),
+            start("accept_checks", gateway, move |it| accept_checks(readiness.clone(), it)),
+            start("accept_metrics", gateway, move |it| accept_checks(metrics.clone(), it)),
+            start("accept_peers", gateway, move |it| accept_peers(peers.clone(), it)),
+            start("gossip", gateway, move |it| run_gossip(it, seeds.clone())),
+            start("tick", gateway, tick),
         ];
         Ok(Self { gateway: gateway.clone(), closing, tasks })
     }
@@ -123,11 +127,24 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Starts a task that is started again if it panics.
+fn start<F>(
+    name: &'static str,
+    gateway: &Rc<Gateway>,
+    run: impl Fn(Rc<Gateway>) -> F + 'static,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let gateway = gateway.clone();
+    spawn_local(supervise(name, move || run(gateway.clone())))
+}
+
+fn listen(address: SocketAddr) -> io::Result<Rc<TcpListener>> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
+    socket.listen(LISTEN_BACKLOG).map(Rc::new)
 }
 
 async fn tick(gateway: Rc<Gateway>) {
@@ -139,7 +156,7 @@
 }
 
 async fn accept_callers(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     gateway: Rc<Gateway>,
     closing: watch::Receiver<bool>,
 ) {
@@ -235,7 +252,7 @@
 }
 
 /// Serves `/ready` and `/metrics`.
-async fn accept_checks(listener: TcpListener, gateway: Rc<Gateway>) {
+async fn accept_checks(listener: Rc<TcpListener>, gateway: Rc<Gateway>) {
     loop {
         let stream = accept(&listener).await;
         let gateway = gateway.clone();
@@ -255,7 +272,7 @@
 }
 
 /// Serves messages of other hosts.
-async fn accept_peers(listener: TcpListener, gateway: Rc<Gateway>) {
+async fn accept_peers(listener: Rc<TcpListener>, gateway: Rc<Gateway>) {
     loop {
         let stream = accept(&listener).await;
         let gateway = gateway.clone();
