gateway: prompts are copied from upstreams that were open to picks

Cause: the upstream that was expected to hold a prompt was the first in rendezvous order that had been published for 4 s.

Change: each upstream counts the time for which it was open to picks (not leaving, closed, ejected or cold). A holder needs 8 s, or half of the longest time of any upstream while this process is young.

The older test calls the timer now, as a holder's age no longer follows from its publication; it checks two moments at which the restarted upstream is no holder instead of one.

--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -103,8 +103,8 @@
 struct UpstreamState {
     record: UpstreamRecord,
     name_hash: u64,
-    /// When it was first published; none if it was part of the first listing that this host read.
-    joined: Option<Instant>,
+    /// Time for which it has been open to picks, as far as this process saw it.
+    open_time: Duration,
     /// When the upstream stops taking new requests; set once it is no longer published.
     removed_at: Option<Instant>,
     cold: Option<ColdBucket>,
@@ -117,7 +117,7 @@
     fn new(record: UpstreamRecord) -> Self {
         Self {
             name_hash: rendezvous::hash_parts(&[record.name.as_str()]),
-            joined: None,
+            open_time: Duration::ZERO,
             record,
             removed_at: None,
             cold: None,
@@ -157,6 +157,8 @@
     /// Recently removed entries whose upstreams had not announced that they leave, for detecting
     /// leases that expired together.
     withdrawn: Vec<(Instant, ServiceName, UpstreamName)>,
+    /// When the open times were last brought up to date.
+    open_time_recorded: Option<Instant>,
 }
 
 impl UpstreamSet {
@@ -170,6 +172,7 @@
             last_platform_recovery: None,
             is_platform_down: false,
             withdrawn: Vec::new(),
+            open_time_recorded: None,
         }
     }
 
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -137,7 +137,7 @@
                 })
         };
         let mut pick = self.choose(now, request, is_admissible)?;
-        pick.prompt_holder = self.prompt_holder(now, request, &pick.name);
+        pick.prompt_holder = self.prompt_holder(request, &pick.name);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the index");
         if let Some(cold) = state.cold.as_mut().filter(|it| it.is_cold(now)) {
             cold.spend(now, cold_rate(&pick.name));
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -52,7 +52,7 @@
             // one are carried over, because their ends will be counted on this state.
             before => {
                 let own_in_flight = before.map_or(0, |it| it.own_in_flight);
-                UpstreamState { own_in_flight, joined: Some(now), ..UpstreamState::new(record) }
+                UpstreamState { own_in_flight, ..UpstreamState::new(record) }
             }
         };
         self.upstreams.insert(state);
@@ -120,7 +120,6 @@
 
     /// Applies a complete listing: upstreams that it lacks are withdrawn.
     pub fn replace_all(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
-        let is_first = self.is_empty();
         let listed: HashSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
         let known = self.upstreams.values().map(|it| &it.record.name);
         let missing: Vec<UpstreamName> =
@@ -128,9 +127,6 @@
         for record in records {
             self.publish(now, record);
         }
-        if is_first {
-            self.upstreams.values_mut().for_each(|it| it.joined = None);
-        }
         for name in missing {
             self.withdraw(now, &name);
         }
@@ -161,8 +157,10 @@
         self.last_platform_recovery = self.last_platform_recovery.max(source.last_recovery);
     }
 
-    /// Drops the state of upstreams that were removed long ago; to be called on a timer.
+    /// Drops the state of upstreams that were removed long ago, and records for how long the others
+    /// have been open to picks; to be called on a timer.
     pub fn expire(&mut self, now: Instant) {
+        self.record_open_time(now);
         let is_expired = |it: &&UpstreamState| {
             it.own_in_flight == 0 && it.removed_at.is_some_and(|at| now >= at + REMOVED_RETENTION)
         };
--- a/lib/src/gateway/upstreams/prompt.rs
+++ b/lib/src/gateway/upstreams/prompt.rs
@@ -9,9 +9,13 @@
 use super::{PickRequest, UpstreamSet, UpstreamState};
 use crate::{names::UpstreamName, rendezvous};
 
-/// Time after its first publication from which an upstream is expected to have cached the prompts
+/// Time for which an upstream must have been open to picks to be expected to have cached the prompts
 /// that rank it first. Requests with the same prompt are some seconds apart.
-const MIN_HOLDER_AGE: Duration = Duration::from_secs(4);
+const MIN_OPEN_TIME: Duration = Duration::from_secs(8);
+
+/// Share of the longest open time of any upstream that is enough as well, so that there are holders
+/// soon after the start of this process.
+const OPEN_TIME_DIVISOR: u32 = 2;
 
 /// An upstream that probably has parts of a prompt cached.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,11 +31,10 @@
     ///
     /// All hosts send a prompt to the upstream with the highest rendezvous score that is not
     /// overloaded. If the chosen upstream lacks the prompt, because it has just joined or replaces
-    /// an overloaded one, the highest-scored established upstream has it. That may be a leaving
-    /// one, which takes no new requests but still serves its cache.
+    /// an overloaded one, the highest-scored upstream that was open to picks for long enough has
+    /// it. That may be a leaving one, which takes no new requests but still serves its cache.
     pub(super) fn prompt_holder(
         &self,
-        now: Instant,
         request: &PickRequest<'_>,
         chosen: &UpstreamName,
     ) -> Option<PromptHolder> {
@@ -41,16 +44,32 @@
             .upstreams
             .of_service(request.service)
             .filter(|it| it.record.name != *chosen && !request.tried.contains(&it.record.name));
-        let holders = others.filter(|it| it.may_hold_prompt(now));
+        let is_within_reach =
+            |it: &&UpstreamState| it.removed_at.is_none() && !it.health.is_unreachable();
+        let reachable = others.filter(is_within_reach);
+        let longest = reachable.clone().map(|it| it.open_time).max()?;
+        let min_open_time = MIN_OPEN_TIME.min(longest / OPEN_TIME_DIVISOR);
+        let holders = reachable.filter(|it| it.open_time >= min_open_time);
         let holder = holders.max_by(|a, b| score(a).total_cmp(&score(b)))?;
         Some(PromptHolder { name: holder.record.name.clone(), address: holder.record.address })
     }
 }
 
-impl UpstreamState {
-    fn may_hold_prompt(&self, now: Instant) -> bool {
-        let is_established =
-            self.joined.is_none_or(|it| now.saturating_duration_since(it) >= MIN_HOLDER_AGE);
-        is_established && self.removed_at.is_none() && !self.health.is_unreachable()
+impl UpstreamSet {
+    /// Adds the time since the last call to the open time of the upstreams that are open to picks.
+    pub(super) fn record_open_time(&mut self, now: Instant) {
+        let since_last = self.open_time_recorded.map(|it| now.saturating_duration_since(it));
+        self.open_time_recorded = Some(now);
+        let closed_centres = &self.closed_centres;
+        for state in self.upstreams.values_mut() {
+            let is_open = !state.record.is_leaving
+                && state.removed_at.is_none()
+                && !state.health.is_unreachable()
+                && !state.cold.as_ref().is_some_and(|it| it.is_cold(now))
+                && !closed_centres.contains(&state.record.data_centre);
+            if is_open {
+                state.open_time += since_last.unwrap_or_default();
+            }
+        }
     }
 }
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -31,11 +31,14 @@
 
 fn set(now: Instant, count: usize) -> UpstreamSet {
     let mut set = UpstreamSet::new(HostName::new("h1"), CentreName::new("a"));
-    let centre = |index: usize| if index.is_multiple_of(2) { "a" } else { "b" };
-    set.replace_all(now, (0..count).map(|it| record(it, "chat", centre(it))).collect());
+    set.replace_all(now, (0..count).map(|it| record(it, "chat", centre_name(it))).collect());
     set
 }
 
+fn centre_name(index: usize) -> &'static str {
+    if index.is_multiple_of(2) { "a" } else { "b" }
+}
+
 fn pick_with(
     set: &mut UpstreamSet,
     now: Instant,
@@ -329,6 +332,7 @@
     let start = Instant::now();
     let mut set = set(start, 5);
     let home = pick(&mut set, start, 7).name;
+    run_timer(&mut set, start, start + 10 * SECOND);
     // Overloaded: the next one in the order copies the prompt from it.
     for _ in 0..20 {
         set.request_started(&home);
@@ -358,13 +362,58 @@
     let back = pick(&mut set, later, 7);
     assert_eq!(back.name, home);
     assert_eq!(holder(&back), Some(successor.name.as_str()));
-    // It counts as the holder for another upstream only after the minimum age of a holder.
+    // It counts as the holder for another upstream only after it was open to picks for some time.
     for _ in 0..20 {
         set.request_started(&home);
     }
-    let other = pick(&mut set, later, 7);
-    assert_ne!(holder(&other), Some(home.as_str()));
-    assert_eq!(holder(&pick(&mut set, later + 5 * SECOND, 7)), Some(home.as_str()));
+    for seconds in [0, 5] {
+        run_timer(&mut set, later, later + seconds * SECOND);
+        let other = pick(&mut set, later + seconds * SECOND, 7);
+        assert_ne!(holder(&other), Some(home.as_str()), "after {seconds} s");
+    }
+    run_timer(&mut set, later + 5 * SECOND, later + 9 * SECOND);
+    assert_eq!(holder(&pick(&mut set, later + 9 * SECOND, 7)), Some(home.as_str()));
+}
+
+/// Guards against a prompt that is computed again after a data centre opens: its engines rank first
+/// for a part of the prompts, but were closed while these were computed elsewhere.
+#[test]
+fn upstream_that_was_closed_so_far_holds_no_prompt() {
+    let start = Instant::now();
+    let mut set = set(start, 8);
+    let first = pick(&mut set, start, 7).name;
+    let centre = centre_of(&first);
+    set.set_closed(&centre, true);
+    let successor = pick(&mut set, start, 7).name;
+    run_timer(&mut set, start, start + 12 * SECOND);
+    set.set_closed(&centre, false);
+    let now = start + 12 * SECOND;
+    for _ in 0..20 {
+        set.request_started(&first);
+    }
+    // The first is overloaded, so the second is picked, which was closed too.
+    let second = pick(&mut set, now, 7);
+    assert!(second.name != first && second.name != successor, "{second:?}");
+    assert_eq!(holder(&second), Some(successor.as_str()));
+    for _ in 0..20 {
+        set.request_ended(now, &first, AttemptEnd::Complete);
+    }
+    let back = pick(&mut set, now, 7);
+    assert_eq!((back.name.as_str(), holder(&back)), (first.as_str(), Some(successor.as_str())));
+}
+
+/// Calls the timer of the set as the gateway does.
+fn run_timer(set: &mut UpstreamSet, from: Instant, until: Instant) {
+    let mut now = from;
+    while now <= until {
+        set.expire(now);
+        now += SECOND / 2;
+    }
+}
+
+fn centre_of(name: &UpstreamName) -> CentreName {
+    let index: usize = name.as_str().strip_prefix("chat-").unwrap().parse().unwrap();
+    CentreName::new(centre_name(index))
 }
 
 /// Guards against a prompt holder for a request that has no prompt.
