--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod budget;
+mod buffers;
 mod call;
 mod cold;
 mod connection;
@@ -24,11 +25,13 @@
 mod server;
 mod shutdown;
 mod stream;
+mod supervise;
 mod table;
 mod upstreams;
 
 pub use self::{
     budget::{RetryAllowance, RetryBudget},
+    buffers::{BufferReservation, ResponseBuffers, ResponseLimits},
     cold::{ColdBucket, host_cold_rate},
     connection::{ClientError, ConnectError, ConnectTimeouts, HttpClient, HttpConnection},
     crashes::{CrashDetector, LostAttempt, UpstreamProcess},
@@ -46,6 +49,7 @@
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses},
     shutdown::{ShutdownTimes, ShutdownWindow},
+    supervise::supervise,
     table::{
         CallerIdentity, CallerLimits, RetryRule, RouteRecord, RouteTable, ServiceRecord,
         TeamRecord, WeightedService,
