gateway: an upstream that does not respond counts as failed

Cause: a look-up that left a frozen upstream after twice its latency target, and an order that met its deadline there, ended as cancelled, which says nothing about the upstream's health. So a frozen upstream went on getting requests, and each look-up waited for it first (12 of 12 in the test).

Change: an attempt that ends without the head of a response counts as a failure once twice the latency target of its route is over, four times for streams. The limit follows from the route, not from the caller's deadline.

Measured: look_up_does_not_wait_for_a_frozen_upstream fails before and passes now. Besides, a test that resets the connection of an order after each byte of the response; it passed before as well.

--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -33,6 +33,10 @@
 /// second upstream has to be worth it.
 const FIRST_EVENT_TIMEOUT_MULTIPLE: f64 = 2.0;
 
+/// Multiple of the time after which another upstream is tried, after which a stream without a
+/// response counts as a failure of its upstream. A busy engine is slow to begin a stream.
+const UNRESPONSIVE_STREAM_MULTIPLE: u32 = 2;
+
 /// Share of the latency target that a refused caller is told to wait before it retries.
 const RETRY_AFTER_SHARE: f64 = 0.5;
 
@@ -92,6 +96,14 @@
         self.route.target_latency.mul_f64(multiple)
     }
 
+    /// Time without the head of a response after which an attempt that ends counts as a failure of
+    /// its upstream. It follows from the route alone, so that callers with short deadlines cannot
+    /// make an upstream count as failing.
+    pub(super) fn unresponsive_timeout(&self) -> Duration {
+        let is_stream = self.route.retry_rule.is_stream();
+        self.slow_timeout() * if is_stream { UNRESPONSIVE_STREAM_MULTIPLE } else { 1 }
+    }
+
     pub(super) fn retry_after(&self) -> Duration {
         self.route.target_latency.mul_f64(RETRY_AFTER_SHARE)
     }
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -56,12 +56,15 @@
 }
 
 /// Counts a request as in flight at an upstream until it is dropped, and then records its outcome.
-/// The outcome is [`AttemptEnd::Cancelled`] unless it was set by one of the `end` methods.
+/// Unless one of the `end` methods sets it, the outcome is [`AttemptEnd::Cancelled`], or
+/// [`AttemptEnd::Failed`] if the upstream was unresponsive.
 pub(in crate::gateway) struct AttemptGuard {
     gateway: Rc<Gateway>,
     request: Rc<AdmittedRequest>,
     process: UpstreamProcess,
     dispatched: Instant,
+    /// Whether the head of a response has arrived.
+    has_response: bool,
     end: AttemptEnd,
 }
 
@@ -73,6 +76,7 @@
             request: request.clone(),
             process: UpstreamProcess { upstream: pick.name.clone(), incarnation: pick.incarnation },
             dispatched: gateway.now(),
+            has_response: false,
             end: AttemptEnd::Cancelled,
         }
     }
@@ -103,6 +107,13 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         let now = self.gateway.now();
+        let waited = now.saturating_duration_since(self.dispatched);
+        if self.end == AttemptEnd::Cancelled
+            && !self.has_response
+            && waited >= self.request.unresponsive_timeout()
+        {
+            self.end = AttemptEnd::Failed;
+        }
         let state = &mut *self.gateway.state.borrow_mut();
         state.upstreams.request_ended(now, &self.process.upstream, self.end);
         let is_complete = self.end == AttemptEnd::Complete;
@@ -178,7 +189,7 @@
     pick: &UpstreamPick,
     resume_after: Option<u64>,
 ) -> Result<OpenResponse, FailedAttempt> {
-    let guard = AttemptGuard::new(gateway, request, pick);
+    let mut guard = AttemptGuard::new(gateway, request, pick);
     let outgoing = upstream_request(gateway, request, pick, resume_after);
     let key = PoolKey {
         upstream: pick.name.clone(),
@@ -199,6 +210,7 @@
             return Err(FailedAttempt::NotSent("no upstream was reached"));
         }
     };
+    guard.has_response = true;
     let status = response.status();
     let head = gateway.dialect.read_response(status, response.headers(), &request.head.request_id);
     record_response_head(gateway, &pick.name, &head);
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -31,6 +31,9 @@
 /// Time limit of an answer that does not have to wait for anything.
 const PROMPT: Duration = Duration::from_secs(1);
 
+/// Latency target of the route `/safe/`, after twice of which another upstream is asked.
+const SAFE_TARGET: Duration = Duration::from_millis(100);
+
 /// Longest pause between events that the streaming route allows.
 const EVENT_GAP: Duration = Duration::from_millis(50);
 
@@ -172,7 +175,7 @@
         let gateway = new_gateway(&addresses);
         let routes = vec![
             route("/once/", RetryRule::Once),
-            route("/safe/", RetryRule::Idempotent),
+            RouteRecord { target_latency: SAFE_TARGET, ..route("/safe/", RetryRule::Idempotent) },
             route("/stream/", RetryRule::OnceStream),
             route("/resumable/", RetryRule::ResumableStream),
         ];
@@ -368,6 +371,54 @@
     });
 }
 
+/// Guards against a look-up that hangs because an upstream is frozen: it accepts connections and
+/// reads, but sends nothing. Another one answers, and later look-ups avoid the frozen one.
+#[test]
+fn look_up_does_not_wait_for_a_frozen_upstream() {
+    run_local(async {
+        for (index, is_read) in [false, true].into_iter().enumerate() {
+            let pause = Step::Wait(ROUTE_TIMEOUT * 2);
+            let script = if is_read { vec![Step::Read, pause] } else { vec![pause] };
+            let frozen = ScriptedUpstream::start(vec![script]).await;
+            let sound = ScriptedUpstream::start(vec![answer()]).await;
+            let site = Site::start(2_350 + index as u16, &[&frozen, &sound]);
+            for call in 0..12 {
+                let reply = site.call("/safe/", &format!("r{call}")).await;
+                assert_eq!(reply.status(), 200, "{reply:?}");
+                assert!(reply.elapsed < PROMPT, "{:?}", reply.elapsed);
+            }
+            assert!(frozen.connections() > 0, "the frozen upstream was never picked");
+            assert!(frozen.connections() < 12, "the frozen upstream was picked every time");
+        }
+    });
+}
+
+/// Guards against an order that runs twice, or is reported as not run, after its connection was
+/// reset: in the middle of the response head, of the body, and before any byte of the response.
+#[test]
+fn order_is_not_repeated_after_a_reset() {
+    run_local(async {
+        let response = format!("{OK_HEAD}content-length: 4\r\n\r\ndone");
+        for end in 0..response.len() {
+            let script = vec![
+                Step::Read,
+                send(&response[..end]),
+                Step::Wait(Duration::from_millis(2)),
+                Step::Reset,
+            ];
+            let upstreams = [
+                ScriptedUpstream::start(vec![script.clone()]).await,
+                ScriptedUpstream::start(vec![script]).await,
+            ];
+            let site = Site::start(3_000 + end as u16, &[&upstreams[0], &upstreams[1]]);
+            let reply = site.call("/once/", "r1").await;
+            assert!(matches!(reply.status(), 500 | 502 | 504), "after {end} bytes: {reply:?}");
+            let runs: usize = upstreams.iter().map(ScriptedUpstream::requests).sum();
+            assert_eq!(runs, 1, "after {end} bytes");
+        }
+    });
+}
+
 /// Guards against a response that breaks off but looks complete to the caller, in each framing.
 #[test]
 fn broken_response_does_not_look_complete() {
