--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -32,8 +32,7 @@
 /// Largest body of a refusal that is read in order to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
-/// Longest wait for the body of a refusal; the request goes on at another upstream meanwhile only
-/// when this is over.
+/// Longest wait for the body of a refusal; the next upstream is tried after it.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// A response whose body was read to its end.
--- a/lib/src/gateway/upstreams/prompt.rs
+++ b/lib/src/gateway/upstreams/prompt.rs
@@ -53,9 +53,7 @@
         let holder = holders.max_by(|a, b| score(a).total_cmp(&score(b)))?;
         Some(PromptHolder { name: holder.record.name.clone(), address: holder.record.address })
     }
-}
 
-impl UpstreamSet {
     /// Adds the time since the last call to the open time of the upstreams that are open to picks.
     pub(super) fn record_open_time(&mut self, now: Instant) {
         let since_last = self.open_time_recorded.map(|it| now.saturating_duration_since(it));
