gateway: a host that was paused does not count its upstreams as failed

Cause: since an upstream that does not respond counts as failed, a host that freezes finds the time limits of all its requests over when it wakes, and blamed their engines, also at the other hosts of its data centre.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -19,6 +19,7 @@
 mod members;
 mod outcomes;
 mod packed;
+mod pauses;
 mod peers;
 mod pool;
 mod reach;
@@ -45,6 +46,7 @@
     members::{MemberChange, MemberDigest, MemberHeartbeat, MemberRecord, MemberTable},
     outcomes::{OutcomeCount, OutcomeLog, OutcomeSlot},
     packed::PackedChange,
+    pauses::PauseDetector,
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure},
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses},
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -110,6 +110,7 @@
         if self.end == AttemptEnd::Cancelled
             && !self.has_response
             && waited >= self.request.unresponsive_timeout()
+            && !self.gateway.pauses.was_paused(self.dispatched, now)
         {
             self.end = AttemptEnd::Failed;
         }
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -19,6 +19,7 @@
     members::{MemberRecord, MemberTable},
     outcomes::OutcomeLog,
     packed::ChangeCache,
+    pauses::PauseDetector,
     pool::UpstreamPool,
     shutdown::ShutdownWindow,
     table::RouteTable,
@@ -104,6 +105,7 @@
     pub(super) source_unavailable: watch::Sender<bool>,
     pub(super) change_cache: ChangeCache,
     pub(super) response_buffers: Rc<ResponseBuffers>,
+    pub(super) pauses: PauseDetector,
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
     /// The shutdown, once it has begun.
@@ -131,6 +133,7 @@
             outcomes: OutcomeLog::new(clock.now()),
         };
         Rc::new(Self {
+            pauses: PauseDetector::new(clock.now()),
             pool: Rc::new(UpstreamPool::new(clock.clone())),
             clock,
             dialect,
@@ -277,6 +280,7 @@
     /// since the last call.
     pub fn tick(&self, interval: Duration) {
         let now = self.now();
+        self.pauses.record_tick(now);
         let lost = {
             let state = &mut *self.state.borrow_mut();
             state.upstreams.expire(now);
