gateway: in a cut data centre, requests turn to its own upstreams

Change: after two upstreams that a request did not reach, healthy ones of the own data centre go first.

Measured: host_of_a_cut_data_centre_uses_its_own_upstreams fails before (503) and passes now; the test dialect reads a prompt for it.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -40,6 +40,10 @@
 /// were refused by one.
 const MAX_UPSTREAMS_TRIED: usize = 5;
 
+/// Number of upstreams that one request did not reach after which those of the own data centre go
+/// first: if the data centre is cut off, connections to all others are refused.
+const UNREACHED_BEFORE_LOCAL: u32 = 2;
+
 /// Time after which a caller that a stopping host refused is told to retry; other hosts can serve
 /// it at once.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -112,6 +116,8 @@
     pub(super) gateway: Rc<Gateway>,
     pub(super) request: Rc<AdmittedRequest>,
     tried: Vec<UpstreamName>,
+    /// Attempts of which nothing reached an upstream.
+    unreached_attempts: u32,
     /// Attempts that reached an upstream. Every further one is acquired from the retry budget.
     reached_attempts: u32,
     /// Attempts in which an upstream ran the request or may have run it, bounded by the route's
@@ -127,6 +133,7 @@
             gateway,
             request,
             tried: Vec::new(),
+            unreached_attempts: 0,
             reached_attempts: 0,
             possible_runs: 0,
             is_retry_acquired: false,
@@ -148,7 +155,10 @@
             };
             self.tried.push(pick.name);
             let can_continue = match &failed {
-                FailedAttempt::NotSent(_) => self.possible_runs == 0 || self.may_retry(),
+                FailedAttempt::NotSent(_) => {
+                    self.unreached_attempts += 1;
+                    self.possible_runs == 0 || self.may_retry()
+                }
                 FailedAttempt::NotRun(_) => {
                     self.reached_attempts += 1;
                     self.possible_runs == 0 || self.may_retry()
@@ -216,6 +226,7 @@
             affinity: self.request.head.affinity,
             tried: &self.tried,
             has_cold_limit: self.request.cold_rate > 0.0,
+            prefers_local: self.unreached_attempts >= UNREACHED_BEFORE_LOCAL,
         };
         if self.reached_attempts > 0
             && !std::mem::take(&mut self.is_retry_acquired)
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -33,6 +33,9 @@
     pub tried: &'a [UpstreamName],
     /// Whether requests to cold upstreams of the service are rate limited.
     pub has_cold_limit: bool,
+    /// Whether healthy upstreams of the own data centre go before all others, because this data
+    /// centre seems to be cut off.
+    pub prefers_local: bool,
 }
 
 /// Why an upstream was chosen.
@@ -205,7 +208,11 @@
         let is_healthy = |it: &Candidate<'_>| {
             !it.state.health.is_failing(now, median_failure) && !it.state.health.is_unreachable()
         };
-        let (healthy, unhealthy): (Vec<_>, Vec<_>) = candidates.partition(is_healthy);
+        let (mut healthy, unhealthy): (Vec<_>, Vec<_>) = candidates.partition(is_healthy);
+        let is_local = |it: &Candidate<'_>| it.state.record.data_centre == self.centre;
+        if request.prefers_local && healthy.iter().any(is_local) {
+            healthy.retain(is_local);
+        }
         let is_admissible = |it: &Candidate<'_>| is_admissible(it.state);
         if request.affinity.is_some() {
             let bound = AFFINITY_LOAD_MULTIPLE * mean + AFFINITY_LOAD_SLACK;
--- a/lib/tests/gateway_outcomes.rs
+++ b/lib/tests/gateway_outcomes.rs
@@ -84,6 +84,7 @@
                     affinity: Some(rng.random()),
                     tried: &[],
                     has_cold_limit: false,
+                    prefers_local: false,
                 };
                 let name = set.pick(now, &request, |_| 0.0).unwrap().name;
                 let is_failed = name == failing && rng.random_bool(0.5);
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{runtime::Builder, task::LocalSet};
 
-/// Dialect that reads the ids of requests and responses, and refusals of upstreams. Accepts every
+/// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams. Accepts every
 /// response as signed, and one without an id as that of the request.
 #[derive(Debug)]
 pub struct TestDialect;
@@ -24,7 +24,8 @@
 impl WireDialect for TestDialect {
     fn read_request(&self, headers: &HeaderMap) -> RequestHead {
         let request_id = headers.get("id").and_then(|it| it.to_str().ok()).unwrap_or_default();
-        RequestHead { request_id: request_id.to_owned(), ..RequestHead::default() }
+        let affinity = headers.get("prompt").and_then(|it| it.to_str().ok()?.parse().ok());
+        RequestHead { request_id: request_id.to_owned(), affinity, ..RequestHead::default() }
     }
 
     fn write_attempt(&self, _: &mut HeaderMap, _: &AttemptHead<'_>) {}
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -46,7 +46,13 @@
     tried: &[UpstreamName],
 ) -> Result<UpstreamPick, PickRefusal> {
     let service = ServiceName::new("chat");
-    let request = PickRequest { service: &service, affinity, tried, has_cold_limit: true };
+    let request = PickRequest {
+        service: &service,
+        affinity,
+        tried,
+        has_cold_limit: true,
+        prefers_local: false,
+    };
     set.pick(now, &request, |_| 2.0)
 }
 
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -171,6 +171,15 @@
 
 impl Site {
     fn start(number: u16, upstreams: &[&ScriptedUpstream]) -> Self {
+        Self::start_with(number, |it| upstreams.get(it).map(|upstream| (upstream.address, "a")))
+    }
+
+    /// Starts a gateway in the data centre `a`; `upstream` returns the address and the data centre
+    /// of each upstream.
+    fn start_with(
+        number: u16,
+        upstream: impl Fn(usize) -> Option<(SocketAddr, &'static str)>,
+    ) -> Self {
         let addresses = loopback_addresses(number);
         let gateway = new_gateway(&addresses);
         let routes = vec![
@@ -181,11 +190,12 @@
         ];
         let table = RouteTable::new(1, routes, vec![], vec![], CallerLimits::default());
         gateway.apply(FleetChange::Routes(Arc::new(table)));
-        let records = upstreams.iter().enumerate().map(|(index, upstream)| UpstreamRecord {
+        let upstreams = (0..).map_while(upstream).enumerate();
+        let records = upstreams.map(|(index, (address, centre))| UpstreamRecord {
             name: UpstreamName::new(&format!("d{index}")),
             service: ServiceName::new("desk"),
-            address: upstream.address,
-            data_centre: CentreName::new("a"),
+            address,
+            data_centre: CentreName::new(centre),
             slots: 8,
             is_leaving: false,
             cold_for: Duration::ZERO,
@@ -199,10 +209,14 @@
     /// Sends a request on a new connection, and returns what the caller receives until the
     /// connection is closed.
     async fn call(&self, path: &str, id: &str) -> CallerReply {
+        self.call_with(path, &format!("id: {id}")).await
+    }
+
+    async fn call_with(&self, path: &str, headers: &str) -> CallerReply {
         let started = Instant::now();
         let mut stream = TcpStream::connect(self.addresses.callers).await.unwrap();
         let request = format!(
-            "POST {path} HTTP/1.1\r\nhost: site.example\r\nid: {id}\r\nconnection: close\r\n\r\n"
+            "POST {path} HTTP/1.1\r\nhost: site.example\r\n{headers}\r\nconnection: close\r\n\r\n"
         );
         stream.write_all(request.as_bytes()).await.unwrap();
         let mut bytes = Vec::new();
@@ -393,6 +407,26 @@
     });
 }
 
+/// Guards against a request that is refused as not run while an upstream of the host's own data centre
+/// could serve it: the data centre is cut off, and connections to all others are refused.
+#[test]
+fn host_of_a_cut_data_centre_uses_its_own_upstreams() {
+    run_local(async {
+        let local = ScriptedUpstream::start(vec![answer()]).await;
+        let remote = loopback_addresses(2_950).callers;
+        let site = Site::start_with(2_960, |number| match number {
+            0 => Some((local.address, "a")),
+            1..24 => Some((remote, "b")),
+            _ => None,
+        });
+        for prompt in 0..4 {
+            let headers = format!("id: r{prompt}\r\nprompt: {prompt}");
+            let reply = site.call_with("/once/", &headers).await;
+            assert_eq!(reply.status(), 200, "{reply:?}");
+        }
+    });
+}
+
 /// Guards against an order that runs twice, or is reported as not run, after its connection was
 /// reset: in the middle of the response head, of the body, and before any byte of the response.
 #[test]
