--- a/lib/tests/settings_parse.rs
+++ b/lib/tests/settings_parse.rs
@@ -3,7 +3,8 @@
 use std::{collections::HashMap, ffi::OsString, fs, path::Path, time::Duration};
 
 use snipepond::settings::{
-    ROUTER_SETTINGS, RouterCommand, RouterSettings, SettingsError, ValueOrigin, env_var_name,
+    GatewayCommand, GatewayOptions, ROUTER_SETTINGS, RouterCommand, RouterSettings, SettingsError,
+    ValueOrigin, env_var_name,
 };
 
 const REQUIRED_ARGS: [&str; 6] =
@@ -146,3 +147,32 @@
         assert!(page.contains(&row), "{row} is missing");
     }
 }
+
+fn parse_gateway(name: &str, value: &str) -> Result<GatewayCommand, SettingsError> {
+    let mut args = vec!["--host", "h1", "--data-centre", "a"];
+    for address in ["--listen", "--ready-listen", "--peer-listen", "--metrics-listen", "--store"] {
+        args.extend([address, "127.0.0.1:9000"]);
+    }
+    args.extend([name, value]);
+    GatewayOptions::parse(args, |_| None)
+}
+
+/// Guards against a value out of range that is changed silently: a bandwidth below 1 became 0, and a
+/// time above a day became a day.
+#[test]
+fn gateway_rejects_values_out_of_range() {
+    let cases = [
+        ("--bandwidth-mbps", "1", "0.5"),
+        ("--bandwidth-mbps", "1000.0", "NaN"),
+        ("--stop-limit-s", "86400", "86400.5"),
+        ("--retry-window-s", "0.5", "-1"),
+        ("--retry-window-s", "10", "inf"),
+        ("--max-response-kb", "1", "0"),
+        ("--response-memory-kb", "1048576", "1048577"),
+    ];
+    for (name, valid, invalid) in cases {
+        assert!(matches!(parse_gateway(name, valid), Ok(GatewayCommand::Run(_))), "{name} {valid}");
+        let error = parse_gateway(name, invalid).unwrap_err().to_string();
+        assert!(error.contains(name) && error.contains(invalid), "{error}");
+    }
+}
