gateway: strikes are logged with the request they are against

Cause: request_struck did not name the request, a block that another host caused was not logged, and neither was a clearance. The logs could not tell a request that gets no strikes from one whose strikes do not arrive or are cleared.

Change: request_struck and request_quarantined carry the fingerprint of the request; request_blocked and strikes_cleared are new. No decision changes.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -216,6 +216,7 @@
         {
             tracing::warn!(
                 request_id = %self.request.head.request_id,
+                %fingerprint,
                 failed_attempts = self.tried.len(),
                 "request_quarantined"
             );
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -95,11 +95,14 @@
             };
             let strike = self.register.record_loss(lost_at, attempt.fingerprint, &run);
             tracing::warn!(
+                fingerprint = %strike.fingerprint,
                 upstream = %process.upstream,
                 is_prompt = strike.is_prompt,
-                strikes = self.register.len(),
+                has_response = attempt.has_response,
+                requests = self.register.len(),
                 "request_struck"
             );
+            self.log_if_blocked(now, strike.fingerprint);
             self.recent_strikes.push((lost_at, strike));
         }
     }
@@ -118,6 +121,7 @@
         upstream: &UpstreamName,
     ) {
         if self.register.record_completion(now, fingerprint, upstream).is_some() {
+            tracing::info!(%fingerprint, %upstream, "strikes_cleared");
             self.recent_strikes.retain(|(_, it)| it.fingerprint != fingerprint);
         }
     }
@@ -142,11 +146,20 @@
             });
             if !is_known && now.saturating_duration_since(lost_at) < MAX_STRIKE_FORWARD_AGE {
                 self.register.merge_strike(now, strike);
+                self.log_if_blocked(now, strike.fingerprint);
                 self.recent_strikes.push((lost_at, strike.clone()));
             }
         }
     }
 
+    /// Logs that a strike blocks its request on this host.
+    fn log_if_blocked(&self, now: Instant, fingerprint: RequestFingerprint) {
+        if let CrashVerdict::Blocked { remaining } = self.register.check(now, fingerprint) {
+            let remaining_ms = remaining.as_millis() as u64;
+            tracing::warn!(%fingerprint, remaining_ms, "request_blocked");
+        }
+    }
+
     /// Drops expired strikes and losses; to be called on a timer.
     pub fn expire(&mut self, now: Instant) {
         let is_recent = |lost_at: Instant, limit| now.saturating_duration_since(lost_at) < limit;
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    fmt,
     time::{Duration, Instant},
 };
 
@@ -35,6 +36,12 @@
     }
 }
 
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// A run of a request that ended with the loss of its upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct InterruptedRun<'a> {
