quarantine, gateway: requests without a prompt can be found to crash upstreams

Cause: only requests with a prompt had a fingerprint. All others got no strike when they were lost with a crashed upstream, so nothing ever refused them. The exception was meant for look-ups of the same thing, which are alike: copies that run at two upstreams which fail together would have been blocked.

Change: the fingerprint holds team, method, path, prompt and body of every request. A request that completed at the host less than 3 s before a loss gets no strike: one that crashes upstreams completes nowhere. The register decides this for gateway and router alike.

--- a/lib/src/control/crash.rs
+++ b/lib/src/control/crash.rs
@@ -66,14 +66,20 @@
     }
 
     fn end(&mut self, number: u64) {
-        if let Some(reply) = self.broadcasts.remove(&number).and_then(|it| it.reply) {
-            let _ = reply.send(());
-        }
+        send_reply(self.broadcasts.remove(&number).and_then(|it| it.reply));
+    }
+}
+
+/// Ends the wait of the worker that reported a loss, if it still waits.
+fn send_reply(reply: Option<ReplySender<()>>) {
+    if let Some(reply) = reply {
+        let _ = reply.send(());
     }
 }
 
 impl ControlState {
-    /// Records a strike against a request whose upstream was lost, and broadcasts it.
+    /// Records a strike against a request whose upstream was lost, and broadcasts it. There is none if
+    /// the request completed shortly before.
     ///
     /// `reply` is sent when all peers have replied, or after a timeout.
     pub(super) fn record_strike(
@@ -83,14 +89,13 @@
         run: &InterruptedRun<'_>,
         reply: Option<ReplySender<()>>,
     ) {
-        let strike = self.crashes.record_loss(now, fingerprint, run);
+        let Some(strike) = self.crashes.record_loss(now, fingerprint, run) else {
+            return send_reply(reply);
+        };
         tracing::warn!(upstream = %run.upstream, is_prompt = strike.is_prompt, "crash_strike");
         let peers: Vec<HostRecord> = self.other_hosts().cloned().collect();
         if peers.is_empty() {
-            if let Some(reply) = reply {
-                let _ = reply.send(());
-            }
-            return;
+            return send_reply(reply);
         }
         let number = self.broadcasts.start(now, peers.len(), reply);
         for peer in &peers {
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -211,12 +211,12 @@
         }
         let state = &mut *self.gateway.state.borrow_mut();
         if !state.crashes.is_empty()
-            && let Some(fingerprint) = self.request.fingerprint()
-            && matches!(state.crashes.check(now, fingerprint), CrashVerdict::Blocked { .. })
+            && let CrashVerdict::Blocked { .. } =
+                state.crashes.check(now, self.request.fingerprint())
         {
             tracing::warn!(
                 request_id = %self.request.head.request_id,
-                %fingerprint,
+                fingerprint = %self.request.fingerprint(),
                 failed_attempts = self.tried.len(),
                 "request_quarantined"
             );
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -1,6 +1,7 @@
 //! Admission: decides the route, team and service of a caller's request, or refuses it.
 
 use std::{
+    cell::OnceCell,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -70,6 +71,7 @@
     pub(super) arrived: Instant,
     /// When the deadline of the caller or the timeout of the route expires.
     pub(in crate::gateway) expires_at: Instant,
+    fingerprint: OnceCell<RequestFingerprint>,
 }
 
 impl AdmittedRequest {
@@ -77,13 +79,14 @@
         self.team.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
     }
 
-    /// Identifies the request by team, prompt, path and body for crash detection. None without a
-    /// prompt: such requests are often identical and do not crash engines.
-    pub(super) fn fingerprint(&self) -> Option<RequestFingerprint> {
-        let team = self.team.as_ref().map_or_else(|| TeamName::new(""), |it| it.name.clone());
-        let prompt = self.head.prompt?.to_be_bytes();
-        let path = self.uri.path_and_query().map_or("", |it| it.as_str()).as_bytes();
-        Some(RequestFingerprint::of(&team, &[&prompt, path, b"\0", &self.body].concat()))
+    /// Identifies the request by team, method, path, prompt and body for crash detection.
+    pub(super) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let team = self.team.as_ref().map_or_else(|| TeamName::new(""), |it| it.name.clone());
+            let path = self.uri.path_and_query().map_or("", |it| it.as_str());
+            let head = format!("{} {path}\n{:?}\n", self.method, self.head.prompt);
+            RequestFingerprint::of(&team, &[head.as_bytes(), &self.body].concat())
+        })
     }
 
     /// Time after which another upstream is tried although the current one has not failed.
@@ -188,5 +191,6 @@
         team,
         arrived,
         expires_at: arrived + time_limit,
+        fingerprint: OnceCell::new(),
     })
 }
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -88,11 +88,10 @@
     /// Ends an attempt whose connection was lost, and ejects the upstream. The probe that follows
     /// shows whether the upstream crashed.
     pub(in crate::gateway) fn end_with_lost_connection(self, has_response: bool) {
-        if let Some(fingerprint) = self.request.fingerprint() {
-            let attempt = LostAttempt { fingerprint, dispatched: self.dispatched, has_response };
-            let now = self.gateway.now();
-            self.gateway.state.borrow_mut().crashes.record_loss(now, &self.process, attempt);
-        }
+        let fingerprint = self.request.fingerprint();
+        let attempt = LostAttempt { fingerprint, dispatched: self.dispatched, has_response };
+        let now = self.gateway.now();
+        self.gateway.state.borrow_mut().crashes.record_loss(now, &self.process, attempt);
         let (gateway, upstream) = (self.gateway.clone(), self.process.upstream.clone());
         self.end(AttemptEnd::Lost);
         gateway.eject(&upstream, false);
@@ -120,10 +119,8 @@
         if is_complete || matches!(self.end, AttemptEnd::Failed | AttemptEnd::Lost) {
             state.outcomes.record(now, &self.process.upstream, is_complete);
         }
-        if is_complete
-            && !state.crashes.is_empty()
-            && let Some(fingerprint) = self.request.fingerprint()
-        {
+        if is_complete {
+            let fingerprint = self.request.fingerprint();
             state.crashes.record_completion(now, fingerprint, &self.process.upstream);
         }
     }
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -60,7 +60,7 @@
 }
 
 impl CrashDetector {
-    /// Returns whether no request has a strike; fingerprints are not needed then.
+    /// Returns whether no request has a strike; a check needs no fingerprint then.
     pub fn is_empty(&self) -> bool {
         self.register.is_empty()
     }
@@ -93,7 +93,9 @@
                 dispatched: attempt.dispatched,
                 has_response: attempt.has_response,
             };
-            let strike = self.register.record_loss(lost_at, attempt.fingerprint, &run);
+            let Some(strike) = self.register.record_loss(lost_at, attempt.fingerprint, &run) else {
+                continue;
+            };
             tracing::warn!(
                 fingerprint = %strike.fingerprint,
                 upstream = %process.upstream,
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -2,9 +2,11 @@
 //!
 //! A request that is lost with its upstream gets a strike. Two strikes from distinct upstreams
 //! block it. A strike does not prove that the request is the cause, because all requests that
-//! ran on the upstream are lost with it. Three rules keep innocent requests from being blocked
+//! ran on the upstream are lost with it. Four rules keep innocent requests from being blocked
 //! for long:
 //!
+//! - A request that completed less than [`SOUND_TIME`] before the loss gets no strike. Several copies
+//!   of a common request may run when several upstreams fail together.
 //! - A loss long after dispatch, when the response has begun, is weak evidence: engines fail on an
 //!   input while they read it. Two strikes of which one is weak block for [`WEAK_BLOCK_TIME`]
 //!   only; a third one blocks for [`BLOCK_TIME`].
@@ -38,6 +40,15 @@
 /// The first token is due after 0.41 s; the rest allows for queueing on the engine.
 pub const PROMPT_LOSS_WINDOW: Duration = Duration::from_secs(10);
 
+/// Time for which a completion shows that a request does not crash upstreams.
+///
+/// Shorter than the start of a crashed upstream, so that a request that begins to crash upstreams
+/// gets strikes from the second crash of each on.
+pub const SOUND_TIME: Duration = Duration::from_secs(3);
+
+/// Limit on the completions that are remembered for [`SOUND_TIME`].
+pub const MAX_REMEMBERED_COMPLETIONS: usize = 4_096;
+
 /// Limit on the requests in the register, which take about 1.5 MB (an estimate).
 ///
 /// The loss of a data centre gives a strike to all its requests at once: about 2,000 at the target
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -10,8 +10,8 @@
 use sha2::{Digest, Sha256};
 
 use super::{
-    BLOCK_TIME, MAX_REGISTERED_REQUESTS, MAX_STRIKES_PER_REQUEST, PROMPT_LOSS_WINDOW,
-    WEAK_BLOCK_TIME,
+    BLOCK_TIME, MAX_REGISTERED_REQUESTS, MAX_REMEMBERED_COMPLETIONS, MAX_STRIKES_PER_REQUEST,
+    PROMPT_LOSS_WINDOW, SOUND_TIME, WEAK_BLOCK_TIME,
 };
 use crate::names::{TeamName, UpstreamName};
 
@@ -158,6 +158,8 @@
 #[derive(Debug, Default)]
 pub struct CrashRegister {
     entries: HashMap<RequestFingerprint, StrikeList>,
+    /// When requests last completed on this host, within [`SOUND_TIME`].
+    completions: HashMap<RequestFingerprint, Instant>,
     /// Running suspects of this host, by upstream.
     trials: HashMap<UpstreamName, RequestFingerprint>,
 }
@@ -206,7 +208,7 @@
         true
     }
 
-    /// Records that a suspect completed, and clears its strikes.
+    /// Records that a request completed, and clears its strikes if it is a suspect.
     ///
     /// Returns the clearance for the peers. A request that was blocked in the meantime stays
     /// blocked.
@@ -217,6 +219,7 @@
         upstream: &UpstreamName,
     ) -> Option<CrashClearance> {
         self.release_trial(fingerprint, upstream);
+        self.remember_completion(now, fingerprint);
         if self.check(now, fingerprint) != CrashVerdict::Suspect {
             return None;
         }
@@ -236,7 +239,30 @@
         }
     }
 
-    /// Records that a request was lost with its upstream, and returns the strike.
+    /// Remembers a completion, unless too many others are remembered.
+    fn remember_completion(&mut self, now: Instant, fingerprint: RequestFingerprint) {
+        if self.completions.len() >= MAX_REMEMBERED_COMPLETIONS {
+            self.expire_completions(now);
+        }
+        if self.completions.len() < MAX_REMEMBERED_COMPLETIONS
+            || self.completions.contains_key(&fingerprint)
+        {
+            self.completions.insert(fingerprint, now);
+        }
+    }
+
+    fn expire_completions(&mut self, now: Instant) {
+        self.completions.retain(|_, at| now.saturating_duration_since(*at) < SOUND_TIME);
+    }
+
+    /// Returns whether the request completed later than [`SOUND_TIME`] before the loss.
+    fn is_sound(&self, fingerprint: RequestFingerprint, lost_at: Instant) -> bool {
+        let completed_at = self.completions.get(&fingerprint);
+        completed_at.is_some_and(|it| lost_at.saturating_duration_since(*it) < SOUND_TIME)
+    }
+
+    /// Records that a request was lost with its upstream. Returns the strike, or none if the request
+    /// completed shortly before.
     ///
     /// The strike has to reach the peers before the caller gets the failure or the request is sent
     /// to another upstream.
@@ -245,8 +271,11 @@
         now: Instant,
         fingerprint: RequestFingerprint,
         run: &InterruptedRun<'_>,
-    ) -> CrashStrike {
+    ) -> Option<CrashStrike> {
         self.release_trial(fingerprint, run.upstream);
+        if self.is_sound(fingerprint, now) {
+            return None;
+        }
         let elapsed = now.saturating_duration_since(run.dispatched);
         let strike = CrashStrike {
             fingerprint,
@@ -256,15 +285,19 @@
             age_ms: 0,
         };
         self.merge_strike(now, &strike);
-        strike
+        Some(strike)
     }
 
-    /// Merges a strike from a peer; the order and duplicates of messages do not matter.
+    /// Merges a strike from a peer, unless the request completed here shortly before the loss. The
+    /// order and duplicates of messages do not matter.
     pub fn merge_strike(&mut self, now: Instant, strike: &CrashStrike) {
         let age = Duration::from_millis(strike.age_ms);
         let Some(lost_at) = now.checked_sub(age).filter(|_| age < BLOCK_TIME) else {
             return;
         };
+        if self.is_sound(strike.fingerprint, lost_at) {
+            return;
+        }
         if self.entries.len() >= MAX_REGISTERED_REQUESTS
             && !self.entries.contains_key(&strike.fingerprint)
         {
@@ -313,6 +346,7 @@
 
     /// Removes expired entries; call it periodically.
     pub fn expire(&mut self, now: Instant) {
+        self.expire_completions(now);
         self.entries.retain(|_, list| !list.is_expired(now));
     }
 
--- a/lib/tests/quarantine_register.rs
+++ b/lib/tests/quarantine_register.rs
@@ -14,7 +14,8 @@
     names::{TeamName, UpstreamName},
     quarantine::{
         BLOCK_TIME, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun,
-        MAX_REGISTERED_REQUESTS, RequestFingerprint, WEAK_BLOCK_TIME,
+        MAX_REGISTERED_REQUESTS, MAX_REMEMBERED_COMPLETIONS, RequestFingerprint, SOUND_TIME,
+        WEAK_BLOCK_TIME,
     },
 };
 
@@ -22,6 +23,10 @@
     RequestFingerprint::of(&TeamName::new("team"), body.as_bytes())
 }
 
+fn unanswered_run(upstream: &UpstreamName, dispatched: Instant) -> InterruptedRun<'_> {
+    InterruptedRun { upstream, incarnation: 1, dispatched, has_response: false }
+}
+
 fn record_loss(
     register: &mut CrashRegister,
     now: Instant,
@@ -36,7 +41,7 @@
         dispatched: now - Duration::from_secs(elapsed_s),
         has_response: is_late,
     };
-    register.record_loss(now, fingerprint, &run)
+    register.record_loss(now, fingerprint, &run).expect("the request did not complete before")
 }
 
 /// A request that crashes every upstream, sent through several hosts.
@@ -191,6 +196,63 @@
     assert_eq!(register.check(start + remaining, companion), CrashVerdict::Clear);
 }
 
+/// Guards against blocking a common request of which copies ran on two upstreams that were lost
+/// together, and against a request that is never blocked because it once completed.
+#[test]
+fn a_request_that_just_completed_gets_no_strike() {
+    let start = Instant::now() + BLOCK_TIME;
+    let mut register = CrashRegister::new();
+    let (common, upstream) = (fingerprint("common"), UpstreamName::new("c"));
+    register.record_completion(start, common, &upstream);
+    let mut lose = |now, name: &str| {
+        let lost = UpstreamName::new(name);
+        let strike = register.record_loss(now, common, &unanswered_run(&lost, start));
+        // The strike of a peer that has not seen the completion counts no more than an own one.
+        let peer_strike = CrashStrike {
+            fingerprint: common,
+            upstream: UpstreamName::new(&format!("{name} of a peer")),
+            incarnation: 1,
+            is_prompt: true,
+            age_ms: 0,
+        };
+        register.merge_strike(now, &peer_strike);
+        (strike.is_some(), register.check(now, common))
+    };
+    let soon = start + SOUND_TIME / 2;
+    assert_eq!(lose(soon, "a"), (false, CrashVerdict::Clear));
+    assert_eq!(lose(soon, "b"), (false, CrashVerdict::Clear));
+    let later = start + SOUND_TIME;
+    let remaining = BLOCK_TIME;
+    assert_eq!(lose(later, "a"), (true, CrashVerdict::Blocked { remaining }));
+}
+
+/// Guards against unbounded memory for completions, and against a flood of other requests that
+/// makes a common one lose its own.
+#[test]
+fn remembered_completions_are_bounded() {
+    let start = Instant::now() + BLOCK_TIME;
+    let mut register = CrashRegister::new();
+    let upstream = UpstreamName::new("a");
+    let complete = |register: &mut CrashRegister, now, body: &str| {
+        register.record_completion(now, fingerprint(body), &upstream);
+    };
+    let strikes = |register: &mut CrashRegister, now, body: &str| {
+        let lost = UpstreamName::new("b");
+        register.record_loss(now, fingerprint(body), &unanswered_run(&lost, now)).is_some()
+    };
+    complete(&mut register, start, "common");
+    for number in 0..MAX_REMEMBERED_COMPLETIONS {
+        complete(&mut register, start, &number.to_string());
+    }
+    let now = start + SOUND_TIME - Duration::from_millis(1);
+    assert!(!strikes(&mut register, now, "common"));
+    let last = (MAX_REMEMBERED_COMPLETIONS - 1).to_string();
+    assert!(strikes(&mut register, now, &last), "there is no room for the last one");
+    // Expired completions make room for new ones.
+    complete(&mut register, start + SOUND_TIME, "new");
+    assert!(!strikes(&mut register, start + SOUND_TIME, "new"));
+}
+
 /// Guards against a second strike for an innocent request that is retried on the same upstream as
 /// the cause.
 #[test]
