gateway: a response that breaks off counts as a loss

Callers saw: as in the commit before, for a request whose upstreams crash after the head of the response: it is sent on and on. Found when looking for the same cause elsewhere.

Cause: a request got a strike if its connection ended before the head of the response, or within a stream, but not within the body of any other response.

Change: such a loss is handled like the others: the upstream is ejected until a connection to it succeeds, and the request gets a strike if connections are refused. A response beyond the memory limit gets none.

Measured: the new test of path.rs fails on the code before and passes now.

--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -311,8 +311,12 @@
         Ok(body) => body,
         Err(error) => {
             log_failure(gateway, request, guard.upstream(), "answer_lost", &error);
-            guard.end(AttemptEnd::Failed);
-            return Err(FailedAttempt::MayHaveRun(error.refusal_kind()));
+            let refusal_kind = error.refusal_kind();
+            match error {
+                BodyError::Lost(_) => guard.end_with_lost_connection(true),
+                BodyError::TooLarge => guard.end(AttemptEnd::Failed),
+            }
+            return Err(FailedAttempt::MayHaveRun(refusal_kind));
         }
     };
     exchange.finish();
