gateway: a completion clears the strikes of a request at all hosts

Callers would have seen: a request that was lost with two unrelated crashes within ten minutes is refused by hosts other than the one where it completed in between.

Cause: hosts sent each other strikes, but not clearances.

Change: digests carry clearances for 3 s, with their age; a completion at another host counts like an own one, so a strike that arrives later than the clearance counts no more.

Measured: a_completion_clears_the_strikes_of_all_hosts, over 88 hosts; without clearances in the digests the other hosts keep the strike.

--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -2,8 +2,8 @@
 //!
 //! A request that was lost with its connection gets a strike once the upstream refuses a
 //! connection. An upstream that resets connections, or is behind a partition, leads to no strike.
-//! Strikes are sent with the digests; the [`CrashRegister`] decides which requests are no longer
-//! sent.
+//! Strikes and clearances are sent with the digests; the [`CrashRegister`] decides which requests
+//! are no longer sent.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -12,18 +12,24 @@
 
 use crate::{
     names::UpstreamName,
-    quarantine::{CrashRegister, CrashStrike, CrashVerdict, InterruptedRun, RequestFingerprint},
+    quarantine::{
+        CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun,
+        RequestFingerprint,
+    },
 };
 
-/// Age up to which hosts forward a strike. With a digest every half second, it reaches all hosts
-/// within that time.
-const MAX_STRIKE_FORWARD_AGE: Duration = Duration::from_secs(3);
+/// Age up to which hosts forward strikes and clearances. With a digest every half second, they reach
+/// all hosts within that time.
+const MAX_FORWARD_AGE: Duration = Duration::from_secs(3);
 
-/// Largest number of strikes in a message. The loss of a data centre leads to some hundred strikes
+/// Largest number of recent strikes in a message. The loss of a data centre leads to some hundred strikes
 /// at once, not all of which are sent; a request that crashes one upstream after the other gets a
 /// new strike with each.
 const MAX_SENT_STRIKES: usize = 16;
 
+/// Largest number of clearances in a message.
+const MAX_SENT_CLEARANCES: usize = 16;
+
 /// Time within which a connection has to be refused for a lost request to get a strike.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
 
@@ -57,6 +63,8 @@
     refusing: HashSet<UpstreamProcess>,
     /// Recent strikes of this host and others, each with its time.
     recent_strikes: Vec<(Instant, CrashStrike)>,
+    /// Recent clearances of this host and others, each with its time.
+    recent_clearances: Vec<(Instant, CrashClearance)>,
 }
 
 impl CrashDetector {
@@ -115,45 +123,85 @@
         self.pending_losses.remove(process);
     }
 
-    /// Records that a request completed: its strikes no longer count on this host.
+    /// Records that a request completed: its strikes no longer count.
     pub fn record_completion(
         &mut self,
         now: Instant,
         fingerprint: RequestFingerprint,
         upstream: &UpstreamName,
     ) {
-        if self.register.record_completion(now, fingerprint, upstream).is_some() {
+        if let Some(clearance) = self.register.record_completion(now, fingerprint, upstream) {
             tracing::info!(%fingerprint, %upstream, "strikes_cleared");
-            self.recent_strikes.retain(|(_, it)| it.fingerprint != fingerprint);
+            self.forward_clearance(now, clearance);
         }
     }
 
+    fn forward_clearance(&mut self, completed_at: Instant, clearance: CrashClearance) {
+        self.recent_strikes.retain(|(_, it)| it.fingerprint != clearance.fingerprint);
+        self.recent_clearances.push((completed_at, clearance));
+    }
+
     /// Returns the strikes to send to another host, the last recorded ones first.
     pub fn strikes_to_send(&self, now: Instant) -> Vec<CrashStrike> {
-        let strikes =
-            self.recent_strikes.iter().rev().take(MAX_SENT_STRIKES).map(|(lost_at, strike)| {
-                let age = now.saturating_duration_since(*lost_at).as_millis() as u64;
-                CrashStrike { age_ms: age, ..strike.clone() }
-            });
-        strikes.collect()
+        let recent = self.recent_strikes.iter().rev().take(MAX_SENT_STRIKES);
+        let recent = recent.map(|(lost_at, strike)| CrashStrike {
+            age_ms: age_ms(now, *lost_at),
+            ..strike.clone()
+        });
+        recent.collect()
+    }
+
+    /// Returns the clearances to send to another host, the last recorded ones first.
+    pub fn clearances_to_send(&self, now: Instant) -> Vec<CrashClearance> {
+        let recent = self.recent_clearances.iter().rev().take(MAX_SENT_CLEARANCES);
+        let recent = recent.map(|(completed_at, clearance)| CrashClearance {
+            age_ms: age_ms(now, *completed_at),
+            ..clearance.clone()
+        });
+        recent.collect()
     }
 
     /// Merges the strikes of another host.
     pub fn merge_strikes(&mut self, now: Instant, strikes: &[CrashStrike]) {
         for strike in strikes {
-            let lost_at = now.checked_sub(Duration::from_millis(strike.age_ms)).unwrap_or(now);
-            let is_known = self.recent_strikes.iter().any(|(_, it)| {
-                (it.fingerprint, &it.upstream, it.incarnation)
-                    == (strike.fingerprint, &strike.upstream, strike.incarnation)
-            });
-            if !is_known && now.saturating_duration_since(lost_at) < MAX_STRIKE_FORWARD_AGE {
-                self.register.merge_strike(now, strike);
-                self.log_if_blocked(now, strike.fingerprint);
+            let lost_at = instant_of(now, strike.age_ms);
+            if now.saturating_duration_since(lost_at) < MAX_FORWARD_AGE {
+                let is_known = self.recent_strikes.iter().any(|(_, it)| {
+                    (it.fingerprint, &it.upstream, it.incarnation)
+                        == (strike.fingerprint, &strike.upstream, strike.incarnation)
+                });
+                if is_known {
+                    continue;
+                }
                 self.recent_strikes.push((lost_at, strike.clone()));
             }
+            let was_blocked = self.is_blocked(now, strike.fingerprint);
+            self.register.merge_strike(now, strike);
+            if !was_blocked {
+                self.log_if_blocked(now, strike.fingerprint);
+            }
         }
     }
 
+    /// Merges the clearances of another host.
+    pub fn merge_clearances(&mut self, now: Instant, clearances: &[CrashClearance]) {
+        for clearance in clearances {
+            let completed_at = instant_of(now, clearance.age_ms);
+            let is_known = self
+                .recent_clearances
+                .iter()
+                .any(|(_, it)| it.fingerprint == clearance.fingerprint);
+            if !is_known && now.saturating_duration_since(completed_at) < MAX_FORWARD_AGE {
+                self.register.merge_clearance(now, clearance);
+                self.forward_clearance(completed_at, clearance.clone());
+            }
+        }
+    }
+
+    fn is_blocked(&self, now: Instant, fingerprint: RequestFingerprint) -> bool {
+        matches!(self.register.check(now, fingerprint), CrashVerdict::Blocked { .. })
+    }
+
     /// Logs that a strike blocks its request on this host.
     fn log_if_blocked(&self, now: Instant, fingerprint: RequestFingerprint) {
         if let CrashVerdict::Blocked { remaining } = self.register.check(now, fingerprint) {
@@ -166,7 +214,8 @@
     pub fn expire(&mut self, now: Instant) {
         let is_recent = |lost_at: Instant, limit| now.saturating_duration_since(lost_at) < limit;
         self.register.expire(now);
-        self.recent_strikes.retain(|(lost_at, _)| is_recent(*lost_at, MAX_STRIKE_FORWARD_AGE));
+        self.recent_strikes.retain(|(lost_at, _)| is_recent(*lost_at, MAX_FORWARD_AGE));
+        self.recent_clearances.retain(|(at, _)| is_recent(*at, MAX_FORWARD_AGE));
         self.pending_losses.retain(|_, losses| {
             losses.retain(|(lost_at, _)| is_recent(*lost_at, REFUSAL_WINDOW));
             !losses.is_empty()
@@ -178,3 +227,13 @@
         self.refusing.remove(process);
     }
 }
+
+/// Returns the age of an event for a message.
+fn age_ms(now: Instant, at: Instant) -> u64 {
+    now.saturating_duration_since(at).as_millis() as u64
+}
+
+/// Returns the time of an event from its age in a message.
+fn instant_of(now: Instant, age_ms: u64) -> Instant {
+    now.checked_sub(Duration::from_millis(age_ms)).unwrap_or(now)
+}
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -29,7 +29,7 @@
     config::ConfigChange,
     names::HostName,
     peer::{decode_message, encode_message},
-    quarantine::CrashStrike,
+    quarantine::{CrashClearance, CrashStrike},
 };
 
 /// Paths of the messages.
@@ -68,8 +68,10 @@
     pub members: MemberDigest,
     /// Revision of the sender's entries.
     pub revision: u64,
-    /// Recent strikes against requests that may crash upstreams.
+    /// Strikes against requests that may crash upstreams: recent ones, and those of blocked requests.
     pub strikes: Vec<CrashStrike>,
+    /// Requests whose strikes no longer count because they completed.
+    pub clearances: Vec<CrashClearance>,
     /// How requests ended recently; sent within a data centre only, where traffic costs nothing.
     pub outcomes: Vec<OutcomeSlot>,
     /// Recent load reports; sent within a data centre only.
@@ -264,6 +266,7 @@
             sender: state.members.local().clone(),
             revision: state.feed.revision(),
             strikes: state.crashes.strikes_to_send(now),
+            clearances: state.crashes.clearances_to_send(now),
             outcomes: if is_local { state.outcomes.slots_to_send(now) } else { Vec::new() },
             loads: if is_local { state.upstreams.recent_loads(now) } else { Vec::new() },
         }
@@ -286,6 +289,7 @@
         for (host, change) in state.members.merge_digest(now, digest.sender, &digest.members) {
             tracing::info!(%host, told_by = %sender, news = ?change, "member_changed");
         }
+        state.crashes.merge_clearances(now, &digest.clearances);
         state.crashes.merge_strikes(now, &digest.strikes);
         for sample in &digest.loads {
             state.upstreams.merge_load(now, sample);
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -79,6 +79,8 @@
     pub fingerprint: RequestFingerprint,
     /// Upstream and incarnation of each strike that no longer counts.
     pub cleared: Vec<(UpstreamName, u64)>,
+    /// Time since the completion, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Whether a request may be sent.
@@ -148,6 +150,20 @@
         long_blocks.chain(short_block).max()
     }
 
+    fn export(
+        &self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+    ) -> impl Iterator<Item = CrashStrike> {
+        self.strikes.iter().map(move |it| CrashStrike {
+            fingerprint,
+            upstream: it.upstream.clone(),
+            incarnation: it.incarnation,
+            is_prompt: it.is_prompt,
+            age_ms: now.saturating_duration_since(it.lost_at).as_millis() as u64,
+        })
+    }
+
     fn is_expired(&self, now: Instant) -> bool {
         let newest = self.newest_loss();
         newest.is_none_or(|it| now.saturating_duration_since(it) >= BLOCK_TIME)
@@ -223,11 +239,11 @@
         if self.check(now, fingerprint) != CrashVerdict::Suspect {
             return None;
         }
-        let list = self.entries.remove(&fingerprint)?;
-        let strikes = list.strikes.into_iter();
+        let strikes = self.entries.remove(&fingerprint)?.strikes.into_iter();
         Some(CrashClearance {
             fingerprint,
             cleared: strikes.map(|it| (it.upstream, it.incarnation)).collect(),
+            age_ms: 0,
         })
     }
 
@@ -244,9 +260,9 @@
         if self.completions.len() >= MAX_REMEMBERED_COMPLETIONS {
             self.expire_completions(now);
         }
-        if self.completions.len() < MAX_REMEMBERED_COMPLETIONS
-            || self.completions.contains_key(&fingerprint)
-        {
+        if let Some(last) = self.completions.get_mut(&fingerprint) {
+            *last = now.max(*last);
+        } else if self.completions.len() < MAX_REMEMBERED_COMPLETIONS {
             self.completions.insert(fingerprint, now);
         }
     }
@@ -312,8 +328,11 @@
         });
     }
 
-    /// Merges a clearance from a peer.
+    /// Merges a clearance from a peer; its completion counts like one of this host.
     pub fn merge_clearance(&mut self, now: Instant, clearance: &CrashClearance) {
+        if let Some(completed_at) = now.checked_sub(Duration::from_millis(clearance.age_ms)) {
+            self.remember_completion(completed_at, clearance.fingerprint);
+        }
         if self.check(now, clearance.fingerprint) != CrashVerdict::Suspect {
             return;
         }
@@ -332,16 +351,7 @@
     pub fn export_strikes(&self, now: Instant) -> Vec<CrashStrike> {
         let entries = self.entries.iter();
         let live = entries.filter(|(_, list)| !list.is_expired(now));
-        live.flat_map(|(fingerprint, list)| {
-            list.strikes.iter().map(|it| CrashStrike {
-                fingerprint: *fingerprint,
-                upstream: it.upstream.clone(),
-                incarnation: it.incarnation,
-                is_prompt: it.is_prompt,
-                age_ms: now.saturating_duration_since(it.lost_at).as_millis() as u64,
-            })
-        })
-        .collect()
+        live.flat_map(|(fingerprint, list)| list.export(now, *fingerprint)).collect()
     }
 
     /// Removes expired entries; call it periodically.
--- a/lib/tests/gateway_crashes.rs
+++ b/lib/tests/gateway_crashes.rs
@@ -78,6 +78,46 @@
     }
 }
 
+/// Lets each host exchange strikes and clearances with a random other one, as the gossip does every
+/// half second.
+fn exchange(detectors: &mut [CrashDetector], rng: &mut StdRng, now: Instant) {
+    for host in 0..detectors.len() {
+        let peer = rng.random_range(0..detectors.len());
+        let (sent, reply) =
+            (detectors[host].strikes_to_send(now), detectors[peer].strikes_to_send(now));
+        let (cleared, reply_cleared) =
+            (detectors[host].clearances_to_send(now), detectors[peer].clearances_to_send(now));
+        detectors[peer].merge_clearances(now, &cleared);
+        detectors[peer].merge_strikes(now, &sent);
+        detectors[host].merge_clearances(now, &reply_cleared);
+        detectors[host].merge_strikes(now, &reply);
+    }
+    detectors.iter_mut().for_each(|it| it.expire(now));
+}
+
+/// Guards against blocking a request that was lost twice, and completed at another host in between.
+#[test]
+fn a_completion_clears_the_strikes_of_all_hosts() {
+    const HOSTS: usize = 88;
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut now = Instant::now();
+    let mut detectors: Vec<CrashDetector> = (0..HOSTS).map(|_| CrashDetector::default()).collect();
+    let innocent = fingerprint("innocent");
+    detectors[1].record_loss(now, &process(1), lost_attempt(now, innocent));
+    detectors[1].record_refused_connection(now, &process(1));
+    for _ in 0..8 {
+        now += 500 * MS;
+        exchange(&mut detectors, &mut rng, now);
+    }
+    assert!(detectors.iter().all(|it| it.check(now, innocent) == CrashVerdict::Suspect));
+    detectors[2].record_completion(now, innocent, &process(2).upstream);
+    for _ in 0..8 {
+        now += 500 * MS;
+        exchange(&mut detectors, &mut rng, now);
+    }
+    assert!(detectors.iter().all(CrashDetector::is_empty));
+}
+
 /// Guards against a request that is retried through different hosts and crashes an upstream each
 /// time, while many other requests are lost in the same crashes.
 #[test]
@@ -104,14 +144,7 @@
             }
             detectors.iter_mut().for_each(|it| it.record_refused_connection(now, &down));
         }
-        for host in 0..HOSTS {
-            let peer = rng.random_range(0..HOSTS);
-            let (sent, reply) =
-                (detectors[host].strikes_to_send(now), detectors[peer].strikes_to_send(now));
-            detectors[peer].merge_strikes(now, &sent);
-            detectors[host].merge_strikes(now, &reply);
-        }
-        detectors.iter_mut().for_each(|it| it.expire(now));
+        exchange(&mut detectors, &mut rng, now);
     }
     // The operators allow three crashes, and three more while hosts receive the strikes.
     assert!(crashes <= 6, "{crashes} crashes");
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -92,6 +92,7 @@
                 members: MemberDigest::default(),
                 revision: 0,
                 strikes: vec![],
+                clearances: vec![],
                 outcomes: vec![],
                 loads: vec![],
             };
