gateway: hosts that missed the strikes learn which requests are blocked

Callers would have seen: a request that was blocked reaches upstreams again through hosts that were restarted, paused or cut off while it got its strikes, and each of these crashes upstreams until it has learned by itself.

Cause: strikes were sent for 3 s after the loss and never again, while they count for ten minutes.

Change: a digest also carries up to 16 strikes of blocked requests, chosen at random. They keep their age, so the block is not extended.

--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -10,6 +10,8 @@
     time::{Duration, Instant},
 };
 
+use rand::seq::IteratorRandom;
+
 use crate::{
     names::UpstreamName,
     quarantine::{
@@ -27,6 +29,10 @@
 /// new strike with each.
 const MAX_SENT_STRIKES: usize = 16;
 
+/// Largest number of strikes of blocked requests in a message, chosen at random. Hosts that were not
+/// reached while these strikes were recent receive them in one of the next messages.
+const MAX_SENT_BLOCKING_STRIKES: usize = 16;
+
 /// Largest number of clearances in a message.
 const MAX_SENT_CLEARANCES: usize = 16;
 
@@ -141,14 +147,17 @@
         self.recent_clearances.push((completed_at, clearance));
     }
 
-    /// Returns the strikes to send to another host, the last recorded ones first.
+    /// Returns the strikes to send to another host: the last recorded ones, and some of those that
+    /// block requests.
     pub fn strikes_to_send(&self, now: Instant) -> Vec<CrashStrike> {
         let recent = self.recent_strikes.iter().rev().take(MAX_SENT_STRIKES);
         let recent = recent.map(|(lost_at, strike)| CrashStrike {
             age_ms: age_ms(now, *lost_at),
             ..strike.clone()
         });
-        recent.collect()
+        let blocking = self.register.export_blocking_strikes(now).into_iter();
+        let blocking = blocking.choose_multiple(&mut rand::rng(), MAX_SENT_BLOCKING_STRIKES);
+        recent.chain(blocking).collect()
     }
 
     /// Returns the clearances to send to another host, the last recorded ones first.
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -354,6 +354,13 @@
         live.flat_map(|(fingerprint, list)| list.export(now, *fingerprint)).collect()
     }
 
+    /// Returns the strikes of the requests that are blocked.
+    pub fn export_blocking_strikes(&self, now: Instant) -> Vec<CrashStrike> {
+        let entries = self.entries.iter();
+        let blocked = entries.filter(|(_, list)| list.blocked_until().is_some_and(|it| it > now));
+        blocked.flat_map(|(fingerprint, list)| list.export(now, *fingerprint)).collect()
+    }
+
     /// Removes expired entries; call it periodically.
     pub fn expire(&mut self, now: Instant) {
         self.expire_completions(now);
--- a/lib/tests/gateway_crashes.rs
+++ b/lib/tests/gateway_crashes.rs
@@ -95,6 +95,34 @@
     detectors.iter_mut().for_each(|it| it.expire(now));
 }
 
+/// Guards against a blocked request that crashes upstreams again because hosts that were restarted,
+/// paused or cut off when it got its strikes never learn of them.
+#[test]
+fn hosts_that_missed_the_strikes_learn_of_a_blocked_request() {
+    const HOSTS: usize = 295;
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut now = Instant::now();
+    let mut detectors: Vec<CrashDetector> = (0..HOSTS).map(|_| CrashDetector::default()).collect();
+    let poison = fingerprint("poison");
+    for (index, detector) in detectors.iter_mut().enumerate().take(2) {
+        detector.record_loss(now, &process(index), lost_attempt(now, poison));
+        detector.record_refused_connection(now, &process(index));
+    }
+    // Half of the hosts receive nothing until the strikes are old.
+    for _ in 0..20 {
+        now += 500 * MS;
+        exchange(&mut detectors[..HOSTS / 2], &mut rng, now);
+    }
+    assert!(!is_blocked(&detectors[HOSTS - 1], now, poison));
+    // The operators allow a host 3 s after a start or a partition.
+    for _ in 0..6 {
+        now += 500 * MS;
+        exchange(&mut detectors, &mut rng, now);
+    }
+    let blocked = detectors.iter().filter(|it| is_blocked(it, now, poison)).count();
+    assert_eq!(blocked, HOSTS);
+}
+
 /// Guards against blocking a request that was lost twice, and completed at another host in between.
 #[test]
 fn a_completion_clears_the_strikes_of_all_hosts() {
