gateway: strikes are logged with the parts of the prompt

Cause: request_struck names the request, but requests that crash upstreams because of a part that they share are all different.

Change: the head of a request holds the identities of the parts that other requests may share (all but the last), and request_struck lists them. No decision changes.

--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -88,8 +88,12 @@
     /// Ends an attempt whose connection was lost, and ejects the upstream. The probe that follows
     /// shows whether the upstream crashed.
     pub(in crate::gateway) fn end_with_lost_connection(self, has_response: bool) {
-        let fingerprint = self.request.fingerprint();
-        let attempt = LostAttempt { fingerprint, dispatched: self.dispatched, has_response };
+        let attempt = LostAttempt {
+            fingerprint: self.request.fingerprint(),
+            parts: self.request.head.shared_parts.clone(),
+            dispatched: self.dispatched,
+            has_response,
+        };
         let now = self.gateway.now();
         self.gateway.state.borrow_mut().crashes.record_loss(now, &self.process, attempt);
         let (gateway, upstream) = (self.gateway.clone(), self.process.upstream.clone());
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    fmt,
     time::{Duration, Instant},
 };
 
@@ -15,7 +16,7 @@
 use crate::{
     names::UpstreamName,
     quarantine::{
-        CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun,
+        CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun, PromptPart,
         RequestFingerprint,
     },
 };
@@ -49,10 +50,12 @@
 }
 
 /// A request at an upstream that was lost with its connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct LostAttempt {
     /// The request.
     pub fingerprint: RequestFingerprint,
+    /// The parts of its prompt that other requests may share, in order.
+    pub parts: Vec<PromptPart>,
     /// When it was sent.
     pub dispatched: Instant,
     /// Whether the response had begun.
@@ -112,6 +115,7 @@
             };
             tracing::warn!(
                 fingerprint = %strike.fingerprint,
+                parts = %PartList(&attempt.parts),
                 upstream = %process.upstream,
                 is_prompt = strike.is_prompt,
                 has_response = attempt.has_response,
@@ -237,6 +241,19 @@
     }
 }
 
+/// The parts of a prompt as a value of a log line, separated by commas.
+struct PartList<'a>(&'a [PromptPart]);
+
+impl fmt::Display for PartList<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Returns the age of an event for a message.
 fn age_ms(now: Instant, at: Instant) -> u64 {
     now.saturating_duration_since(at).as_millis() as u64
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use super::upstreams::ReportedLoad;
-use crate::names::TeamName;
+use crate::{names::TeamName, quarantine::PromptPart};
 
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -25,6 +25,8 @@
     pub prompt: Option<u64>,
     /// Number of tokens in the shared part of the prompt.
     pub shared_tokens: u32,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PromptPart>,
 }
 
 /// Values that the router sends to an upstream in the head of an attempt.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -22,11 +22,16 @@
 //! upstreams late takes down at most `c + 2`. In a network partition the bound holds on each side.
 
 mod crash_register;
+mod prompt_part;
 
 use std::time::Duration;
 
-pub use self::crash_register::{
-    CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun, RequestFingerprint,
+pub use self::{
+    crash_register::{
+        CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun,
+        RequestFingerprint,
+    },
+    prompt_part::PromptPart,
 };
 
 /// Time for which two strikes block a request, and for which a strike counts.
--- a/lib/tests/gateway_crashes.rs
+++ b/lib/tests/gateway_crashes.rs
@@ -20,7 +20,7 @@
 }
 
 fn lost_attempt(now: Instant, fingerprint: RequestFingerprint) -> LostAttempt {
-    LostAttempt { fingerprint, dispatched: now, has_response: false }
+    LostAttempt { fingerprint, parts: Vec::new(), dispatched: now, has_response: false }
 }
 
 fn is_blocked(detector: &CrashDetector, now: Instant, fingerprint: RequestFingerprint) -> bool {
