quarantine, gateway: parts of prompts that crash upstreams are found and blocked

Callers would see: requests with one part in common crash one engine after the other, and whatever runs there is lost with them (BUDGET), until sound requests of the same route get no engine either (LOST).

Cause: a request was recognised as a whole only. No two requests with such a part are alike, so each of them was the first of its kind.

Change: strikes carry the parts that other requests may share. PartRegister keeps the losses by part and blocks the part with the most crashes, at least three by two requests, of several the last of its prompts. An answer on a part, at any host, proves it sound for 10 s: that is what tells the cause from the parts before it and beside it, which are lost as often. Proofs travel with the digests. A block begins when proofs can have arrived, which follows the number of hosts.

--- a/lib/src/control/dispatch.rs
+++ b/lib/src/control/dispatch.rs
@@ -288,6 +288,7 @@
             incarnation: self.picker.load_table().last_incarnation(&running.upstream).unwrap_or(0),
             dispatched: running.sent,
             has_response: running.has_response,
+            parts: &[],
         };
         self.metrics.count_upstream_error(&running.upstream, "broken");
         self.record_strike(now, running.fingerprint, &run, reply);
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -4,7 +4,10 @@
 mod attempt;
 mod headers;
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use http_body_util::{Either, Full};
 use hyper::{
@@ -25,6 +28,7 @@
 use super::{
     body::ResponseBody,
     cold::host_cold_rate,
+    crashes::CrashDetector,
     fleet::{Gateway, GatewayState},
     stream::relay,
     upstreams::{PickRefusal, PickRequest, UpstreamPick},
@@ -210,16 +214,7 @@
             return Err("time_is_up");
         }
         let state = &mut *self.gateway.state.borrow_mut();
-        if !state.crashes.is_empty()
-            && let CrashVerdict::Blocked { .. } =
-                state.crashes.check(now, self.request.fingerprint())
-        {
-            tracing::warn!(
-                request_id = %self.request.head.request_id,
-                fingerprint = %self.request.fingerprint(),
-                failed_attempts = self.tried.len(),
-                "request_quarantined"
-            );
+        if self.is_quarantined(now, &state.crashes) {
             return Err("quarantined");
         }
         let pick_request = PickRequest {
@@ -259,6 +254,26 @@
         Ok(pick)
     }
 
+    /// Returns whether the request or a part of its prompt is blocked, and logs it.
+    fn is_quarantined(&self, now: Instant, crashes: &CrashDetector) -> bool {
+        let part = crashes.check_parts(now, &self.request.head.shared_parts).map(|(part, _)| part);
+        let is_blocked = || {
+            let verdict = crashes.check(now, self.request.fingerprint());
+            matches!(verdict, CrashVerdict::Blocked { .. })
+        };
+        let is_quarantined = part.is_some() || (!crashes.is_empty() && is_blocked());
+        if is_quarantined {
+            tracing::warn!(
+                request_id = %self.request.head.request_id,
+                fingerprint = %self.request.fingerprint(),
+                part = part.map(tracing::field::display),
+                failed_attempts = self.tried.len(),
+                "request_quarantined"
+            );
+        }
+        is_quarantined
+    }
+
     /// Acquires a retry from the budget in order to abandon an upstream that is slow but has not
     /// failed. Returns false if the request may not be retried, there is no reachable alternative,
     /// or the budget is used up; the attempt then continues.
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -101,6 +101,12 @@
         gateway.eject(&upstream, false);
     }
 
+    /// Records that the upstream writes an answer on the prompt without crashing.
+    pub(in crate::gateway) fn record_proof(&self) {
+        let parts = &self.request.head.shared_parts;
+        self.gateway.state.borrow_mut().crashes.record_proof(self.gateway.now(), parts);
+    }
+
     pub(in crate::gateway) fn upstream(&self) -> &UpstreamName {
         &self.process.upstream
     }
@@ -324,6 +330,9 @@
         }
     };
     exchange.finish();
+    if parts.status.is_success() {
+        guard.record_proof();
+    }
     let is_failure = parts.status.is_server_error();
     if is_failure {
         log_failure(gateway, request, guard.upstream(), "failed", &parts.status);
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -2,8 +2,8 @@
 //!
 //! A request that was lost with its connection gets a strike once the upstream refuses a
 //! connection. An upstream that resets connections, or is behind a partition, leads to no strike.
-//! Strikes and clearances are sent with the digests; the [`CrashRegister`] decides which requests
-//! are no longer sent.
+//! Strikes, clearances and proofs are sent with the digests; the [`CrashRegister`] decides which
+//! requests are no longer sent, and the [`PartRegister`] which parts of prompts.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -16,8 +16,8 @@
 use crate::{
     names::UpstreamName,
     quarantine::{
-        CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun, PromptPart,
-        RequestFingerprint,
+        CrashClearance, CrashRegister, CrashStrike, CrashVerdict, InterruptedRun, PartProof,
+        PartRegister, PromptPart, RequestFingerprint,
     },
 };
 
@@ -30,13 +30,16 @@
 /// new strike with each.
 const MAX_SENT_STRIKES: usize = 16;
 
-/// Largest number of strikes of blocked requests in a message, chosen at random. Hosts that were not
+/// Largest number of strikes of blocked requests and parts in a message, chosen at random. Hosts that were not
 /// reached while these strikes were recent receive them in one of the next messages.
 const MAX_SENT_BLOCKING_STRIKES: usize = 16;
 
 /// Largest number of clearances in a message.
 const MAX_SENT_CLEARANCES: usize = 16;
 
+/// Largest number of proofs in a message, chosen at random.
+const MAX_SENT_PROOFS: usize = 64;
+
 /// Time within which a connection has to be refused for a lost request to get a strike.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
 
@@ -66,6 +69,7 @@
 #[derive(Debug, Default)]
 pub struct CrashDetector {
     register: CrashRegister,
+    parts: PartRegister,
     /// Recent losses whose upstream may have crashed, each with its time.
     pending_losses: HashMap<UpstreamProcess, Vec<(Instant, LostAttempt)>>,
     /// Upstreams that refuse connections.
@@ -87,6 +91,25 @@
         self.register.check(now, fingerprint)
     }
 
+    /// Returns the first blocked part of a prompt, and the time until it may be sent again.
+    pub fn check_parts(
+        &self,
+        now: Instant,
+        parts: &[PromptPart],
+    ) -> Option<(PromptPart, Duration)> {
+        self.parts.check(now, parts)
+    }
+
+    /// Sets the number of hosts that exchange strikes and proofs.
+    pub fn set_host_count(&mut self, hosts: usize) {
+        self.parts.set_host_count(hosts);
+    }
+
+    /// Records that an upstream wrote an answer on the parts of a prompt.
+    pub fn record_proof(&mut self, now: Instant, parts: &[PromptPart]) {
+        self.parts.record_proof(now, parts);
+    }
+
     /// Records a request that was lost with its connection. It gets a strike if the upstream
     /// refuses connections, now or soon.
     pub fn record_loss(&mut self, now: Instant, process: &UpstreamProcess, attempt: LostAttempt) {
@@ -109,6 +132,7 @@
                 incarnation: process.incarnation,
                 dispatched: attempt.dispatched,
                 has_response: attempt.has_response,
+                parts: &attempt.parts,
             };
             let Some(strike) = self.register.record_loss(lost_at, attempt.fingerprint, &run) else {
                 continue;
@@ -123,6 +147,7 @@
                 "request_struck"
             );
             self.log_if_blocked(now, strike.fingerprint);
+            self.merge_part_strikes(lost_at, std::slice::from_ref(&strike));
             self.recent_strikes.push((lost_at, strike));
         }
     }
@@ -151,15 +176,19 @@
         self.recent_clearances.push((completed_at, clearance));
     }
 
-    /// Returns the strikes to send to another host: the last recorded ones, and some of those that
-    /// block requests.
+    /// Returns the strikes to send to another host: the last recorded ones, first those with a part
+    /// that may be the cause, and some of those that block requests or parts.
     pub fn strikes_to_send(&self, now: Instant) -> Vec<CrashStrike> {
-        let recent = self.recent_strikes.iter().rev().take(MAX_SENT_STRIKES);
+        let recent = self.recent_strikes.iter().rev();
+        let (suspects, others): (Vec<_>, Vec<_>) =
+            recent.partition(|(_, it)| self.parts.has_suspect(&it.parts));
+        let recent = suspects.into_iter().chain(others).take(MAX_SENT_STRIKES);
         let recent = recent.map(|(lost_at, strike)| CrashStrike {
             age_ms: age_ms(now, *lost_at),
             ..strike.clone()
         });
         let blocking = self.register.export_blocking_strikes(now).into_iter();
+        let blocking = blocking.chain(self.parts.export_blocking_strikes(now));
         let blocking = blocking.choose_multiple(&mut rand::rng(), MAX_SENT_BLOCKING_STRIKES);
         recent.chain(blocking).collect()
     }
@@ -194,6 +223,25 @@
                 self.log_if_blocked(now, strike.fingerprint);
             }
         }
+        self.merge_part_strikes(now, strikes);
+    }
+
+    /// Merges strikes into the register of parts, and logs the parts that they block.
+    fn merge_part_strikes(&mut self, now: Instant, strikes: &[CrashStrike]) {
+        for part in self.parts.merge_strikes(now, strikes) {
+            tracing::warn!(%part, "part_blocked");
+        }
+    }
+
+    /// Returns the proofs of suspected parts to send to another host.
+    pub fn proofs_to_send(&self, now: Instant) -> Vec<PartProof> {
+        let proofs = self.parts.proofs_to_send(now).into_iter();
+        proofs.choose_multiple(&mut rand::rng(), MAX_SENT_PROOFS)
+    }
+
+    /// Merges the proofs of another host.
+    pub fn merge_proofs(&mut self, now: Instant, proofs: &[PartProof]) {
+        self.parts.merge_proofs(now, proofs);
     }
 
     /// Merges the clearances of another host.
@@ -227,6 +275,7 @@
     pub fn expire(&mut self, now: Instant) {
         let is_recent = |lost_at: Instant, limit| now.saturating_duration_since(lost_at) < limit;
         self.register.expire(now);
+        self.parts.expire(now);
         self.recent_strikes.retain(|(lost_at, _)| is_recent(*lost_at, MAX_FORWARD_AGE));
         self.recent_clearances.retain(|(at, _)| is_recent(*at, MAX_FORWARD_AGE));
         self.pending_losses.retain(|_, losses| {
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -29,7 +29,7 @@
     config::ConfigChange,
     names::HostName,
     peer::{decode_message, encode_message},
-    quarantine::{CrashClearance, CrashStrike},
+    quarantine::{CrashClearance, CrashStrike, PartProof},
 };
 
 /// Paths of the messages.
@@ -72,6 +72,8 @@
     pub strikes: Vec<CrashStrike>,
     /// Requests whose strikes no longer count because they completed.
     pub clearances: Vec<CrashClearance>,
+    /// Parts of prompts that got strikes although upstreams write answers on them.
+    pub proofs: Vec<PartProof>,
     /// How requests ended recently; sent within a data centre only, where traffic costs nothing.
     pub outcomes: Vec<OutcomeSlot>,
     /// Recent load reports; sent within a data centre only.
@@ -267,6 +269,7 @@
             revision: state.feed.revision(),
             strikes: state.crashes.strikes_to_send(now),
             clearances: state.crashes.clearances_to_send(now),
+            proofs: state.crashes.proofs_to_send(now),
             outcomes: if is_local { state.outcomes.slots_to_send(now) } else { Vec::new() },
             loads: if is_local { state.upstreams.recent_loads(now) } else { Vec::new() },
         }
@@ -290,11 +293,14 @@
             tracing::info!(%host, told_by = %sender, news = ?change, "member_changed");
         }
         state.crashes.merge_clearances(now, &digest.clearances);
+        // Before the strikes, so that a new process does not suspect parts that are in use.
+        state.crashes.merge_proofs(now, &digest.proofs);
         state.crashes.merge_strikes(now, &digest.strikes);
         for sample in &digest.loads {
             state.upstreams.merge_load(now, sample);
         }
         state.hosts_sharing_limits = state.members.hosts_sharing_limits(now);
+        state.crashes.set_host_count(state.hosts_sharing_limits);
     }
 
     /// Chooses the hosts of one gossip round, each with whether it is in the data centre of this
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -32,6 +32,10 @@
 /// another upstream.
 const EVENT_GAP_TIMEOUT_MULTIPLE: u32 = 4;
 
+/// Time for which an upstream has to go on with a stream after its first event, until the stream proves
+/// that the parts of its prompt do not crash upstreams.
+const PROOF_TIME: Duration = Duration::from_secs(1);
+
 /// Why a stream ended before it was complete.
 #[derive(Debug)]
 pub(super) enum StreamError {
@@ -63,6 +67,9 @@
     pending: Option<EventBatch>,
     exchange: UpstreamExchange,
     guard: AttemptGuard,
+    /// When the first event was forwarded.
+    first_event: Option<Instant>,
+    is_proven: bool,
 }
 
 impl StreamSource {
@@ -77,6 +84,17 @@
             pending: None,
             exchange,
             guard,
+            first_event: None,
+            is_proven: false,
+        }
+    }
+
+    /// Records that events arrived, which proves the parts of the prompt sound after [`PROOF_TIME`].
+    fn record_events(&mut self, now: Instant) {
+        let first_event = *self.first_event.get_or_insert(now);
+        if !self.is_proven && now.saturating_duration_since(first_event) >= PROOF_TIME {
+            self.guard.record_proof();
+            self.is_proven = true;
         }
     }
 
@@ -120,6 +138,9 @@
 
     /// Ends a stream that an upstream completed.
     fn finish(self) {
+        if self.first_event.is_some() {
+            self.guard.record_proof();
+        }
         self.exchange.finish();
         self.guard.end(AttemptEnd::Complete);
     }
@@ -163,10 +184,11 @@
         let status = first.status.as_u16();
         let mut source = first;
         loop {
-            if let Some(batch) = source.pending.take()
-                && let Err(outcome) = self.forward(batch).await
-            {
-                return self.attempts.log_end(source.guard.upstream(), status, outcome);
+            if let Some(batch) = source.pending.take() {
+                source.record_events(self.attempts.gateway.now());
+                if let Err(outcome) = self.forward(batch).await {
+                    return self.attempts.log_end(source.guard.upstream(), status, outcome);
+                }
             }
             let event = self.next_event(&mut source).await;
             let lost = match event {
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -11,7 +11,7 @@
 
 use super::{
     BLOCK_TIME, MAX_REGISTERED_REQUESTS, MAX_REMEMBERED_COMPLETIONS, MAX_STRIKES_PER_REQUEST,
-    PROMPT_LOSS_WINDOW, SOUND_TIME, WEAK_BLOCK_TIME,
+    PROMPT_LOSS_WINDOW, PromptPart, SOUND_TIME, WEAK_BLOCK_TIME,
 };
 use crate::names::{TeamName, UpstreamName};
 
@@ -54,6 +54,8 @@
     pub dispatched: Instant,
     /// Whether the response had begun.
     pub has_response: bool,
+    /// The parts of the prompt that other requests may share, in order; empty if not known.
+    pub parts: &'a [PromptPart],
 }
 
 /// A strike against a request; also the message to peers.
@@ -70,6 +72,10 @@
     pub is_prompt: bool,
     /// Time since the loss, in milliseconds.
     pub age_ms: u64,
+    /// The parts of the prompt that may be the cause, in order; for the [`PartRegister`].
+    ///
+    /// [`PartRegister`]: super::PartRegister
+    pub parts: Vec<PromptPart>,
 }
 
 /// Strikes that no longer count because the request completed on another upstream; sent to peers.
@@ -161,6 +167,7 @@
             incarnation: it.incarnation,
             is_prompt: it.is_prompt,
             age_ms: now.saturating_duration_since(it.lost_at).as_millis() as u64,
+            parts: Vec::new(),
         })
     }
 
@@ -299,6 +306,7 @@
             incarnation: run.incarnation,
             is_prompt: !run.has_response || elapsed <= PROMPT_LOSS_WINDOW,
             age_ms: 0,
+            parts: run.parts.to_vec(),
         };
         self.merge_strike(now, &strike);
         Some(strike)
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -93,6 +93,7 @@
                 revision: 0,
                 strikes: vec![],
                 clearances: vec![],
+                proofs: vec![],
                 outcomes: vec![],
                 loads: vec![],
             };
--- a/lib/tests/quarantine_register.rs
+++ b/lib/tests/quarantine_register.rs
@@ -24,7 +24,7 @@
 }
 
 fn unanswered_run(upstream: &UpstreamName, dispatched: Instant) -> InterruptedRun<'_> {
-    InterruptedRun { upstream, incarnation: 1, dispatched, has_response: false }
+    InterruptedRun { upstream, incarnation: 1, dispatched, has_response: false, parts: &[] }
 }
 
 fn record_loss(
@@ -40,6 +40,7 @@
         incarnation: 1,
         dispatched: now - Duration::from_secs(elapsed_s),
         has_response: is_late,
+        parts: &[],
     };
     register.record_loss(now, fingerprint, &run).expect("the request did not complete before")
 }
@@ -161,6 +162,7 @@
                 incarnation: 1,
                 is_prompt: rng.random(),
                 age_ms: rng.random_range(0..700_000),
+                parts: Vec::new(),
             })
             .collect();
         let mut verdicts = HashSet::new();
@@ -214,6 +216,7 @@
             incarnation: 1,
             is_prompt: true,
             age_ms: 0,
+            parts: Vec::new(),
         };
         register.merge_strike(now, &peer_strike);
         (strike.is_some(), register.check(now, common))
