gateway: a connection that carried a refusal without an id is not used again

Callers saw, with other operators: 'not run, try again' for a request that an upstream had run, because a faulty upstream wrote an earlier refusal once more on a kept connection. It can happen here.

Cause: a refusal need not carry the id of its request, and after one the connection went back to the pool. A second copy that arrives there is read as the answer to the next request: the caller is told that it has not run, or it is sent to a second upstream.

Change: after a refusal without the request's id the connection is closed. One with the id is recognised if it comes again, so its connection is still kept.

Measured: repeated_refusal_is_not_taken_for_that_of_the_next_request fails before (503 for a request that was run) and passes now.

--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -241,7 +241,10 @@
     }
     if head.is_not_run {
         log_failure(gateway, request, &pick.name, "refused", &status);
-        drain_refusal(response, exchange).await;
+        // A second copy of a refusal without an id would be taken for that of the next request.
+        if head.is_for_request {
+            drain_refusal(response, exchange).await;
+        }
         return Err(FailedAttempt::NotRun("the upstreams are full"));
     }
     if !head.is_for_request || (status.is_success() && !head.is_signed) {
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -17,7 +17,7 @@
 use tokio::{runtime::Builder, task::LocalSet};
 
 /// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams. Accepts every
-/// response as signed, and one without an id as that of the request.
+/// response as signed, and one without an id as that of the request unless it is a refusal.
 #[derive(Debug)]
 pub struct TestDialect;
 
@@ -31,12 +31,13 @@
     fn write_attempt(&self, _: &mut HeaderMap, _: &AttemptHead<'_>) {}
 
     fn read_response(&self, _: StatusCode, headers: &HeaderMap, request_id: &str) -> ResponseHead {
-        let is_for_request = headers.get("id").is_none_or(|it| it == request_id);
+        let is_not_run = headers.contains_key("not-run");
+        let id = headers.get("id");
         ResponseHead {
-            is_for_request,
-            is_for_other_request: !is_for_request,
+            is_for_request: id.map_or(!is_not_run, |it| it == request_id),
+            is_for_other_request: id.is_some_and(|it| it != request_id),
             is_signed: true,
-            is_not_run: headers.contains_key("not-run"),
+            is_not_run,
             ..ResponseHead::default()
         }
     }
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -385,6 +385,24 @@
     });
 }
 
+/// Guards against a refusal that an upstream writes once more on a kept connection, and that is taken
+/// for the refusal of the next request there, which the upstream runs. Refusals need not carry an id.
+#[test]
+fn repeated_refusal_is_not_taken_for_that_of_the_next_request() {
+    run_local(async {
+        let refusal = "HTTP/1.1 503 x\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+        for (index, path) in ["/once/", "/safe/", "/stream/"].into_iter().enumerate() {
+            let script = vec![Step::Read, send(refusal), Step::Read, send(refusal)];
+            let upstream = ScriptedUpstream::start(vec![script, answer()]).await;
+            let site = Site::start(3_200 + index as u16, &[&upstream]);
+            assert_eq!(site.call(path, "r1").await.status(), 503);
+            let reply = site.call(path, "r2").await;
+            assert_ne!(reply.status(), 503, "{path}: an upstream ran the request");
+            assert_eq!(upstream.connection(0).request_ids.borrow().len(), 1, "{path}");
+        }
+    });
+}
+
 /// Guards against a look-up that hangs because an upstream is frozen: it accepts connections and
 /// reads, but sends nothing. Another one answers, and later look-ups avoid the frozen one.
 #[test]
