gateway: a stream is not complete while an event has begun

Callers could see: a stream that ends as if it were complete in the middle.

Cause: a resumed stream that ends at once counted as the end of the stream, also if the first upstream had broken off inside a further event. Errors of the next upstream (500, 503, 404, refusals, answers that are no event stream, bytes that are no message) do not reach the caller.

Change: if an event had begun, a resumed stream without events is a failure of its upstream, and the next one is tried or the stream is cut. One that broke off between events may still be resumed to its end.

--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -160,6 +160,22 @@
     head.map(|()| Either::Right(body.with_relay(task)))
 }
 
+/// A stream of which the caller has a part, and whose upstream was lost or left.
+struct LostStream {
+    upstream: UpstreamName,
+    /// Whether a part of a further event had arrived.
+    has_next_event: bool,
+}
+
+impl LostStream {
+    fn of(source: &StreamSource) -> Self {
+        Self {
+            upstream: source.guard.upstream().clone(),
+            has_next_event: source.splitter.has_partial_event(),
+        }
+    }
+}
+
 /// What ended the relay's wait for the next events.
 enum RelayEvent {
     Events(Result<bool, StreamError>),
@@ -203,9 +219,9 @@
                 }
                 RelayEvent::Events(Err(error)) => {
                     self.attempts.log_failure(source.guard.upstream(), "stream_lost", &error);
-                    let upstream = source.guard.upstream().clone();
+                    let lost = LostStream::of(&source);
                     source.fail();
-                    upstream
+                    lost
                 }
                 RelayEvent::EventTimeout => {
                     self.attempts.log_failure(
@@ -213,9 +229,9 @@
                         "stream_silent",
                         &"no event within the timeout",
                     );
-                    let upstream = source.guard.upstream().clone();
+                    let lost = LostStream::of(&source);
                     source.abandon();
-                    upstream
+                    lost
                 }
             };
             // The connection is closed by now, so that no two upstreams work on the stream.
@@ -289,26 +305,31 @@
     /// # Errors
     ///
     /// The stream cannot be resumed; the text is the outcome for metrics and the log.
-    async fn resume(&mut self, lost: UpstreamName) -> Result<StreamSource, &'static str> {
+    async fn resume(&mut self, lost: LostStream) -> Result<StreamSource, &'static str> {
         self.attempts.record_possible_run();
-        let mut lost = lost;
+        let LostStream { mut upstream, has_next_event } = lost;
         loop {
             if !self.attempts.may_retry() {
                 return Err("stream_cut");
             }
-            let pick = self.attempts.next_upstream(Some(&lost))?;
+            let pick = self.attempts.next_upstream(Some(&upstream))?;
             let time_left = self.time_left();
-            match timeout(time_left, self.open_resumed(&pick)).await {
+            match timeout(time_left, self.open_resumed(&pick, has_next_event)).await {
                 Err(_) => return Err("time_is_up"),
                 Ok(Some(source)) => return Ok(source),
-                Ok(None) => lost = pick.name,
+                Ok(None) => upstream = pick.name,
             }
         }
     }
 
     /// Opens the stream at one upstream after the last event that the caller has. Returns none if
-    /// the upstream fails, or repeats events that the caller has.
-    async fn open_resumed(&mut self, pick: &UpstreamPick) -> Option<StreamSource> {
+    /// the upstream fails, repeats events that the caller has, or ends the stream although
+    /// `has_next_event` says that it goes on.
+    async fn open_resumed(
+        &mut self,
+        pick: &UpstreamPick,
+        has_next_event: bool,
+    ) -> Option<StreamSource> {
         let (gateway, request) = (self.attempts.gateway.clone(), self.attempts.request.clone());
         let open = match open_response(&gateway, &request, pick, self.last_event_id).await {
             Ok(open) => open,
@@ -327,6 +348,13 @@
         let mut source = StreamSource::new(open);
         match source.next_events().await {
             Ok(true) => {}
+            Ok(false) if has_next_event => {
+                let reason = &"the stream ends before an event that had begun";
+                self.attempts.log_failure(&pick.name, "resume_ends_early", reason);
+                self.attempts.record_possible_run();
+                source.abandon();
+                return None;
+            }
             Ok(false) => return Some(source),
             Err(error) => {
                 self.attempts.log_failure(&pick.name, "stream_lost", &error);
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -403,6 +403,49 @@
     });
 }
 
+/// Guards against an error of the upstream that should resume a stream: its text, or its head, in the
+/// middle of the caller's stream, or an end that looks complete.
+#[test]
+fn error_of_the_resuming_upstream_does_not_reach_the_stream() {
+    run_local(async {
+        let begun = vec![
+            Step::Read,
+            send(format!("{EVENTS_HEAD}{}{}", event(1), chunk("id: 2\nda"))),
+            Step::Wait(EVENT_GAP),
+            Step::Reset,
+        ];
+        let text = "boom of the upstream";
+        let length = text.len();
+        let errors = [
+            format!("HTTP/1.1 500 x\r\ncontent-length: {length}\r\n\r\n{text}"),
+            format!("HTTP/1.1 503 x\r\ncontent-length: {length}\r\n\r\n{text}"),
+            format!("HTTP/1.1 404 x\r\ncontent-length: {length}\r\n\r\n{text}"),
+            format!("HTTP/1.1 503 x\r\nnot-run: 1\r\ncontent-length: {length}\r\n\r\n{text}"),
+            // Not an event stream, although its status is that of a success.
+            format!("{OK_HEAD}content-length: {length}\r\n\r\n{text}"),
+            format!("{OK_HEAD}\r\n{text}"),
+            format!("{OK_HEAD}content-length: {}\r\n\r\n{text}\n\n", length + 2),
+            format!("{EVENTS_HEAD}{}0\r\n\r\n", chunk(&format!("{text}\n\n"))),
+            format!("{EVENTS_HEAD}0\r\n\r\n"),
+            text.to_owned(),
+        ];
+        for (index, error) in errors.into_iter().enumerate() {
+            let failing = vec![Step::Read, send(&*error), Step::Wait(EVENT_GAP), Step::Reset];
+            let first = ScriptedUpstream::start(vec![begun.clone()]).await;
+            let second = ScriptedUpstream::start(vec![failing]).await;
+            let upstreams = [(first.address, "a"), (second.address, "b")];
+            // The upstream in the data centre of the gateway is asked first.
+            let site = Site::start_with(3_300 + index as u16, |it| upstreams.get(it).copied());
+            let reply = site.call("/resumable/", "r1").await;
+            assert_eq!((first.requests(), second.requests()), (1, 1), "{error:?}");
+            assert!(reply.text.contains("id: 1"), "{error:?}: {reply:?}");
+            assert!(!reply.text.contains("boom"), "{error:?}: {reply:?}");
+            assert_eq!(reply.text.matches("HTTP/1.1").count(), 1, "{error:?}: {reply:?}");
+            assert!(!reply.is_complete(), "{error:?}: {reply:?}");
+        }
+    });
+}
+
 /// Guards against a look-up that hangs because an upstream is frozen: it accepts connections and
 /// reads, but sends nothing. Another one answers, and later look-ups avoid the frozen one.
 #[test]
