gateway: upstreams that say that they leave, or name a pause, get nothing more

A leaving upstream was known by the store only, and a 503 with Retry-After was retried elsewhere, and the same upstream asked again by the next request.

Change: upstreams/announcement.rs keeps for each process of an upstream whether it said that it leaves and until when it wants no requests, whatever the store publishes. Both take it out of picks; a pause also out of the sources of copies and of connection attempts. The first travels with the digests.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -57,7 +57,7 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        EjectedUpstream, LoadSample, PickReason, PickRefusal, PickRequest, PromptHolder,
-        ReportedLoad, UpstreamPick, UpstreamRecord, UpstreamSet,
+        EjectedUpstream, LeavingUpstream, LoadSample, MAX_PAUSE, PickReason, PickRefusal,
+        PickRequest, PromptHolder, ReportedLoad, UpstreamPick, UpstreamRecord, UpstreamSet,
     },
 };
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -129,6 +129,8 @@
     possible_runs: u32,
     /// Whether the next attempt has been acquired from the retry budget already.
     is_retry_acquired: bool,
+    /// Time until an upstream takes requests again, if all of them are paused.
+    return_delay: Option<Duration>,
 }
 
 impl RequestAttempts {
@@ -141,6 +143,7 @@
             reached_attempts: 0,
             possible_runs: 0,
             is_retry_acquired: false,
+            return_delay: None,
         }
     }
 
@@ -236,7 +239,12 @@
                 members.is_among_first(now, name.as_str(), count)
             })
         };
-        let pick = upstreams.pick(now, &pick_request, cold_rate).map_err(PickRefusal::as_str)?;
+        let pick = upstreams.pick(now, &pick_request, cold_rate).map_err(|refusal| {
+            if refusal == PickRefusal::AllPaused {
+                self.return_delay = upstreams.earliest_return(now, &self.request.service);
+            }
+            refusal.as_str()
+        })?;
         tracing::info!(
             request_id = %self.request.head.request_id,
             affinity = self.request.head.affinity.map(|it| format!("{it:016x}")),
@@ -341,6 +349,14 @@
         }
     }
 
+    /// Returns when a caller whose request has not run should come back: after half the latency
+    /// target, or if all upstreams are paused, within as long after the first of them returns, so
+    /// that not all callers come at once.
+    fn retry_after(&self) -> Duration {
+        let usual = self.request.retry_after();
+        self.return_delay.map_or(usual, |it| it + usual.mul_f64(rand::random()))
+    }
+
     /// Ends the request without a successful response: forwards the last error response of an
     /// upstream, or creates a refusal that says whether the request may have run.
     fn give_up(&self, last: Option<FailedAttempt>, reason: &'static str) -> Response<ResponseBody> {
@@ -363,10 +379,10 @@
             }
             Some(FailedAttempt::NotRun(cause) | FailedAttempt::NotSent(cause)) => {
                 RequestRefusal::not_run(RefusalKind::UpstreamUnreachable, detail(cause))
-                    .with_retry_after(self.request.retry_after())
+                    .with_retry_after(self.retry_after())
             }
             None => RequestRefusal::not_run(RefusalKind::NoUpstream, detail("no upstream is free"))
-                .with_retry_after(self.request.retry_after()),
+                .with_retry_after(self.retry_after()),
         };
         self.log_end("", refusal.kind.status(), refusal.kind.as_str());
         self.gateway.refuse(&self.request.head.request_id, &refusal)
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -24,7 +24,7 @@
         health::AttemptEnd,
         pool::{PoolKey, SendError, UpstreamExchange},
         stream::StreamSource,
-        upstreams::UpstreamPick,
+        upstreams::{LeavingUpstream, UpstreamPick},
     },
     names::UpstreamName,
 };
@@ -220,7 +220,7 @@
     guard.has_response = true;
     let status = response.status();
     let head = gateway.dialect.read_response(status, response.headers(), &request.head.request_id);
-    record_response_head(gateway, &pick.name, &head);
+    record_response_head(gateway, pick, &head);
     if head.is_for_other_request {
         // Nothing in it applies to this request, which the upstream may be running.
         log_failure(gateway, request, &pick.name, "wrong_answer", &status);
@@ -255,15 +255,30 @@
     Ok(OpenResponse { response, exchange, guard })
 }
 
-/// Records the load and the cold start that a response head reports for its upstream.
-fn record_response_head(gateway: &Gateway, upstream: &UpstreamName, head: &ResponseHead) {
+/// Records what a response head reports of its upstream: load, cold start, that it leaves, and that it
+/// wants no requests for a time. A late copy and another process at the address say nothing of the
+/// last two.
+fn record_response_head(gateway: &Gateway, pick: &UpstreamPick, head: &ResponseHead) {
     let now = gateway.now();
     let upstreams = &mut gateway.state.borrow_mut().upstreams;
     if let Some(load) = head.load {
-        upstreams.record_load(now, upstream, load);
+        upstreams.record_load(now, &pick.name, load);
     }
     if let Some(cold_for) = head.cold_for {
-        upstreams.set_cold_until(now, upstream, now + cold_for);
+        upstreams.set_cold_until(now, &pick.name, now + cold_for);
+    }
+    if head.is_for_other_request || head.is_misdirected {
+        return;
+    }
+    let (upstream, incarnation) = (pick.name.clone(), pick.incarnation);
+    if head.is_leaving && upstreams.record_leaving(&LeavingUpstream { upstream, incarnation }) {
+        tracing::info!(upstream = %pick.name, "upstream_leaving");
+    }
+    if let Some(pause) = head.pause {
+        let spread = rand::random();
+        let left = upstreams.record_pause(now, &pick.name, incarnation, pause, spread);
+        let pause_ms = left.unwrap_or_default().as_millis() as u64;
+        tracing::info!(upstream = %pick.name, pause_ms, "upstream_paused");
     }
 }
 
--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -64,6 +64,10 @@
     pub load: Option<ReportedLoad>,
     /// Remaining time of the upstream's cold start.
     pub cold_for: Option<Duration>,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no requests from this host.
+    pub pause: Option<Duration>,
 }
 
 /// Reads and writes the heads of requests and responses in the wire format of one platform.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -23,7 +23,7 @@
     members::{MemberDigest, MemberRecord},
     outcomes::OutcomeSlot,
     packed::PackedChange,
-    upstreams::LoadSample,
+    upstreams::{LeavingUpstream, LoadSample},
 };
 use crate::{
     config::ConfigChange,
@@ -74,6 +74,8 @@
     pub clearances: Vec<CrashClearance>,
     /// Parts of prompts that got strikes although upstreams write answers on them.
     pub proofs: Vec<PartProof>,
+    /// Upstreams that said that they leave.
+    pub leaving: Vec<LeavingUpstream>,
     /// How requests ended recently; sent within a data centre only, where traffic costs nothing.
     pub outcomes: Vec<OutcomeSlot>,
     /// Recent load reports; sent within a data centre only.
@@ -270,6 +272,7 @@
             strikes: state.crashes.strikes_to_send(now),
             clearances: state.crashes.clearances_to_send(now),
             proofs: state.crashes.proofs_to_send(now),
+            leaving: state.upstreams.leaving_to_send(),
             outcomes: if is_local { state.outcomes.slots_to_send(now) } else { Vec::new() },
             loads: if is_local { state.upstreams.recent_loads(now) } else { Vec::new() },
         }
@@ -296,6 +299,11 @@
         // Before the strikes, so that a new process does not suspect parts that are in use.
         state.crashes.merge_proofs(now, &digest.proofs);
         state.crashes.merge_strikes(now, &digest.strikes);
+        for leaving in &digest.leaving {
+            if state.upstreams.record_leaving(leaving) {
+                tracing::info!(upstream = %leaving.upstream, told_by = %sender, "upstream_leaving");
+            }
+        }
         for sample in &digest.loads {
             state.upstreams.merge_load(now, sample);
         }
--- a/lib/src/gateway/reach.rs
+++ b/lib/src/gateway/reach.rs
@@ -44,14 +44,18 @@
             incarnation: upstream.incarnation,
             address: upstream.address,
         };
-        match gateway.pool.probe(key).await {
-            Ok(()) => {
+        // A paused upstream wants no connections either.
+        let is_paused = gateway.state.borrow().upstreams.is_paused(gateway.now(), &upstream.name);
+        let probe = async { if is_paused { None } else { Some(gateway.pool.probe(key).await) } };
+        match probe.await {
+            None => {}
+            Some(Ok(())) => {
                 tracing::info!(upstream = %upstream.name, tries, "upstream_reached");
                 let state = &mut *gateway.state.borrow_mut();
                 state.crashes.record_accepted_connection(&process);
                 return state.upstreams.mark_reachable(&upstream.name);
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 if tries == 1 {
                     let address = upstream.address;
                     tracing::warn!(upstream = %upstream.name, %address, %error, "upstream_lost");
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -1,5 +1,6 @@
 //! The published upstreams, this host's state of each, and the choice among them.
 
+mod announcement;
 mod index;
 mod pick;
 mod presence;
@@ -13,8 +14,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::index::UpstreamIndex;
+use self::{announcement::UpstreamAnnouncement, index::UpstreamIndex};
 pub use self::{
+    announcement::{LeavingUpstream, MAX_PAUSE},
     pick::{PickReason, PickRefusal, PickRequest, UpstreamPick},
     prompt::PromptHolder,
 };
@@ -109,6 +111,7 @@
     removed_at: Option<Instant>,
     cold: Option<ColdBucket>,
     health: UpstreamHealth,
+    announcement: UpstreamAnnouncement,
     report: Option<LoadReport>,
     own_in_flight: u32,
 }
@@ -122,6 +125,7 @@
             removed_at: None,
             cold: None,
             health: UpstreamHealth::default(),
+            announcement: UpstreamAnnouncement::default(),
             report: None,
             own_in_flight: 0,
         }
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -88,6 +88,8 @@
 pub enum PickRefusal {
     /// The service has no published upstream that takes new requests.
     NoneEligible,
+    /// Every upstream that would take new requests wants none from this host at the moment.
+    AllPaused,
     /// Every eligible upstream was tried already.
     AllTried,
     /// Every untried upstream is cold, and this host's rate limit for each is used up.
@@ -99,6 +101,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoneEligible => "none_eligible",
+            Self::AllPaused => "all_paused",
             Self::AllTried => "all_tried",
             Self::ColdLimit => "cold_limit",
         }
@@ -140,7 +143,7 @@
                 })
         };
         let mut pick = self.choose(now, request, is_admissible)?;
-        pick.prompt_holder = self.prompt_holder(request, &pick.name);
+        pick.prompt_holder = self.prompt_holder(now, request, &pick.name);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the index");
         if let Some(cold) = state.cold.as_mut().filter(|it| it.is_cold(now)) {
             cold.spend(now, cold_rate(&pick.name));
@@ -161,14 +164,25 @@
         self.eligible(now, service).filter(is_alternative).nth(1).is_some()
     }
 
-    /// Returns the upstreams of a service that take new requests.
+    /// Returns the upstreams of a service that take new requests from this host.
     fn eligible(
         &self,
         now: Instant,
         service: &ServiceName,
+    ) -> impl Iterator<Item = &UpstreamState> + Clone {
+        let published = self.published_to_picks(now, service);
+        published.filter(move |it| it.announcement.allows_requests(now))
+    }
+
+    /// Returns the upstreams of a service that do not leave, whether they are paused or not.
+    pub(super) fn published_to_picks(
+        &self,
+        now: Instant,
+        service: &ServiceName,
     ) -> impl Iterator<Item = &UpstreamState> + Clone {
         self.upstreams.of_service(service).filter(move |it| {
             !it.record.is_leaving
+                && !it.announcement.is_leaving()
                 && it.removed_at.is_none_or(|at| now < at)
                 && !self.closed_centres.contains(&it.record.data_centre)
         })
@@ -182,7 +196,10 @@
     ) -> Result<UpstreamPick, PickRefusal> {
         let eligible = self.eligible(now, request.service);
         let Some(eligible_mean) = mean_load(now, eligible.clone()) else {
-            return Err(PickRefusal::NoneEligible);
+            return Err(match self.earliest_return(now, request.service) {
+                Some(_) => PickRefusal::AllPaused,
+                None => PickRefusal::NoneEligible,
+            });
         };
         // The operators bound the load relative to the mean of all published upstreams, including
         // those that take no new requests.
--- a/lib/src/gateway/upstreams/prompt.rs
+++ b/lib/src/gateway/upstreams/prompt.rs
@@ -35,6 +35,7 @@
     /// it. That may be a leaving one, which takes no new requests but still serves its cache.
     pub(super) fn prompt_holder(
         &self,
+        now: Instant,
         request: &PickRequest<'_>,
         chosen: &UpstreamName,
     ) -> Option<PromptHolder> {
@@ -44,8 +45,11 @@
             .upstreams
             .of_service(request.service)
             .filter(|it| it.record.name != *chosen && !request.tried.contains(&it.record.name));
-        let is_within_reach =
-            |it: &&UpstreamState| it.removed_at.is_none() && !it.health.is_unreachable();
+        let is_within_reach = |it: &&UpstreamState| {
+            it.removed_at.is_none()
+                && !it.health.is_unreachable()
+                && it.announcement.pause_left(now).is_none()
+        };
         let reachable = others.filter(is_within_reach);
         let longest = reachable.clone().map(|it| it.open_time).max()?;
         let min_open_time = MIN_OPEN_TIME.min(longest / OPEN_TIME_DIVISOR);
@@ -61,6 +65,7 @@
         let closed_centres = &self.closed_centres;
         for state in self.upstreams.values_mut() {
             let is_open = !state.record.is_leaving
+                && state.announcement.allows_requests(now)
                 && state.removed_at.is_none()
                 && !state.health.is_unreachable()
                 && !state.cold.as_ref().is_some_and(|it| it.is_cold(now))
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -94,6 +94,7 @@
                 strikes: vec![],
                 clearances: vec![],
                 proofs: vec![],
+                leaving: vec![],
                 outcomes: vec![],
                 loads: vec![],
             };
