--- a/lib/src/catalogue.rs
+++ b/lib/src/catalogue.rs
@@ -27,9 +27,8 @@
 pub type RawEntries = BTreeMap<Arc<str>, Arc<str>>;
 
 /// SHA-256 hash of a caller's key.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct KeyHash([u8; 32]);
 
 impl KeyHash {
--- a/lib/src/control/crash.rs
+++ b/lib/src/control/crash.rs
@@ -78,8 +78,8 @@
 }
 
 impl ControlState {
-    /// Records a strike against a request whose upstream was lost, and broadcasts it. There is none if
-    /// the request completed shortly before.
+    /// Records a strike against a request whose upstream was lost, and broadcasts it. There is none
+    /// if the request completed shortly before.
     ///
     /// `reply` is sent when all peers have replied, or after a timeout.
     pub(super) fn record_strike(
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -264,7 +264,7 @@
 
     /// Returns whether the request or a part of its prompt is blocked, and logs it.
     fn is_quarantined(&self, now: Instant, crashes: &CrashDetector) -> bool {
-        let part = crashes.check_parts(now, &self.request.head.shared_parts).map(|(part, _)| part);
+        let part = crashes.blocked_part(now, &self.request.head.shared_parts);
         let is_blocked = || {
             let verdict = crashes.check(now, self.request.fingerprint());
             matches!(verdict, CrashVerdict::Blocked { .. })
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -255,9 +255,9 @@
     Ok(OpenResponse { response, exchange, guard })
 }
 
-/// Records what a response head reports of its upstream: load, cold start, that it leaves, and that it
-/// wants no requests for a time. A late copy and another process at the address say nothing of the
-/// last two.
+/// Records what a response head reports of its upstream: load, cold start, that it leaves, and that
+/// it wants no requests for a time. A late copy and another process at the address say nothing of
+/// the last two.
 fn record_response_head(gateway: &Gateway, pick: &UpstreamPick, head: &ResponseHead) {
     let now = gateway.now();
     let upstreams = &mut gateway.state.borrow_mut().upstreams;
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -21,17 +21,17 @@
     },
 };
 
-/// Age up to which hosts forward strikes and clearances. With a digest every half second, they reach
-/// all hosts within that time.
+/// Age up to which hosts forward strikes and clearances. With a digest every half second, they
+/// reach all hosts within that time.
 const MAX_FORWARD_AGE: Duration = Duration::from_secs(3);
 
-/// Largest number of recent strikes in a message. The loss of a data centre leads to some hundred strikes
-/// at once, not all of which are sent; a request that crashes one upstream after the other gets a
-/// new strike with each.
+/// Largest number of recent strikes in a message. The loss of a data centre leads to some hundred
+/// strikes at once, not all of which are sent; a request that crashes one upstream after the other
+/// gets a new strike with each.
 const MAX_SENT_STRIKES: usize = 16;
 
-/// Largest number of strikes of blocked requests and parts in a message, chosen at random. Hosts that were not
-/// reached while these strikes were recent receive them in one of the next messages.
+/// Largest number of strikes of blocked requests and parts in a message, chosen at random. Hosts
+/// that were not reached while these strikes were recent receive them in one of the next messages.
 const MAX_SENT_BLOCKING_STRIKES: usize = 16;
 
 /// Largest number of clearances in a message.
@@ -91,13 +91,9 @@
         self.register.check(now, fingerprint)
     }
 
-    /// Returns the first blocked part of a prompt, and the time until it may be sent again.
-    pub fn check_parts(
-        &self,
-        now: Instant,
-        parts: &[PromptPart],
-    ) -> Option<(PromptPart, Duration)> {
-        self.parts.check(now, parts)
+    /// Returns the first part of a prompt that is blocked.
+    pub fn blocked_part(&self, now: Instant, parts: &[PromptPart]) -> Option<PromptPart> {
+        self.parts.blocked_part(now, parts)
     }
 
     /// Sets the number of hosts that exchange strikes and proofs.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -68,7 +68,8 @@
     pub members: MemberDigest,
     /// Revision of the sender's entries.
     pub revision: u64,
-    /// Strikes against requests that may crash upstreams: recent ones, and those of blocked requests.
+    /// Strikes against requests that may crash upstreams: recent ones, and those of blocked
+    /// requests.
     pub strikes: Vec<CrashStrike>,
     /// Requests whose strikes no longer count because they completed.
     pub clearances: Vec<CrashClearance>,
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -32,8 +32,8 @@
 /// another upstream.
 const EVENT_GAP_TIMEOUT_MULTIPLE: u32 = 4;
 
-/// Time for which an upstream has to go on with a stream after its first event, until the stream proves
-/// that the parts of its prompt do not crash upstreams.
+/// Time for which an upstream has to go on with a stream after its first event, until the stream
+/// proves that the parts of its prompt do not crash upstreams.
 const PROOF_TIME: Duration = Duration::from_secs(1);
 
 /// Why a stream ended before it was complete.
@@ -89,7 +89,8 @@
         }
     }
 
-    /// Records that events arrived, which proves the parts of the prompt sound after [`PROOF_TIME`].
+    /// Records that events arrived, which proves the parts of the prompt sound after
+    /// [`PROOF_TIME`].
     fn record_events(&mut self, now: Instant) {
         let first_event = *self.first_event.get_or_insert(now);
         if !self.is_proven && now.saturating_duration_since(first_event) >= PROOF_TIME {
--- a/lib/src/gateway/upstreams/announcement.rs
+++ b/lib/src/gateway/upstreams/announcement.rs
@@ -1,8 +1,8 @@
-//! What upstreams say of themselves in their responses: that they leave, and that they want no requests
-//! from this host for a time.
+//! What upstreams say of themselves in their responses: that they leave, and that they want no
+//! requests from this host for a time.
 //!
-//! Both concern one process of an upstream. They hold whatever the platform publishes of it, until its
-//! next incarnation.
+//! Both concern one process of an upstream. They hold whatever the platform publishes of it, until
+//! its next incarnation.
 
 use std::time::{Duration, Instant};
 
@@ -47,7 +47,8 @@
 }
 
 /// An upstream that said that it leaves; message to other hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeavingUpstream {
     /// Name of the upstream.
     pub upstream: UpstreamName,
--- a/lib/src/gateway/upstreams/prompt.rs
+++ b/lib/src/gateway/upstreams/prompt.rs
@@ -9,8 +9,8 @@
 use super::{PickRequest, UpstreamSet, UpstreamState};
 use crate::{names::UpstreamName, rendezvous};
 
-/// Time for which an upstream must have been open to picks to be expected to have cached the prompts
-/// that rank it first. Requests with the same prompt are some seconds apart.
+/// Time for which an upstream must have been open to picks to be expected to have cached the
+/// prompts that rank it first. Requests with the same prompt are some seconds apart.
 const MIN_OPEN_TIME: Duration = Duration::from_secs(8);
 
 /// Share of the longest open time of any upstream that is enough as well, so that there are holders
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -5,8 +5,8 @@
 //! ran on the upstream are lost with it. Four rules keep innocent requests from being blocked
 //! for long:
 //!
-//! - A request that completed less than [`SOUND_TIME`] before the loss gets no strike. Several copies
-//!   of a common request may run when several upstreams fail together.
+//! - A request that completed less than [`SOUND_TIME`] before the loss gets no strike. Several
+//!   copies of a common request may run when several upstreams fail together.
 //! - A loss long after dispatch, when the response has begun, is weak evidence: engines fail on an
 //!   input while they read it. Two strikes of which one is weak block for [`WEAK_BLOCK_TIME`]
 //!   only; a third one blocks for [`BLOCK_TIME`].
@@ -24,8 +24,8 @@
 //! # Parts of prompts
 //!
 //! A part that many prompts share may crash every upstream that begins to write an answer on it,
-//! whatever else the request holds. Each of these requests is another one, so [`PartRegister`] keeps
-//! the lost runs by the parts of their prompts. A part is blocked once runs of
+//! whatever else the request holds. Each of these requests is another one, so [`PartRegister`]
+//! keeps the lost runs by the parts of their prompts. A part is blocked once runs of
 //! [`PART_BLOCK_REQUESTS`] requests with it were lost with [`PART_BLOCK_CRASHES`] processes.
 //!
 //! Sound parts are lost as often: those that come before the cause in its prompts, and those of
@@ -35,11 +35,11 @@
 //!   [`PART_SOUND_TIME`]; its losses up to then do not count, and its block ends. A part that
 //!   crashes upstreams is never answered.
 //! - The part with the most crashes is blocked, of several the last one in its prompts, for which
-//!   the fewest sound requests are refused. It explains these crashes: what else was lost in them is
-//!   suspected no more.
+//!   the fewest sound requests are refused. It explains these crashes: what else was lost in them
+//!   is suspected no more.
 //!
-//! A block begins [`PROOF_DELAY_PER_DOUBLING`] after the last crash that it takes for each doubling of
-//! the number of hosts, so that the proofs of other hosts arrive before it.
+//! A block begins [`PROOF_DELAY_PER_DOUBLING`] after the last crash that it takes for each doubling
+//! of the number of hosts, so that the proofs of other hosts arrive before it.
 
 mod crash_register;
 mod part_register;
@@ -84,9 +84,9 @@
 /// again and again is blocked by itself.
 pub const PART_BLOCK_REQUESTS: usize = 2;
 
-/// Time from the crash that makes up the block of a part to its begin, for each doubling of the number
-/// of hosts. Half a round of the gossip, in which messages travel both ways: strikes reach the hosts
-/// that know proofs, and these come back.
+/// Time from the crash that makes up the block of a part to its begin, for each doubling of the
+/// number of hosts. Half a round of the gossip, in which messages travel both ways: strikes reach
+/// the hosts that know proofs, and these come back.
 pub const PROOF_DELAY_PER_DOUBLING: Duration = Duration::from_millis(250);
 
 /// Time for which an answer on a part proves that the part does not crash upstreams.
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -284,8 +284,8 @@
         completed_at.is_some_and(|it| lost_at.saturating_duration_since(*it) < SOUND_TIME)
     }
 
-    /// Records that a request was lost with its upstream. Returns the strike, or none if the request
-    /// completed shortly before.
+    /// Records that a request was lost with its upstream. Returns the strike, or none if the
+    /// request completed shortly before.
     ///
     /// The strike has to reach the peers before the caller gets the failure or the request is sent
     /// to another upstream.
--- a/lib/src/quarantine/part_register.rs
+++ b/lib/src/quarantine/part_register.rs
@@ -15,7 +15,8 @@
 use crate::names::UpstreamName;
 
 /// An upstream wrote an answer on a part, so the part does not crash upstreams; sent to peers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PartProof {
     /// The part.
     pub part: PromptPart,
@@ -104,12 +105,12 @@
         self.proof_delay = PROOF_DELAY_PER_DOUBLING.mul_f64((hosts.max(1) as f64).log2());
     }
 
-    /// Returns the first blocked part among `parts`, and the time until it may be sent again.
-    pub fn check(&self, now: Instant, parts: &[PromptPart]) -> Option<(PromptPart, Duration)> {
-        parts.iter().find_map(|part| {
-            let block = self.blocks.get(part).filter(|it| (it.from..it.until).contains(&now))?;
-            Some((*part, block.until - now))
-        })
+    /// Returns the first part among `parts` that is blocked.
+    pub fn blocked_part(&self, now: Instant, parts: &[PromptPart]) -> Option<PromptPart> {
+        let is_blocked = |part: &PromptPart| {
+            self.blocks.get(part).is_some_and(|it| (it.from..it.until).contains(&now))
+        };
+        parts.iter().copied().find(is_blocked)
     }
 
     /// Returns whether any of the parts has no proof, so that it may be the cause of a crash.
@@ -171,14 +172,15 @@
     /// Returns the strikes that block parts, each with the blocked part only.
     pub fn export_blocking_strikes(&self, now: Instant) -> Vec<CrashStrike> {
         let strikes = self.lost_runs.iter().filter_map(|run| {
-            let blocked = run.suspects.iter().find(|it| self.check(now, &[it.part]).is_some())?;
+            let parts: Vec<PromptPart> = run.suspects.iter().map(|it| it.part).collect();
+            let blocked = self.blocked_part(now, &parts)?;
             Some(CrashStrike {
                 fingerprint: run.request,
                 upstream: run.process.0.clone(),
                 incarnation: run.process.1,
                 is_prompt: true,
                 age_ms: now.saturating_duration_since(run.lost_at).as_millis() as u64,
-                parts: vec![blocked.part],
+                parts: vec![blocked],
             })
         });
         strikes.collect()
@@ -225,8 +227,8 @@
     }
 
     /// Finds the parts that the lost runs are blamed on: again and again the part with the most
-    /// crashes, of several the one that comes last in its prompts, until no part has enough of those
-    /// crashes that are left.
+    /// crashes, of several the one that comes last in its prompts, until no part has enough of
+    /// those crashes that are left.
     fn assign_blame(&mut self) {
         self.blocks.clear();
         let mut explained: HashSet<&ProcessKey> = HashSet::new();
@@ -247,8 +249,8 @@
         }
     }
 
-    /// Returns whether an upstream wrote an answer on the part later than [`PART_SOUND_TIME`] before
-    /// the loss.
+    /// Returns whether an upstream wrote an answer on the part later than [`PART_SOUND_TIME`]
+    /// before the loss.
     fn is_sound(&self, part: PromptPart, lost_at: Instant) -> bool {
         let proven_at = self.proofs.get(&part);
         proven_at.is_some_and(|it| lost_at.saturating_duration_since(*it) < PART_SOUND_TIME)
--- a/lib/src/quarantine/prompt_part.rs
+++ b/lib/src/quarantine/prompt_part.rs
@@ -9,7 +9,8 @@
 /// Identifies a part of a prompt for one model, by a hash.
 ///
 /// Parts are named by callers, so a hash that cannot be forged would gain nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct PromptPart(u64);
 
 impl PromptPart {
--- a/lib/tests/gateway_announcements.rs
+++ b/lib/tests/gateway_announcements.rs
@@ -1,5 +1,5 @@
-//! What upstreams say of themselves: that they leave, and that they want no requests for a time. All time
-//! is simulated.
+//! What upstreams say of themselves: that they leave, and that they want no requests for a time.
+//! All time is simulated.
 
 use std::time::{Duration, Instant};
 
@@ -57,8 +57,8 @@
     (0..100).any(|key| pick(set, now, key).is_ok_and(|it| it.name == name(index)))
 }
 
-/// Guards against requests to an upstream that said that it leaves, because the platform still or again
-/// publishes it as ready, or is away; and against leaving out its next process.
+/// Guards against requests to an upstream that said that it leaves, because the platform still or
+/// again publishes it as ready, or is away; and against leaving out its next process.
 #[test]
 fn a_leaving_process_stays_out_until_the_next_one() {
     let now = Instant::now();
@@ -83,8 +83,8 @@
     assert!(is_picked(&mut set, now + SECOND, 1));
 }
 
-/// Guards against refusing to serve when a message names a process that this host does not know, and
-/// against hosts that never learn of a leaving upstream although some messages are lost.
+/// Guards against refusing to serve when a message names a process that this host does not know,
+/// and against hosts that never learn of a leaving upstream although some messages are lost.
 #[test]
 fn hosts_learn_of_a_leaving_upstream_from_each_other() {
     const HOSTS: usize = 88;
@@ -117,8 +117,8 @@
     }
 }
 
-/// Guards against requests within a pause, also after the platform's list changed, and against a pause
-/// that outlasts its process or its time.
+/// Guards against requests within a pause, also after the platform's list changed, and against a
+/// pause that outlasts its process or its time.
 #[test]
 fn a_paused_upstream_is_left_alone_until_its_pause_ends() {
     let now = Instant::now();
@@ -140,8 +140,8 @@
     assert_eq!(set.record_pause(now, &name(9), 1, SECOND, 0.0), None, "an unknown upstream");
 }
 
-/// Guards against callers that wait for upstreams that all pause, or that come back before the first of
-/// them returns.
+/// Guards against callers that wait for upstreams that all pause, or that come back before the
+/// first of them returns.
 #[test]
 fn the_first_return_decides_when_all_pause() {
     let now = Instant::now();
@@ -164,8 +164,8 @@
     assert_eq!(pick(&mut set, now, 1), Err(PickRefusal::NoneEligible));
 }
 
-/// Guards against a pause without end, arithmetic that overflows, and hosts that all return in the same
-/// moment.
+/// Guards against a pause without end, arithmetic that overflows, and hosts that all return in the
+/// same moment.
 #[test]
 fn pauses_are_bounded_and_spread() {
     let now = Instant::now();
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -16,8 +16,9 @@
 };
 use tokio::{runtime::Builder, task::LocalSet};
 
-/// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams. Accepts every
-/// response as signed, and one without an id as that of the request unless it is a refusal.
+/// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams.
+/// Accepts every response as signed, and one without an id as that of the request unless it is a
+/// refusal.
 #[derive(Debug)]
 pub struct TestDialect;
 
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -385,8 +385,9 @@
     });
 }
 
-/// Guards against a refusal that an upstream writes once more on a kept connection, and that is taken
-/// for the refusal of the next request there, which the upstream runs. Refusals need not carry an id.
+/// Guards against a refusal that an upstream writes once more on a kept connection, and that is
+/// taken for the refusal of the next request there, which the upstream runs. Refusals need not
+/// carry an id.
 #[test]
 fn repeated_refusal_is_not_taken_for_that_of_the_next_request() {
     run_local(async {
@@ -403,8 +404,8 @@
     });
 }
 
-/// Guards against an error of the upstream that should resume a stream: its text, or its head, in the
-/// middle of the caller's stream, or an end that looks complete.
+/// Guards against an error of the upstream that should resume a stream: its text, or its head, in
+/// the middle of the caller's stream, or an end that looks complete.
 #[test]
 fn error_of_the_resuming_upstream_does_not_reach_the_stream() {
     run_local(async {
@@ -468,8 +469,8 @@
     });
 }
 
-/// Guards against a request that is refused as not run while an upstream of the host's own data centre
-/// could serve it: the data centre is cut off, and connections to all others are refused.
+/// Guards against a request that is refused as not run while an upstream of the host's own data
+/// centre could serve it: the data centre is cut off, and connections to all others are refused.
 #[test]
 fn host_of_a_cut_data_centre_uses_its_own_upstreams() {
     run_local(async {
--- a/lib/tests/quarantine_parts.rs
+++ b/lib/tests/quarantine_parts.rs
@@ -40,7 +40,7 @@
 }
 
 fn is_blocked(register: &PartRegister, now: Instant, name: &str) -> bool {
-    register.check(now, &parts(name)).is_some()
+    register.blocked_part(now, &parts(name)).is_some()
 }
 
 /// Simulates hosts that send prompts of which one in twenty holds a part that crashes its upstream.
@@ -88,7 +88,7 @@
             true => parts("system topic-0 deadly"),
             false => self.sound_prompt(),
         };
-        let is_refused = self.hosts[host].check_parts(self.now, &prompt).is_some();
+        let is_refused = self.hosts[host].blocked_part(self.now, &prompt).is_some();
         let counts = if is_tainted { &mut self.tainted } else { &mut self.sound };
         counts[usize::from(is_refused)] += 1;
         match (is_refused, is_tainted) {
@@ -160,8 +160,8 @@
         assert!(fleet.tainted[1] > 10, "seed {seed}: {:?}", fleet.tainted);
         assert_eq!((refused, fleet.sound[1]), (0, 0), "seed {seed}: sound requests refused");
         assert!(fleet.hosts.iter().all(|it| {
-            it.check_parts(fleet.now, &parts("deadly")).is_some()
-                && it.check_parts(fleet.now, &parts("system topic-0")).is_none()
+            it.blocked_part(fleet.now, &parts("deadly")).is_some()
+                && it.blocked_part(fleet.now, &parts("system topic-0")).is_none()
         }));
     }
 }
@@ -186,8 +186,8 @@
     assert_eq!(fleet.sound[1], 0);
 }
 
-/// Guards against blocking sound parts when many upstreams fail at once or again and again for other
-/// reasons.
+/// Guards against blocking sound parts when many upstreams fail at once or again and again for
+/// other reasons.
 #[test]
 fn crashes_without_a_common_cause_block_no_part_in_use() {
     let mut fleet = FleetSimulation::new(7, 88);
@@ -260,7 +260,8 @@
 #[test]
 fn more_crashes_block_for_longer() {
     let start = Instant::now() + BLOCK_TIME;
-    let is_refused = |register: &PartRegister, now| register.check(now, &parts("deadly")).is_some();
+    let is_refused =
+        |register: &PartRegister, now| register.blocked_part(now, &parts("deadly")).is_some();
     let mut register = PartRegister::default();
     register.set_host_count(8);
     for number in 0..PART_BLOCK_CRASHES {
