gateway: only a refused connection is evidence of a crash

Cause: every connection that failed without a timeout counted as refused. A link that resets connections while they are being established made two upstreams look crashed, and the order was in flight to both.

Change: the error of a connection says whether it was refused (no process listens). Only that gives strikes.

A test of the error of a connection that is refused and of one that fails otherwise.

--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -32,7 +32,10 @@
 /// Why no connection was established.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
-    /// The remote side refused the connection, there is no route to it, or the socket failed.
+    /// The remote host refused the connection: no process listens at the address.
+    #[error("no connection: {0}")]
+    Refused(String),
+    /// The connection was reset, there is no route to the remote side, or the socket failed.
     #[error("no connection: {0}")]
     Failed(String),
     /// The connection was not established in time.
@@ -66,6 +69,9 @@
         let failed = |reason: &dyn ToString| ConnectError::Failed(reason.to_string());
         let stream = match timeout(timeouts.connect, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectError::Refused(error.to_string()));
+            }
             Ok(Err(error)) => return Err(failed(&error)),
             Err(_) => return Err(ConnectError::Timeout),
         };
--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -44,7 +44,10 @@
 /// Why a request got no response head.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
-    /// No connection was established, so no byte of the request was sent.
+    /// The connection was refused: no process listens at the address.
+    #[error("not sent: {0}")]
+    Refused(String),
+    /// No connection was established for another reason, so no byte of the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
     /// No connection was established in time; this may be a partition between data centres.
@@ -200,6 +203,7 @@
     let timeouts =
         ConnectTimeouts { connect: CONNECT_TIMEOUT, unacknowledged: UNACKNOWLEDGED_TIMEOUT };
     HttpConnection::open(address, &timeouts).await.map_err(|error| match error {
+        ConnectError::Refused(reason) => SendError::Refused(reason),
         ConnectError::Failed(reason) => SendError::NotSent(reason),
         ConnectError::Timeout => SendError::ConnectTimeout,
     })
--- a/lib/src/gateway/reach.rs
+++ b/lib/src/gateway/reach.rs
@@ -60,8 +60,9 @@
                     let address = upstream.address;
                     tracing::warn!(upstream = %upstream.name, %address, %error, "upstream_lost");
                 }
-                // A timeout may be a partition and is no evidence that the upstream crashed.
-                if !matches!(error, SendError::ConnectTimeout) {
+                // A timeout may be a partition, and who resets a connection has accepted it: neither
+                // is evidence that the upstream crashed.
+                if matches!(error, SendError::Refused(_)) {
                     gateway
                         .state
                         .borrow_mut()
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -13,8 +13,8 @@
 use gateway_support::{loopback_addresses, new_gateway, run_local};
 use snipepond::{
     gateway::{
-        CallerLimits, FleetChange, GatewayServer, RetryRule, RouteRecord, RouteTable,
-        ServerAddresses, UpstreamRecord, WeightedService,
+        CallerLimits, ConnectError, ConnectTimeouts, FleetChange, GatewayServer, HttpConnection,
+        RetryRule, RouteRecord, RouteTable, ServerAddresses, UpstreamRecord, WeightedService,
     },
     names::{CentreName, RouteName, ServiceName, UpstreamName},
 };
@@ -447,6 +447,25 @@
     });
 }
 
+/// Guards against connections that fail for another reason than that no process listens, and count as
+/// evidence that a request crashed its upstream.
+#[test]
+fn only_a_refused_connection_counts_as_refused() {
+    run_local(async {
+        let timeouts = ConnectTimeouts { connect: PROMPT, unacknowledged: PROMPT };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        assert!(HttpConnection::open(address, &timeouts).await.is_ok());
+        drop(listener);
+        let refused = HttpConnection::open(address, &timeouts).await;
+        assert!(matches!(refused, Err(ConnectError::Refused(_))), "{refused:?}");
+        // Broadcast addresses take no connections; the system reports another error at once.
+        let broadcast = "255.255.255.255:80".parse().unwrap();
+        let failed = HttpConnection::open(broadcast, &timeouts).await;
+        assert!(matches!(failed, Err(ConnectError::Failed(_))), "{failed:?}");
+    });
+}
+
 /// Guards against a look-up that hangs because an upstream is frozen: it accepts connections and
 /// reads, but sends nothing. Another one answers, and later look-ups avoid the frozen one.
 #[test]
