--- a/lib/src/gateway/reach.rs
+++ b/lib/src/gateway/reach.rs
@@ -46,8 +46,8 @@
         };
         // A paused upstream wants no connections either.
         let is_paused = gateway.state.borrow().upstreams.is_paused(gateway.now(), &upstream.name);
-        let probe = async { if is_paused { None } else { Some(gateway.pool.probe(key).await) } };
-        match probe.await {
+        let probed = if is_paused { None } else { Some(gateway.pool.probe(key).await) };
+        match probed {
             None => {}
             Some(Ok(())) => {
                 tracing::info!(upstream = %upstream.name, tries, "upstream_reached");
