quarantine: a block of a part that has ended is not reported again

Operators saw: part_blocked for a part whose block had ended, once more with every later strike against any other part, for up to ten minutes.

Cause: the blame is assigned anew from all lost runs, which are kept longer than a short block, and a block counted as new if the timer had dropped it in between.

Change: only blocks that have not ended are compared. What is refused does not change.

Measured: a_block_that_has_ended_is_not_reported_again fails on the code before and passes now.

--- a/lib/src/quarantine/part_register.rs
+++ b/lib/src/quarantine/part_register.rs
@@ -164,9 +164,14 @@
         if !is_changed {
             return Vec::new();
         }
-        let before: HashSet<PromptPart> = self.blocks.keys().copied().collect();
+        let before = self.unexpired_blocks(now);
         self.assign_blame();
-        self.blocks.keys().filter(|it| !before.contains(it)).copied().collect()
+        self.unexpired_blocks(now).difference(&before).copied().collect()
+    }
+
+    /// Returns the parts whose blocks have not ended, although some may not have begun.
+    fn unexpired_blocks(&self, now: Instant) -> HashSet<PromptPart> {
+        self.blocks.iter().filter(|(_, it)| it.until > now).map(|(part, _)| *part).collect()
     }
 
     /// Returns the strikes that block parts, each with the blocked part only.
--- a/lib/tests/quarantine_parts.rs
+++ b/lib/tests/quarantine_parts.rs
@@ -49,9 +49,9 @@
     now: Instant,
     hosts: Vec<CrashDetector>,
     crashes: usize,
-    /// Requests that hosts sent or refused: sound ones, and those with the part.
+    /// Requests that hosts sent or refused: sound ones, and those with the part that crashes upstreams.
     sound: [usize; 2],
-    tainted: [usize; 2],
+    crashing: [usize; 2],
 }
 
 fn new_detector(hosts: usize) -> CrashDetector {
@@ -73,7 +73,7 @@
             hosts: (0..hosts).map(|_| new_detector(hosts)).collect(),
             crashes: 0,
             sound: [0; 2],
-            tainted: [0; 2],
+            crashing: [0; 2],
         }
     }
 
@@ -83,15 +83,15 @@
     }
 
     /// Sends one request. Sound ones are answered, others crash their upstream.
-    fn send(&mut self, host: usize, is_tainted: bool) {
-        let prompt = match is_tainted {
-            true => parts("system topic-0 deadly"),
+    fn send(&mut self, host: usize, is_crashing: bool) {
+        let prompt = match is_crashing {
+            true => parts("system topic-0 crashing"),
             false => self.sound_prompt(),
         };
         let is_refused = self.hosts[host].blocked_part(self.now, &prompt).is_some();
-        let counts = if is_tainted { &mut self.tainted } else { &mut self.sound };
+        let counts = if is_crashing { &mut self.crashing } else { &mut self.sound };
         counts[usize::from(is_refused)] += 1;
-        match (is_refused, is_tainted) {
+        match (is_refused, is_crashing) {
             (false, true) => self.crash(host, prompt),
             (false, false) => self.hosts[host].record_proof(self.now, &prompt),
             (true, _) => {}
@@ -133,11 +133,11 @@
     }
 
     /// Runs half a second, in which each host gets about one request, and then the gossip.
-    fn step(&mut self, has_tainted: bool) {
+    fn step(&mut self, has_crashing: bool) {
         for _ in 0..self.hosts.len() {
             let host = self.rng.random_range(0..self.hosts.len());
-            let is_tainted = has_tainted && self.rng.random_bool(0.05);
-            self.send(host, is_tainted);
+            let is_crashing = has_crashing && self.rng.random_bool(0.05);
+            self.send(host, is_crashing);
         }
         self.gossip();
         self.now += 500 * MS;
@@ -157,10 +157,10 @@
         let (crashes, refused) = (fleet.crashes, fleet.sound[1]);
         (0..30).for_each(|_| fleet.step(true));
         assert!(fleet.crashes <= crashes + 3, "seed {seed}: {crashes}, then {}", fleet.crashes);
-        assert!(fleet.tainted[1] > 10, "seed {seed}: {:?}", fleet.tainted);
+        assert!(fleet.crashing[1] > 10, "seed {seed}: {:?}", fleet.crashing);
         assert_eq!((refused, fleet.sound[1]), (0, 0), "seed {seed}: sound requests refused");
         assert!(fleet.hosts.iter().all(|it| {
-            it.blocked_part(fleet.now, &parts("deadly")).is_some()
+            it.blocked_part(fleet.now, &parts("crashing")).is_some()
                 && it.blocked_part(fleet.now, &parts("system topic-0")).is_none()
         }));
     }
@@ -213,11 +213,11 @@
     let mut register = PartRegister::default();
     register.record_proof(now, &parts("system"));
     for number in 0..PART_BLOCK_CRASHES {
-        assert!(!is_blocked(&register, now, "deadly"));
-        let names = format!("system deadly turn-{number}");
+        assert!(!is_blocked(&register, now, "crashing"));
+        let names = format!("system crashing turn-{number}");
         register.merge_strikes(now, &[strike(&number.to_string(), number, &names)]);
     }
-    assert!(is_blocked(&register, now, "deadly"));
+    assert!(is_blocked(&register, now, "crashing"));
     assert!(!is_blocked(&register, now, "system"));
     assert!(!is_blocked(&register, now, "turn-0"));
 }
@@ -261,11 +261,11 @@
 fn more_crashes_block_for_longer() {
     let start = Instant::now() + BLOCK_TIME;
     let is_refused =
-        |register: &PartRegister, now| register.blocked_part(now, &parts("deadly")).is_some();
+        |register: &PartRegister, now| register.blocked_part(now, &parts("crashing")).is_some();
     let mut register = PartRegister::default();
     register.set_host_count(8);
     for number in 0..PART_BLOCK_CRASHES {
-        register.merge_strikes(start, &[strike(&number.to_string(), number, "deadly")]);
+        register.merge_strikes(start, &[strike(&number.to_string(), number, "crashing")]);
     }
     let proof_delay = 3 * PROOF_DELAY_PER_DOUBLING;
     assert!(!is_refused(&register, start + proof_delay - MS));
@@ -274,12 +274,28 @@
     let retried = start + WEAK_BLOCK_TIME;
     register.expire(retried);
     assert!(!is_refused(&register, retried));
-    register.merge_strikes(retried, &[strike("retry", 9, "deadly")]);
+    register.merge_strikes(retried, &[strike("retry", 9, "crashing")]);
     assert!(is_refused(&register, retried), "the proofs had time to arrive");
     assert!(is_refused(&register, retried + BLOCK_TIME - MS));
     assert!(!is_refused(&register, retried + BLOCK_TIME));
 }
 
+/// Guards against a block that is reported once more, by every later strike against other parts, after
+/// it has ended.
+#[test]
+fn a_block_that_has_ended_is_not_reported_again() {
+    let start = Instant::now() + BLOCK_TIME;
+    let mut register = PartRegister::default();
+    let strikes: Vec<CrashStrike> =
+        (0..PART_BLOCK_CRASHES).map(|it| strike(&it.to_string(), it, "crashing")).collect();
+    assert_eq!(register.merge_strikes(start, &strikes), [part("crashing")]);
+    let later = start + WEAK_BLOCK_TIME;
+    register.expire(later);
+    assert_eq!(register.merge_strikes(later, &[strike("other", 8, "other")]), []);
+    let retry = strike("retry", 9, "crashing");
+    assert_eq!(register.merge_strikes(later, &[retry]), [part("crashing")], "blocked again");
+}
+
 /// Guards against a result that depends on the order or on duplicates of messages.
 #[test]
 fn strikes_and_proofs_merge_in_any_order() {
@@ -289,7 +305,7 @@
         let mut strikes: Vec<CrashStrike> = (0..12)
             .map(|number| {
                 let topic = rng.random_range(0..3);
-                let names = format!("system topic-{topic} deadly-{}", rng.random_range(0..2));
+                let names = format!("system topic-{topic} crashing-{}", rng.random_range(0..2));
                 let age_ms = rng.random_range(0..5_000);
                 CrashStrike { age_ms, ..strike(&(number % 7).to_string(), number, &names) }
             })
@@ -305,7 +321,7 @@
                 }
                 register.merge_strikes(now, std::slice::from_ref(strike));
             }
-            ["system", "deadly-0", "deadly-1"].map(|it| is_blocked(&register, now, it))
+            ["system", "crashing-0", "crashing-1"].map(|it| is_blocked(&register, now, it))
         });
         let verdicts: Vec<[bool; 3]> = verdicts.collect();
         assert!(verdicts.iter().all(|it| *it == verdicts[0]), "seed {seed}: {verdicts:?}");
@@ -319,17 +335,17 @@
     let now = Instant::now() + BLOCK_TIME;
     let mut register = PartRegister::default();
     for number in 0..4 {
-        register.merge_strikes(now, &[strike(&number.to_string(), number, "deadly")]);
+        register.merge_strikes(now, &[strike(&number.to_string(), number, "crashing")]);
     }
     for number in 10..MAX_LOST_RUNS + 100 {
         let names = format!("part-{number}");
         register.merge_strikes(now, &[strike(&number.to_string(), number, &names)]);
     }
-    assert!(is_blocked(&register, now, "deadly"));
+    assert!(is_blocked(&register, now, "crashing"));
     assert_eq!(register.export_blocking_strikes(now).len(), 4);
     let mut peer = PartRegister::default();
     for strike in register.export_blocking_strikes(now) {
         peer.merge_strikes(now, &[strike]);
     }
-    assert!(is_blocked(&peer, now, "deadly"));
+    assert!(is_blocked(&peer, now, "crashing"));
 }
