quarantine: strikes that block a part keep their strength

Callers would have seen: a request that was lost twice, once long after its response had begun, is blocked for ten minutes in place of one at hosts that learn of the strikes with those that block a part.

Cause: the register of parts did not keep the strength of a strike, and sent each as a strong one; the register of requests at the receiver then counts it as such.

Change: the strength is kept and sent on.

Measured: strikes_that_block_a_part_keep_their_strength fails on the code before and passes now.

--- a/lib/src/quarantine/part_register.rs
+++ b/lib/src/quarantine/part_register.rs
@@ -42,6 +42,8 @@
     process: ProcessKey,
     /// The parts without a proof.
     suspects: Vec<SuspectPart>,
+    /// Strength of the strike, which the register of requests counts; parts do not depend on it.
+    is_prompt: bool,
     lost_at: Instant,
 }
 
@@ -183,7 +185,7 @@
                 fingerprint: run.request,
                 upstream: run.process.0.clone(),
                 incarnation: run.process.1,
-                is_prompt: true,
+                is_prompt: run.is_prompt,
                 age_ms: now.saturating_duration_since(run.lost_at).as_millis() as u64,
                 parts: vec![blocked],
             })
@@ -226,6 +228,7 @@
             request: strike.fingerprint,
             process: (strike.upstream.clone(), strike.incarnation),
             suspects,
+            is_prompt: strike.is_prompt,
             lost_at,
         });
         true
--- a/lib/tests/quarantine_parts.rs
+++ b/lib/tests/quarantine_parts.rs
@@ -296,6 +296,19 @@
     assert_eq!(register.merge_strikes(later, &[retry]), [part("crashing")], "blocked again");
 }
 
+/// Guards against weak evidence against a request that becomes strong evidence at the hosts that
+/// receive it later, with the strikes that block a part of its prompt.
+#[test]
+fn strikes_that_block_a_part_keep_their_strength() {
+    let now = Instant::now() + BLOCK_TIME;
+    let mut register = PartRegister::default();
+    let strikes: Vec<CrashStrike> = (0..4)
+        .map(|it| CrashStrike { is_prompt: it > 0, ..strike(&it.to_string(), it, "crashing") })
+        .collect();
+    register.merge_strikes(now, &strikes);
+    assert_eq!(register.export_blocking_strikes(now), strikes);
+}
+
 /// Guards against a result that depends on the order or on duplicates of messages.
 #[test]
 fn strikes_and_proofs_merge_in_any_order() {
