gateway: strikes are sent to other hosts at once

Cause: a host told its strikes with its next digest, up to half a second later and to one or two others, while the request came again through another host.

Change: a host that records or receives a new strike sends its digest to six others at once, and so do those to which it is new. At most one such round in 250 ms, in which further strikes are collected.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -47,7 +47,7 @@
     outcomes::{OutcomeCount, OutcomeLog, OutcomeSlot},
     packed::PackedChange,
     pauses::PauseDetector,
-    peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure},
+    peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure, STRIKE_FANOUT},
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses},
     shutdown::{ShutdownTimes, ShutdownWindow},
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -94,8 +94,9 @@
             dispatched: self.dispatched,
             has_response,
         };
-        let now = self.gateway.now();
-        self.gateway.state.borrow_mut().crashes.record_loss(now, &self.process, attempt);
+        self.gateway.update_crashes(|now, crashes| {
+            crashes.record_loss(now, &self.process, attempt);
+        });
         let (gateway, upstream) = (self.gateway.clone(), self.process.upstream.clone());
         self.end(AttemptEnd::Lost);
         gateway.eject(&upstream, false);
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -78,6 +78,8 @@
     recent_strikes: Vec<(Instant, CrashStrike)>,
     /// Recent clearances of this host and others, each with its time.
     recent_clearances: Vec<(Instant, CrashClearance)>,
+    /// Whether there is a strike that other hosts may not know.
+    has_news: bool,
 }
 
 impl CrashDetector {
@@ -145,6 +147,7 @@
             self.log_if_blocked(now, strike.fingerprint);
             self.merge_part_strikes(lost_at, std::slice::from_ref(&strike));
             self.recent_strikes.push((lost_at, strike));
+            self.has_news = true;
         }
     }
 
@@ -172,6 +175,12 @@
         self.recent_clearances.push((completed_at, clearance));
     }
 
+    /// Returns whether a strike was recorded or received since the last call, which is to be sent to
+    /// other hosts at once.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
     /// Returns the strikes to send to another host: the last recorded ones, first those with a part
     /// that may be the cause, and some of those that block requests or parts.
     pub fn strikes_to_send(&self, now: Instant) -> Vec<CrashStrike> {
@@ -212,6 +221,7 @@
                     continue;
                 }
                 self.recent_strikes.push((lost_at, strike.clone()));
+                self.has_news = true;
             }
             let was_blocked = self.is_blocked(now, strike.fingerprint);
             self.register.merge_strike(now, strike);
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
 
 use super::{
     budget::{RetryAllowance, RetryBudget},
@@ -106,6 +109,8 @@
     pub(super) change_cache: ChangeCache,
     pub(super) response_buffers: Rc<ResponseBuffers>,
     pub(super) pauses: PauseDetector,
+    /// Notified when there are strikes that other hosts may not know.
+    pub(super) strike_news: Notify,
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
     /// The shutdown, once it has begun.
@@ -134,6 +139,7 @@
         };
         Rc::new(Self {
             pauses: PauseDetector::new(clock.now()),
+            strike_news: Notify::new(),
             pool: Rc::new(UpstreamPool::new(clock.clone())),
             clock,
             dialect,
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -14,10 +14,14 @@
 };
 use rand::{Rng, seq::IteratorRandom};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 use super::{
     connection::{ClientError, ConnectTimeouts, HttpClient},
+    crashes::CrashDetector,
     feed::{FeedOutcome, SourceState},
     fleet::Gateway,
     members::{MemberDigest, MemberRecord},
@@ -42,6 +46,14 @@
 /// Mean interval between the gossip rounds of a host.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Number of hosts to which a host sends new strikes at once, chosen at random. In a small fleet these
+/// are all others; in a large one those to which the strikes are new send them on.
+pub const STRIKE_FANOUT: usize = 6;
+
+/// Shortest time between two such rounds, in which further strikes are collected. The loss of a data
+/// centre leads to some hundred strikes.
+const STRIKE_ROUND_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time for which hosts of other data centres may have a newer revision before this host requests
 /// their changes, so that a change that the platform or a relay delivers in the meantime is not
 /// sent twice.
@@ -260,7 +272,46 @@
     }
 }
 
+/// Sends digests to some hosts whenever there are new strikes, until the process ends. A request that
+/// crashes upstreams may come again before the next gossip round.
+pub(super) async fn broadcast_strikes(gateway: Rc<Gateway>) {
+    loop {
+        gateway.strike_news.notified().await;
+        let mut rounds = JoinSet::new();
+        for (address, is_local) in gateway.strike_targets() {
+            let gateway = gateway.clone();
+            rounds.spawn_local(async move {
+                match PeerClient::new(address).digest(&gateway.digest(is_local, None)).await {
+                    Ok(digest) => gateway.merge_digest(digest),
+                    Err(error) => tracing::debug!(%address, %error, "digest_failed"),
+                }
+            });
+        }
+        rounds.join_all().await;
+        sleep(STRIKE_ROUND_INTERVAL).await;
+    }
+}
+
 impl Gateway {
+    /// Changes the crash detector, and lets new strikes be sent to other hosts at once.
+    pub(super) fn update_crashes(&self, change: impl FnOnce(Instant, &mut CrashDetector)) {
+        let crashes = &mut self.state.borrow_mut().crashes;
+        change(self.now(), crashes);
+        if crashes.take_news() {
+            self.strike_news.notify_one();
+        }
+    }
+
+    /// Chooses the hosts to which new strikes are sent at once, each with whether it is in the data
+    /// centre of this one.
+    fn strike_targets(&self) -> Vec<(SocketAddr, bool)> {
+        let state = self.state.borrow();
+        let this_host = state.members.local();
+        let live = state.members.live(self.now());
+        let targets = live.map(|it| (it.address, it.centre == this_host.centre));
+        targets.choose_multiple(&mut rand::rng(), STRIKE_FANOUT)
+    }
+
     /// Returns the digest of this host; with `request`, the digest of the other host, it is the
     /// reply.
     fn digest(&self, is_local: bool, request: Option<&MemberDigest>) -> PeerDigest {
@@ -285,6 +336,7 @@
     }
 
     fn merge_digest(&self, digest: PeerDigest) {
+        self.merge_crashes(&digest);
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
         let sender = digest.sender.host.clone();
@@ -296,10 +348,6 @@
         for (host, change) in state.members.merge_digest(now, digest.sender, &digest.members) {
             tracing::info!(%host, told_by = %sender, news = ?change, "member_changed");
         }
-        state.crashes.merge_clearances(now, &digest.clearances);
-        // Before the strikes, so that a new process does not suspect parts that are in use.
-        state.crashes.merge_proofs(now, &digest.proofs);
-        state.crashes.merge_strikes(now, &digest.strikes);
         for leaving in &digest.leaving {
             if state.upstreams.record_leaving(leaving) {
                 tracing::info!(upstream = %leaving.upstream, told_by = %sender, "upstream_leaving");
@@ -312,6 +360,16 @@
         state.crashes.set_host_count(state.hosts_sharing_limits);
     }
 
+    /// Merges what a digest says of crashes.
+    fn merge_crashes(&self, digest: &PeerDigest) {
+        self.update_crashes(|now, crashes| {
+            crashes.merge_clearances(now, &digest.clearances);
+            // Before the strikes, so that a new process does not suspect parts that are in use.
+            crashes.merge_proofs(now, &digest.proofs);
+            crashes.merge_strikes(now, &digest.strikes);
+        });
+    }
+
     /// Chooses the hosts of one gossip round, each with whether it is in the data centre of this
     /// one: a random local host, and at times a random remote one. A host that knows no other uses
     /// a seed.
--- a/lib/src/gateway/reach.rs
+++ b/lib/src/gateway/reach.rs
@@ -63,11 +63,9 @@
                 // A timeout may be a partition, and who resets a connection has accepted it: neither
                 // is evidence that the upstream crashed.
                 if matches!(error, SendError::Refused(_)) {
-                    gateway
-                        .state
-                        .borrow_mut()
-                        .crashes
-                        .record_refused_connection(gateway.now(), &process);
+                    gateway.update_crashes(|now, crashes| {
+                        crashes.record_refused_connection(now, &process);
+                    });
                 }
             }
         }
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -21,7 +21,7 @@
     call::serve,
     connection::set_socket_options,
     fleet::Gateway,
-    peers::{handle_peer_request, run_gossip},
+    peers::{broadcast_strikes, handle_peer_request, run_gossip},
     shutdown::{ShutdownTimes, ShutdownWindow},
     supervise::supervise,
 };
@@ -93,6 +93,7 @@
             start("accept_metrics", gateway, move |it| accept_checks(metrics.clone(), it)),
             start("accept_peers", gateway, move |it| accept_peers(peers.clone(), it)),
             start("gossip", gateway, move |it| run_gossip(it, seeds.clone())),
+            start("strikes", gateway, broadcast_strikes),
             start("tick", gateway, tick),
         ];
         Ok(Self { gateway: gateway.clone(), closing, tasks })
--- a/lib/tests/gateway_crashes.rs
+++ b/lib/tests/gateway_crashes.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use snipepond::{
-    gateway::{CrashDetector, LostAttempt, UpstreamProcess},
+    gateway::{CrashDetector, LostAttempt, STRIKE_FANOUT, UpstreamProcess},
     names::{TeamName, UpstreamName},
     quarantine::{CrashVerdict, RequestFingerprint},
 };
@@ -123,6 +123,56 @@
     assert_eq!(blocked, HOSTS);
 }
 
+/// Lets the hosts that have news send it to some others at once, and those in turn.
+fn broadcast(detectors: &mut [CrashDetector], rng: &mut StdRng, now: Instant) {
+    while let Some(host) = (0..detectors.len()).find(|it| detectors[*it].take_news()) {
+        for _ in 0..STRIKE_FANOUT {
+            let peer = rng.random_range(0..detectors.len());
+            let sent = detectors[host].strikes_to_send(now);
+            detectors[peer].merge_strikes(now, &sent);
+        }
+    }
+}
+
+/// Guards against a request that crashes one upstream after the other, through another host each time,
+/// before the next digest tells the strikes: after all hosts have lost their memory at once, and with
+/// many hosts.
+#[test]
+fn strikes_reach_all_hosts_before_the_request_comes_again() {
+    const CRASH_DELAY: Duration = Duration::from_millis(60);
+    for seed in 0..60 {
+        let hosts = [7, 88, 295][seed as usize % 3];
+        let mut rng = StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut detectors: Vec<CrashDetector> =
+            (0..hosts).map(|_| CrashDetector::default()).collect();
+        let poison = fingerprint("poison");
+        let mut running: Vec<(Instant, usize)> = Vec::new();
+        let mut sent = 0;
+        for tick in 0..1_000_u32 {
+            let now = start + 10 * MS * tick;
+            for (_, host) in running.extract_if(.., |(ends_at, _)| *ends_at <= now) {
+                sent += 1;
+                let down = process(sent);
+                detectors[host].record_loss(now, &down, lost_attempt(now, poison));
+                detectors[host].record_refused_connection(now, &down);
+            }
+            broadcast(&mut detectors, &mut rng, now);
+            if tick % 50 == 0 {
+                exchange(&mut detectors, &mut rng, now);
+            }
+            // Its caller sends it some two times a second.
+            let host = rng.random_range(0..hosts);
+            if rng.random_bool(0.02) && !is_blocked(&detectors[host], now, poison) {
+                running.push((now + CRASH_DELAY, host));
+            }
+        }
+        // The operators allow three.
+        assert!(sent <= 3, "seed {seed}: sent {sent} times");
+        assert!(detectors.iter().all(|it| is_blocked(it, start + 10_000 * MS, poison)));
+    }
+}
+
 /// Guards against blocking a request that was lost twice, and completed at another host in between.
 #[test]
 fn a_completion_clears_the_strikes_of_all_hosts() {
