gateway: one type for a process of an upstream

LeavingUpstream and UpstreamProcess were the same pair of name and incarnation. The test of hosts that learn of a leaving upstream now covers hosts that do not know the upstream yet, as its comment said. No change of behaviour.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -35,7 +35,7 @@
     buffers::{BufferReservation, ResponseBuffers, ResponseLimits},
     cold::{ColdBucket, host_cold_rate},
     connection::{ClientError, ConnectError, ConnectTimeouts, HttpClient, HttpConnection},
-    crashes::{CrashDetector, LostAttempt, UpstreamProcess},
+    crashes::{CrashDetector, LostAttempt},
     dialect::{AttemptHead, RequestHead, ResponseHead, WireDialect},
     feed::{
         EntryDecoder, EntryFeed, EntrySource, FeedOutcome, SourceError, SourceFuture, SourceState,
@@ -57,7 +57,7 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        EjectedUpstream, LeavingUpstream, LoadSample, MAX_PAUSE, PickReason, PickRefusal,
-        PickRequest, PromptHolder, ReportedLoad, UpstreamPick, UpstreamRecord, UpstreamSet,
+        EjectedUpstream, LoadSample, MAX_PAUSE, PickReason, PickRefusal, PickRequest, PromptHolder,
+        ReportedLoad, UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
     },
 };
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -18,13 +18,13 @@
     front::RefusalKind,
     gateway::{
         body::ResponseBody,
-        crashes::{LostAttempt, UpstreamProcess},
+        crashes::LostAttempt,
         dialect::{AttemptHead, ResponseHead},
         fleet::Gateway,
         health::AttemptEnd,
         pool::{PoolKey, SendError, UpstreamExchange},
         stream::StreamSource,
-        upstreams::{LeavingUpstream, UpstreamPick},
+        upstreams::{UpstreamPick, UpstreamProcess},
     },
     names::UpstreamName,
 };
@@ -73,7 +73,7 @@
         Self {
             gateway: gateway.clone(),
             request: request.clone(),
-            process: UpstreamProcess { upstream: pick.name.clone(), incarnation: pick.incarnation },
+            process: pick.process(),
             dispatched: gateway.now(),
             has_response: false,
             end: AttemptEnd::Cancelled,
@@ -271,13 +271,13 @@
     if head.is_for_other_request || head.is_misdirected {
         return;
     }
-    let (upstream, incarnation) = (pick.name.clone(), pick.incarnation);
-    if head.is_leaving && upstreams.record_leaving(&LeavingUpstream { upstream, incarnation }) {
+    let process = pick.process();
+    if head.is_leaving && upstreams.record_leaving(&process) {
         tracing::info!(upstream = %pick.name, "upstream_leaving");
     }
     if let Some(pause) = head.pause {
         let spread = rand::random();
-        let left = upstreams.record_pause(now, &pick.name, incarnation, pause, spread);
+        let left = upstreams.record_pause(now, &process, pause, spread);
         let pause_ms = left.unwrap_or_default().as_millis() as u64;
         tracing::info!(upstream = %pick.name, pause_ms, "upstream_paused");
     }
--- a/lib/src/gateway/crashes.rs
+++ b/lib/src/gateway/crashes.rs
@@ -13,6 +13,7 @@
 
 use rand::seq::IteratorRandom;
 
+use super::upstreams::UpstreamProcess;
 use crate::{
     names::UpstreamName,
     quarantine::{
@@ -43,15 +44,6 @@
 /// Time within which a connection has to be refused for a lost request to get a strike.
 const REFUSAL_WINDOW: Duration = Duration::from_secs(2);
 
-/// One process of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct UpstreamProcess {
-    /// Name of the upstream.
-    pub upstream: UpstreamName,
-    /// Changes at each start of the upstream.
-    pub incarnation: u64,
-}
-
 /// A request at an upstream that was lost with its connection.
 #[derive(Clone, Debug)]
 pub struct LostAttempt {
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -27,7 +27,7 @@
     members::{MemberDigest, MemberRecord},
     outcomes::OutcomeSlot,
     packed::PackedChange,
-    upstreams::{LeavingUpstream, LoadSample},
+    upstreams::{LoadSample, UpstreamProcess},
 };
 use crate::{
     config::ConfigChange,
@@ -88,7 +88,7 @@
     /// Parts of prompts that got strikes although upstreams write answers on them.
     pub proofs: Vec<PartProof>,
     /// Upstreams that said that they leave.
-    pub leaving: Vec<LeavingUpstream>,
+    pub leaving: Vec<UpstreamProcess>,
     /// How requests ended recently; sent within a data centre only, where traffic costs nothing.
     pub outcomes: Vec<OutcomeSlot>,
     /// Recent load reports; sent within a data centre only.
--- a/lib/src/gateway/reach.rs
+++ b/lib/src/gateway/reach.rs
@@ -6,10 +6,9 @@
 use tokio::{task::spawn_local, time::sleep};
 
 use super::{
-    crashes::UpstreamProcess,
     fleet::Gateway,
     pool::{PoolKey, SendError},
-    upstreams::EjectedUpstream,
+    upstreams::{EjectedUpstream, UpstreamProcess},
 };
 use crate::names::UpstreamName;
 
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -14,12 +14,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::{announcement::UpstreamAnnouncement, index::UpstreamIndex};
 pub use self::{
-    announcement::{LeavingUpstream, MAX_PAUSE},
+    announcement::MAX_PAUSE,
     pick::{PickReason, PickRefusal, PickRequest, UpstreamPick},
     prompt::PromptHolder,
 };
+use self::{announcement::UpstreamAnnouncement, index::UpstreamIndex};
 use super::{
     cold::ColdBucket,
     health::{AttemptEnd, UpstreamHealth},
@@ -61,6 +61,16 @@
     pub incarnation: u64,
 }
 
+/// One process of an upstream; also the message to other hosts that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct UpstreamProcess {
+    /// Name of the upstream.
+    pub upstream: UpstreamName,
+    /// Changes at each start of the upstream.
+    pub incarnation: u64,
+}
+
 /// An ejected upstream, to be probed until a connection to it succeeds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EjectedUpstream {
--- a/lib/src/gateway/upstreams/announcement.rs
+++ b/lib/src/gateway/upstreams/announcement.rs
@@ -6,9 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
-use super::{UpstreamSet, UpstreamState};
+use super::{UpstreamProcess, UpstreamSet, UpstreamState};
 use crate::names::{ServiceName, UpstreamName};
 
 /// Longest pause that an upstream can ask for; a longer one is cut to it.
@@ -46,20 +44,10 @@
     }
 }
 
-/// An upstream that said that it leaves; message to other hosts.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct LeavingUpstream {
-    /// Name of the upstream.
-    pub upstream: UpstreamName,
-    /// Its incarnation.
-    pub incarnation: u64,
-}
-
 impl UpstreamSet {
     /// Records that a process of an upstream said that it leaves. Returns whether this is new.
-    pub fn record_leaving(&mut self, leaving: &LeavingUpstream) -> bool {
-        let state = self.state_of_process(&leaving.upstream, leaving.incarnation);
+    pub fn record_leaving(&mut self, process: &UpstreamProcess) -> bool {
+        let state = self.state_of_process(process);
         state.is_some_and(|it| !std::mem::replace(&mut it.announcement.is_leaving, true))
     }
 
@@ -70,15 +58,14 @@
     pub fn record_pause(
         &mut self,
         now: Instant,
-        name: &UpstreamName,
-        incarnation: u64,
+        process: &UpstreamProcess,
         pause: Duration,
         spread: f64,
     ) -> Option<Duration> {
         let pause = pause.min(MAX_PAUSE);
         let extension = pause.mul_f64(PAUSE_SPREAD).min(MAX_PAUSE_SPREAD).mul_f64(spread);
         let until = now + pause + extension;
-        let announcement = &mut self.state_of_process(name, incarnation)?.announcement;
+        let announcement = &mut self.state_of_process(process)?.announcement;
         announcement.paused_until = announcement.paused_until.max(Some(until));
         announcement.pause_left(now)
     }
@@ -95,22 +82,19 @@
     }
 
     /// Returns the published upstreams that said that they leave, for other hosts.
-    pub fn leaving_to_send(&self) -> Vec<LeavingUpstream> {
+    pub fn leaving_to_send(&self) -> Vec<UpstreamProcess> {
         let is_leaving =
             |it: &&UpstreamState| it.announcement.is_leaving && it.removed_at.is_none();
         let leaving = self.upstreams.values().filter(is_leaving).take(MAX_SENT_LEAVING);
-        let leaving = leaving.map(|it| LeavingUpstream {
+        let leaving = leaving.map(|it| UpstreamProcess {
             upstream: it.record.name.clone(),
             incarnation: it.record.incarnation,
         });
         leaving.collect()
     }
 
-    fn state_of_process(
-        &mut self,
-        name: &UpstreamName,
-        incarnation: u64,
-    ) -> Option<&mut UpstreamState> {
-        self.upstreams.get_mut(name).filter(|it| it.record.incarnation == incarnation)
+    fn state_of_process(&mut self, process: &UpstreamProcess) -> Option<&mut UpstreamState> {
+        let state = self.upstreams.get_mut(&process.upstream);
+        state.filter(|it| it.record.incarnation == process.incarnation)
     }
 }
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{PromptHolder, UpstreamSet, UpstreamState};
+use super::{PromptHolder, UpstreamProcess, UpstreamSet, UpstreamState};
 use crate::{
     names::{ServiceName, UpstreamName},
     rendezvous,
@@ -83,6 +83,13 @@
     pub prompt_holder: Option<PromptHolder>,
 }
 
+impl UpstreamPick {
+    /// Returns the process that was picked.
+    pub(in crate::gateway) fn process(&self) -> UpstreamProcess {
+        UpstreamProcess { upstream: self.name.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// Why no upstream was picked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PickRefusal {
--- a/lib/tests/gateway_announcements.rs
+++ b/lib/tests/gateway_announcements.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use snipepond::{
     gateway::{
-        LeavingUpstream, MAX_PAUSE, PickRefusal, PickRequest, SourceState, UpstreamPick,
+        MAX_PAUSE, PickRefusal, PickRequest, SourceState, UpstreamPick, UpstreamProcess,
         UpstreamRecord, UpstreamSet,
     },
     names::{CentreName, HostName, ServiceName, UpstreamName},
@@ -31,8 +31,8 @@
     UpstreamName::new(&format!("chat-{index}"))
 }
 
-fn leaving(index: usize, incarnation: u64) -> LeavingUpstream {
-    LeavingUpstream { upstream: name(index), incarnation }
+fn process(index: usize, incarnation: u64) -> UpstreamProcess {
+    UpstreamProcess { upstream: name(index), incarnation }
 }
 
 fn set(now: Instant, host: &str, count: usize) -> UpstreamSet {
@@ -64,8 +64,8 @@
     let now = Instant::now();
     let mut set = set(now, "h1", 4);
     assert!(is_picked(&mut set, now, 1));
-    assert!(set.record_leaving(&leaving(1, 1)));
-    assert!(!set.record_leaving(&leaving(1, 1)), "known already");
+    assert!(set.record_leaving(&process(1, 1)));
+    assert!(!set.record_leaving(&process(1, 1)), "known already");
     assert!(!is_picked(&mut set, now, 1));
     set.publish(now, record(1, 1));
     set.replace_all(now, (0..4).map(|it| record(it, 1)).collect());
@@ -79,7 +79,7 @@
     // The same name, or another upstream at the address, with a new start.
     set.publish(now + SECOND, record(1, 2));
     assert!(is_picked(&mut set, now + SECOND, 1));
-    assert!(!set.record_leaving(&leaving(1, 1)), "a late word of the process before");
+    assert!(!set.record_leaving(&process(1, 1)), "a late word of the process before");
     assert!(is_picked(&mut set, now + SECOND, 1));
 }
 
@@ -93,11 +93,14 @@
     let mut sets: Vec<UpstreamSet> = (0..HOSTS).map(|it| set(now, &format!("h{it}"), 6)).collect();
     // Some hosts know the next process of upstream 2 already, and some do not know upstream 3 yet.
     sets.iter_mut().skip(70).for_each(|it| it.publish(now, record(2, 2)));
-    sets.iter_mut().skip(80).for_each(|it| it.withdraw(now, &name(3)));
+    sets.iter_mut().skip(80).for_each(|it| *it = set(now, "late", 3));
     for index in [1, 2, 3] {
-        assert!(sets[index].record_leaving(&leaving(index, 1)));
+        assert!(sets[index].record_leaving(&process(index, 1)));
     }
-    for _ in 0..16 {
+    for round in 0..24 {
+        if round == 8 {
+            sets.iter_mut().skip(80).for_each(|it| it.publish(now, record(3, 1)));
+        }
         for host in 0..HOSTS {
             let peer = rng.random_range(0..HOSTS);
             for (from, to) in [(host, peer), (peer, host)] {
@@ -111,8 +114,12 @@
         }
     }
     for (host, set) in sets.iter_mut().enumerate() {
-        assert!(!is_picked(set, now, 1), "host {host}");
-        assert_eq!(is_picked(set, now, 2), host >= 70, "host {host}: the next process");
+        assert!(!is_picked(set, now, 1) && !is_picked(set, now, 3), "host {host}");
+        assert_eq!(
+            is_picked(set, now, 2),
+            (70..80).contains(&host),
+            "host {host}: the next process"
+        );
         assert!(is_picked(set, now, 0), "host {host}");
     }
 }
@@ -123,9 +130,9 @@
 fn a_paused_upstream_is_left_alone_until_its_pause_ends() {
     let now = Instant::now();
     let mut set = set(now, "h1", 3);
-    assert_eq!(set.record_pause(now, &name(1), 1, 8 * SECOND, 0.0), Some(8 * SECOND));
+    assert_eq!(set.record_pause(now, &process(1, 1), 8 * SECOND, 0.0), Some(8 * SECOND));
     // A shorter pause that arrives later does not end the first one.
-    assert_eq!(set.record_pause(now, &name(1), 1, SECOND, 1.0), Some(8 * SECOND));
+    assert_eq!(set.record_pause(now, &process(1, 1), SECOND, 1.0), Some(8 * SECOND));
     let almost = now + 8 * SECOND - Duration::from_millis(1);
     for at in [now, almost] {
         assert!(set.is_paused(at, &name(1)) && !is_picked(&mut set, at, 1));
@@ -133,11 +140,11 @@
     }
     assert!(!set.is_paused(now + 8 * SECOND, &name(1)));
     assert!(is_picked(&mut set, now + 8 * SECOND, 1));
-    set.record_pause(now, &name(2), 1, 60 * SECOND, 0.0);
+    set.record_pause(now, &process(2, 1), 60 * SECOND, 0.0);
     set.publish(now, record(2, 2));
     assert!(is_picked(&mut set, now, 2), "the next process has asked for no pause");
-    assert_eq!(set.record_pause(now, &name(2), 1, SECOND, 0.0), None, "a late word");
-    assert_eq!(set.record_pause(now, &name(9), 1, SECOND, 0.0), None, "an unknown upstream");
+    assert_eq!(set.record_pause(now, &process(2, 1), SECOND, 0.0), None, "a late word");
+    assert_eq!(set.record_pause(now, &process(9, 1), SECOND, 0.0), None, "an unknown upstream");
 }
 
 /// Guards against callers that wait for upstreams that all pause, or that come back before the
@@ -150,16 +157,16 @@
     assert_eq!(set.earliest_return(now, &service), None);
     for (index, pause) in [(0, 9), (1, 4), (2, 6)] {
         assert!(pick(&mut set, now, 1).is_ok());
-        set.record_pause(now, &name(index), 1, pause * SECOND, 0.0);
+        set.record_pause(now, &process(index, 1), pause * SECOND, 0.0);
     }
     assert_eq!(pick(&mut set, now, 1), Err(PickRefusal::AllPaused));
     assert_eq!(set.earliest_return(now, &service), Some(4 * SECOND));
     // One that leaves does not come back.
-    set.record_leaving(&leaving(1, 1));
+    set.record_leaving(&process(1, 1));
     assert_eq!(set.earliest_return(now, &service), Some(6 * SECOND));
     assert!(pick(&mut set, now + 6 * SECOND, 1).is_ok());
     for index in 0..3 {
-        set.record_leaving(&leaving(index, 1));
+        set.record_leaving(&process(index, 1));
     }
     assert_eq!(pick(&mut set, now, 1), Err(PickRefusal::NoneEligible));
 }
@@ -170,13 +177,13 @@
 fn pauses_are_bounded_and_spread() {
     let now = Instant::now();
     let mut set = set(now, "h1", 1);
-    let longest = set.record_pause(now, &name(0), 1, Duration::MAX, 1.0).unwrap();
+    let longest = set.record_pause(now, &process(0, 1), Duration::MAX, 1.0).unwrap();
     assert!((MAX_PAUSE..=MAX_PAUSE + SECOND).contains(&longest), "{longest:?}");
     let mut ends: Vec<Duration> = (0..20)
         .map(|it| {
             let mut set = UpstreamSet::new(HostName::new("h"), CentreName::new("a"));
             set.publish(now, record(0, 1));
-            set.record_pause(now, &name(0), 1, 2 * SECOND, f64::from(it) / 20.0).unwrap()
+            set.record_pause(now, &process(0, 1), 2 * SECOND, f64::from(it) / 20.0).unwrap()
         })
         .collect();
     assert!(ends.iter().all(|it| (2 * SECOND..=3 * SECOND).contains(it)), "{ends:?}");
