--- a/review/standin/endless_body.rs
+++ b/review/standin/endless_body.rs
@@ -35,6 +35,8 @@
 enum Trouble {
     /// The body is newlines without end.
     Newlines,
+    /// Interim heads come without end, and no answer.
+    InterimHeads,
     /// The answer is a failure whose body is chunks of one byte without end.
     SmallChunks,
 }
@@ -161,6 +163,12 @@
                 net::write_chunk(socket, &block)?;
             }
         }
+        Trouble::InterimHeads => {
+            let block = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(4 << 10);
+            loop {
+                socket.write_all(&block)?;
+            }
+        }
         Trouble::SmallChunks => {
             net::respond_chunked(socket, 500, &headers)?;
             let block = b"1\r\n?\r\n".repeat(8 << 10);
@@ -309,12 +317,25 @@
 /// One answer of one engine is newlines without end. Rule: CONFIG, requests that are unanswered at
 /// the timeout of their route.
 pub fn newlines(folder: &Path, has_trouble: bool) -> io::Result<bool> {
+    run_short_requests(folder, has_trouble, Trouble::Newlines, 1)
+}
+
+/// The answers of one engine are interim heads without end, for ten seconds. Rule: CONFIG, as for
+/// [`newlines`].
+pub fn interim_heads(folder: &Path, has_trouble: bool) -> io::Result<bool> {
+    run_short_requests(folder, has_trouble, Trouble::InterimHeads, u64::MAX)
+}
+
+/// Sends short requests and streams while one engine spoils up to `spoiled` answers; checks when
+/// the short requests are answered.
+fn run_short_requests(
+    folder: &Path,
+    has_trouble: bool,
+    kind: Trouble,
+    spoiled: u64,
+) -> io::Result<bool> {
     const ROUTE_TIMEOUT_MS: u64 = 600;
-    let plan = TroublePlan {
-        kind: Trouble::Newlines,
-        is_on: AtomicBool::new(false),
-        left: AtomicU64::new(1),
-    };
+    let plan = TroublePlan { kind, is_on: AtomicBool::new(false), left: AtomicU64::new(spoiled) };
     let shape = StreamShape {
         first: Duration::from_millis(80),
         events: 20,
@@ -344,6 +365,8 @@
         }
         thread::sleep(Duration::from_secs(3));
         site.plan.is_on.store(has_trouble, Ordering::SeqCst);
+        thread::sleep(Duration::from_secs(10));
+        site.plan.is_on.store(false, Ordering::SeqCst);
     });
     let mut held = true;
     for (index, gateway) in site.gateways.iter().enumerate() {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -28,6 +28,7 @@
     });
     let result = match case.as_str() {
         "newlines" => endless_body::newlines(&folder, has_trouble),
+        "interim-heads" => endless_body::interim_heads(&folder, has_trouble),
         "chunks" => endless_body::chunks(&folder, has_trouble),
         _ => Err(io::Error::other(format!("no case {case}"))),
     };
