--- a/review/standin/endless_body.rs
+++ b/review/standin/endless_body.rs
@@ -158,7 +158,7 @@
         Trouble::Newlines => {
             let event_stream = [("Content-Type", "text/event-stream")];
             net::respond_chunked(socket, 200, &[&headers[..], &event_stream].concat())?;
-            let block = vec![b'\n'; 64 << 10];
+            let block = vec![b'\n'; 1 << 20];
             loop {
                 net::write_chunk(socket, &block)?;
             }
