--- a/review/standin/endless_body.rs
+++ b/review/standin/endless_body.rs
@@ -171,7 +171,7 @@
         }
         Trouble::SmallChunks => {
             net::respond_chunked(socket, 500, &headers)?;
-            let block = b"1\r\n?\r\n".repeat(8 << 10);
+            let block = b"0000000000000001\r\n?\r\n".repeat(4 << 10);
             loop {
                 socket.write_all(&block)?;
             }
