review: case 4, a crashing request is sent on after all gateways were killed

Strikes are kept in memory only: after all gateways were killed at once, six copies of an order that had crashed three desks reach the desks ten seconds later, where three retries are allowed (rule BUDGET), and orders of others are lost with them.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
 mod endless_body;
+mod forgotten_strikes;
 mod net;
 mod world;
 
@@ -29,6 +30,7 @@
     let result = match case.as_str() {
         "newlines" => endless_body::newlines(&folder, has_trouble),
         "interim-heads" => endless_body::interim_heads(&folder, has_trouble),
+        "forgotten-strikes" => forgotten_strikes::forgotten_strikes(&folder, has_trouble),
         "chunks" => endless_body::chunks(&folder, has_trouble),
         _ => Err(io::Error::other(format!("no case {case}"))),
     };
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -47,7 +47,11 @@
     Ok(address)
 }
 
-fn serve_connection(stream: TcpStream, handler: &Handler) -> io::Result<()> {
+/// Serves one connection until it ends.
+pub fn serve_connection(
+    stream: TcpStream,
+    handler: &dyn Fn(&Received, &mut TcpStream) -> io::Result<bool>,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -306,10 +306,22 @@
 
 /// The entry of a server in the store.
 pub fn server_entry(service: &str, address: SocketAddr, zone: &str, slots: u32) -> String {
+    server_entry_born(service, address, zone, slots, 1)
+}
+
+/// The entry of a server; `start` counts the starts of its process.
+pub fn server_entry_born(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    start: u64,
+) -> String {
+    let born = 1_700_000_000_000 + start;
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
          \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
-         \"sequence\":1,\"born\":1700000000000}}"
+         \"sequence\":1,\"born\":{born}}}"
     )
 }
 
