review: case 3, a request that silences servers is never blocked

A strike takes a refused connection, so a request that takes down the machine of a server, which then doesn't answer, gets none.

--- a/review/standin/forgotten_strikes.rs
+++ b/review/standin/crashing_request.rs
@@ -1,9 +1,10 @@
-//! A request that crashes the servers that begin to run it comes again after all gateways were
-//! killed at the same moment.
+//! A request that crashes the servers that begin to run it comes again: after all gateways were
+//! killed at the same moment, or at servers that go silent when they crash.
 
 use std::{
     io,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     path::Path,
     sync::{
         Arc, Mutex,
@@ -43,7 +44,23 @@
     crashes: Mutex<Vec<u64>>,
 }
 
-/// A server whose process can crash. It is back at the same address after [`SERVER_DOWN`].
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+}
+
+/// Usual length of the queue of connections that wait to be accepted.
+const BACKLOG: i32 = 128;
+
+/// What callers see of a server that has crashed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum CrashKind {
+    /// The process ended: connections end, and new ones are refused.
+    Refusing,
+    /// The machine went down: connections are silent, and new ones are not answered.
+    Silent,
+}
+
+/// A server that can crash. It is back at the same address after [`SERVER_DOWN`].
 struct Desk {
     name: &'static str,
     zone: &'static str,
@@ -56,6 +73,7 @@
     record: Arc<Record>,
     store: Arc<Store>,
     seen: Arc<Crashes>,
+    crash_kind: CrashKind,
 }
 
 impl Desk {
@@ -63,6 +81,7 @@
         name: &'static str,
         zone: &'static str,
         ip: &str,
+        crash_kind: CrashKind,
         record: &Arc<Record>,
         store: &Arc<Store>,
         seen: &Arc<Crashes>,
@@ -79,6 +98,7 @@
             record: record.clone(),
             store: store.clone(),
             seen: seen.clone(),
+            crash_kind,
         });
         let entry = server_entry("print-desk", desk.address, zone, 6);
         store.put(&format!("servers/{name}"), &entry);
@@ -97,10 +117,26 @@
                     Err(_) => thread::sleep(Duration::from_millis(1)),
                 }
             }
-            drop(listener);
-            self.is_closed.store(true, Ordering::SeqCst);
-            thread::sleep(SERVER_DOWN);
-            listener = TcpListener::bind(self.address).expect("the port is still free");
+            listener = match self.crash_kind {
+                CrashKind::Refusing => {
+                    drop(listener);
+                    self.is_closed.store(true, Ordering::SeqCst);
+                    thread::sleep(SERVER_DOWN);
+                    TcpListener::bind(self.address).expect("the port is still free")
+                }
+                CrashKind::Silent => {
+                    let fill = fill_queue(&listener);
+                    self.is_closed.store(true, Ordering::SeqCst);
+                    thread::sleep(SERVER_DOWN);
+                    // The connections of the process before end with it.
+                    self.end_connections();
+                    while listener.accept().is_ok() {}
+                    drop(fill);
+                    // SAFETY: the socket is open and listens.
+                    unsafe { listen(listener.as_raw_fd(), BACKLOG) };
+                    listener
+                }
+            };
             self.is_closed.store(false, Ordering::SeqCst);
             self.is_down.store(false, Ordering::SeqCst);
             let start = self.starts.fetch_add(1, Ordering::SeqCst) + 1;
@@ -127,9 +163,16 @@
         if is_crashing {
             self.seen.arrivals.lock().unwrap().push(self.record.now());
         }
+        let start = self.starts.load(Ordering::SeqCst);
         thread::sleep(Duration::from_millis(15));
-        if is_crashing {
+        if is_crashing && !self.is_down.load(Ordering::SeqCst) {
             self.crash();
+        }
+        while self.is_down.load(Ordering::SeqCst) {
+            // The process does nothing more.
+            thread::sleep(Duration::from_millis(10));
+        }
+        if self.starts.load(Ordering::SeqCst) != start {
             return Ok(false);
         }
         let seal = format!("seal-{}", self.name);
@@ -147,12 +190,29 @@
         }
         self.seen.crashes.lock().unwrap().push(self.record.now());
         self.record.line(&format!("server {} crashes", self.name));
+        if self.crash_kind == CrashKind::Refusing {
+            self.end_connections();
+        }
+    }
+
+    fn end_connections(&self) {
         for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 }
 
+/// Fills the queue of connections that wait to be accepted, so that no further one is answered.
+fn fill_queue(listener: &TcpListener) -> Vec<TcpStream> {
+    // SAFETY: the socket is open and listens.
+    unsafe { listen(listener.as_raw_fd(), 0) };
+    let Ok(address) = listener.local_addr() else {
+        return Vec::new();
+    };
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(20)).ok();
+    (0..BACKLOG).map_while(|_| connect()).collect()
+}
+
 /// Sends the crashing request to gateways at the same time, each copy with an id of its own.
 fn send_copies(record: &Record, gateways: &[GatewayAddresses], wave: &str) {
     thread::scope(|scope| {
@@ -216,35 +276,75 @@
     lost
 }
 
-/// Rule: BUDGET, retries of a request that has crashed three servers.
-pub fn forgotten_strikes(folder: &Path, has_trouble: bool) -> io::Result<bool> {
-    let record = Record::create(&folder.join("record.txt"))?;
-    let store = Arc::new(Store::start(&loopback_ip(1))?);
-    let seen = Arc::new(Crashes::default());
-    let zones = [("d1", "hn-a"), ("d2", "hn-b"), ("d3", "hn-c"), ("d4", "hn-d")];
-    for (index, (name, zone)) in zones.into_iter().enumerate() {
-        Desk::start(name, zone, &loopback_ip(10 + index as u8), &record, &store, &seen)?;
+/// The store, four desks, and the addresses of six gateways.
+struct Site {
+    record: Arc<Record>,
+    store: Arc<Store>,
+    seen: Arc<Crashes>,
+    addresses: Vec<GatewayAddresses>,
+}
+
+impl Site {
+    fn start(folder: &Path, crash_kind: CrashKind) -> io::Result<Self> {
+        let record = Record::create(&folder.join("record.txt"))?;
+        let store = Arc::new(Store::start(&loopback_ip(1))?);
+        let seen = Arc::new(Crashes::default());
+        let zones = [("d1", "hn-a"), ("d2", "hn-b"), ("d3", "hn-c"), ("d4", "hn-d")];
+        for (index, (name, zone)) in zones.into_iter().enumerate() {
+            let ip = loopback_ip(10 + index as u8);
+            Desk::start(name, zone, &ip, crash_kind, &record, &store, &seen)?;
+        }
+        store.put("op/config", &config(3));
+        let addresses: io::Result<Vec<GatewayAddresses>> =
+            (0..6).map(|it| GatewayAddresses::reserve(&loopback_ip(20 + it))).collect();
+        Ok(Self { record, store, seen, addresses: addresses? })
     }
-    store.put("op/config", &config(3));
-    let addresses: io::Result<Vec<GatewayAddresses>> =
-        (0..6).map(|it| GatewayAddresses::reserve(&loopback_ip(20 + it))).collect();
-    let addresses = addresses?;
-    let start_all = || -> io::Result<Vec<Gateway>> {
+
+    /// Starts all gateways and waits until they are ready.
+    fn start_gateways(&self) -> io::Result<Vec<Gateway>> {
         let gateways: io::Result<Vec<Gateway>> = GATEWAY_ZONES
             .into_iter()
             .enumerate()
             .map(|(index, zone)| {
-                Gateway::start(index + 1, zone, addresses[index], store.address, &addresses[..3])
+                let own = self.addresses[index];
+                Gateway::start(index + 1, zone, own, self.store.address, &self.addresses[..3])
             })
             .collect();
         let gateways = gateways?;
         for gateway in &gateways {
             gateway.wait_ready()?;
         }
-        record.line("all gateways are ready");
+        self.record.line("all gateways are ready");
         Ok(gateways)
-    };
-    let mut gateways = start_all()?;
+    }
+
+    /// Checks the rule BUDGET on retries of a request that has crashed three servers. `lost` are the
+    /// times at which other orders were sent that were lost.
+    fn check(&self, lost: &[u64]) -> bool {
+        let crashes = self.seen.crashes.lock().unwrap();
+        let arrivals = self.seen.arrivals.lock().unwrap();
+        let third = crashes.get(2).copied().unwrap_or(u64::MAX / 2);
+        let bound = third + STABLE_WINDOW.as_millis() as u64;
+        let late = arrivals.iter().filter(|it| **it > bound).count();
+        let later_crashes = crashes.iter().filter(|it| **it > bound).count();
+        self.record.tell(&format!("crashes: {crashes:?}; arrivals: {arrivals:?}"));
+        self.record.tell(&format!(
+            "{late} retries reached servers later than {} ms after the third crash, and crashed \
+             {later_crashes}; {} other orders sent after that time were lost with their servers",
+            STABLE_WINDOW.as_millis(),
+            lost.iter().filter(|it| **it > bound).count()
+        ));
+        let held = late <= 3;
+        self.record.tell(if held { "the rule held" } else { "rule BUDGET is broken" });
+        held
+    }
+}
+
+/// All gateways are killed after the request was blocked.
+pub fn forgotten_strikes(folder: &Path, has_trouble: bool) -> io::Result<bool> {
+    let site = Site::start(folder, CrashKind::Refusing)?;
+    let Site { record, addresses, .. } = &site;
+    let mut gateways = site.start_gateways()?;
     thread::sleep(STABLE_WINDOW + Duration::from_millis(500));
 
     let is_over = AtomicBool::new(false);
@@ -252,28 +352,28 @@
     thread::scope(|scope| -> io::Result<()> {
         let clients: Vec<_> = (0..12)
             .map(|number| {
-                let (record, is_over, gateway) = (&record, &is_over, addresses[number % 6]);
+                let (is_over, gateway) = (&is_over, addresses[number % 6]);
                 scope.spawn(move || run_sound_client(record, gateway, number, is_over))
             })
             .collect();
         thread::sleep(Duration::from_secs(1));
         // Three gateways in different data centres have the request at the same time.
-        send_copies(&record, &[addresses[0], addresses[2], addresses[4]], "first");
+        send_copies(record, &[addresses[0], addresses[2], addresses[4]], "first");
         // It comes again at each gateway in turn, for longer than the servers are away.
         for gateway in addresses.iter().cycle().take(10) {
             thread::sleep(Duration::from_millis(500));
-            send_copies(&record, std::slice::from_ref(gateway), "again");
+            send_copies(record, std::slice::from_ref(gateway), "again");
         }
         if has_trouble {
             gateways.iter().for_each(Gateway::end);
             record.line("all gateways are killed");
             gateways.clear();
             thread::sleep(GATEWAY_DOWN);
-            gateways = start_all()?;
+            gateways = site.start_gateways()?;
         }
         thread::sleep(STABLE_WINDOW + Duration::from_millis(500));
         for wave in ["second", "third"] {
-            send_copies(&record, &addresses, wave);
+            send_copies(record, addresses, wave);
             thread::sleep(SERVER_DOWN + Duration::from_millis(500));
         }
         is_over.store(true, Ordering::SeqCst);
@@ -281,23 +381,34 @@
         Ok(())
     })?;
 
-    let crashes = seen.crashes.lock().unwrap();
-    let arrivals = seen.arrivals.lock().unwrap();
-    let Some(third) = crashes.get(2) else {
-        return Err(io::Error::other("the request crashed fewer than three servers"));
-    };
-    let bound = third + STABLE_WINDOW.as_millis() as u64;
-    let late = arrivals.iter().filter(|it| **it > bound).count();
-    let later_crashes = crashes.iter().filter(|it| **it > bound).count();
-    record
-        .tell(&format!("third crash at {third} ms; crashes: {crashes:?}; arrivals: {arrivals:?}"));
-    record.tell(&format!(
-        "{late} retries reached servers later than {} ms after the third crash, and crashed \
-         {later_crashes}; {} other orders sent after that time were lost with their servers",
-        STABLE_WINDOW.as_millis(),
-        lost.iter().filter(|it| **it > bound).count()
-    ));
-    let held = late <= 3;
-    record.tell(if held { "the rule held" } else { "rule BUDGET is broken" });
-    Ok(held)
+    Ok(site.check(&lost))
+}
+
+/// The request takes down machines, which go silent. It comes again every 0.7 s, at each gateway in
+/// turn.
+pub fn silent_crashes(folder: &Path, has_trouble: bool) -> io::Result<bool> {
+    let site = Site::start(folder, CrashKind::Silent)?;
+    let Site { record, addresses, .. } = &site;
+    let _gateways = site.start_gateways()?;
+    thread::sleep(STABLE_WINDOW + Duration::from_millis(500));
+    let is_over = AtomicBool::new(false);
+    let mut lost: Vec<u64> = Vec::new();
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..12)
+            .map(|number| {
+                let (is_over, gateway) = (&is_over, addresses[number % 6]);
+                scope.spawn(move || run_sound_client(record, gateway, number, is_over))
+            })
+            .collect();
+        thread::sleep(Duration::from_secs(1));
+        for gateway in addresses.iter().cycle().take(30) {
+            if has_trouble {
+                send_copies(record, std::slice::from_ref(gateway), "again");
+            }
+            thread::sleep(Duration::from_millis(700));
+        }
+        is_over.store(true, Ordering::SeqCst);
+        lost = clients.into_iter().flat_map(|it| it.join().unwrap_or_default()).collect();
+    });
+    Ok(site.check(&lost))
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,8 +3,8 @@
 //!
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
+mod crashing_request;
 mod endless_body;
-mod forgotten_strikes;
 mod net;
 mod world;
 
@@ -30,7 +30,8 @@
     let result = match case.as_str() {
         "newlines" => endless_body::newlines(&folder, has_trouble),
         "interim-heads" => endless_body::interim_heads(&folder, has_trouble),
-        "forgotten-strikes" => forgotten_strikes::forgotten_strikes(&folder, has_trouble),
+        "forgotten-strikes" => crashing_request::forgotten_strikes(&folder, has_trouble),
+        "silent-crashes" => crashing_request::silent_crashes(&folder, has_trouble),
         "chunks" => endless_body::chunks(&folder, has_trouble),
         _ => Err(io::Error::other(format!("no case {case}"))),
     };
