--- a/review/standin/endless_body.rs
+++ b/review/standin/endless_body.rs
@@ -250,7 +250,7 @@
                 let prompt = prompt_headers(&format!("{gateway}{count:x}"));
                 send_stream(site, gateway, &id, &prompt, None)
             });
-            thread::sleep(Duration::from_millis(250));
+            thread::sleep(Duration::from_millis(125));
         }
     });
 }
