intake: responses are charged by the memory that they take

Cause: the limits for responses counted the data of each chunk. A chunk takes 32 bytes in a list besides, and is a slice that keeps the whole read buffer with its framing. Bodies of the store, of other hosts and of callers were collected in such lists too; heads, events and answers that a slow caller had not read were not counted.

Change: `intake::ResponseBuffers` is the account of the memory of responses. Bodies are copied into segments that are charged with their capacity until the caller's connection has them; heads and events are charged too. A quarter of the total is left for small responses, and want of memory is no failure of an upstream. Other bodies are copied into one buffer with a limit. The router charges its responses in the same way; a listing of the store has a limit and has to advance.

The scripts of `gateway_wire_faults` moved to the shared test support unchanged.

--- a/lib/src/daemon/admin_server.rs
+++ b/lib/src/daemon/admin_server.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -20,6 +20,7 @@
 
 use crate::{
     control::PeerReply,
+    intake::read_body,
     listener::{ListenerLimits, serve_listener},
     peer::{MAX_MESSAGE_BYTES, encode_message},
 };
@@ -173,9 +174,9 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    let body = Limited::new(body, MAX_MESSAGE_BYTES).collect();
+    let body = read_body(body, MAX_MESSAGE_BYTES);
     let body = match timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             return AdminResponse::text(400, format!("the body cannot be read: {error}\n"))
                 .into_http();
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -8,7 +8,7 @@
 mod service;
 
 use std::{
-    io::Read,
+    io::{self, Read},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -25,6 +25,7 @@
         CallerRequest, CallerResponder, OutcomeKind, RefusalKind, RequestHandler, RequestRefusal,
         api_key, strip_credentials,
     },
+    intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits},
     names::{HostName, UpstreamName},
     peer::PeerTransport,
     quarantine::RequestFingerprint,
@@ -48,8 +49,12 @@
 const MIN_SERVICE_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_SERVICE_HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Maximum size of the body of a response that is not streamed.
-const MAX_BUFFERED_RESPONSE_BYTES: u64 = 16 << 20;
+/// Memory of responses that are not streamed. Each worker thread receives one at a time.
+const RESPONSE_LIMITS: ResponseLimits =
+    ResponseLimits { max_bytes: 16 << 20, max_total_bytes: 128 << 20 };
+
+/// Bytes of a response body that are read at a time.
+const READ_BYTES: usize = 8 << 10;
 
 /// Headers that only the router may set on requests to upstreams.
 const ROUTER_HEADERS: [&str; 5] =
@@ -63,6 +68,7 @@
     peers: Arc<dyn PeerTransport<PeerRequest, PeerReply>>,
     host: HostName,
     metrics: Arc<RouterMetrics>,
+    buffers: Arc<ResponseBuffers>,
 }
 
 impl ExchangeHandler {
@@ -75,7 +81,8 @@
         host: HostName,
         metrics: Arc<RouterMetrics>,
     ) -> Self {
-        Self { control, upstream, clock, peers, host, metrics }
+        let buffers = ResponseBuffers::new(RESPONSE_LIMITS);
+        Self { control, upstream, clock, peers, host, metrics, buffers }
     }
 }
 
@@ -134,6 +141,8 @@
     status: u16,
     headers: Vec<(String, String)>,
     body: Vec<u8>,
+    /// Memory of the body.
+    _reservation: BufferReservation,
 }
 
 /// State of an admitted request that is being served.
@@ -254,23 +263,26 @@
         response: UpstreamResponse,
     ) -> Result<CompleteResponse, FailedAttempt> {
         let UpstreamResponse { status, headers, incarnation, body } = response;
-        let mut content = Vec::new();
-        let read = body.take(MAX_BUFFERED_RESPONSE_BYTES + 1).read_to_end(&mut content);
-        if content.len() as u64 > MAX_BUFFERED_RESPONSE_BYTES {
-            guard.end(DispatchEnd::Cancelled);
-            let message = "the answer is too large";
-            let refusal = RequestRefusal::unknown(RefusalKind::AnswerTooLarge, message);
-            return Err(FailedAttempt { refusal, may_retry: false });
-        }
-        match read {
-            Ok(_) => {
+        let mut reservation = self.exchange.buffers.open();
+        match read_body(body, &mut reservation) {
+            Ok(body) => {
                 self.record_first_chunk(&guard, incarnation);
                 guard.end(DispatchEnd::Complete);
-                Ok(CompleteResponse { status, headers, body: content })
+                Ok(CompleteResponse { status, headers, body, _reservation: reservation })
             }
-            Err(error) => {
+            Err(ReceiveError::Lost(error)) => {
                 Err(self.handle_call_error(guard, &CallError::Ambiguous(error.to_string())))
             }
+            Err(ReceiveError::Buffer(error)) => {
+                let upstream = &guard.permit().upstream;
+                tracing::warn!(
+                    request_id = %self.request.request_id, %upstream, %error, "answer_cut"
+                );
+                guard.end(DispatchEnd::Cancelled);
+                let refusal =
+                    RequestRefusal::unknown(RefusalKind::AnswerTooLarge, error.to_string());
+                Err(FailedAttempt { refusal, may_retry: false })
+            }
         }
     }
 
@@ -314,6 +326,39 @@
     }
 }
 
+/// Why the body of a response was not received.
+#[derive(Debug, thiserror::Error)]
+enum ReceiveError {
+    #[error(transparent)]
+    Lost(#[from] io::Error),
+    #[error(transparent)]
+    Buffer(#[from] BufferError),
+}
+
+/// Reads a body to its end. `reservation` accounts for the capacity of the result.
+fn read_body(
+    mut body: impl Read,
+    reservation: &mut BufferReservation,
+) -> Result<Vec<u8>, ReceiveError> {
+    let mut content = Vec::new();
+    let mut buffer = [0; READ_BYTES];
+    loop {
+        let length = match body.read(&mut buffer) {
+            Ok(0) => return Ok(content),
+            Ok(length) => length,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            Err(error) => return Err(error.into()),
+        };
+        if length > content.capacity() - content.len() {
+            let doubled = (content.capacity() * 2).max(content.len() + length);
+            let more = (doubled - content.capacity()).min(reservation.remaining_bytes());
+            reservation.try_grow(more.max(content.len() + length - content.capacity()))?;
+            content.reserve_exact(content.capacity() + more - content.len());
+        }
+        content.extend_from_slice(&buffer[..length]);
+    }
+}
+
 fn refuse(responder: CallerResponder, refusal: &RequestRefusal) -> RequestEnd {
     responder.refuse(refusal);
     RequestEnd::Refused { kind: refusal.kind, outcome: refusal.outcome }
--- a/lib/src/exchange/events.rs
+++ b/lib/src/exchange/events.rs
@@ -24,6 +24,14 @@
     pub count: u64,
 }
 
+impl EventBatch {
+    /// Returns whether an event has data or an id. Comments and empty lines are no content.
+    pub fn has_content(&self) -> bool {
+        let mut lines = self.bytes.split(|it| *it == b'\n');
+        lines.any(|line| line.starts_with(b"data:") || line.starts_with(b"id:"))
+    }
+}
+
 impl EventSplitter {
     /// Creates a splitter at the start of a stream.
     pub fn new() -> Self {
@@ -62,6 +70,11 @@
         self.is_done
     }
 
+    /// Returns the memory that the splitter takes, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Returns whether the incomplete event exceeds the maximum size.
     pub fn is_oversized(&self) -> bool {
         self.pending.len() > MAX_EVENT_BYTES
--- a/lib/src/exchange/operation.rs
+++ b/lib/src/exchange/operation.rs
@@ -336,7 +336,7 @@
 }
 
 fn stored_response(response: CompleteResponse) -> StoredResponse {
-    let CompleteResponse { status, headers, body } = response;
+    let CompleteResponse { status, headers, body, .. } = response;
     StoredResponse { status, headers, body: ByteString(body) }
 }
 
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -11,7 +11,6 @@
     time::Duration,
 };
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, Response, body::Incoming};
 use tokio::{
     runtime::{Builder, Handle},
@@ -24,7 +23,10 @@
     request::CallerRequest,
     respond::{CallerResponder, CallerResponse, ChannelBody},
 };
-use crate::listener::{ListenerLimits, serve_listener};
+use crate::{
+    intake::{BodyError, read_body},
+    listener::{ListenerLimits, serve_listener},
+};
 
 /// Longest request id that is accepted from a caller; a longer one is replaced by a random id.
 const MAX_REQUEST_ID_BYTES: usize = 128;
@@ -224,18 +226,18 @@
     if content_length.is_some_and(|it: u64| it > limits.max_body_bytes as u64) {
         return Err(too_large());
     }
-    let read_body = Limited::new(body, limits.max_body_bytes).collect();
-    let body = match timeout(limits.body_timeout, read_body).await {
+    let reading = read_body(body, limits.max_body_bytes);
+    let body = match timeout(limits.body_timeout, reading).await {
         Err(_) => {
             let message = format!("the body took longer than {} s", limits.body_timeout.as_secs());
             return Err(RequestRefusal::not_run(RefusalKind::BodyTimeout, message));
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
-        Ok(Err(error)) => {
+        Ok(Err(BodyError::TooLarge(_))) => return Err(too_large()),
+        Ok(Err(BodyError::Lost(error))) => {
             let message = format!("the body is incomplete: {error}");
             return Err(RequestRefusal::not_run(RefusalKind::InvalidRequest, message));
         }
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     let mut headers = Vec::with_capacity(parts.headers.len());
     for (name, value) in &parts.headers {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -6,7 +6,6 @@
 
 mod body;
 mod budget;
-mod buffers;
 mod call;
 mod cold;
 mod connection;
@@ -23,6 +22,7 @@
 mod peers;
 mod pool;
 mod reach;
+mod segments;
 mod server;
 mod shutdown;
 mod stream;
@@ -32,7 +32,6 @@
 
 pub use self::{
     budget::{RetryAllowance, RetryBudget},
-    buffers::{BufferReservation, ResponseBuffers, ResponseLimits},
     cold::{ColdBucket, host_cold_rate},
     connection::{ClientError, ConnectError, ConnectTimeouts, HttpClient, HttpConnection},
     crashes::{CrashDetector, LostAttempt},
@@ -61,3 +60,4 @@
         ReportedLoad, UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
     },
 };
+pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
--- a/lib/src/gateway/body.rs
+++ b/lib/src/gateway/body.rs
@@ -1,11 +1,13 @@
 //! Bodies of responses to callers: complete ones and event streams.
 
 use std::{
+    collections::VecDeque,
+    convert::Infallible,
     pin::Pin,
     task::{Context, Poll, ready},
 };
 
-use http_body_util::{Either, Full};
+use http_body_util::Either;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use tokio::{sync::mpsc, task::JoinHandle};
 
@@ -18,7 +20,44 @@
 pub struct TruncatedStream;
 
 /// Body of a response: complete, or a stream of events.
-pub type ResponseBody = Either<Full<Bytes>, EventBody>;
+pub type ResponseBody = Either<CompleteBody, EventBody>;
+
+/// A body that was received or created completely. Each segment is dropped once it is sent.
+#[derive(Debug, Default)]
+pub struct CompleteBody {
+    segments: VecDeque<Bytes>,
+    remaining_bytes: u64,
+}
+
+impl CompleteBody {
+    /// Creates a body of consecutive segments.
+    pub fn new(segments: Vec<Bytes>) -> Self {
+        let remaining_bytes = segments.iter().map(|it| it.len() as u64).sum();
+        Self { segments: segments.into(), remaining_bytes }
+    }
+}
+
+impl Body for CompleteBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let segment = self.segments.pop_front();
+        self.remaining_bytes -= segment.as_ref().map_or(0, |it| it.len() as u64);
+        Poll::Ready(segment.map(|it| Ok(Frame::data(it))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.segments.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.remaining_bytes)
+    }
+}
 
 #[derive(Debug)]
 enum StreamPart {
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::{Either, Full};
+use http_body_util::Either;
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -22,11 +22,11 @@
     attempt::{UsableResponse, log_failure, run_attempt},
 };
 pub(super) use self::{
-    attempt::{AttemptGuard, FailedAttempt, OpenResponse, open_response},
+    attempt::{AttemptGuard, CUT_OFF, FailedAttempt, MEMORY_FULL, OpenResponse, open_response},
     headers::stream_head,
 };
 use super::{
-    body::ResponseBody,
+    body::{CompleteBody, ResponseBody},
     cold::host_cold_rate,
     crashes::CrashDetector,
     fleet::{Gateway, GatewayState},
@@ -426,7 +426,7 @@
     /// Counts a refusal and creates the response that reports it to the caller.
     fn refuse(&self, request_id: &str, refusal: &RequestRefusal) -> Response<ResponseBody> {
         self.metrics.count_refusal(refusal.kind.as_str());
-        let body = Full::new(Bytes::from(refusal.body(request_id)));
+        let body = CompleteBody::new(vec![Bytes::from(refusal.body(request_id))]);
         let mut response = Response::new(Either::Left(body));
         let status = StatusCode::from_u16(refusal.kind.status());
         *response.status_mut() = status.expect("refusals have valid statuses");
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -6,7 +6,6 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Method, Uri,
     body::{Bytes, Incoming},
@@ -21,6 +20,7 @@
         dialect::RequestHead,
         table::{CallerIdentity, RouteRecord, RouteTable, TeamRecord},
     },
+    intake::{self, BodyError},
     names::{ServiceName, TeamName},
     quarantine::RequestFingerprint,
 };
@@ -124,21 +124,20 @@
     table: Option<&RouteTable>,
 ) -> Result<Bytes, RequestRefusal> {
     let limits = table.map(RouteTable::limits).unwrap_or_default();
-    let reading = Limited::new(body, limits.max_body_bytes).collect();
+    let reading = intake::read_body(body, limits.max_body_bytes);
     match timeout(limits.read_timeout, reading).await {
         Err(_) => {
             let message = format!("the body took longer than {:?}", limits.read_timeout);
             Err(RequestRefusal::not_run(RefusalKind::BodyTimeout, message))
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body exceeds {} bytes", limits.max_body_bytes);
-            Err(RequestRefusal::not_run(RefusalKind::BodyTooLarge, message))
+        Ok(Err(error @ BodyError::TooLarge(_))) => {
+            Err(RequestRefusal::not_run(RefusalKind::BodyTooLarge, error.to_string()))
         }
-        Ok(Err(error)) => {
+        Ok(Err(BodyError::Lost(error))) => {
             let message = format!("the body is incomplete: {error}");
             Err(RequestRefusal::not_run(RefusalKind::InvalidRequest, message))
         }
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(body),
     }
 }
 
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -2,10 +2,11 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::{
     Request, Response, StatusCode, Uri,
     body::{Bytes, Incoming},
@@ -17,21 +18,26 @@
 use crate::{
     front::RefusalKind,
     gateway::{
-        body::ResponseBody,
+        body::{CompleteBody, ResponseBody},
         crashes::LostAttempt,
         dialect::{AttemptHead, ResponseHead},
         fleet::Gateway,
         health::AttemptEnd,
         pool::{PoolKey, SendError, UpstreamExchange},
+        segments::SegmentBuffer,
         stream::StreamSource,
         upstreams::{UpstreamPick, UpstreamProcess},
     },
+    intake::{BufferError, BufferReservation, ResponseBuffers},
     names::UpstreamName,
 };
 
 /// Largest body of a refusal that is read in order to reuse the connection.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
+/// Memory of a header besides its text.
+const HEADER_BYTES: usize = 64;
+
 /// Longest wait for the body of a refusal; the next upstream is tried after it.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -39,7 +45,9 @@
 pub(in crate::gateway) struct CompleteResponse {
     pub(super) status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    _head_memory: BufferReservation,
+    /// Segments of the body; each holds its part of the memory for responses.
+    body: Vec<Bytes>,
 }
 
 /// Why an attempt gave no response for the caller.
@@ -111,6 +119,11 @@
     pub(in crate::gateway) fn upstream(&self) -> &UpstreamName {
         &self.process.upstream
     }
+
+    /// Returns the account of the memory that the response takes.
+    pub(in crate::gateway) fn buffers(&self) -> &Arc<ResponseBuffers> {
+        &self.gateway.response_buffers
+    }
 }
 
 impl Drop for AttemptGuard {
@@ -140,10 +153,17 @@
 /// A response of an upstream whose body has not been read.
 pub(in crate::gateway) struct OpenResponse {
     pub(in crate::gateway) response: Response<Incoming>,
+    pub(in crate::gateway) head_memory: BufferReservation,
     pub(in crate::gateway) exchange: UpstreamExchange,
     pub(in crate::gateway) guard: AttemptGuard,
 }
 
+/// Kind of a failure after which the connection was cut off because of what the upstream sent.
+pub(in crate::gateway) const CUT_OFF: &str = "cut_off";
+
+/// Kind of a failure for want of memory for responses, which is not the upstream's.
+pub(in crate::gateway) const MEMORY_FULL: &str = "memory_full";
+
 /// Logs a failed attempt and counts it by upstream and `kind`.
 pub(super) fn log_failure(
     gateway: &Gateway,
@@ -181,8 +201,8 @@
         return match source.next_events().await {
             Ok(_) => Ok(UsableResponse::Stream(Box::new(source))),
             Err(error) => {
-                log_failure(&gateway, &request, &pick.name, "stream_lost", &error);
-                source.fail();
+                log_failure(&gateway, &request, &pick.name, error.kind(), &error);
+                source.fail(&error);
                 Err(FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost))
             }
         };
@@ -253,7 +273,17 @@
         guard.end(AttemptEnd::Failed);
         return Err(FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost));
     }
-    Ok(OpenResponse { response, exchange, guard })
+    let mut head_memory = guard.buffers().open();
+    if let Err(error) = head_memory.try_grow(head_bytes(response.headers())) {
+        log_failure(gateway, request, &pick.name, MEMORY_FULL, &error);
+        return Err(FailedAttempt::MayHaveRun(RefusalKind::AnswerTooLarge));
+    }
+    Ok(OpenResponse { response, head_memory, exchange, guard })
+}
+
+/// Returns the memory that the head of a response takes, about.
+fn head_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES).sum()
 }
 
 /// Records what a response head reports of its upstream: load, cold start, that it leaves, and that
@@ -286,46 +316,61 @@
 /// Reads the body of a refusal, so that the connection can be reused. Closes the connection if the
 /// body is long or slow.
 async fn drain_refusal(response: Response<Incoming>, exchange: UpstreamExchange) {
-    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
-    if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body).await {
+    let mut body = response.into_body();
+    let drained = async {
+        let mut length = 0;
+        while let Some(frame) = body.frame().await {
+            length += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if length > MAX_REFUSAL_BYTES {
+                return None;
+            }
+        }
+        Some(())
+    };
+    if let Ok(Some(())) = timeout(REFUSAL_BODY_TIMEOUT, drained).await {
         exchange.finish();
     }
 }
 
 /// Why a response was not received completely.
 #[derive(Debug, thiserror::Error)]
-enum BodyError {
+enum ReceiveError {
     #[error("connection lost: {0}")]
     Lost(#[from] hyper::Error),
-    #[error("the response exceeds the memory for responses")]
-    TooLarge,
+    #[error(transparent)]
+    Buffer(#[from] BufferError),
 }
 
-impl BodyError {
+impl ReceiveError {
     fn refusal_kind(&self) -> RefusalKind {
         match self {
             Self::Lost(_) => RefusalKind::UpstreamLost,
-            Self::TooLarge => RefusalKind::AnswerTooLarge,
+            Self::Buffer(_) => RefusalKind::AnswerTooLarge,
+        }
+    }
+
+    /// Returns the kind of the failure for logs and metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Lost(_) => "answer_lost",
+            Self::Buffer(BufferError::ResponseTooLarge(_)) => CUT_OFF,
+            Self::Buffer(BufferError::MemoryFull) => MEMORY_FULL,
         }
     }
 }
 
 /// Reads a body to its end, within the memory for responses.
-async fn collect_body(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, BodyError> {
-    let mut reservation = gateway.response_buffers.open();
-    let mut chunks: Vec<Bytes> = Vec::new();
+async fn collect_body(
+    buffers: &Arc<ResponseBuffers>,
+    mut body: Incoming,
+) -> Result<Vec<Bytes>, ReceiveError> {
+    let mut buffer = SegmentBuffer::new(buffers.open());
     while let Some(frame) = body.frame().await {
         if let Ok(chunk) = frame?.into_data() {
-            if !reservation.try_grow(chunk.len()) {
-                return Err(BodyError::TooLarge);
-            }
-            chunks.push(chunk);
+            buffer.extend(&chunk)?;
         }
     }
-    Ok(match chunks.len() {
-        1 => chunks.swap_remove(0),
-        _ => chunks.concat().into(),
-    })
+    Ok(buffer.finish())
 }
 
 /// Reads a response that is not a stream to its end, and records the outcome at the upstream.
@@ -334,16 +379,17 @@
     request: &AdmittedRequest,
     open: OpenResponse,
 ) -> Result<CompleteResponse, FailedAttempt> {
-    let OpenResponse { response, exchange, guard } = open;
+    let OpenResponse { response, head_memory, exchange, guard } = open;
     let (parts, body) = response.into_parts();
-    let body = match collect_body(gateway, body).await {
+    let body = match collect_body(guard.buffers(), body).await {
         Ok(body) => body,
         Err(error) => {
-            log_failure(gateway, request, guard.upstream(), "answer_lost", &error);
+            log_failure(gateway, request, guard.upstream(), error.kind(), &error);
             let refusal_kind = error.refusal_kind();
             match error {
-                BodyError::Lost(_) => guard.end_with_lost_connection(true),
-                BodyError::TooLarge => guard.end(AttemptEnd::Failed),
+                ReceiveError::Lost(_) => guard.end_with_lost_connection(true),
+                ReceiveError::Buffer(BufferError::MemoryFull) => guard.end(AttemptEnd::Cancelled),
+                ReceiveError::Buffer(_) => guard.end(AttemptEnd::Failed),
             }
             return Err(FailedAttempt::MayHaveRun(refusal_kind));
         }
@@ -362,7 +408,12 @@
         // status that implies it.
         return Err(FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost));
     }
-    Ok(CompleteResponse { status: parts.status, headers: end_to_end_headers(parts.headers), body })
+    Ok(CompleteResponse {
+        status: parts.status,
+        headers: end_to_end_headers(parts.headers),
+        _head_memory: head_memory,
+        body,
+    })
 }
 
 /// Returns whether callers infer from the status that the request has not run.
@@ -401,7 +452,7 @@
 
 impl CompleteResponse {
     pub(super) fn into_response(self) -> Response<ResponseBody> {
-        let mut response = Response::new(Either::Left(Full::new(self.body)));
+        let mut response = Response::new(Either::Left(CompleteBody::new(self.body)));
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         response
--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, StatusCode,
     body::Bytes,
@@ -12,13 +12,11 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use crate::intake::read_body;
+
 /// Idle time before the first TCP keep-alive probe, and interval of the probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Largest response body that [`HttpClient`] accepts. A page of a listing is about 1 MB of values
-/// in base64.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Timeouts after which a remote address counts as unreachable.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectTimeouts {
@@ -133,7 +131,8 @@
         self.address
     }
 
-    /// Sends a request and reads the complete response within `time_limit`.
+    /// Sends a request and reads the complete response within `time_limit`; its body may have up to
+    /// `max_bytes`.
     ///
     /// # Errors
     ///
@@ -143,6 +142,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
+        max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), ClientError> {
         let usable = self.connection.take().filter(HttpConnection::is_usable);
         let mut connection = match usable {
@@ -153,8 +153,7 @@
         let exchange = async {
             let response = connection.sender.send_request(request).await;
             let (parts, body) = response.map_err(|error| lost(&error))?.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-            let body = body.map_err(|error| lost(&error))?.to_bytes();
+            let body = read_body(body, max_bytes).await.map_err(|error| lost(&error))?;
             Ok::<_, ClientError>((parts.status, body))
         };
         let response = timeout(time_limit, exchange)
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -15,7 +15,6 @@
 
 use super::{
     budget::{RetryAllowance, RetryBudget},
-    buffers::{ResponseBuffers, ResponseLimits},
     crashes::CrashDetector,
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
@@ -30,6 +29,7 @@
 };
 use crate::{
     clock::ClockSource,
+    intake::{ResponseBuffers, ResponseLimits},
     names::{CentreName, UpstreamName},
     telemetry::RouterMetrics,
 };
@@ -107,7 +107,7 @@
     /// Whether neither the platform nor a relay of the data centre responds to this host.
     pub(super) source_unavailable: watch::Sender<bool>,
     pub(super) change_cache: ChangeCache,
-    pub(super) response_buffers: Rc<ResponseBuffers>,
+    pub(super) response_buffers: Arc<ResponseBuffers>,
     pub(super) pauses: PauseDetector,
     /// Notified when there are strikes that other hosts may not know.
     pub(super) strike_news: Notify,
@@ -298,6 +298,7 @@
         }
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
+        self.metrics.set_response_memory(self.response_buffers.total_bytes() as u64);
     }
 
     /// Returns the metrics in the text exposition format, or an empty text if rendering fails.
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -31,6 +31,7 @@
 };
 use crate::{
     config::ConfigChange,
+    intake::read_body,
     names::HostName,
     peer::{decode_message, encode_message},
     quarantine::{CrashClearance, CrashStrike, PartProof},
@@ -40,9 +41,12 @@
 const DIGEST_PATH: &str = "/v1/digest";
 const CHANGES_PATH: &str = "/v1/changes";
 
-/// Largest request body that is read from a peer.
+/// Largest digest or request that is read from a peer.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
+/// Largest reply with changes that is read from a peer; it may hold all entries, compressed.
+const MAX_CHANGES_BYTES: usize = 8 << 20;
+
 /// Mean interval between the gossip rounds of a host.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -164,7 +168,7 @@
     ///
     /// Fails if there is no readable reply within the time limit.
     pub async fn digest(&mut self, digest: &PeerDigest) -> Result<PeerDigest, PeerFailure> {
-        self.call(DIGEST_PATH, digest, REPLY_TIMEOUT).await
+        self.call(DIGEST_PATH, digest, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
     }
 
     /// Requests the changes after a revision; the host waits up to `wait` for the first one.
@@ -178,19 +182,20 @@
         wait: Duration,
     ) -> Result<ChangesReply, PeerFailure> {
         let request = ChangesRequest { after, wait_ms: wait.as_millis() as u64 };
-        self.call(CHANGES_PATH, &request, wait + REPLY_TIMEOUT).await
+        self.call(CHANGES_PATH, &request, wait + REPLY_TIMEOUT, MAX_CHANGES_BYTES).await
     }
 
     async fn call<Q: Serialize, R: DeserializeOwned>(
         &mut self,
         path: &str,
         message: &Q,
-        limit: Duration,
+        time_limit: Duration,
+        max_bytes: usize,
     ) -> Result<R, PeerFailure> {
         let body = Full::new(Bytes::from(encode_message(message)));
         let request = Request::post(path).header(HOST, self.address().to_string()).body(body);
         let request = request.expect("paths and addresses are valid");
-        let (status, body) = self.0.send(request, limit).await?;
+        let (status, body) = self.0.send(request, time_limit, max_bytes).await?;
         if status != StatusCode::OK {
             return Err(PeerFailure::Unreadable(status));
         }
@@ -204,9 +209,9 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await;
+    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES).await;
     let reply = match body {
-        Ok(body) => handle_message(&gateway, &path, &body.to_bytes()).await,
+        Ok(body) => handle_message(&gateway, &path, &body).await,
         Err(error) => {
             tracing::debug!(%error, "peer_message_lost");
             None
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -16,15 +16,17 @@
 use super::{
     body::{EventBody, EventSender, ResponseBody},
     call::{
-        ActiveGuard, AttemptGuard, FailedAttempt, OpenResponse, RequestAttempts, open_response,
-        stream_head,
+        ActiveGuard, AttemptGuard, CUT_OFF, FailedAttempt, MEMORY_FULL, OpenResponse,
+        RequestAttempts, open_response, stream_head,
     },
     health::AttemptEnd,
     pool::UpstreamExchange,
+    segments::reserved_bytes,
     upstreams::UpstreamPick,
 };
 use crate::{
     exchange::{EventBatch, EventSplitter},
+    intake::{BufferError, BufferReservation},
     names::UpstreamName,
 };
 
@@ -45,6 +47,19 @@
     PartialEvent,
     /// An event exceeds the size limit of the splitter.
     Oversized,
+    /// There is no memory for the events.
+    Buffer(BufferError),
+}
+
+impl StreamError {
+    /// Returns the kind of the failure for logs and metrics.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            Self::Lost(_) | Self::PartialEvent => "stream_lost",
+            Self::Buffer(BufferError::MemoryFull) => MEMORY_FULL,
+            Self::Oversized | Self::Buffer(_) => CUT_OFF,
+        }
+    }
 }
 
 impl fmt::Display for StreamError {
@@ -53,18 +68,31 @@
             Self::Lost(error) => write!(f, "connection lost: {error}"),
             Self::PartialEvent => f.write_str("the response ended within an event"),
             Self::Oversized => f.write_str("an event exceeds the size limit"),
+            Self::Buffer(error) => write!(f, "{error}"),
         }
     }
 }
 
+/// Consecutive events that were received.
+struct ReceivedEvents {
+    /// Bytes of the events; they hold their part of the memory for responses.
+    bytes: Bytes,
+    /// Whether there is more in them than comments and empty lines, which a stalled upstream may
+    /// send as well.
+    has_content: bool,
+}
+
 /// The event stream of one upstream, split into complete events.
 pub(super) struct StreamSource {
     status: StatusCode,
     headers: HeaderMap,
     body: Incoming,
+    _head_memory: BufferReservation,
     splitter: EventSplitter,
+    /// Memory of the splitter.
+    splitter_memory: BufferReservation,
     /// Events that were read and not yet forwarded.
-    pending: Option<EventBatch>,
+    pending: Option<ReceivedEvents>,
     exchange: UpstreamExchange,
     guard: AttemptGuard,
     /// When the first event was forwarded.
@@ -74,13 +102,15 @@
 
 impl StreamSource {
     pub(super) fn new(open: OpenResponse) -> Self {
-        let OpenResponse { response, exchange, guard, .. } = open;
+        let OpenResponse { response, head_memory, exchange, guard } = open;
         let (parts, body) = response.into_parts();
         Self {
             status: parts.status,
             headers: parts.headers,
             body,
+            _head_memory: head_memory,
             splitter: EventSplitter::new(),
+            splitter_memory: guard.buffers().open(),
             pending: None,
             exchange,
             guard,
@@ -117,19 +147,39 @@
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            if let Some(batch) = self.splitter.push(bytes) {
-                self.pending = Some(batch);
-                return Ok(true);
-            }
+            let batch = self.splitter.push(bytes);
+            let events = batch.map(|it| self.receive(it)).transpose()?;
             if self.splitter.is_oversized() {
                 return Err(StreamError::Oversized);
             }
+            let memory = self.splitter_memory.resize(self.splitter.capacity());
+            memory.map_err(StreamError::Buffer)?;
+            if events.is_some() {
+                self.pending = events;
+                return Ok(true);
+            }
         }
     }
 
-    /// Ends a stream whose connection was lost, or that was malformed.
-    pub(super) fn fail(self) {
-        self.guard.end_with_lost_connection(true);
+    /// Accounts for the memory of complete events.
+    fn receive(&self, batch: EventBatch) -> Result<ReceivedEvents, StreamError> {
+        let mut memory = self.guard.buffers().open();
+        memory.try_grow(batch.bytes.capacity()).map_err(StreamError::Buffer)?;
+        let has_content = batch.has_content();
+        Ok(ReceivedEvents { bytes: reserved_bytes(batch.bytes, memory), has_content })
+    }
+
+    /// Ends a stream after an error.
+    pub(super) fn fail(self, error: &StreamError) {
+        match error {
+            StreamError::Lost(_) | StreamError::PartialEvent => {
+                self.guard.end_with_lost_connection(true);
+            }
+            StreamError::Buffer(BufferError::MemoryFull) => self.guard.end(AttemptEnd::Cancelled),
+            StreamError::Oversized | StreamError::Buffer(_) => {
+                self.abandon();
+            }
+        }
     }
 
     /// Ends a stream that is stalled or useless, and closes its connection.
@@ -201,9 +251,9 @@
         let status = first.status.as_u16();
         let mut source = first;
         loop {
-            if let Some(batch) = source.pending.take() {
+            if let Some(events) = source.pending.take() {
                 source.record_events(self.attempts.gateway.now());
-                if let Err(outcome) = self.forward(batch).await {
+                if let Err(outcome) = self.forward(events).await {
                     return self.attempts.log_end(source.guard.upstream(), status, outcome);
                 }
             }
@@ -219,9 +269,9 @@
                     return self.attempts.log_end(source.guard.upstream(), status, "time_is_up");
                 }
                 RelayEvent::Events(Err(error)) => {
-                    self.attempts.log_failure(source.guard.upstream(), "stream_lost", &error);
+                    self.attempts.log_failure(source.guard.upstream(), error.kind(), &error);
                     let lost = LostStream::of(&source);
-                    source.fail();
+                    source.fail(&error);
                     lost
                 }
                 RelayEvent::EventTimeout => {
@@ -248,13 +298,12 @@
     /// # Errors
     ///
     /// The caller did not get them; the text is the outcome for metrics and the log.
-    async fn forward(&mut self, batch: EventBatch) -> Result<(), &'static str> {
-        let last_event_id = last_event_id(&batch.bytes);
-        if last_event_id.is_some() || has_data(&batch.bytes) {
+    async fn forward(&mut self, events: ReceivedEvents) -> Result<(), &'static str> {
+        if events.has_content {
             self.last_progress = self.attempts.gateway.now();
         }
-        self.last_event_id = last_event_id.or(self.last_event_id);
-        match timeout(self.time_left(), self.sender.send(Bytes::from(batch.bytes))).await {
+        self.last_event_id = last_event_id(&events.bytes).or(self.last_event_id);
+        match timeout(self.time_left(), self.sender.send(events.bytes)).await {
             Ok(sent) => sent.map_err(|_| "caller_left"),
             Err(_) => Err("time_is_up"),
         }
@@ -358,9 +407,9 @@
             }
             Ok(false) => return Some(source),
             Err(error) => {
-                self.attempts.log_failure(&pick.name, "stream_lost", &error);
+                self.attempts.log_failure(&pick.name, error.kind(), &error);
                 self.attempts.record_possible_run();
-                source.fail();
+                source.fail(&error);
                 return None;
             }
         }
@@ -393,10 +442,6 @@
     })
 }
 
-fn has_data(bytes: &[u8]) -> bool {
-    bytes.split(|it| *it == b'\n').any(|line| line.starts_with(b"data:"))
-}
-
 fn first_event_id(bytes: &[u8]) -> Option<u64> {
     event_ids(bytes).next()
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod front;
 pub mod gateway;
+pub mod intake;
 pub mod limits;
 mod listener;
 pub mod membership;
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -138,6 +138,7 @@
     queue_wait: Histogram<f64>,
     queue_length: Gauge<u64>,
     in_flight: Gauge<u64>,
+    response_memory: Gauge<u64>,
     upstream_errors: Counter<u64>,
     config_accepted: Gauge<u64>,
     config_seen: Gauge<u64>,
@@ -193,6 +194,11 @@
             ),
             queue_length: gauge(&meter, "snipepond_queue_length", "Requests in the queue."),
             in_flight: gauge(&meter, "snipepond_in_flight", "Requests at upstreams."),
+            response_memory: gauge(
+                &meter,
+                "snipepond_response_memory_bytes",
+                "Memory of responses that are not delivered yet.",
+            ),
             upstream_errors: counter(
                 &meter,
                 "snipepond_upstream_errors",
@@ -293,6 +299,11 @@
         self.queue_length.record(requests, &[]);
     }
 
+    /// Sets the memory that responses take until their callers have them, in bytes.
+    pub fn set_response_memory(&self, bytes: u64) {
+        self.response_memory.record(bytes, &[]);
+    }
+
     /// Sets the number of requests in flight at upstreams.
     pub fn set_in_flight(&self, requests: u64) {
         self.in_flight.record(requests, &[]);
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -1,6 +1,9 @@
 //! Fakes and helpers for tests of a gateway with listeners on loopback.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+pub mod flood;
+pub mod script;
+
 use std::{net::SocketAddr, process, rc::Rc, time::Duration};
 
 use hyper::{HeaderMap, StatusCode};
@@ -72,8 +75,17 @@
     }
 }
 
+/// Default limits of the memory of responses.
+pub const RESPONSE_LIMITS: ResponseLimits =
+    ResponseLimits { max_bytes: 16 << 20, max_total_bytes: 48 << 20 };
+
 /// Creates a gateway in the data centre `a` without configuration and upstreams.
 pub fn new_gateway(addresses: &ServerAddresses) -> Rc<Gateway> {
+    new_gateway_with(addresses, RESPONSE_LIMITS)
+}
+
+/// Creates a gateway as [`new_gateway`], with these limits of the memory of responses.
+pub fn new_gateway_with(addresses: &ServerAddresses, responses: ResponseLimits) -> Rc<Gateway> {
     let identity = MemberRecord {
         host: HostName::new("h1"),
         centre: CentreName::new("a"),
@@ -83,7 +95,6 @@
         bandwidth: 1,
     };
     let retries = RetryAllowance { ratio: 0.2, window: Duration::from_secs(10), slack: 1_000.0 };
-    let responses = ResponseLimits { max_bytes: 16 << 20, max_total_bytes: 48 << 20 };
     Gateway::new(
         GatewaySettings { identity, retries, responses },
         Rc::new(SystemClock),
