exchange: events are split in one pass

Cause: after each event the splitter searched all the rest of the batch for an empty line with CR LF, so the time grew with the square of the events in a batch of up to 400 KiB. The gateway has one thread.

Change: one pass that stops at the first empty line of either kind.

--- a/lib/src/exchange/events.rs
+++ b/lib/src/exchange/events.rs
@@ -81,18 +81,18 @@
     }
 }
 
-/// Returns the position after the first empty line at or after `from`.
+/// Returns the position after the first empty line at or after `from`; reads no further than that.
 fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let rest = &bytes[from..];
-    let lf_end = find_pattern(rest, b"\n\n").map(|it| it + 2);
-    let crlf_end = find_pattern(rest, b"\r\n\r\n").map(|it| it + 4);
-    let end = match (lf_end, crlf_end) {
-        (Some(a), Some(b)) => a.min(b),
-        (a, b) => a.or(b)?,
-    };
-    Some(from + end)
-}
-
-fn find_pattern(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|it| it == pattern)
+    let mut start = from;
+    loop {
+        let line_end = start + bytes[start..].iter().position(|it| *it == b'\n')?;
+        let rest = &bytes[line_end + 1..];
+        if rest.starts_with(b"\n") {
+            return Some(line_end + 2);
+        }
+        if rest.starts_with(b"\r\n") && bytes[from..line_end].ends_with(b"\r") {
+            return Some(line_end + 3);
+        }
+        start = line_end + 1;
+    }
 }
