intake: connections that send no content are cut off

Cause: the HTTP library reads on in one poll while its socket has bytes, and nothing limited what precedes a head, the framing of chunks, trailers or events without data. A relayed stream looked at its deadline only when no event was ready.

Change: connections run over a socket that gives way after 16 KiB. A meter compares what an outgoing one receives with the content that its reader delivers, and cuts it off after 256 KiB beyond nine times the content. The same meter is in the router's client. A cut costs one connection, one line and one in snipepond_cut_connections_total; the upstream counts as failing. Invalid framing counts like that too, and no longer as a crash.

--- a/lib/src/daemon/traffic.rs
+++ b/lib/src/daemon/traffic.rs
@@ -1,11 +1,21 @@
-//! Counts the bytes of control traffic at the sockets.
+//! Counts the bytes of control traffic at the sockets, and cuts off connections whose bytes are no
+//! content.
 //!
 //! The HTTP clients create their agents with [`byte_counting_agent`]. It counts the bytes that each
 //! connection reads and writes, HTTP heads included, for the thread that makes the call. The
 //! wrappers of this module read these counts before and after a call and add the difference to the
 //! metrics under the purpose of the call. Headers of TCP and IP are not counted.
+//!
+//! Each connection also has an [`IntakeMeter`]. Bodies must be read through [`metered_body`], because
+//! the meter fails once the connection has received far more than was read from its bodies.
 
-use std::{cell::Cell, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io::{self, Read},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use ureq::{
     Agent, Error,
@@ -22,6 +32,7 @@
 use crate::{
     config::ConfigChange,
     control::{PeerReply, PeerRequest},
+    intake::IntakeMeter,
     membership::HostList,
     peer::{PeerError, PeerTransport},
     platform::{PlatformError, PlatformSource},
@@ -35,6 +46,9 @@
     ///
     /// ureq performs each call on the calling thread, also on pooled connections.
     static THREAD_BYTES: Cell<ByteCount> = const { Cell::new(ByteCount { sent: 0, received: 0 }) };
+
+    /// Meter of the connection that an agent of this module last used on this thread.
+    static LAST_METER: RefCell<Option<Arc<IntakeMeter>>> = const { RefCell::new(None) };
 }
 
 /// Bytes sent and received.
@@ -44,12 +58,49 @@
     pub(super) received: u64,
 }
 
-/// Creates an agent that counts the bytes of its connections.
+/// Creates an agent whose connections are metered and that counts the bytes of its connections.
 pub(crate) fn byte_counting_agent(config: Config) -> Agent {
     let connector = CountingConnector(DefaultConnector::default());
     Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
+/// Returns a reader of the body of the response that was last received on this thread.
+///
+/// Once the connection is cut off, or the framing of the body is invalid, reads fail with an error
+/// of the kind [`io::ErrorKind::InvalidData`].
+pub(crate) fn metered_body(body: ureq::Body) -> impl Read + Send + 'static {
+    let meter = LAST_METER.with_borrow(Clone::clone).unwrap_or_default();
+    MeteredReader { reader: body.into_reader(), meter }
+}
+
+/// Reads a body and reports what it reads to the meter of its connection.
+struct MeteredReader<R> {
+    reader: R,
+    meter: Arc<IntakeMeter>,
+}
+
+impl<R: Read> Read for MeteredReader<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        match self.reader.read(buffer) {
+            Ok(length) => {
+                self.meter.record_delivered(length);
+                Ok(length)
+            }
+            Err(error) => {
+                let cut = self.meter.check().err();
+                let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
+                Err(match error.downcast::<Error>() {
+                    Ok(error @ (Error::Protocol(_) | Error::BodyStalled)) => {
+                        invalid(error.to_string())
+                    }
+                    Ok(error) => error.into_io(),
+                    Err(error) => cut.map_or(error, |it| invalid(it.to_string())),
+                })
+            }
+        }
+    }
+}
+
 /// Runs `call` and returns its result with the bytes that counting agents sent and received on this
 /// thread during it.
 pub(super) fn count_bytes<T>(call: impl FnOnce() -> T) -> (T, ByteCount) {
@@ -164,7 +215,7 @@
         chained: Option<()>,
     ) -> Result<Option<Self::Out>, Error> {
         let transport = self.0.connect(details, chained)?;
-        Ok(transport.map(|inner| CountingTransport { inner }))
+        Ok(transport.map(|inner| CountingTransport { inner, meter: IntakeMeter::new() }))
     }
 }
 
@@ -172,6 +223,7 @@
 #[derive(Debug)]
 struct CountingTransport {
     inner: Box<dyn Transport>,
+    meter: Arc<IntakeMeter>,
 }
 
 impl Transport for CountingTransport {
@@ -180,6 +232,8 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        // A request is sent as a whole before its response is read.
+        self.meter.restart();
         self.inner.transmit_output(amount, timeout)?;
         // A failed write may have sent some of the bytes; these are not counted.
         let count = THREAD_BYTES.get();
@@ -189,12 +243,15 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        LAST_METER.set(Some(self.meter.clone()));
+        self.meter.check().map_err(|error| Error::Io(io::Error::other(error)))?;
         let before = self.inner.buffers().input().len();
         let progress = self.inner.await_input(timeout);
         let after = self.inner.buffers().input().len();
+        let length = after.saturating_sub(before);
+        self.meter.record_received(length);
         let count = THREAD_BYTES.get();
-        let received = count.received + after.saturating_sub(before) as u64;
-        THREAD_BYTES.set(ByteCount { received, ..count });
+        THREAD_BYTES.set(ByteCount { received: count.received + length as u64, ..count });
         progress
     }
 
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -25,7 +25,9 @@
         CallerRequest, CallerResponder, OutcomeKind, RefusalKind, RequestHandler, RequestRefusal,
         api_key, strip_credentials,
     },
-    intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits},
+    intake::{
+        BufferError, BufferReservation, ResponseBuffers, ResponseLimits, record_cut_connection,
+    },
     names::{HostName, UpstreamName},
     peer::PeerTransport,
     quarantine::RequestFingerprint,
@@ -243,6 +245,12 @@
                 RequestRefusal::not_run(RefusalKind::UpstreamUnreachable, message)
                     .with_retry_after(Duration::from_secs(1))
             }
+            CallError::CutOff(_) => {
+                record_cut_connection();
+                guard.end(DispatchEnd::BadResponse);
+                self.may_have_run = true;
+                upstream_lost_refusal()
+            }
             CallError::WrongResponse { .. } => {
                 guard.end(DispatchEnd::BadResponse);
                 self.may_have_run = true;
@@ -271,9 +279,10 @@
                 Ok(CompleteResponse { status, headers, body, _reservation: reservation })
             }
             Err(ReceiveError::Lost(error)) => {
-                Err(self.handle_call_error(guard, &CallError::Ambiguous(error.to_string())))
+                Err(self.handle_call_error(guard, &CallError::of_body(&error)))
             }
             Err(ReceiveError::Buffer(error)) => {
+                record_cut_connection();
                 let upstream = &guard.permit().upstream;
                 tracing::warn!(
                     request_id = %self.request.request_id, %upstream, %error, "answer_cut"
--- a/lib/src/exchange/chat.rs
+++ b/lib/src/exchange/chat.rs
@@ -10,6 +10,7 @@
 use crate::{
     control::{DispatchEnd, DispatchGuard, DispatchTarget, RequestEnd},
     front::{BodyWriter, CallerRequest, CallerResponder, ChatRequest, OutcomeKind, RequestRefusal},
+    intake::record_cut_connection,
     upstream::UpstreamResponse,
 };
 
@@ -128,19 +129,35 @@
                 RelayOutcome::Ended(RequestEnd::CallerDisconnected)
             }
             RelayEnd::Broken(reason) => {
-                let upstream = guard.permit().upstream.clone();
-                tracing::warn!(
-                    request_id = %self.request.request_id, %upstream, delivered, %reason,
-                    "stream_broken"
-                );
-                self.tried.push(upstream);
-                self.may_have_run = true;
-                guard.end(DispatchEnd::UpstreamLost);
+                self.leave_stream(guard, delivered, &reason, DispatchEnd::UpstreamLost);
+                RelayOutcome::Broken(StreamState::Started { writer, delivered })
+            }
+            RelayEnd::CutOff(reason) => {
+                record_cut_connection();
+                self.leave_stream(guard, delivered, &reason, DispatchEnd::BadResponse);
                 RelayOutcome::Broken(StreamState::Started { writer, delivered })
             }
         }
     }
 
+    /// Logs why a stream is not complete, and ends its attempt.
+    fn leave_stream(
+        &mut self,
+        guard: DispatchGuard,
+        delivered: u64,
+        reason: &str,
+        end: DispatchEnd,
+    ) {
+        let upstream = guard.permit().upstream.clone();
+        tracing::warn!(
+            request_id = %self.request.request_id, %upstream, delivered, reason,
+            "stream_broken"
+        );
+        self.tried.push(upstream);
+        self.may_have_run = true;
+        guard.end(end);
+    }
+
     fn finish_with_response(&self, stream: StreamState, response: CompleteResponse) -> RequestEnd {
         match stream {
             StreamState::NotStarted(responder) => self.send_response(responder, response),
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -19,6 +19,7 @@
     front::RefusalKind,
     gateway::{
         body::{CompleteBody, ResponseBody},
+        connection::CutReason,
         crashes::LostAttempt,
         dialect::{AttemptHead, ResponseHead},
         fleet::Gateway,
@@ -28,7 +29,7 @@
         stream::StreamSource,
         upstreams::{UpstreamPick, UpstreamProcess},
     },
-    intake::{BufferError, BufferReservation, ResponseBuffers},
+    intake::{BufferError, BufferReservation, ResponseBuffers, record_cut_connection},
     names::UpstreamName,
 };
 
@@ -173,6 +174,9 @@
     error: &dyn ToString,
 ) {
     gateway.metrics.count_upstream_error(upstream, kind);
+    if kind == CUT_OFF {
+        record_cut_connection();
+    }
     tracing::warn!(
         request_id = %request.head.request_id,
         upstream = %upstream,
@@ -227,6 +231,11 @@
     let sent = gateway.pool.send(key, outgoing, request.route.retry_rule.may_retry()).await;
     let (response, exchange) = match sent {
         Ok(sent) => sent,
+        Err(error @ SendError::CutOff(_)) => {
+            log_failure(gateway, request, &pick.name, CUT_OFF, &error);
+            guard.end(AttemptEnd::Failed);
+            return Err(FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost));
+        }
         Err(error) => {
             log_failure(gateway, request, &pick.name, "unreachable", &error);
             if matches!(error, SendError::Lost(_)) {
@@ -336,7 +345,9 @@
 #[derive(Debug, thiserror::Error)]
 enum ReceiveError {
     #[error("connection lost: {0}")]
-    Lost(#[from] hyper::Error),
+    Lost(hyper::Error),
+    #[error("cut off: {0}")]
+    CutOff(CutReason),
     #[error(transparent)]
     Buffer(#[from] BufferError),
 }
@@ -344,7 +355,7 @@
 impl ReceiveError {
     fn refusal_kind(&self) -> RefusalKind {
         match self {
-            Self::Lost(_) => RefusalKind::UpstreamLost,
+            Self::Lost(_) | Self::CutOff(_) => RefusalKind::UpstreamLost,
             Self::Buffer(_) => RefusalKind::AnswerTooLarge,
         }
     }
@@ -353,7 +364,7 @@
     fn kind(&self) -> &'static str {
         match self {
             Self::Lost(_) => "answer_lost",
-            Self::Buffer(BufferError::ResponseTooLarge(_)) => CUT_OFF,
+            Self::CutOff(_) | Self::Buffer(BufferError::ResponseTooLarge(_)) => CUT_OFF,
             Self::Buffer(BufferError::MemoryFull) => MEMORY_FULL,
         }
     }
@@ -362,11 +373,17 @@
 /// Reads a body to its end, within the memory for responses.
 async fn collect_body(
     buffers: &Arc<ResponseBuffers>,
+    exchange: &UpstreamExchange,
     mut body: Incoming,
 ) -> Result<Vec<Bytes>, ReceiveError> {
     let mut buffer = SegmentBuffer::new(buffers.open());
     while let Some(frame) = body.frame().await {
-        if let Ok(chunk) = frame?.into_data() {
+        let frame = frame.map_err(|error| match CutReason::of(&error, exchange.meter()) {
+            Some(reason) => ReceiveError::CutOff(reason),
+            None => ReceiveError::Lost(error),
+        })?;
+        if let Ok(chunk) = frame.into_data() {
+            exchange.meter().record_delivered(chunk.len());
             buffer.extend(&chunk)?;
         }
     }
@@ -381,7 +398,7 @@
 ) -> Result<CompleteResponse, FailedAttempt> {
     let OpenResponse { response, head_memory, exchange, guard } = open;
     let (parts, body) = response.into_parts();
-    let body = match collect_body(guard.buffers(), body).await {
+    let body = match collect_body(guard.buffers(), &exchange, body).await {
         Ok(body) => body,
         Err(error) => {
             log_failure(gateway, request, guard.upstream(), error.kind(), &error);
@@ -389,7 +406,7 @@
             match error {
                 ReceiveError::Lost(_) => guard.end_with_lost_connection(true),
                 ReceiveError::Buffer(BufferError::MemoryFull) => guard.end(AttemptEnd::Cancelled),
-                ReceiveError::Buffer(_) => guard.end(AttemptEnd::Failed),
+                ReceiveError::CutOff(_) | ReceiveError::Buffer(_) => guard.end(AttemptEnd::Failed),
             }
             return Err(FailedAttempt::MayHaveRun(refusal_kind));
         }
--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -1,6 +1,6 @@
 //! Outgoing HTTP connections: to upstreams, other hosts and the platform.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use http_body_util::Full;
 use hyper::{
@@ -12,7 +12,10 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::intake::read_body;
+use crate::intake::{
+    BodyError, IntakeError, IntakeMeter, MAX_RESPONSE_HEAD_BYTES, MeteredSocket, read_body,
+    record_cut_connection,
+};
 
 /// Idle time before the first TCP keep-alive probe, and interval of the probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -41,10 +44,44 @@
     Timeout,
 }
 
+/// Why this process closed a connection while it received a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CutReason {
+    /// The remote side sent far more than the content that was delivered.
+    #[error(transparent)]
+    Undelivered(#[from] IntakeError),
+    /// The head exceeds [`MAX_RESPONSE_HEAD_BYTES`].
+    #[error("the head of the response exceeds {MAX_RESPONSE_HEAD_BYTES} bytes")]
+    HeadTooLarge,
+    /// The head or the framing of the body is no HTTP, or exceeds a limit of the HTTP library.
+    #[error("the response is no valid message")]
+    Invalid,
+}
+
+impl CutReason {
+    /// Returns the reason if `error` is the consequence of cutting off the connection of `meter`.
+    pub(super) fn of(error: &hyper::Error, meter: &IntakeMeter) -> Option<Self> {
+        match meter.check() {
+            Err(error) => Some(Self::Undelivered(error)),
+            Ok(()) if error.is_parse_too_large() => Some(Self::HeadTooLarge),
+            Ok(()) => (error.is_parse() || has_invalid_framing(error)).then_some(Self::Invalid),
+        }
+    }
+}
+
+/// Returns whether the framing of a body is invalid, as opposed to a connection that is lost.
+fn has_invalid_framing(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+    source.is_some_and(|it| {
+        matches!(it.kind(), io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
+    })
+}
+
 /// One HTTP connection. Dropping it closes the connection, even while a response is being received.
 #[derive(Debug)]
 pub struct HttpConnection {
     pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) meter: Arc<IntakeMeter>,
     driver: JoinHandle<()>,
 }
 
@@ -74,14 +111,17 @@
             Err(_) => return Err(ConnectError::Timeout),
         };
         set_socket_options(&stream, timeouts.unacknowledged).map_err(|error| failed(&error))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| failed(&error))?;
+        let meter = IntakeMeter::new();
+        let socket = TokioIo::new(MeteredSocket::outgoing(stream, meter.clone()));
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(socket);
+        let (sender, connection) = handshake.await.map_err(|error| failed(&error))?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%address, %error, "connection_ended");
             }
         });
-        Ok(Self { sender, driver })
+        Ok(Self { sender, meter, driver })
     }
 
     /// Returns whether the connection is open and has no request in flight.
@@ -110,6 +150,9 @@
     /// The connection was lost, or no response came in time.
     #[error("no response: {0}")]
     Lost(String),
+    /// The connection was cut off, because the head or the body of the response is too long.
+    #[error("the connection was cut off: {0}")]
+    CutOff(String),
 }
 
 /// Client for one address, with one persistent connection.
@@ -136,8 +179,9 @@
     ///
     /// # Errors
     ///
-    /// No connection was established, or there was no complete response in time. The connection is
-    /// closed in this case, because a late response would be taken for that of the next request.
+    /// No connection was established, there was no complete response in time, or the connection was
+    /// cut off, which is logged. The connection is closed in these cases, because a late response
+    /// would be taken for that of the next request.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -149,17 +193,33 @@
             Some(connection) => connection,
             None => HttpConnection::open(self.address, &self.timeouts).await?,
         };
-        let lost = |reason: &dyn ToString| ClientError::Lost(reason.to_string());
+        let meter = connection.meter.clone();
+        meter.restart();
         let exchange = async {
-            let response = connection.sender.send_request(request).await;
-            let (parts, body) = response.map_err(|error| lost(&error))?.into_parts();
-            let body = read_body(body, max_bytes).await.map_err(|error| lost(&error))?;
-            Ok::<_, ClientError>((parts.status, body))
+            let (parts, body) = connection.sender.send_request(request).await?.into_parts();
+            let body = read_body(body, max_bytes, |it| meter.record_delivered(it)).await?;
+            Ok((parts.status, body))
         };
         let response = timeout(time_limit, exchange)
             .await
-            .map_err(|_| lost(&"no complete response in time"))??;
+            .map_err(|_| ClientError::Lost("no complete response in time".to_owned()))?
+            .map_err(|error| self.classify(&error, &meter))?;
         self.connection = Some(connection);
         Ok(response)
     }
+
+    /// Returns why a response was not received, and logs and counts it if the connection was cut
+    /// off.
+    fn classify(&self, error: &BodyError<hyper::Error>, meter: &IntakeMeter) -> ClientError {
+        let reason = match error {
+            BodyError::Lost(error) => match CutReason::of(error, meter) {
+                Some(reason) => reason.to_string(),
+                None => return ClientError::Lost(error.to_string()),
+            },
+            BodyError::TooLarge(_) => error.to_string(),
+        };
+        record_cut_connection();
+        tracing::warn!(address = %self.address, %reason, "connection_cut");
+        ClientError::CutOff(reason)
+    }
 }
--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -15,8 +15,8 @@
     header::{CONNECTION, HeaderMap, HeaderValue},
 };
 
-use super::connection::{ConnectError, ConnectTimeouts, HttpConnection};
-use crate::{clock::ClockSource, names::UpstreamName};
+use super::connection::{ConnectError, ConnectTimeouts, CutReason, HttpConnection};
+use crate::{clock::ClockSource, intake::IntakeMeter, names::UpstreamName};
 
 /// Longest time to establish a connection, which normally takes a few milliseconds. A lost SYN is
 /// retransmitted after a second only; another upstream can respond sooner.
@@ -56,6 +56,10 @@
     /// The connection was lost after the request was sent; the upstream may have run it.
     #[error("no response: {0}")]
     Lost(String),
+    /// The connection was cut off because of what came in place of a response head; the upstream
+    /// may have run the request.
+    #[error("cut off: {0}")]
+    CutOff(#[from] CutReason),
 }
 
 #[derive(Debug)]
@@ -94,6 +98,11 @@
 }
 
 impl UpstreamExchange {
+    /// Returns the meter of the connection, to which the reader of the response reports.
+    pub fn meter(&self) -> &IntakeMeter {
+        &self.connection.meter
+    }
+
     /// Returns the connection to the pool; to be called after a complete and valid response.
     pub fn finish(self) {
         if let Some(idle_timeout) = self.idle_timeout {
@@ -134,6 +143,7 @@
             Some(connection) => connection,
             None => connect(key.address).await?,
         };
+        connection.meter.restart();
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
@@ -141,9 +151,9 @@
                 Some(request) => {
                     connection = connect(key.address).await?;
                     let sent = connection.sender.send_request(request).await;
-                    sent.map_err(|error| SendError::Lost(error.to_string()))?
+                    sent.map_err(|error| head_error(&error, &connection.meter))?
                 }
-                None => return Err(SendError::Lost(error.into_error().to_string())),
+                None => return Err(head_error(&error.into_error(), &connection.meter)),
             },
         };
         let idle_timeout = idle_timeout(response.headers());
@@ -199,6 +209,12 @@
     }
 }
 
+/// Returns why no response head was received on a connection.
+fn head_error(error: &hyper::Error, meter: &IntakeMeter) -> SendError {
+    CutReason::of(error, meter)
+        .map_or_else(|| SendError::Lost(error.to_string()), SendError::CutOff)
+}
+
 async fn connect(address: SocketAddr) -> Result<HttpConnection, SendError> {
     let timeouts =
         ConnectTimeouts { connect: CONNECT_TIMEOUT, unacknowledged: UNACKNOWLEDGED_TIMEOUT };
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -25,6 +25,7 @@
     shutdown::{ShutdownTimes, ShutdownWindow},
     supervise::supervise,
 };
+use crate::intake::MeteredSocket;
 
 /// Backlog of connections that wait to be accepted. After a host is killed all its callers
 /// reconnect at the same time, and one that finds the backlog full retries only after a second.
@@ -197,7 +198,7 @@
         // The header timeout also runs while a connection is idle.
         .header_read_timeout(limits.idle_timeout.max(limits.read_timeout))
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(MeteredSocket::accepted(stream)), service);
     tokio::pin!(connection);
     let must_close = async {
         // An error means that the sender was dropped, and with it the server.
@@ -264,7 +265,7 @@
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(MeteredSocket::accepted(stream)), service);
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "check_connection_ended");
             }
@@ -285,7 +286,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(PEER_IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(MeteredSocket::accepted(stream)), service);
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "peer_connection_ended");
             }
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -19,6 +19,7 @@
         ActiveGuard, AttemptGuard, CUT_OFF, FailedAttempt, MEMORY_FULL, OpenResponse,
         RequestAttempts, open_response, stream_head,
     },
+    connection::CutReason,
     health::AttemptEnd,
     pool::UpstreamExchange,
     segments::reserved_bytes,
@@ -38,6 +39,9 @@
 /// proves that the parts of its prompt do not crash upstreams.
 const PROOF_TIME: Duration = Duration::from_secs(1);
 
+/// Time after the deadline in which events that are ready are still forwarded.
+const MAX_LATE_TIME: Duration = Duration::from_millis(200);
+
 /// Why a stream ended before it was complete.
 #[derive(Debug)]
 pub(super) enum StreamError {
@@ -47,6 +51,8 @@
     PartialEvent,
     /// An event exceeds the size limit of the splitter.
     Oversized,
+    /// The connection was cut off.
+    CutOff(CutReason),
     /// There is no memory for the events.
     Buffer(BufferError),
 }
@@ -57,7 +63,7 @@
         match self {
             Self::Lost(_) | Self::PartialEvent => "stream_lost",
             Self::Buffer(BufferError::MemoryFull) => MEMORY_FULL,
-            Self::Oversized | Self::Buffer(_) => CUT_OFF,
+            Self::Oversized | Self::CutOff(_) | Self::Buffer(_) => CUT_OFF,
         }
     }
 }
@@ -68,6 +74,7 @@
             Self::Lost(error) => write!(f, "connection lost: {error}"),
             Self::PartialEvent => f.write_str("the response ended within an event"),
             Self::Oversized => f.write_str("an event exceeds the size limit"),
+            Self::CutOff(reason) => write!(f, "cut off: {reason}"),
             Self::Buffer(error) => write!(f, "{error}"),
         }
     }
@@ -143,12 +150,19 @@
                     Ok(false)
                 };
             };
-            let frame = frame.map_err(StreamError::Lost)?;
+            let meter = self.exchange.meter();
+            let frame = frame.map_err(|error| match CutReason::of(&error, meter) {
+                Some(reason) => StreamError::CutOff(reason),
+                None => StreamError::Lost(error),
+            })?;
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
             let batch = self.splitter.push(bytes);
             let events = batch.map(|it| self.receive(it)).transpose()?;
+            if events.as_ref().is_none_or(|it| it.has_content) {
+                self.exchange.meter().record_delivered(bytes.len());
+            }
             if self.splitter.is_oversized() {
                 return Err(StreamError::Oversized);
             }
@@ -176,7 +190,7 @@
                 self.guard.end_with_lost_connection(true);
             }
             StreamError::Buffer(BufferError::MemoryFull) => self.guard.end(AttemptEnd::Cancelled),
-            StreamError::Oversized | StreamError::Buffer(_) => {
+            StreamError::Oversized | StreamError::CutOff(_) | StreamError::Buffer(_) => {
                 self.abandon();
             }
         }
@@ -327,6 +341,10 @@
     /// timeout only ends the wait if a retry was acquired.
     async fn next_event(&mut self, source: &mut StreamSource) -> RelayEvent {
         let request = &self.attempts.request;
+        // An upstream that always has events ready would never let the timer below end the stream.
+        if self.attempts.gateway.now() >= request.expires_at + MAX_LATE_TIME {
+            return RelayEvent::DeadlineExceeded;
+        }
         let event_timeout = request.route.event_gap * EVENT_GAP_TIMEOUT_MULTIPLE;
         let may_move = request.route.retry_rule.may_retry() && !event_timeout.is_zero();
         let since_progress =
--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -1,6 +1,10 @@
 //! Bounds what the sender of a message can make this process hold and compute.
 //!
-//! [`ResponseBuffers`] accounts for the memory that responses take until their callers
+//! A connection to an upstream, another host or the platform runs over a [`MeteredSocket`]. It hands
+//! over a few bytes for each poll of its task, so that no sender keeps the thread, and it fails once
+//! the sender has sent far more than its reader delivered, whether in heads, chunk framing, trailers
+//! or events without content. Readers report what they deliver to the [`IntakeMeter`] of the
+//! connection. [`ResponseBuffers`] accounts for the memory that responses take until their callers
 //! have them.
 //!
 //! Bodies are copied out of the buffers of the HTTP library: a small piece of such a buffer would
@@ -8,6 +12,18 @@
 
 mod body;
 mod buffers;
+mod meter;
+mod socket;
 
-pub(crate) use self::body::{BodyError, read_body};
-pub use self::buffers::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
+pub(crate) use self::{
+    body::{BodyError, read_body},
+    meter::record_cut_connection,
+};
+pub use self::{
+    buffers::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits},
+    meter::{IntakeError, IntakeMeter, MAX_UNDELIVERED_BYTES, cut_connections},
+    socket::{BYTES_PER_POLL, MeteredSocket},
+};
+
+/// Largest head of a response, in bytes; also the limit of a connection's read buffer.
+pub const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
--- a/lib/src/intake/body.rs
+++ b/lib/src/intake/body.rs
@@ -17,12 +17,13 @@
     TooLarge(usize),
 }
 
-/// Reads a body of up to `max_bytes` to its end.
+/// Reads a body of up to `max_bytes` to its end, and reports each part to `record_delivered`.
 ///
 /// The copy takes at most twice the memory of the body, however the body is split into chunks.
 pub(crate) async fn read_body<B>(
     mut body: B,
     max_bytes: usize,
+    record_delivered: impl Fn(usize),
 ) -> Result<Bytes, BodyError<B::Error>>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -34,6 +35,7 @@
         let Ok(chunk) = frame?.into_data() else {
             continue;
         };
+        record_delivered(chunk.len());
         if chunk.len() > max_bytes - bytes.len() {
             return Err(BodyError::TooLarge(max_bytes));
         }
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -15,6 +15,8 @@
     time::{sleep, timeout},
 };
 
+use crate::intake::MeteredSocket;
+
 /// Longest wait at a stop for connections that are still sending a response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -109,7 +111,7 @@
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(MeteredSocket::accepted(stream)), service);
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -10,7 +10,7 @@
 use ureq::{Agent, Error, Timeout, config::AutoHeaderValue};
 
 use super::{PeerError, PeerTransport};
-use crate::daemon::byte_counting_agent;
+use crate::daemon::{byte_counting_agent, metered_body};
 
 /// Time limit for connecting to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -75,9 +75,7 @@
             return Err(PeerError::Ambiguous(format!("status {}", response.status())));
         }
         let mut reply = Vec::new();
-        response
-            .into_body()
-            .into_reader()
+        metered_body(response.into_body())
             .take(MAX_MESSAGE_BYTES as u64)
             .read_to_end(&mut reply)
             .map_err(|error| PeerError::Ambiguous(error.to_string()))?;
--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -6,7 +6,11 @@
 use ureq::Agent;
 
 use super::{PlatformError, PlatformSource};
-use crate::{config::ConfigChange, daemon::byte_counting_agent, membership::HostList};
+use crate::{
+    config::ConfigChange,
+    daemon::{byte_counting_agent, metered_body},
+    membership::HostList,
+};
 
 /// Time limit for connecting to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -61,9 +65,7 @@
             status => return Err(PlatformError::Status(status)),
         }
         let mut body = Vec::new();
-        response
-            .into_body()
-            .into_reader()
+        metered_body(response.into_body())
             .take(MAX_RESPONSE_BYTES)
             .read_to_end(&mut body)
             .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -12,7 +12,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, ObservableCounter},
 };
 use opentelemetry_sdk::{
     error::{OTelSdkError, OTelSdkResult},
@@ -25,6 +25,7 @@
 use super::exposition;
 use crate::{
     catalogue::Catalogue,
+    intake::cut_connections,
     names::{ClassName, OPEN_TEAM, RouteName, TeamName, UpstreamName},
 };
 
@@ -140,6 +141,7 @@
     in_flight: Gauge<u64>,
     response_memory: Gauge<u64>,
     upstream_errors: Counter<u64>,
+    _cut_connections: ObservableCounter<u64>,
     config_accepted: Gauge<u64>,
     config_seen: Gauge<u64>,
     control_sent: Counter<u64>,
@@ -204,6 +206,11 @@
                 "snipepond_upstream_errors",
                 "Failed upstream calls by kind of failure.",
             ),
+            _cut_connections: meter
+                .u64_observable_counter("snipepond_cut_connections")
+                .with_description("Connections closed because of what the remote side sent.")
+                .with_callback(|observer| observer.observe(cut_connections(), &[]))
+                .build(),
             config_accepted: gauge(
                 &meter,
                 "snipepond_config_accepted_revision",
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use std::{
     fmt::{self, Debug},
-    io::Read,
+    io::{self, Read},
     net::SocketAddr,
     time::Duration,
 };
@@ -44,7 +44,9 @@
     pub headers: Vec<(String, String)>,
     /// Incarnation of the upstream process, if the response states it.
     pub incarnation: Option<u64>,
-    /// Body; a read error means that the response is incomplete.
+    /// Body; a read error means that the response is incomplete. Its kind is
+    /// [`io::ErrorKind::InvalidData`] if the connection was cut off because of what the upstream
+    /// sent.
     pub body: Box<dyn Read + Send>,
 }
 
@@ -70,6 +72,9 @@
     /// The upstream may have run the request.
     #[error("no response: {0}")]
     Ambiguous(String),
+    /// The connection was cut off because of what the upstream sent; it may have run the request.
+    #[error("cut off: {0}")]
+    CutOff(String),
     /// The response belongs to another request.
     #[error("response carries request id {found:?}")]
     WrongResponse {
@@ -78,6 +83,17 @@
     },
 }
 
+impl CallError {
+    /// Classifies an error of reading the body of a response.
+    pub fn of_body(error: &io::Error) -> Self {
+        if error.kind() == io::ErrorKind::InvalidData {
+            Self::CutOff(error.to_string())
+        } else {
+            Self::Ambiguous(error.to_string())
+        }
+    }
+}
+
 /// Sends requests to upstreams.
 pub trait UpstreamClient: Debug + Send + Sync {
     /// Sends a request and returns the response as soon as its head has arrived.
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -9,7 +9,12 @@
 };
 
 use super::{CallError, UpstreamClient, UpstreamRequest, UpstreamResponse};
-use crate::{daemon::byte_counting_agent, rendezvous, routing::LoadReport};
+use crate::{
+    daemon::{byte_counting_agent, metered_body},
+    intake::IntakeError,
+    rendezvous,
+    routing::LoadReport,
+};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -143,9 +148,7 @@
             return Err(CallError::Ambiguous(format!("status {}", response.status())));
         }
         let mut body = Vec::new();
-        response
-            .into_body()
-            .into_reader()
+        metered_body(response.into_body())
             .take(MAX_LOAD_BYTES)
             .read_to_end(&mut body)
             .map_err(|error| CallError::Ambiguous(error.to_string()))?;
@@ -214,7 +217,7 @@
         status: parts.status.as_u16(),
         headers,
         incarnation,
-        body: Box::new(body.into_reader()),
+        body: Box::new(metered_body(body)),
     }
 }
 
@@ -224,6 +227,10 @@
 fn classify(error: Error) -> CallError {
     let reason = error.to_string();
     match error {
+        Error::Io(source) if source.get_ref().is_some_and(|it| it.is::<IntakeError>()) => {
+            CallError::CutOff(reason)
+        }
+        Error::LargeResponseHeader(..) | Error::Protocol(_) => CallError::CutOff(reason),
         Error::Io(source) if source.kind() == std::io::ErrorKind::ConnectionRefused => {
             CallError::NotSent(reason)
         }
--- a/lib/tests/gateway_memory.rs
+++ b/lib/tests/gateway_memory.rs
@@ -12,15 +12,15 @@
 };
 use http_body_util::Full;
 use hyper::{Request, body::Bytes};
-use snipepond::gateway::{ConnectTimeouts, HttpClient, ResponseLimits};
+use snipepond::{
+    gateway::{ClientError, ConnectTimeouts, HttpClient, ResponseLimits},
+    intake::MAX_UNDELIVERED_BYTES,
+};
 use tokio::task::JoinSet;
 
 /// Memory for all but the responses: the test itself, and what the allocator keeps.
 const PROCESS_BYTES: usize = 4 << 20;
 
-/// Bytes that a connection buffers besides the response.
-const BUFFERED_BYTES: usize = 512 << 10;
-
 /// Callers that wait for a response at the same time.
 const CALLERS: usize = 4;
 
@@ -62,7 +62,7 @@
             }
             calls.join_all().await;
             let grown = peak_bytes().saturating_sub(before);
-            let connections = CALLERS * BUFFERED_BYTES;
+            let connections = CALLERS * MAX_UNDELIVERED_BYTES as usize;
             let bound = LIMITS.max_total_bytes + connections + PROCESS_BYTES;
             assert!(grown <= bound, "block {index}: {grown} bytes, of at most {bound}");
         }
@@ -74,10 +74,10 @@
         let mut client = HttpClient::new(flood.address, timeouts);
         let request = Request::get("/").header("host", "a").body(Full::new(Bytes::new()));
         let result = client.send(request.unwrap(), ROUTE_TIMEOUT * 10, CLIENT_BYTES).await;
-        assert!(result.is_err(), "{result:?}");
+        assert!(matches!(result, Err(ClientError::CutOff(_))), "{result:?}");
         let grown = peak_bytes().saturating_sub(before);
         // A buffer takes as much again while it grows.
-        let bound = CLIENT_BYTES * 2 + BUFFERED_BYTES + PROCESS_BYTES;
+        let bound = CLIENT_BYTES * 2 + MAX_UNDELIVERED_BYTES as usize + PROCESS_BYTES;
         assert!(grown <= bound, "{grown} bytes, of at most {bound}");
     });
 }
