gateway: a stop answers the requests that it cannot wait for

Cause: a request that came before the stop or in its first 2.3 s may last longer than the process; its connection was closed with the process. A later one was accepted also if its time ended together with that of the process.

Change: 0.25 s before the end each request without a response gets 504, which promises nothing, and later requests are accepted only if their time ends by then.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -49,7 +49,7 @@
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure, STRIKE_FANOUT},
     pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses},
-    shutdown::{ShutdownTimes, ShutdownWindow},
+    shutdown::{LAST_RESPONSE_MARGIN, ShutdownTimes, ShutdownWindow},
     supervise::supervise,
     table::{
         CallerIdentity, CallerLimits, RetryRule, RouteRecord, RouteTable, ServiceRecord,
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -151,12 +151,20 @@
     /// is allowed.
     async fn run(mut self) -> Response<ResponseBody> {
         let mut last: Option<FailedAttempt> = None;
+        let gateway = self.gateway.clone();
+        let last_response = gateway.wait_for_last_response();
+        tokio::pin!(last_response);
         loop {
             let pick = match self.next_upstream(None) {
                 Ok(pick) => pick,
                 Err(reason) => return self.give_up(last, reason),
             };
-            let failed = match self.attempt(&pick).await {
+            let outcome = tokio::select! {
+                biased;
+                outcome = self.attempt(&pick) => outcome,
+                () = &mut last_response => return self.end_at_shutdown(&pick.name),
+            };
+            let failed = match outcome {
                 AttemptOutcome::Response(response) => return *response,
                 AttemptOutcome::Failed(failed) => failed,
             };
@@ -191,6 +199,16 @@
         }
     }
 
+    /// Ends a request that has no response shortly before the process ends. An upstream may be
+    /// running it.
+    fn end_at_shutdown(&self, upstream: &UpstreamName) -> Response<ResponseBody> {
+        self.log_failure(upstream, "timeout", &"the host stops before there is a response");
+        let message = "the host stops before an upstream answered";
+        let refusal = RequestRefusal::unknown(RefusalKind::UpstreamTimeout, message);
+        self.log_end(upstream, refusal.kind.status(), "host_stopped");
+        self.gateway.refuse(&self.request.head.request_id, &refusal)
+    }
+
     /// Returns whether the request may be sent to one more upstream although it may have run.
     pub(super) fn may_retry(&self) -> bool {
         self.request.route.retry_rule.may_retry()
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
 
 use tokio::{
     sync::{Notify, watch},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{
@@ -114,7 +114,7 @@
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
     /// The shutdown, once it has begun.
-    shutdown: Cell<Option<ShutdownWindow>>,
+    shutdown: watch::Sender<Option<ShutdownWindow>>,
 }
 
 impl Gateway {
@@ -153,7 +153,7 @@
             change_cache: ChangeCache::default(),
             response_buffers: ResponseBuffers::new(settings.responses),
             has_listing: Cell::new(false),
-            shutdown: Cell::new(None),
+            shutdown: watch::Sender::new(None),
         })
     }
 
@@ -214,20 +214,30 @@
     /// configuration and the fleet, and does not drain.
     pub fn is_ready(&self) -> bool {
         self.has_listing.get()
-            && self.shutdown.get().is_none()
+            && self.shutdown.borrow().is_none()
             && self.route_table.borrow().is_some()
     }
 
     /// Starts to drain: the host is no longer ready, but still serves the requests that `window`
     /// accepts.
     pub fn drain(&self, window: ShutdownWindow) {
-        self.shutdown.set(Some(window));
+        self.shutdown.send_replace(Some(window));
     }
 
     /// Returns whether a request may start that has its final response at `expires_at` at the
     /// latest.
     pub(super) fn accepts(&self, expires_at: Instant) -> bool {
-        self.shutdown.get().is_none_or(|it| it.accepts(self.now(), expires_at))
+        self.shutdown.borrow().is_none_or(|it| it.accepts(self.now(), expires_at))
+    }
+
+    /// Waits until a shutdown is so close to its end that requests must be answered.
+    pub(super) async fn wait_for_last_response(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        // Cannot fail: the gateway holds the sender.
+        let window = shutdown.wait_for(Option::is_some).await.ok().and_then(|it| *it);
+        if let Some(window) = window {
+            sleep(window.last_response().saturating_duration_since(self.now())).await;
+        }
     }
 
     /// Returns the number of requests in flight, relayed streams included.
--- a/lib/src/gateway/shutdown.rs
+++ b/lib/src/gateway/shutdown.rs
@@ -2,6 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+/// Time before the end of a shutdown at which requests without a response get an error, so that
+/// their callers have it before the process ends.
+pub const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(250);
+
 /// Times of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownTimes {
@@ -21,12 +25,19 @@
 pub struct ShutdownWindow {
     delay_end: Instant,
     end: Instant,
+    limit: Duration,
 }
 
 impl ShutdownWindow {
     /// Creates the window of a shutdown that began at `started`.
     pub fn new(started: Instant, times: &ShutdownTimes) -> Self {
-        Self { delay_end: started + times.drain_delay.min(times.limit), end: started + times.limit }
+        let ShutdownTimes { drain_delay, limit } = *times;
+        Self { delay_end: started + drain_delay.min(limit), end: started + limit, limit }
+    }
+
+    /// Returns when requests that have no response yet get an error.
+    pub fn last_response(&self) -> Instant {
+        self.end - LAST_RESPONSE_MARGIN.min(self.limit)
     }
 
     /// Returns when the shutdown ends at the latest.
@@ -37,6 +48,6 @@
     /// Returns whether a request that arrives at `now` is accepted. `expires_at` is when it has its
     /// final response at the latest.
     pub fn accepts(&self, now: Instant, expires_at: Instant) -> bool {
-        now < self.delay_end || expires_at <= self.end
+        now < self.delay_end || expires_at <= self.last_response()
     }
 }
