tests: responses that end within their head

A report of operators: clients got a 200 with an empty or short body, framed as whole, after an engine had closed in the middle of its answer's head.

--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -385,6 +385,29 @@
     });
 }
 
+/// Guards against a response that ends within its head, and whose caller gets a success with an empty
+/// or short body that looks complete.
+#[test]
+fn response_that_ends_within_its_head_is_no_success() {
+    run_local(async {
+        let whole = format!("{OK_HEAD}id: r1\r\ncontent-length: 4\r\n\r\n");
+        let without_length = format!("{OK_HEAD}id: r1\r\n\r\n");
+        for (index, head) in [&whole, &without_length].into_iter().enumerate() {
+            let cuts: Vec<Vec<Step>> =
+                (1..head.len()).map(|it| vec![Step::Read, send(&head[..it])]).collect();
+            let count = cuts.len();
+            let upstream = ScriptedUpstream::start(cuts).await;
+            let site = Site::start(3_500 + index as u16, &[&upstream]);
+            for cut in 1..=count {
+                let path = if cut % 2 == 0 { "/once/" } else { "/stream/" };
+                let reply = site.call(path, "r1").await;
+                assert!(matches!(reply.status(), 502..=504), "{cut} bytes: {reply:?}");
+            }
+            assert!(upstream.requests() > count / 2, "few requests reached the upstream");
+        }
+    });
+}
+
 /// Guards against a process that ends, or serves no longer, because of bytes that are no message,
 /// on the port of callers, of peers or of checks.
 #[test]
