intake: the limit of a response does not apply to streams

Cause: events and heads were charged under the limit of one complete response, so a small max-response-kb, which is 1 at least, would have cut off every stream with a larger event.

Change: parts of responses are bounded by the memory of all responses only.

Evidence: `limit_of_a_response_does_not_apply_to_events` passes.

--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -282,7 +282,7 @@
         guard.end(AttemptEnd::Failed);
         return Err(FailedAttempt::MayHaveRun(RefusalKind::UpstreamLost));
     }
-    let mut head_memory = guard.buffers().open();
+    let mut head_memory = guard.buffers().open_part();
     if let Err(error) = head_memory.try_grow(head_bytes(response.headers())) {
         log_failure(gateway, request, &pick.name, MEMORY_FULL, &error);
         return Err(FailedAttempt::MayHaveRun(RefusalKind::AnswerTooLarge));
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -117,7 +117,7 @@
             body,
             _head_memory: head_memory,
             splitter: EventSplitter::new(),
-            splitter_memory: guard.buffers().open(),
+            splitter_memory: guard.buffers().open_part(),
             pending: None,
             exchange,
             guard,
@@ -177,7 +177,7 @@
 
     /// Accounts for the memory of complete events.
     fn receive(&self, batch: EventBatch) -> Result<ReceivedEvents, StreamError> {
-        let mut memory = self.guard.buffers().open();
+        let mut memory = self.guard.buffers().open_part();
         memory.try_grow(batch.bytes.capacity()).map_err(StreamError::Buffer)?;
         let has_content = batch.has_content();
         Ok(ReceivedEvents { bytes: reserved_bytes(batch.bytes, memory), has_content })
--- a/lib/src/intake/buffers.rs
+++ b/lib/src/intake/buffers.rs
@@ -48,9 +48,19 @@
         Arc::new(Self { limits, total_bytes: AtomicUsize::new(0) })
     }
 
-    /// Starts to account for one response.
+    /// Starts to account for a response that is received completely.
     pub fn open(self: &Arc<Self>) -> BufferReservation {
-        BufferReservation { buffers: self.clone(), bytes: 0, response_bytes: 0 }
+        self.open_with(self.limits.max_bytes)
+    }
+
+    /// Starts to account for a part of a response, such as its head or some events of a stream. Only
+    /// the limit of all responses applies to it.
+    pub fn open_part(self: &Arc<Self>) -> BufferReservation {
+        self.open_with(self.limits.max_total_bytes)
+    }
+
+    fn open_with(self: &Arc<Self>, max_bytes: usize) -> BufferReservation {
+        BufferReservation { buffers: self.clone(), bytes: 0, response_bytes: 0, max_bytes }
     }
 
     /// Returns the memory that responses take now, in bytes.
@@ -66,6 +76,8 @@
     bytes: usize,
     /// Memory of the whole response, with the parts that were split off.
     response_bytes: usize,
+    /// Largest value of `response_bytes`.
+    max_bytes: usize,
 }
 
 impl BufferReservation {
@@ -75,9 +87,9 @@
     ///
     /// A limit would be exceeded; nothing changes.
     pub fn try_grow(&mut self, bytes: usize) -> Result<(), BufferError> {
-        let ResponseLimits { max_bytes, max_total_bytes } = self.buffers.limits;
+        let max_total_bytes = self.buffers.limits.max_total_bytes;
         if bytes > self.remaining_bytes() {
-            return Err(BufferError::ResponseTooLarge(max_bytes));
+            return Err(BufferError::ResponseTooLarge(self.max_bytes));
         }
         let is_small = self.response_bytes + bytes <= SMALL_RESPONSE_BYTES;
         let reserved = if is_small { 0 } else { max_total_bytes / SMALL_RESPONSE_SHARE };
@@ -117,12 +129,13 @@
             buffers: self.buffers.clone(),
             bytes: std::mem::take(&mut self.bytes),
             response_bytes: self.response_bytes,
+            max_bytes: self.max_bytes,
         }
     }
 
     /// Returns how much more the response may take under its own limit, in bytes.
     pub fn remaining_bytes(&self) -> usize {
-        self.buffers.limits.max_bytes.saturating_sub(self.response_bytes)
+        self.max_bytes.saturating_sub(self.response_bytes)
     }
 }
 
--- a/lib/tests/gateway_floods.rs
+++ b/lib/tests/gateway_floods.rs
@@ -208,6 +208,23 @@
     });
 }
 
+/// Guards against a limit for complete responses that cuts off the events of streams.
+#[test]
+fn limit_of_a_response_does_not_apply_to_events() {
+    run_local(async {
+        let limits = ResponseLimits { max_bytes: 1 << 10, max_total_bytes: 4 << 20 };
+        let data = "x".repeat(100 << 10);
+        let events = chunk(&format!("id: 1\ndata: {data}\n\n"));
+        let script = vec![Step::Read, send(EVENTS_HEAD), send(events), send("0\r\n\r\n")];
+        let upstream = ScriptedUpstream::start(vec![script]).await;
+        let site =
+            Site::start_limited(4_600, limits, |it| (it == 0).then_some((upstream.address, "a")));
+        let reply = site.call("/stream/", "r1").await;
+        assert!(reply.status() == 200 && reply.is_complete(), "{}", reply.status());
+        assert!(reply.text.contains(&data), "the event is not whole");
+    });
+}
+
 /// Guards against a few answers that take all the memory for responses, so that small sound ones
 /// fail, and against answers that are accounted for only until they are received, although their
 /// callers have not read them.
