intake: metered connections of the blocking client have a module

`daemon::traffic` counted the bytes of control traffic and cut connections off, two things in one type. The meter is now a connector of its own in `intake`, beside the socket of the event loop, and `traffic` counts on top of it. Clients of upstreams, hosts and the platform no longer import the reader of bodies from `daemon`. The order of wrappers is the only difference: a request that fails the meter is not counted as received.

--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -18,7 +18,7 @@
 use anyhow::{Context, Result};
 
 pub use self::peers::RouterTransport;
-pub(crate) use self::traffic::{byte_counting_agent, metered_body};
+pub(crate) use self::traffic::byte_counting_agent;
 use self::{
     admin::start_admin,
     admin_server::AdminServer,
--- a/lib/src/daemon/traffic.rs
+++ b/lib/src/daemon/traffic.rs
@@ -1,30 +1,18 @@
-//! Counts the bytes of control traffic at the sockets, and cuts off connections whose bytes are no
-//! content.
+//! Counts the bytes of control traffic at the sockets.
 //!
 //! The HTTP clients create their agents with [`byte_counting_agent`]. It counts the bytes that each
 //! connection reads and writes, HTTP heads included, for the thread that makes the call. The
 //! wrappers of this module read these counts before and after a call and add the difference to the
 //! metrics under the purpose of the call. Headers of TCP and IP are not counted.
-//!
-//! Each connection also has an [`IntakeMeter`]. Bodies must be read through [`metered_body`], because
-//! the meter fails once the connection has received far more than was read from its bodies.
 
-use std::{
-    cell::{Cell, RefCell},
-    io::{self, Read},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::Cell, net::SocketAddr, sync::Arc, time::Duration};
 
 use ureq::{
     Agent, Error,
     config::Config,
     unversioned::{
         resolver::DefaultResolver,
-        transport::{
-            Buffers, ConnectionDetails, Connector, DefaultConnector, NextTimeout, Transport,
-        },
+        transport::{Buffers, ConnectionDetails, Connector, NextTimeout, Transport},
     },
 };
 
@@ -32,7 +20,7 @@
 use crate::{
     config::ConfigChange,
     control::{PeerReply, PeerRequest},
-    intake::IntakeMeter,
+    intake::{MeteredConnector, MeteredTransport},
     membership::HostList,
     peer::{PeerError, PeerTransport},
     platform::{PlatformError, PlatformSource},
@@ -46,9 +34,6 @@
     ///
     /// ureq performs each call on the calling thread, also on pooled connections.
     static THREAD_BYTES: Cell<ByteCount> = const { Cell::new(ByteCount { sent: 0, received: 0 }) };
-
-    /// Meter of the connection that an agent of this module last used on this thread.
-    static LAST_METER: RefCell<Option<Arc<IntakeMeter>>> = const { RefCell::new(None) };
 }
 
 /// Bytes sent and received.
@@ -58,47 +43,13 @@
     pub(super) received: u64,
 }
 
-/// Creates an agent whose connections are metered and that counts the bytes of its connections.
+/// Creates an agent that counts the bytes of its connections. They are metered, so bodies must be read
+/// through [`metered_body`](crate::intake::metered_body).
 pub(crate) fn byte_counting_agent(config: Config) -> Agent {
-    let connector = CountingConnector(DefaultConnector::default());
+    let connector = CountingConnector(MeteredConnector::default());
     Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
-/// Returns a reader of the body of the response that was last received on this thread.
-///
-/// Once the connection is cut off, or the framing of the body is invalid, reads fail with an error
-/// of the kind [`io::ErrorKind::InvalidData`].
-pub(crate) fn metered_body(body: ureq::Body) -> impl Read + Send + 'static {
-    let meter = LAST_METER.with_borrow(Clone::clone).unwrap_or_default();
-    MeteredReader { reader: body.into_reader(), meter }
-}
-
-/// Reads a body and reports what it reads to the meter of its connection.
-struct MeteredReader<R> {
-    reader: R,
-    meter: Arc<IntakeMeter>,
-}
-
-impl<R: Read> Read for MeteredReader<R> {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        match self.reader.read(buffer) {
-            Ok(length) => {
-                self.meter.record_delivered(length);
-                Ok(length)
-            }
-            Err(error) => {
-                let cut = self.meter.check().err();
-                let invalid = |error| io::Error::new(io::ErrorKind::InvalidData, error);
-                Err(match error.downcast::<Error>() {
-                    Ok(error @ Error::Protocol(_)) => invalid(error.to_string()),
-                    Ok(error) => error.into_io(),
-                    Err(error) => cut.map_or(error, |it| invalid(it.to_string())),
-                })
-            }
-        }
-    }
-}
-
 /// Runs `call` and returns its result with the bytes that counting agents sent and received on this
 /// thread during it.
 pub(super) fn count_bytes<T>(call: impl FnOnce() -> T) -> (T, ByteCount) {
@@ -202,7 +153,7 @@
 
 /// Connector whose connections count their bytes.
 #[derive(Debug)]
-struct CountingConnector(DefaultConnector);
+struct CountingConnector(MeteredConnector);
 
 impl Connector<()> for CountingConnector {
     type Out = CountingTransport;
@@ -213,15 +164,14 @@
         chained: Option<()>,
     ) -> Result<Option<Self::Out>, Error> {
         let transport = self.0.connect(details, chained)?;
-        Ok(transport.map(|inner| CountingTransport { inner, meter: IntakeMeter::new() }))
+        Ok(transport.map(|inner| CountingTransport { inner }))
     }
 }
 
 /// A connection that adds its bytes to the count of the thread that uses it.
 #[derive(Debug)]
 struct CountingTransport {
-    inner: Box<dyn Transport>,
-    meter: Arc<IntakeMeter>,
+    inner: MeteredTransport,
 }
 
 impl Transport for CountingTransport {
@@ -230,8 +180,6 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        // A request is sent as a whole before its response is read.
-        self.meter.restart();
         self.inner.transmit_output(amount, timeout)?;
         // A failed write may have sent some of the bytes; these are not counted.
         let count = THREAD_BYTES.get();
@@ -241,20 +189,12 @@
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        LAST_METER.set(Some(self.meter.clone()));
-        let invalid = |error| Error::Io(io::Error::new(io::ErrorKind::InvalidData, error));
-        self.meter.check().map_err(|error| invalid(error.to_string()))?;
-        // The HTTP library would take the lack of space for the end of the connection.
-        if self.inner.buffers().input_append_buf().is_empty() {
-            return Err(invalid("a line exceeds the read buffer".to_owned()));
-        }
         let before = self.inner.buffers().input().len();
         let progress = self.inner.await_input(timeout);
         let after = self.inner.buffers().input().len();
-        let length = after.saturating_sub(before);
-        self.meter.record_received(length);
         let count = THREAD_BYTES.get();
-        THREAD_BYTES.set(ByteCount { received: count.received + length as u64, ..count });
+        let received = count.received + after.saturating_sub(before) as u64;
+        THREAD_BYTES.set(ByteCount { received, ..count });
         progress
     }
 
--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -4,7 +4,7 @@
 //! over a few bytes for each poll of its task, so that no sender keeps the thread, and it fails once
 //! the sender has sent far more than its reader delivered, whether in heads, chunk framing, trailers
 //! or events without content. Readers report what they deliver to the [`IntakeMeter`] of the
-//! connection. [`ResponseBuffers`] accounts for the memory that responses take until their callers
+//! connection. The router's blocking client has metered connections of its own. [`ResponseBuffers`] accounts for the memory that responses take until their callers
 //! have them.
 //!
 //! Bodies are copied out of the buffers of the HTTP library: a small piece of such a buffer would
@@ -14,10 +14,12 @@
 mod buffers;
 mod meter;
 mod socket;
+mod transport;
 
 pub(crate) use self::{
     body::{BodyError, read_body},
     meter::record_cut_connection,
+    transport::{MeteredConnector, MeteredTransport, metered_body},
 };
 pub use self::{
     buffers::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits},
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -10,7 +10,7 @@
 use ureq::{Agent, Error, Timeout, config::AutoHeaderValue};
 
 use super::{PeerError, PeerTransport};
-use crate::daemon::{byte_counting_agent, metered_body};
+use crate::{daemon::byte_counting_agent, intake::metered_body};
 
 /// Time limit for connecting to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -7,9 +7,7 @@
 
 use super::{PlatformError, PlatformSource};
 use crate::{
-    config::ConfigChange,
-    daemon::{byte_counting_agent, metered_body},
-    membership::HostList,
+    config::ConfigChange, daemon::byte_counting_agent, intake::metered_body, membership::HostList,
 };
 
 /// Time limit for connecting to the platform.
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -13,11 +13,7 @@
 };
 
 use super::{CallError, UpstreamClient, UpstreamRequest, UpstreamResponse};
-use crate::{
-    daemon::{byte_counting_agent, metered_body},
-    rendezvous,
-    routing::LoadReport,
-};
+use crate::{daemon::byte_counting_agent, intake::metered_body, rendezvous, routing::LoadReport};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
