--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -4,16 +4,17 @@
 mod chat;
 mod events;
 mod operation;
+mod receive;
 mod relay;
 mod service;
 
 use std::{
-    io::{self, Read},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 pub use self::events::{EventBatch, EventSplitter};
+use self::receive::{ReceiveError, read_body};
 use crate::{
     catalogue::{KeyHash, RouteKind},
     clock::ClockSource,
@@ -55,9 +56,6 @@
 const RESPONSE_LIMITS: ResponseLimits =
     ResponseLimits { max_bytes: 16 << 20, max_total_bytes: 128 << 20 };
 
-/// Bytes of a response body that are read at a time.
-const READ_BYTES: usize = 8 << 10;
-
 /// Headers that only the router may set on requests to upstreams.
 const ROUTER_HEADERS: [&str; 5] =
     ["x-priority", "x-chat-id", "x-resume-offset", "x-team", "x-request-id"];
@@ -337,39 +335,6 @@
     }
 }
 
-/// Why the body of a response was not received.
-#[derive(Debug, thiserror::Error)]
-enum ReceiveError {
-    #[error(transparent)]
-    Lost(#[from] io::Error),
-    #[error(transparent)]
-    Buffer(#[from] BufferError),
-}
-
-/// Reads a body to its end. `reservation` accounts for the capacity of the result.
-fn read_body(
-    mut body: impl Read,
-    reservation: &mut BufferReservation,
-) -> Result<Vec<u8>, ReceiveError> {
-    let mut content = Vec::new();
-    let mut buffer = [0; READ_BYTES];
-    loop {
-        let length = match body.read(&mut buffer) {
-            Ok(0) => return Ok(content),
-            Ok(length) => length,
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-            Err(error) => return Err(error.into()),
-        };
-        if length > content.capacity() - content.len() {
-            let doubled = (content.capacity() * 2).max(content.len() + length);
-            let more = (doubled - content.capacity()).min(reservation.remaining_bytes());
-            reservation.try_grow(more.max(content.len() + length - content.capacity()))?;
-            content.reserve_exact(content.capacity() + more - content.len());
-        }
-        content.extend_from_slice(&buffer[..length]);
-    }
-}
-
 fn refuse(responder: CallerResponder, refusal: &RequestRefusal) -> RequestEnd {
     responder.refuse(refusal);
     RequestEnd::Refused { kind: refusal.kind, outcome: refusal.outcome }
