--- a/lib/src/daemon/admin_server.rs
+++ b/lib/src/daemon/admin_server.rs
@@ -174,7 +174,7 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    let body = read_body(body, MAX_MESSAGE_BYTES, |_| {});
+    let body = read_body(body, MAX_MESSAGE_BYTES, None);
     let body = match timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -226,7 +226,7 @@
     if content_length.is_some_and(|it: u64| it > limits.max_body_bytes as u64) {
         return Err(too_large());
     }
-    let reading = read_body(body, limits.max_body_bytes, |_| {});
+    let reading = read_body(body, limits.max_body_bytes, None);
     let body = match timeout(limits.body_timeout, reading).await {
         Err(_) => {
             let message = format!("the body took longer than {} s", limits.body_timeout.as_secs());
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -124,7 +124,7 @@
     table: Option<&RouteTable>,
 ) -> Result<Bytes, RequestRefusal> {
     let limits = table.map(RouteTable::limits).unwrap_or_default();
-    let reading = intake::read_body(body, limits.max_body_bytes, |_| {});
+    let reading = intake::read_body(body, limits.max_body_bytes, None);
     match timeout(limits.read_timeout, reading).await {
         Err(_) => {
             let message = format!("the body took longer than {:?}", limits.read_timeout);
--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -197,7 +197,7 @@
         meter.restart();
         let exchange = async {
             let (parts, body) = connection.sender.send_request(request).await?.into_parts();
-            let body = read_body(body, max_bytes, |it| meter.record_delivered(it)).await?;
+            let body = read_body(body, max_bytes, Some(&meter)).await?;
             Ok((parts.status, body))
         };
         let response = timeout(time_limit, exchange)
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -209,7 +209,7 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
-    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, |_| {}).await;
+    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, None).await;
     let reply = match body {
         Ok(body) => handle_message(&gateway, &path, &body).await,
         Err(error) => {
--- a/lib/src/intake/body.rs
+++ b/lib/src/intake/body.rs
@@ -3,6 +3,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes};
 
+use super::IntakeMeter;
+
 /// Largest capacity that is allocated for a body before any of it has arrived.
 const MAX_INITIAL_CAPACITY: usize = 64 << 10;
 
@@ -17,13 +19,14 @@
     TooLarge(usize),
 }
 
-/// Reads a body of up to `max_bytes` to its end, and reports each part to `record_delivered`.
+/// Reads a body of up to `max_bytes` to its end, and reports what it reads to the meter of the
+/// connection, if it has one.
 ///
 /// The copy takes at most twice the memory of the body, however the body is split into chunks.
 pub(crate) async fn read_body<B>(
     mut body: B,
     max_bytes: usize,
-    record_delivered: impl Fn(usize),
+    meter: Option<&IntakeMeter>,
 ) -> Result<Bytes, BodyError<B::Error>>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -35,7 +38,9 @@
         let Ok(chunk) = frame?.into_data() else {
             continue;
         };
-        record_delivered(chunk.len());
+        if let Some(meter) = meter {
+            meter.record_delivered(chunk.len());
+        }
         if chunk.len() > max_bytes - bytes.len() {
             return Err(BodyError::TooLarge(max_bytes));
         }
