gateway: a message of a peer has to arrive in time

Cause: the body of a message had a limit on its size and none on its time; only the head had one. A host that stalls within a body kept a connection and up to 1 MiB here for as long as it liked. The router's port for peers has such a limit.

Change: 2 s for a message, then 400.

Evidence: `message_of_a_peer_does_not_wait_without_limit` failed with "still open" after 3 s before the change, and passes.

--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -47,6 +47,9 @@
 /// Largest reply with changes that is read from a peer; it may hold all entries, compressed.
 const MAX_CHANGES_BYTES: usize = 8 << 20;
 
+/// Time within which a message of a peer must have arrived.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Mean interval between the gossip rounds of a host.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -209,13 +212,17 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
-    let body = read_body(request.into_body(), MAX_MESSAGE_BYTES, None).await;
-    let reply = match body {
-        Ok(body) => handle_message(&gateway, &path, &body).await,
-        Err(error) => {
+    let reading = read_body(request.into_body(), MAX_MESSAGE_BYTES, None);
+    let reply = match timeout(MESSAGE_TIMEOUT, reading).await {
+        Ok(Ok(body)) => handle_message(&gateway, &path, &body).await,
+        Ok(Err(error)) => {
             tracing::debug!(%error, "peer_message_lost");
             None
         }
+        Err(_) => {
+            tracing::debug!("peer_message_late");
+            None
+        }
     };
     let status = if reply.is_some() { StatusCode::OK } else { StatusCode::BAD_REQUEST };
     let mut response = Response::new(Full::new(Bytes::from(reply.unwrap_or_default())));
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -408,6 +408,21 @@
     });
 }
 
+/// Guards against a host that waits without limit for the rest of a message of another host.
+#[test]
+fn message_of_a_peer_does_not_wait_without_limit() {
+    run_local(async {
+        let site = Site::start(3_700, &[]);
+        let mut stream = TcpStream::connect(site.addresses.peers).await.unwrap();
+        let head = "POST /v1/digest HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        let closed = timeout(ROUTE_TIMEOUT, stream.read_to_end(&mut bytes)).await;
+        assert!(closed.is_ok(), "still open");
+        assert!(bytes.starts_with(b"HTTP/1.1 400"), "{}", String::from_utf8_lossy(&bytes));
+    });
+}
+
 /// Guards against a process that ends, or serves no longer, because of bytes that are no message,
 /// on the port of callers, of peers or of checks.
 #[test]
