--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -408,6 +408,33 @@
     });
 }
 
+/// Guards against a connection that is lost within a body, as when the upstream crashes, and that
+/// counts as one that this host cut off: the upstream would get no strike.
+#[test]
+fn response_that_ends_within_its_body_is_lost() {
+    run_local(async {
+        // All but the last chunk, and all but the last byte.
+        let parts = [
+            format!("{OK_HEAD}transfer-encoding: chunked\r\n\r\n4\r\ndone\r\n"),
+            format!("{OK_HEAD}content-length: 4\r\n\r\ndon"),
+        ];
+        let mut number = 3_600;
+        for part in parts {
+            let body_start = part.find("\r\n\r\n").unwrap() + 4;
+            for length in body_start..=part.len() {
+                let script = vec![Step::Read, send(&part[..length])];
+                let upstream = ScriptedUpstream::start(vec![script]).await;
+                let site = Site::start(number, &[&upstream]);
+                number += 1;
+                let reply = site.call("/once/", "r1").await;
+                assert_eq!(reply.status(), 502, "{length} bytes: {reply:?}");
+                let lost = r#"snipepond_upstream_errors_total{kind="answer_lost""#;
+                assert_eq!(site.metric(lost).await, 1, "{length} bytes");
+            }
+        }
+    });
+}
+
 /// Guards against a host that waits without limit for the rest of a message of another host.
 #[test]
 fn message_of_a_peer_does_not_wait_without_limit() {
