intake: cuts of the router's connections to hosts and the platform are counted

Cause: the router's clients for other hosts and the platform run over metered connections too, but a cut there was an ordinary failed call: no line of its own and no count.

Change: one function logs `connection_cut` and counts, for the gateway's client and for these two, and one tells a cut from a lost connection.

--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -13,8 +13,8 @@
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 use crate::intake::{
-    BodyError, IntakeError, IntakeMeter, MAX_RESPONSE_HEAD_BYTES, MeteredSocket, read_body,
-    record_cut_connection,
+    BodyError, IntakeError, IntakeMeter, MAX_RESPONSE_HEAD_BYTES, MeteredSocket,
+    log_cut_connection, read_body,
 };
 
 /// Idle time before the first TCP keep-alive probe, and interval of the probes.
@@ -218,8 +218,7 @@
             },
             BodyError::TooLarge(_) => error.to_string(),
         };
-        record_cut_connection();
-        tracing::warn!(address = %self.address, %reason, "connection_cut");
+        log_cut_connection(&self.address, &reason);
         ClientError::CutOff(reason)
     }
 }
--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -18,8 +18,8 @@
 
 pub(crate) use self::{
     body::{BodyError, read_body},
-    meter::record_cut_connection,
-    transport::{MeteredConnector, MeteredTransport, metered_body},
+    meter::{log_cut_connection, record_cut_connection},
+    transport::{MeteredConnector, MeteredTransport, is_cut_off, metered_body},
 };
 pub use self::{
     buffers::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits},
--- a/lib/src/intake/meter.rs
+++ b/lib/src/intake/meter.rs
@@ -1,8 +1,11 @@
 //! Compares what a connection receives with what its reader delivers.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    fmt::Display,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 /// Bytes that a connection may receive beyond those that the delivered ones account for: heads, and
@@ -20,6 +23,13 @@
     CUT_CONNECTIONS.fetch_add(1, Ordering::Relaxed);
 }
 
+/// Logs and counts a connection to another host or the platform that was closed because of what it
+/// received.
+pub(crate) fn log_cut_connection(address: &dyn Display, reason: &dyn Display) {
+    record_cut_connection();
+    tracing::warn!(%address, %reason, "connection_cut");
+}
+
 /// Returns the number of connections that this process closed because of what they received.
 pub fn cut_connections() -> u64 {
     CUT_CONNECTIONS.load(Ordering::Relaxed)
--- a/lib/src/intake/transport.rs
+++ b/lib/src/intake/transport.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// Returns whether a call failed because its connection was cut off, or its response is no HTTP.
+pub(crate) fn is_cut_off(error: &Error) -> bool {
+    match error {
+        Error::Io(source) => source.kind() == io::ErrorKind::InvalidData,
+        Error::LargeResponseHeader(..) | Error::Protocol(_) => true,
+        _ => false,
+    }
+}
+
 /// Returns a reader of the body of the response that was last received on this thread.
 ///
 /// Once the connection is cut off, or the framing of the body is invalid, reads fail with an error
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -10,7 +10,10 @@
 use ureq::{Agent, Error, Timeout, config::AutoHeaderValue};
 
 use super::{PeerError, PeerTransport};
-use crate::{daemon::byte_counting_agent, intake::metered_body};
+use crate::{
+    daemon::byte_counting_agent,
+    intake::{is_cut_off, log_cut_connection, metered_body},
+};
 
 /// Time limit for connecting to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,7 +73,7 @@
             .timeout_global(Some(timeout))
             .build()
             .send(&message[..])
-            .map_err(classify)?;
+            .map_err(|error| classify(address, error))?;
         if response.status() != 200 {
             return Err(PeerError::Ambiguous(format!("status {}", response.status())));
         }
@@ -78,15 +81,19 @@
         metered_body(response.into_body())
             .take(MAX_MESSAGE_BYTES as u64)
             .read_to_end(&mut reply)
-            .map_err(|error| PeerError::Ambiguous(error.to_string()))?;
+            .map_err(|error| classify(address, error.into()))?;
         rmp_serde::from_slice(&reply).map_err(|error| PeerError::Ambiguous(error.to_string()))
     }
 }
 
-/// Maps an error of the HTTP client to whether the request may have reached the host.
+/// Maps an error of the HTTP client to whether the request may have reached the host, and logs it if
+/// the connection was cut off.
 ///
 /// Only a failure before the connection is established proves that it did not.
-fn classify(error: Error) -> PeerError {
+fn classify(address: SocketAddr, error: Error) -> PeerError {
+    if is_cut_off(&error) {
+        log_cut_connection(&address, &error);
+    }
     let reason = error.to_string();
     match error {
         Error::Io(source) if source.kind() == io::ErrorKind::ConnectionRefused => {
--- a/lib/src/platform/http.rs
+++ b/lib/src/platform/http.rs
@@ -3,11 +3,14 @@
 use std::{io::Read, time::Duration};
 
 use serde::de::DeserializeOwned;
-use ureq::Agent;
+use ureq::{Agent, Error};
 
 use super::{PlatformError, PlatformSource};
 use crate::{
-    config::ConfigChange, daemon::byte_counting_agent, intake::metered_body, membership::HostList,
+    config::ConfigChange,
+    daemon::byte_counting_agent,
+    intake::{is_cut_off, log_cut_connection, metered_body},
+    membership::HostList,
 };
 
 /// Time limit for connecting to the platform.
@@ -40,6 +43,14 @@
         }
     }
 
+    /// Returns the error of a failed call, and logs it if the connection was cut off.
+    fn unreachable(&self, error: &Error) -> PlatformError {
+        if is_cut_off(error) {
+            log_cut_connection(&self.base_url, error);
+        }
+        PlatformError::Unreachable(error.to_string())
+    }
+
     /// Waits up to `wait` for a version of `resource` above `after`.
     fn watch<T: DeserializeOwned>(
         &self,
@@ -56,7 +67,7 @@
             .timeout_global(Some(wait + WATCH_TIMEOUT_MARGIN))
             .build()
             .call()
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+            .map_err(|error| self.unreachable(&error))?;
         match response.status().as_u16() {
             200 => {}
             304 => return Ok(None),
@@ -66,7 +77,7 @@
         metered_body(response.into_body())
             .take(MAX_RESPONSE_BYTES)
             .read_to_end(&mut body)
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+            .map_err(|error| self.unreachable(&error.into()))?;
         serde_json::from_slice(&body)
             .map(Some)
             .map_err(|error| PlatformError::Invalid(error.to_string()))
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -13,7 +13,12 @@
 };
 
 use super::{CallError, UpstreamClient, UpstreamRequest, UpstreamResponse};
-use crate::{daemon::byte_counting_agent, intake::metered_body, rendezvous, routing::LoadReport};
+use crate::{
+    daemon::byte_counting_agent,
+    intake::{is_cut_off, metered_body},
+    rendezvous,
+    routing::LoadReport,
+};
 
 /// Time limit for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -226,10 +231,7 @@
 fn classify(error: Error) -> CallError {
     let reason = error.to_string();
     match error {
-        Error::Io(source) if source.kind() == io::ErrorKind::InvalidData => {
-            CallError::CutOff(reason)
-        }
-        Error::LargeResponseHeader(..) | Error::Protocol(_) => CallError::CutOff(reason),
+        error if is_cut_off(&error) => CallError::CutOff(reason),
         Error::Io(source) if source.kind() == io::ErrorKind::ConnectionRefused => {
             CallError::NotSent(reason)
         }
--- a/lib/tests/upstream_floods.rs
+++ b/lib/tests/upstream_floods.rs
@@ -1,4 +1,4 @@
-//! The router's client for upstreams, against responses without end and broken heads.
+//! The router's clients, against responses without end and broken heads.
 
 #[path = "gateway_support/flood.rs"]
 mod flood;
@@ -11,8 +11,11 @@
 };
 
 use flood::FloodServer;
-use snipepond::upstream::{
-    CallError, HttpUpstream, UpstreamClient, UpstreamRequest, UpstreamResponse,
+use snipepond::{
+    intake::cut_connections,
+    peer::{HttpPeer, PeerTransport},
+    platform::{HttpPlatform, PlatformSource},
+    upstream::{CallError, HttpUpstream, UpstreamClient, UpstreamRequest, UpstreamResponse},
 };
 
 /// Time within which a connection is cut off, far below the time for a head.
@@ -132,3 +135,26 @@
         }
     }
 }
+
+/// Guards against a cut of a connection to another host or the platform that is not counted, or that
+/// counts as more than one. No other test of this file leads to a count.
+#[test]
+fn cuts_of_hosts_and_the_platform_are_counted() {
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let padded = format!("{}\r\n?\r\n", "0".repeat(63) + "1");
+    let floods = [
+        (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(4 << 10)),
+        (chunked, padded.repeat(4 << 10)),
+    ];
+    for (index, (start, block)) in floods.into_iter().enumerate() {
+        let flood = FloodServer::start(start, block);
+        let peer = HttpPeer::new();
+        let reply: Result<u8, _> = peer.call(flood.address, &1_u8, CUT_TIME);
+        assert!(reply.is_err(), "{index}: {reply:?}");
+        assert_eq!(cut_connections(), 2 * index as u64 + 1, "{index}");
+        let platform = HttpPlatform::new(&format!("http://{}", flood.address));
+        let change = platform.config_after(0, CUT_TIME);
+        assert!(change.is_err(), "{index}: {change:?}");
+        assert_eq!(cut_connections(), 2 * index as u64 + 2, "{index}");
+    }
+}
