gateway: log what an upstream reports next to what was estimated

From one host's log it could not be told whether a load was estimated wrongly or chosen badly: what an upstream holds was known from its next report only, which was not logged. load_reported has it next to the estimate just before; upstream_picked says how many of the requests are this host's and how many upstreams are open. No choice changes.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -272,6 +272,8 @@
             rank = pick.rank,
             load = pick.load,
             mean = pick.mean,
+            own_in_flight = pick.own_in_flight,
+            open = pick.open_count,
             report_age_ms = pick.report_age.map(|it| it.as_millis() as u64),
             prompt_holder = pick.prompt_holder.as_ref().map(|it| it.name.as_str()),
             attempt = self.tried.len() + 1,
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -301,8 +301,16 @@
 fn record_response_head(gateway: &Gateway, pick: &UpstreamPick, head: &ResponseHead) {
     let now = gateway.now();
     let upstreams = &mut gateway.state.borrow_mut().upstreams;
-    if let Some(load) = head.load {
-        upstreams.record_load(now, &pick.name, load);
+    if let Some(load) = head.load
+        && let Some(estimated) = upstreams.record_load(now, &pick.name, load)
+    {
+        tracing::info!(
+            upstream = %pick.name,
+            running = load.running,
+            waiting = load.waiting,
+            estimated,
+            "load_reported"
+        );
     }
     if let Some(cold_for) = head.cold_for {
         upstreams.set_cold_until(now, &pick.name, now + cold_for);
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -215,13 +215,21 @@
         }
     }
 
-    /// Records the load report of a response.
-    pub fn record_load(&mut self, now: Instant, name: &UpstreamName, load: ReportedLoad) {
-        if let Some(state) = self.upstreams.get_mut(name) {
-            let requests = f64::from(load.running) + f64::from(load.waiting);
-            state.report =
-                Some(LoadReport { reported_at: now, requests, own_in_flight: state.own_in_flight });
-        }
+    /// Records the load report of a response; returns the load that was estimated before it, in
+    /// requests, unless the upstream is unknown.
+    pub fn record_load(
+        &mut self,
+        now: Instant,
+        name: &UpstreamName,
+        load: ReportedLoad,
+    ) -> Option<f64> {
+        let mean = self.mean_open_load(now, name)?;
+        let state = self.upstreams.get_mut(name)?;
+        let estimated = state.estimated_load(now, mean);
+        let requests = f64::from(load.running) + f64::from(load.waiting);
+        state.report =
+            Some(LoadReport { reported_at: now, requests, own_in_flight: state.own_in_flight });
+        Some(estimated)
     }
 
     /// Returns the recent load reports to be sent to the other hosts of the data centre.
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -77,6 +77,10 @@
     pub load: f64,
     /// Mean load of the published upstreams of the service, in requests.
     pub mean: f64,
+    /// Requests of this host in flight to it.
+    pub own_in_flight: u32,
+    /// Number of upstreams of the service that take new requests from this host.
+    pub open_count: usize,
     /// Age of its newest load report.
     pub report_age: Option<Duration>,
     /// Another upstream that probably has the prompt cached.
@@ -195,6 +199,12 @@
         })
     }
 
+    /// Returns the mean load of the upstreams of the same service that take new requests.
+    pub(super) fn mean_open_load(&self, now: Instant, name: &UpstreamName) -> Option<f64> {
+        let service = &self.upstreams.get(name)?.record.service;
+        mean_load(now, self.eligible(now, service)).or(Some(0.0))
+    }
+
     fn choose(
         &self,
         now: Instant,
@@ -210,6 +220,7 @@
         };
         // The operators bound the load relative to the mean of all published upstreams, including
         // those that take no new requests.
+        let open_count = eligible.clone().count();
         let published = self.upstreams.of_service(request.service);
         let published = published.filter(|it| it.removed_at.is_none_or(|at| now < at));
         let mean = mean_load(now, published).unwrap_or(eligible_mean);
@@ -243,7 +254,7 @@
             let in_bound = healthy.iter().filter(|it| it.load + 1.0 <= bound).collect();
             if let Some(first) = first_admissible(in_bound, |it| -it.score, is_admissible) {
                 let rank = healthy.iter().filter(|it| it.score > first.score).count();
-                return Ok(new_pick(now, first, PickReason::Affinity, rank, mean));
+                return Ok(new_pick(now, first, PickReason::Affinity, rank, open_count, mean));
             }
         }
         let groups = [(&healthy, PickReason::LeastLoaded), (&unhealthy, PickReason::LastResort)];
@@ -265,7 +276,7 @@
             if let Some(least) = least {
                 let load = least.load_per_slot();
                 let rank = group.iter().filter(|it| it.load_per_slot() < load).count();
-                return Ok(new_pick(now, least, reason, rank, mean));
+                return Ok(new_pick(now, least, reason, rank, open_count, mean));
             }
         }
         Err(PickRefusal::ColdLimit)
@@ -311,6 +322,7 @@
     candidate: &Candidate<'_>,
     reason: PickReason,
     rank: usize,
+    open_count: usize,
     mean: f64,
 ) -> UpstreamPick {
     let record = &candidate.state.record;
@@ -322,6 +334,8 @@
         rank,
         load: candidate.load,
         mean,
+        own_in_flight: candidate.state.own_in_flight,
+        open_count,
         report_age: candidate.state.report.map(|it| now.saturating_duration_since(it.reported_at)),
         prompt_holder: None,
     }
