tests: fleets simulated against the load limit

Hosts choose engines in a simulated fleet and know their loads from response heads and gossip only; the loads that the engines really hold are compared with the limit.

--- /dev/null
+++ b/lib/tests/gateway_load_limit.rs
@@ -0,0 +1,59 @@
+//! The load limit of engines in simulated fleets: few requests reach an engine that holds over twice
+//! the mean of its service, plus three.
+
+mod load_simulation;
+
+use std::{ops::RangeInclusive, time::Duration};
+
+use self::load_simulation::{CentreClosure, FleetSettings, LimitReport, play};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// 7 hosts before 9 engines in 4 data centres.
+const SMALL: FleetSettings = FleetSettings {
+    hosts: 7,
+    engines: 9,
+    centres: 4,
+    requests_per_s: 73.4,
+    length: Duration::from_secs(30),
+};
+
+/// 88 hosts before 60 engines in 4 data centres.
+const LARGE: FleetSettings = FleetSettings {
+    hosts: 88,
+    engines: 60,
+    centres: 4,
+    requests_per_s: 490.0,
+    length: Duration::from_secs(24),
+};
+
+/// Closes two data centres for 8 s each, the second half a second after the first.
+fn two_closures(first: usize, second: usize) -> [CentreClosure; 2] {
+    let closure = |centre, from: Duration| CentreClosure { centre, from, until: from + 8 * SECOND };
+    [closure(first, 12 * SECOND), closure(second, 12 * SECOND + SECOND / 2)]
+}
+
+/// Plays a run with several seeds, and returns what broke the limit.
+fn broken_runs(
+    seeds: RangeInclusive<u64>,
+    settings: FleetSettings,
+    closures: &[CentreClosure],
+) -> Vec<(u64, LimitReport)> {
+    let runs = seeds.map(|it| (it, play(it, settings, closures)));
+    runs.filter(|(_, report)| report.is_broken()).collect()
+}
+
+/// Guards against requests that all hosts send to the engine that each of them believes to be the
+/// least loaded, while two data centres are closed and 4 of 9 engines take new requests.
+#[test]
+fn small_fleet_keeps_the_load_limit_while_two_data_centres_are_closed() {
+    let broken = broken_runs(1..=10, SMALL, &two_closures(0, 3));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// Guards against the same in a fleet whose hosts hear of the load of an engine seconds later.
+#[test]
+fn large_fleet_keeps_the_load_limit_while_two_data_centres_are_closed() {
+    let broken = broken_runs(1..=3, LARGE, &two_closures(0, 2));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
