gateway: hosts that know others contact seeds as well

A host contacted a seed only as long as it knew no other host. Groups that joined through different seeds had no way to hear of each other. Each host now sends a digest to a seed in one round of twenty, however many it knows: nine a second in a fleet of 88.

The new test has no target among the seeds without the change.

--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use rand::seq::IteratorRandom;
+use rand::{Rng, seq::IteratorRandom};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -54,6 +54,10 @@
 /// another one in a round; traffic between data centres has a cost.
 const MAX_REMOTE_PROBABILITY: f64 = 0.5;
 
+/// Probability with which a host that knows others sends a digest to a seed in a round. Groups of
+/// hosts that joined through different seeds would otherwise never hear of each other.
+const SEED_DIGEST_PROBABILITY: f64 = 0.05;
+
 /// One host, as hosts describe it to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -230,14 +234,19 @@
     /// Returns the relays that this host may ask, in order of preference; empty if it reads the
     /// platform itself.
     pub fn relays(&self, now: Instant) -> Vec<&MemberRecord> {
-        let hosts = self.live(now).filter(|it| it.centre == self.local.centre).chain([&self.local]);
-        let relays = select_relays(hosts.collect());
+        let relays = self.local_relays(now);
         if relays.iter().any(|it| it.host == self.local.host) {
             return Vec::new();
         }
         relays.into_iter().filter(|it| self.is_usable_relay(now, it)).collect()
     }
 
+    /// Returns the relays of the data centre of this host, which may be one of them.
+    pub fn local_relays(&self, now: Instant) -> Vec<&MemberRecord> {
+        let hosts = self.live(now).filter(|it| it.centre == self.local.centre).chain([&self.local]);
+        select_relays(hosts.collect())
+    }
+
     /// Returns the relays of the other data centres that this host may ask.
     pub fn remote_relays(&self, now: Instant) -> Vec<&MemberRecord> {
         let mut centres: BTreeMap<&CentreName, Vec<&MemberRecord>> = BTreeMap::new();
@@ -278,6 +287,31 @@
         (REMOTE_DIGESTS_PER_ROUND / (neighbours + 1) as f64).min(MAX_REMOTE_PROBABILITY)
     }
 
+    /// Chooses the hosts of one gossip round, each with whether it is in the data centre of this
+    /// one: a random local host, and at times a random remote one and a seed. A host that knows no
+    /// other uses a seed.
+    pub fn digest_targets(&self, now: Instant, seeds: &[SocketAddr]) -> Vec<(SocketAddr, bool)> {
+        let mut rng = rand::rng();
+        let is_local = |it: &&MemberRecord| it.centre == self.local.centre;
+        let local_peer = self.live(now).filter(is_local).choose(&mut rng);
+        let remote_peer = self.live(now).filter(|it| !is_local(it)).choose(&mut rng);
+        let probability = self.remote_digest_probability(now);
+        let remote_peer = remote_peer.filter(|_| rng.random_bool(probability));
+        let mut targets: Vec<(SocketAddr, bool)> = local_peer
+            .map(|it| (it.address, true))
+            .into_iter()
+            .chain(remote_peer.map(|it| (it.address, false)))
+            .collect();
+        if targets.is_empty() || rng.random_bool(SEED_DIGEST_PROBABILITY) {
+            let is_other = |it: &&SocketAddr| {
+                **it != self.local.address && targets.iter().all(|(address, _)| address != *it)
+            };
+            let seed = seeds.iter().filter(is_other).choose(&mut rng);
+            targets.extend(seed.map(|it| (*it, false)));
+        }
+        targets
+    }
+
     /// Returns a digest for another host; with `request`, the digest of that host, it is the reply.
     pub fn digest(&mut self, now: Instant, request: Option<&MemberDigest>) -> MemberDigest {
         self.update_heartbeat(now);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -257,7 +257,7 @@
 pub(super) async fn run_gossip(gateway: Rc<Gateway>, seeds: Vec<SocketAddr>) {
     let mut behind_since = None;
     loop {
-        let targets = gateway.digest_targets(&seeds);
+        let targets = gateway.state.borrow().members.digest_targets(gateway.now(), &seeds);
         for (address, is_local) in targets {
             let mut client = PeerClient::new(address);
             match client.digest(&gateway.digest(is_local, None)).await {
@@ -382,29 +382,6 @@
         });
     }
 
-    /// Chooses the hosts of one gossip round, each with whether it is in the data centre of this
-    /// one: a random local host, and at times a random remote one. A host that knows no other uses
-    /// a seed.
-    fn digest_targets(&self, seeds: &[SocketAddr]) -> Vec<(SocketAddr, bool)> {
-        let now = self.now();
-        let state = self.state.borrow();
-        let this_host = state.members.local();
-        let mut rng = rand::rng();
-        let local_peer = state.members.live(now).filter(|it| it.centre == this_host.centre);
-        let local_peer = local_peer.map(|it| (it.address, true)).choose(&mut rng);
-        let remote_peer = state.members.live(now).filter(|it| it.centre != this_host.centre);
-        let remote_peer = remote_peer.map(|it| (it.address, false)).choose(&mut rng);
-        let probability = state.members.remote_digest_probability(now);
-        let remote_peer = remote_peer.filter(|_| rng.random_bool(probability));
-        let mut targets: Vec<(SocketAddr, bool)> =
-            local_peer.into_iter().chain(remote_peer).collect();
-        if targets.is_empty() {
-            let others = seeds.iter().filter(|it| **it != this_host.address);
-            targets.extend(others.map(|it| (*it, false)).choose(&mut rng));
-        }
-        targets
-    }
-
     /// Requests the missing changes from a host that has a newer revision.
     async fn pull_changes(&self, client: &mut PeerClient, host: &HostName) {
         match client.changes(self.revision(), Duration::ZERO).await {
--- a/lib/tests/gateway_members.rs
+++ b/lib/tests/gateway_members.rs
@@ -338,6 +338,23 @@
     }
 }
 
+/// Guards against a fleet that stays divided: hosts that started with different seeds know the hosts
+/// that started with the same one, and no others.
+#[test]
+fn groups_of_hosts_that_joined_through_different_seeds_find_each_other() {
+    let now = Instant::now();
+    let mut table = table(0, "a");
+    (1..40).for_each(|it| {
+        table.merge_direct(now, record(it, CENTRES[it % CENTRES.len()]));
+    });
+    let seeds = [record(0, "a").address, record(50, "b").address, record(51, "c").address];
+    let targets = (0..1_000).flat_map(|_| table.digest_targets(now, &seeds));
+    let to_seeds = targets.filter(|(address, _)| seeds.contains(address)).count();
+    // A fleet of 88 hosts sends several such digests in a second.
+    assert!((20..100).contains(&to_seeds), "{to_seeds} of 1000 rounds");
+    assert!(table.digest_targets(now, &seeds).iter().all(|(it, _)| *it != seeds[0]), "itself");
+}
+
 /// Guards against running hosts that count as lost, against a lost host that counts as alive, and
 /// against traffic between data centres that grows with the number of hosts.
 #[test]
