gateway: hosts tell each other their requests in flight while few engines are open

Callers lost nothing, but engines got more than the operators allow: with two data centres closed, up to half of the requests of five seconds went to engines over twice the mean plus three.

Cause: hosts choose at the same time, from the same late knowledge, the same engine. A host knew what an engine reported with a response 0.2 to 1.8 s ago and its own requests since, not those of the others. While most engines are open the limit is far above an even load and this does no harm. While few are, the even load is just below it, and the first swing breaks it. The bound of affinity had the same fault: it was checked against the same late load.

Change: while less than three quarters of the upstreams of a service take requests, hosts report their requests in flight: directly, within 10 ms, in a fleet of up to 8; through the relays of the data centres, every 25 ms or so, in larger ones. Where hosts choose the least load, each fills the upstreams up to a common level by what all hosts send until they hear of each other, with evenly spread draws, so that they do not all choose the same. Affinity ends where the room below its bound is less than that.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod follow;
 mod health;
+mod load_exchange;
 mod members;
 mod outcomes;
 mod packed;
@@ -42,6 +43,7 @@
     fleet::{FleetChange, Gateway, GatewaySettings},
     follow::follow_entries,
     health::{AttemptEnd, UpstreamHealth},
+    load_exchange::InFlightReport,
     members::{MemberChange, MemberDigest, MemberHeartbeat, MemberRecord, MemberTable},
     outcomes::{OutcomeCount, OutcomeLog, OutcomeSlot},
     packed::PackedChange,
@@ -56,8 +58,9 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        EjectedUpstream, LoadSample, MAX_PAUSE, PickReason, PickRefusal, PickRequest, PromptHolder,
-        ReportedLoad, UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
+        EjectedUpstream, InFlightCounts, InFlightScope, LoadSample, MAX_PAUSE, PickReason,
+        PickRefusal, PickRequest, PromptHolder, ReportedLoad, UpstreamPick, UpstreamProcess,
+        UpstreamRecord, UpstreamSet,
     },
 };
 pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -79,6 +79,7 @@
 impl AttemptGuard {
     fn new(gateway: &Rc<Gateway>, request: &Rc<AdmittedRequest>, pick: &UpstreamPick) -> Self {
         gateway.state.borrow_mut().upstreams.request_started(&pick.name);
+        gateway.in_flight_changes.send_replace(());
         Self {
             gateway: gateway.clone(),
             request: request.clone(),
@@ -138,6 +139,7 @@
         {
             self.end = AttemptEnd::Failed;
         }
+        self.gateway.in_flight_changes.send_replace(());
         let state = &mut *self.gateway.state.borrow_mut();
         state.upstreams.request_ended(now, &self.process.upstream, self.end);
         let is_complete = self.end == AttemptEnd::Complete;
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -111,6 +111,8 @@
     pub(super) pauses: PauseDetector,
     /// Notified when there are strikes that other hosts may not know.
     pub(super) strike_news: Notify,
+    /// Changes of the number of this host's requests in flight.
+    pub(super) in_flight_changes: watch::Sender<()>,
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
     /// The shutdown, once it has begun.
@@ -140,6 +142,7 @@
         Rc::new(Self {
             pauses: PauseDetector::new(clock.now()),
             strike_news: Notify::new(),
+            in_flight_changes: watch::Sender::new(()),
             pool: Rc::new(UpstreamPool::new(clock.clone())),
             clock,
             dialect,
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -24,6 +24,7 @@
     crashes::CrashDetector,
     feed::{FeedOutcome, SourceState},
     fleet::Gateway,
+    load_exchange::InFlightReport,
     members::{MemberDigest, MemberRecord},
     outcomes::OutcomeSlot,
     packed::PackedChange,
@@ -40,6 +41,7 @@
 /// Paths of the messages.
 const DIGEST_PATH: &str = "/v1/digest";
 const CHANGES_PATH: &str = "/v1/changes";
+const IN_FLIGHT_PATH: &str = "/v1/in-flight";
 
 /// Largest digest or request that is read from a peer.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -188,6 +190,18 @@
         self.call(CHANGES_PATH, &request, wait + REPLY_TIMEOUT, MAX_CHANGES_BYTES).await
     }
 
+    /// Reports requests in flight and returns the host's report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no readable reply within the time limit.
+    pub async fn report_in_flight(
+        &mut self,
+        report: &InFlightReport,
+    ) -> Result<InFlightReport, PeerFailure> {
+        self.call(IN_FLIGHT_PATH, report, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
+    }
+
     async fn call<Q: Serialize, R: DeserializeOwned>(
         &mut self,
         path: &str,
@@ -243,6 +257,10 @@
             let request: ChangesRequest = decode_request(path, body)?;
             Some(encode_message(&gateway.wait_for_changes(request).await))
         }
+        IN_FLIGHT_PATH => {
+            let report: InFlightReport = decode_request(path, body)?;
+            Some(encode_message(&gateway.exchange_report(report)))
+        }
         _ => None,
     }
 }
@@ -370,6 +388,7 @@
         }
         state.hosts_sharing_limits = state.members.hosts_sharing_limits(now);
         state.crashes.set_host_count(state.hosts_sharing_limits);
+        state.upstreams.set_host_count(state.hosts_sharing_limits);
     }
 
     /// Merges what a digest says of crashes.
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -21,6 +21,7 @@
     call::serve,
     connection::set_socket_options,
     fleet::Gateway,
+    load_exchange::exchange_in_flight,
     peers::{broadcast_strikes, handle_peer_request, run_gossip},
     shutdown::{ShutdownTimes, ShutdownWindow},
     supervise::supervise,
@@ -95,6 +96,7 @@
             start("accept_peers", gateway, move |it| accept_peers(peers.clone(), it)),
             start("gossip", gateway, move |it| run_gossip(it, seeds.clone())),
             start("strikes", gateway, broadcast_strikes),
+            start("load_exchange", gateway, exchange_in_flight),
             start("tick", gateway, tick),
         ];
         Ok(Self { gateway: gateway.clone(), closing, tasks })
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -1,13 +1,15 @@
 //! The published upstreams, this host's state of each, and the choice among them.
 
 mod announcement;
+mod in_flight;
 mod index;
 mod pick;
 mod presence;
 mod prompt;
+mod spread;
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -16,10 +18,16 @@
 
 pub use self::{
     announcement::MAX_PAUSE,
+    in_flight::{InFlightCounts, InFlightScope},
     pick::{PickReason, PickRefusal, PickRequest, UpstreamPick},
     prompt::PromptHolder,
 };
-use self::{announcement::UpstreamAnnouncement, index::UpstreamIndex};
+use self::{
+    announcement::UpstreamAnnouncement,
+    in_flight::InFlightTable,
+    index::UpstreamIndex,
+    spread::{EvenSequence, SendRate},
+};
 use super::{
     cold::ColdBucket,
     health::{AttemptEnd, UpstreamHealth},
@@ -124,6 +132,8 @@
     announcement: UpstreamAnnouncement,
     report: Option<LoadReport>,
     own_in_flight: u32,
+    /// Requests in flight of the other hosts, as far as they report them.
+    other_in_flight: u32,
 }
 
 impl UpstreamState {
@@ -138,14 +148,19 @@
             announcement: UpstreamAnnouncement::default(),
             report: None,
             own_in_flight: 0,
+            other_in_flight: 0,
         }
     }
 
-    /// Estimates the number of requests at this upstream.
+    /// Estimates the number of requests at this upstream, from what the other hosts report of theirs
+    /// if `is_exchanged`.
     ///
-    /// The newest report, corrected by this host's requests since then, decays with its age towards
+    /// Otherwise the newest report, corrected by this host's requests since then, decays with its age towards
     /// `mean`, the mean over the service. The estimate is at least this host's requests in flight.
-    fn estimated_load(&self, now: Instant, mean: f64) -> f64 {
+    fn estimated_load(&self, now: Instant, mean: f64, is_exchanged: bool) -> f64 {
+        if is_exchanged {
+            return f64::from(self.own_in_flight + self.other_in_flight);
+        }
         let own_in_flight = f64::from(self.own_in_flight);
         let Some(report) = self.report else {
             return own_in_flight.max(mean);
@@ -173,12 +188,25 @@
     withdrawn: Vec<(Instant, ServiceName, UpstreamName)>,
     /// When the open times were last brought up to date.
     open_time_recorded: Option<Instant>,
+    /// Requests in flight of the other hosts.
+    others: InFlightTable,
+    /// Rate at which this host sends requests to each service.
+    send_rates: HashMap<ServiceName, SendRate>,
+    /// Number of hosts that send requests, this one included.
+    host_count: usize,
+    /// Makes the choices of hosts with the same knowledge differ.
+    draws: EvenSequence,
 }
 
 impl UpstreamSet {
     /// Creates an empty set for a host.
     pub fn new(host: HostName, centre: CentreName) -> Self {
+        let offset = rendezvous::unit_fraction(rendezvous::hash_parts(&[host.as_str()]));
         Self {
+            others: InFlightTable::default(),
+            send_rates: HashMap::new(),
+            host_count: 1,
+            draws: EvenSequence::new(offset),
             host,
             centre,
             upstreams: UpstreamIndex::default(),
@@ -200,6 +228,11 @@
         self.upstreams.len() == 0
     }
 
+    /// Sets the number of hosts that send requests, this one included.
+    pub fn set_host_count(&mut self, count: usize) {
+        self.host_count = count;
+    }
+
     /// Counts a request as in flight before it is sent.
     pub fn request_started(&mut self, name: &UpstreamName) {
         if let Some(state) = self.upstreams.get_mut(name) {
@@ -224,8 +257,9 @@
         load: ReportedLoad,
     ) -> Option<f64> {
         let mean = self.mean_open_load(now, name)?;
+        let is_exchanged = self.others.lag(now).is_some();
         let state = self.upstreams.get_mut(name)?;
-        let estimated = state.estimated_load(now, mean);
+        let estimated = state.estimated_load(now, mean, is_exchanged);
         let requests = f64::from(load.running) + f64::from(load.waiting);
         state.report =
             Some(LoadReport { reported_at: now, requests, own_in_flight: state.own_in_flight });
--- a/lib/src/gateway/upstreams/index.rs
+++ b/lib/src/gateway/upstreams/index.rs
@@ -47,6 +47,11 @@
         state
     }
 
+    /// Returns the services that have upstreams.
+    pub(super) fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// Returns the states of a service, ordered by name.
     pub(super) fn of_service(
         &self,
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use super::{PromptHolder, UpstreamProcess, UpstreamSet, UpstreamState};
+use super::{
+    PromptHolder, UpstreamProcess, UpstreamSet, UpstreamState,
+    spread::{self, SpreadChoice},
+};
 use crate::{
     names::{ServiceName, UpstreamName},
     rendezvous,
@@ -22,6 +25,10 @@
 /// centres costs more than a short wait, but a local queue would miss the latency target.
 const MAX_LOCAL_LOAD_PER_SLOT: f64 = 0.5;
 
+/// Multiple of the time until hosts hear of each other's requests for which requests are spread. A
+/// choice counts until the others have heard of it and have chosen with that knowledge.
+const SPREAD_TIME_MULTIPLE: f64 = 2.0;
+
 /// Parameters of a pick.
 #[derive(Clone, Copy, Debug)]
 pub struct PickRequest<'a> {
@@ -43,7 +50,7 @@
 pub enum PickReason {
     /// Highest rendezvous score for the prompt among upstreams within the load bound.
     Affinity,
-    /// Least loaded.
+    /// Least loaded, or close to it, so that hosts do not all choose the same one.
     LeastLoaded,
     /// Least loaded of the unhealthy upstreams; no healthy one can take the request.
     LastResort,
@@ -154,6 +161,8 @@
                 })
         };
         let mut pick = self.choose(now, request, is_admissible)?;
+        self.draws.advance();
+        self.send_rates.entry(request.service.clone()).or_default().record(now);
         pick.prompt_holder = self.prompt_holder(now, request, &pick.name);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the index");
         if let Some(cold) = state.cold.as_mut().filter(|it| it.is_cold(now)) {
@@ -202,7 +211,40 @@
     /// Returns the mean load of the upstreams of the same service that take new requests.
     pub(super) fn mean_open_load(&self, now: Instant, name: &UpstreamName) -> Option<f64> {
         let service = &self.upstreams.get(name)?.record.service;
-        mean_load(now, self.eligible(now, service)).or(Some(0.0))
+        self.mean_load(now, self.eligible(now, service)).or(Some(0.0))
+    }
+
+    /// Returns the mean load of upstreams; none if there are no upstreams.
+    fn mean_load<'a>(
+        &self,
+        now: Instant,
+        states: impl Iterator<Item = &'a UpstreamState>,
+    ) -> Option<f64> {
+        let is_exchanged = self.others.lag(now).is_some();
+        // An upstream without a report counts with this host's requests in flight only.
+        let (count, sum) = states.fold((0_u32, 0.0), |(count, sum), it| {
+            (count + 1, sum + it.estimated_load(now, 0.0, is_exchanged))
+        });
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
+    /// Returns the number of requests that all hosts send to a service until they hear of each
+    /// other's requests, or of those of the upstreams that they choose from.
+    fn unknown_arrivals(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        candidates: &[Candidate<'_>],
+    ) -> f64 {
+        let age = |it: &Candidate<'_>| Some(now - it.state.report?.reported_at);
+        let lag = self.others.lag(now).unwrap_or_else(|| {
+            let ages = candidates.iter().filter_map(age);
+            ages.sum::<Duration>() / candidates.len().max(1) as u32
+        });
+        let rate = self.send_rates.get(service).map_or(0.0, |it| it.per_second(now));
+        let arrivals = lag.as_secs_f64() * rate * self.host_count as f64;
+        // Of what arrives, no more is in flight at a time than the upstreams hold together.
+        arrivals.min(candidates.iter().map(|it| it.load).sum())
     }
 
     fn choose(
@@ -212,7 +254,7 @@
         is_admissible: impl Fn(&UpstreamState) -> bool,
     ) -> Result<UpstreamPick, PickRefusal> {
         let eligible = self.eligible(now, request.service);
-        let Some(eligible_mean) = mean_load(now, eligible.clone()) else {
+        let Some(eligible_mean) = self.mean_load(now, eligible.clone()) else {
             return Err(match self.earliest_return(now, request.service) {
                 Some(_) => PickRefusal::AllPaused,
                 None => PickRefusal::NoneEligible,
@@ -223,7 +265,7 @@
         let open_count = eligible.clone().count();
         let published = self.upstreams.of_service(request.service);
         let published = published.filter(|it| it.removed_at.is_none_or(|at| now < at));
-        let mean = mean_load(now, published).unwrap_or(eligible_mean);
+        let mean = self.mean_load(now, published).unwrap_or(eligible_mean);
         let untried: Vec<&UpstreamState> =
             eligible.filter(|it| !request.tried.contains(&it.record.name)).collect();
         if untried.is_empty() {
@@ -235,9 +277,10 @@
                 .affinity
                 .map_or(0.0, |key| rendezvous::score_from_hashes(key, it.name_hash, 1.0))
         };
+        let lag = self.others.lag(now);
         let candidates = untried.into_iter().map(|state| Candidate {
             state,
-            load: state.estimated_load(now, eligible_mean),
+            load: state.estimated_load(now, eligible_mean, lag.is_some()),
             score: score(state),
         });
         let is_healthy = |it: &Candidate<'_>| {
@@ -249,8 +292,12 @@
             healthy.retain(is_local);
         }
         let is_admissible = |it: &Candidate<'_>| is_admissible(it.state);
-        if request.affinity.is_some() {
-            let bound = AFFINITY_LOAD_MULTIPLE * mean + AFFINITY_LOAD_SLACK;
+        let arrivals = self.unknown_arrivals(now, request.service, &healthy);
+        let bound = AFFINITY_LOAD_MULTIPLE * mean + AFFINITY_LOAD_SLACK;
+        let room: f64 = healthy.iter().map(|it| (bound - it.load).max(0.0)).sum();
+        // With less room than that, all hosts would send to the few upstreams that have some.
+        let has_room = lag.is_none() || room >= arrivals;
+        if request.affinity.is_some() && has_room {
             let in_bound = healthy.iter().filter(|it| it.load + 1.0 <= bound).collect();
             if let Some(first) = first_admissible(in_bound, |it| -it.score, is_admissible) {
                 let rank = healthy.iter().filter(|it| it.score > first.score).count();
@@ -265,14 +312,12 @@
                     && it.load_per_slot() < MAX_LOCAL_LOAD_PER_SLOT
             };
             let local = group.iter().filter(is_local_with_capacity).collect();
-            let least =
-                first_admissible(local, Candidate::load_per_slot, is_admissible).or_else(|| {
-                    first_admissible(
-                        group.iter().collect(),
-                        Candidate::load_per_slot,
-                        is_admissible,
-                    )
-                });
+            let least = first_admissible(local, Candidate::load_per_slot, is_admissible);
+            let least = least.or_else(|| {
+                let arrivals =
+                    SPREAD_TIME_MULTIPLE * self.unknown_arrivals(now, request.service, group);
+                spread_admissible(group, arrivals, self.draws.current(), is_admissible)
+            });
             if let Some(least) = least {
                 let load = least.load_per_slot();
                 let rank = group.iter().filter(|it| it.load_per_slot() < load).count();
@@ -301,12 +346,25 @@
     }
 }
 
-/// Returns the mean load of upstreams; none if there are no upstreams.
-fn mean_load<'a>(now: Instant, states: impl Iterator<Item = &'a UpstreamState>) -> Option<f64> {
-    // An upstream without a report counts with this host's requests in flight only.
-    let (count, sum) = states
-        .fold((0_u32, 0.0), |(count, sum), it| (count + 1, sum + it.estimated_load(now, 0.0)));
-    (count > 0).then(|| sum / f64::from(count))
+/// Returns the admissible candidate that [`spread::choose`] chooses.
+fn spread_admissible<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    arrivals: f64,
+    draw: f64,
+    is_admissible: impl Fn(&Candidate<'a>) -> bool,
+) -> Option<&'b Candidate<'a>> {
+    let mut candidates: Vec<&Candidate<'a>> = candidates.iter().collect();
+    loop {
+        let choice = |it: &&Candidate<'a>| SpreadChoice {
+            load: it.load,
+            capacity: f64::from(it.state.record.slots.max(1)),
+        };
+        let choices: Vec<SpreadChoice> = candidates.iter().map(choice).collect();
+        let candidate = candidates.swap_remove(spread::choose(&choices, arrivals, draw)?);
+        if is_admissible(candidate) {
+            return Some(candidate);
+        }
+    }
 }
 
 /// Returns the lower median of the failure shares, so that of two upstreams a single failing one
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -51,8 +51,9 @@
             // A new incarnation starts with fresh state. Only requests in flight to the previous
             // one are carried over, because their ends will be counted on this state.
             before => {
-                let own_in_flight = before.map_or(0, |it| it.own_in_flight);
-                UpstreamState { own_in_flight, ..UpstreamState::new(record) }
+                let counts = before.map(|it| (it.own_in_flight, it.other_in_flight));
+                let (own_in_flight, other_in_flight) = counts.unwrap_or_default();
+                UpstreamState { own_in_flight, other_in_flight, ..UpstreamState::new(record) }
             }
         };
         self.upstreams.insert(state);
--- a/lib/tests/gateway_load_limit.rs
+++ b/lib/tests/gateway_load_limit.rs
@@ -57,3 +57,10 @@
     let broken = broken_runs(1..=3, LARGE, &two_closures(0, 2));
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Guards against a spread that loads some engines too much although most are open.
+#[test]
+fn small_fleet_keeps_the_load_limit_while_one_data_centre_is_closed() {
+    let broken = broken_runs(1..=5, SMALL, &two_closures(1, 1)[..1]);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -7,8 +7,8 @@
 
 use snipepond::{
     gateway::{
-        AttemptEnd, LoadSample, PickReason, PickRefusal, PickRequest, ReportedLoad, SourceState,
-        UpstreamPick, UpstreamRecord, UpstreamSet,
+        AttemptEnd, InFlightScope, LoadSample, PickReason, PickRefusal, PickRequest, ReportedLoad,
+        SourceState, UpstreamPick, UpstreamRecord, UpstreamSet,
     },
     names::{CentreName, HostName, ServiceName, UpstreamName},
 };
@@ -135,6 +135,79 @@
     assert!(second.recent_loads(now + 10 * SECOND).is_empty());
 }
 
+/// Guards against requests of other hosts that are counted twice or forgotten: a host reports again,
+/// a relay adds up its group, and a host is no longer heard of.
+#[test]
+fn requests_that_other_hosts_report_count_until_they_report_again() {
+    let now = Instant::now();
+    let mut set = set(now, 3);
+    let name = pick(&mut set, now, 7).name;
+    let host = |name: &str| HostName::new(name);
+    let counts = |count: u32| vec![(name.clone(), count)];
+    let load = |set: &mut UpstreamSet, now: Instant| {
+        let others: Vec<UpstreamName> = (0..3)
+            .map(|it| UpstreamName::new(&format!("chat-{it}")))
+            .filter(|it| *it != name)
+            .collect();
+        pick_with(set, now, Some(7), &others).unwrap().load
+    };
+    set.merge_in_flight(now, &host("h2"), InFlightScope::Host, 10 * MS, counts(5));
+    set.merge_in_flight(now, &host("h3"), InFlightScope::Group, 10 * MS, counts(40));
+    assert_eq!(load(&mut set, now), 45.0);
+    set.merge_in_flight(now, &host("h2"), InFlightScope::Host, 10 * MS, counts(2));
+    set.request_started(&name);
+    assert_eq!(load(&mut set, now), 43.0);
+    assert_eq!(set.in_flight(InFlightScope::Host, &host("h2")), counts(1));
+    assert_eq!(set.in_flight(InFlightScope::Group, &host("h3")), counts(3));
+    assert_eq!(set.in_flight(InFlightScope::Others, &host("h2")), counts(41));
+    // The relay was lost, and another one knows the requests of all hosts.
+    let later = now + 2 * SECOND;
+    set.merge_in_flight(later, &host("h2"), InFlightScope::Host, 10 * MS, counts(4));
+    assert_eq!(load(&mut set, later), 5.0);
+    set.merge_in_flight(later, &host("h4"), InFlightScope::Others, 10 * MS, counts(30));
+    assert_eq!(load(&mut set, later), 31.0);
+    // Without reports the load is estimated as before.
+    assert_eq!(load(&mut set, later + SECOND), 1.0);
+}
+
+/// Guards against hosts that report to each other although enough engines are open, and against
+/// those that do not while few are.
+#[test]
+fn few_engines_are_open_while_half_of_them_are_closed() {
+    let now = Instant::now();
+    let mut set = set(now, 8);
+    assert!(!set.has_few_open(now));
+    set.publish(now, UpstreamRecord { is_leaving: true, ..record(0, "chat", "a") });
+    assert!(!set.has_few_open(now));
+    set.set_closed(&CentreName::new("b"), true);
+    assert!(set.has_few_open(now));
+    set.set_closed(&CentreName::new("b"), false);
+    assert!(!set.has_few_open(now));
+}
+
+/// Guards against hosts that all choose the same engine because they know the same loads.
+#[test]
+fn hosts_with_the_same_knowledge_spread_their_requests() {
+    let now = Instant::now();
+    let mut chosen: BTreeMap<UpstreamName, u32> = BTreeMap::new();
+    for host in 0..40 {
+        let mut set = UpstreamSet::new(HostName::new(&format!("h{host}")), CentreName::new("a"));
+        set.replace_all(now, (0..4).map(|it| record(it, "chat", "b")).collect());
+        set.set_host_count(40);
+        let counts = (0..4).map(|it| (UpstreamName::new(&format!("chat-{it}")), 30 + it));
+        let source = HostName::new("relay");
+        let (scope, lag) = (InFlightScope::Others, 100 * MS);
+        set.merge_in_flight(now, &source, scope, lag, counts.collect());
+        for _ in 0..20 {
+            let pick = pick_with(&mut set, now, None, &[]).unwrap();
+            assert_eq!(pick.reason, PickReason::LeastLoaded);
+            *chosen.entry(pick.name).or_default() += 1;
+        }
+    }
+    assert_eq!(chosen.len(), 4, "{chosen:?}");
+    assert!(chosen.values().all(|it| (100..300).contains(it)), "{chosen:?}");
+}
+
 /// Guards against requests to engines that are leaving, were removed, or are in a closed data
 /// centre.
 #[test]
--- a/lib/tests/load_simulation/mod.rs
+++ b/lib/tests/load_simulation/mod.rs
@@ -9,7 +9,10 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use snipepond::{
-    gateway::{AttemptEnd, PickRequest, ReportedLoad, UpstreamPick, UpstreamRecord, UpstreamSet},
+    gateway::{
+        AttemptEnd, InFlightScope, PickRequest, ReportedLoad, UpstreamPick, UpstreamRecord,
+        UpstreamSet,
+    },
     names::{CentreName, HostName, ServiceName, UpstreamName},
 };
 
@@ -19,11 +22,21 @@
 /// Mean interval between the gossip rounds of a host.
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Largest fleet whose hosts report their requests in flight to each other directly. In a larger one
+/// they report to one of two hosts of their data centre, which report to those of the others.
+const MAX_DIRECT_HOSTS: usize = 8;
+const RELAYS_PER_CENTRE: usize = 2;
+
+/// Least time between the reports of a host to another, and the delay of a report.
+const DIRECT_INTERVAL: Duration = Duration::from_millis(10);
+const RELAY_INTERVAL: Duration = Duration::from_millis(25);
+const REPORT_DELAY: Duration = Duration::from_millis(3);
+
 /// Largest delay after which a host learns that a data centre is closed or opened.
 const CHANGE_DELAY: Duration = Duration::from_millis(300);
 
-/// Prompts that requests share; some are much more frequent than others.
-const PROMPTS: u32 = 180;
+/// Prompts that requests share, for each engine; some are much more frequent than others.
+const PROMPTS_PER_ENGINE: usize = 20;
 
 /// Span of the load limit, its multiple of the mean, and the requests that it adds.
 const LIMIT_WINDOW: Duration = Duration::from_secs(5);
@@ -73,8 +86,6 @@
     pub from: Duration,
     /// Requests of the whole run.
     pub total: usize,
-    /// Share of the requests that went to the engine first in the order of their prompt.
-    pub first_share: f64,
     /// Mean load of the engines at the sends of the worst window.
     pub mean: f64,
 }
@@ -91,6 +102,7 @@
     Head { host: usize, engine: usize },
     End { host: usize, engine: usize },
     Gossip { host: usize },
+    Report { host: usize },
     Close { host: usize, centre: usize, is_closed: bool },
 }
 
@@ -107,9 +119,10 @@
     names: Vec<UpstreamName>,
     events: BinaryHeap<Reverse<(Instant, u64, FleetEvent)>>,
     next_number: u64,
-    /// Time of each request, and whether its engine was over the limit.
+    /// Time of each request, whether its engine was over the limit, and the mean load.
     sent: Vec<(Instant, bool, f64)>,
-    first_count: usize,
+    /// When each host last reported its requests in flight, or will.
+    reports: Vec<Instant>,
     service: ServiceName,
 }
 
@@ -154,6 +167,7 @@
         let new_host = |index: usize| {
             let mut host = UpstreamSet::new(HostName::new(&format!("h{index}")), centre(index));
             host.replace_all(start, records(&names));
+            host.set_host_count(settings.hosts);
             host
         };
         let hosts: Vec<UpstreamSet> = (0..settings.hosts).map(new_host).collect();
@@ -174,7 +188,7 @@
             events: BinaryHeap::new(),
             next_number: 0,
             sent: Vec::new(),
-            first_count: 0,
+            reports: vec![start; settings.hosts],
             service,
             rng,
         };
@@ -182,6 +196,12 @@
             let first = GOSSIP_INTERVAL.mul_f64(fleet.rng.random());
             fleet.schedule(first, FleetEvent::Gossip { host });
         }
+        if settings.hosts > MAX_DIRECT_HOSTS {
+            for host in 0..settings.hosts {
+                let first = RELAY_INTERVAL.mul_f64(fleet.rng.random());
+                fleet.schedule(first, FleetEvent::Report { host });
+            }
+        }
         fleet.schedule(Duration::ZERO, FleetEvent::Arrival);
         fleet
     }
@@ -216,12 +236,21 @@
                     self.held[engine] -= 1;
                     let end = AttemptEnd::Complete;
                     self.hosts[host].request_ended(at, &self.names[engine], end);
+                    self.schedule_report(host);
                 }
                 FleetEvent::Gossip { host } => {
                     self.gossip(host);
                     let jitter = self.rng.random_range(0.8..1.2);
                     self.schedule_in(GOSSIP_INTERVAL.mul_f64(jitter), FleetEvent::Gossip { host });
                 }
+                FleetEvent::Report { host } if self.hosts.len() > MAX_DIRECT_HOSTS => {
+                    self.report_by_relays(host);
+                    self.schedule_in(RELAY_INTERVAL, FleetEvent::Report { host });
+                }
+                FleetEvent::Report { host } => {
+                    let others = (0..self.hosts.len()).filter(|it| *it != host);
+                    others.for_each(|it| self.report_to(host, it, InFlightScope::Host));
+                }
                 FleetEvent::Close { host, centre, is_closed } => {
                     let centre = CentreName::new(&format!("c{centre}"));
                     self.hosts[host].set_closed(&centre, is_closed);
@@ -236,14 +265,15 @@
         let kind = self.draw_kind();
         let (_, head, steps) = KINDS[kind];
         // Squared, so that low numbers are frequent.
-        let prompt = (self.rng.random::<f64>().powi(2) * f64::from(PROMPTS)) as u64;
+        let prompts = (PROMPTS_PER_ENGINE * self.names.len()) as f64;
+        let prompt = (self.rng.random::<f64>().powi(2) * prompts) as u64;
         let pick = self.pick(host, prompt);
         let engine = self.names.iter().position(|it| *it == pick.name).expect("published");
         let held = f64::from(self.held[engine]);
         let mean = f64::from(self.held.iter().sum::<u32>()) / self.held.len() as f64;
         self.sent.push((self.now, held > LIMIT_MULTIPLE * mean + LIMIT_SLACK, mean));
-        self.first_count += usize::from(pick.rank == 0);
         self.hosts[host].request_started(&pick.name);
+        self.schedule_report(host);
         self.held[engine] += 1;
         let step = STEP + STEP_PER_REQUEST.mul_f64(held);
         let decoding = step.mul_f64(steps * self.rng.random_range(0.4..1.6));
@@ -251,6 +281,42 @@
         self.schedule_in(head + decoding, FleetEvent::End { host, engine });
     }
 
+    /// Lets a host of a small fleet report a change, unless it is about to.
+    fn schedule_report(&mut self, host: usize) {
+        if self.hosts.len() <= MAX_DIRECT_HOSTS && self.reports[host] < self.now {
+            let at = (self.now + REPORT_DELAY).max(self.reports[host] + DIRECT_INTERVAL);
+            self.reports[host] = at;
+            self.schedule(at - self.start, FleetEvent::Report { host });
+        }
+    }
+
+    /// Sends a host's report to its relay and takes the reply; a relay exchanges with the others.
+    fn report_by_relays(&mut self, host: usize) {
+        let centres = self.settings.centres;
+        let relays = centres * RELAYS_PER_CENTRE;
+        if host < relays {
+            for other in host + 1..relays {
+                self.report_to(host, other, InFlightScope::Group);
+                self.report_to(other, host, InFlightScope::Group);
+            }
+        } else {
+            let relay = host % centres + host / centres % RELAYS_PER_CENTRE * centres;
+            self.report_to(host, relay, InFlightScope::Host);
+            self.report_to(relay, host, InFlightScope::Others);
+        }
+    }
+
+    fn report_to(&mut self, from: usize, to: usize, scope: InFlightScope) {
+        if !self.hosts[from].has_few_open(self.now) {
+            return;
+        }
+        let name = |host: usize| HostName::new(&format!("h{host}"));
+        let counts = self.hosts[from].in_flight(scope, &name(to));
+        let is_direct = self.hosts.len() <= MAX_DIRECT_HOSTS;
+        let lag = if is_direct { DIRECT_INTERVAL } else { 3 * RELAY_INTERVAL };
+        self.hosts[to].merge_in_flight(self.now, &name(from), scope, lag, counts);
+    }
+
     fn draw_kind(&mut self) -> usize {
         let mut drawn = self.rng.random::<f64>();
         KINDS
@@ -291,11 +357,7 @@
     }
 
     fn report(&self) -> LimitReport {
-        let mut worst = LimitReport {
-            total: self.sent.len(),
-            first_share: self.first_count as f64 / self.sent.len().max(1) as f64,
-            ..LimitReport::default()
-        };
+        let mut worst = LimitReport { total: self.sent.len(), ..LimitReport::default() };
         let (mut first, mut over) = (0, 0);
         for (index, (at, is_over, _)) in self.sent.iter().enumerate() {
             over += usize::from(*is_over);
