gateway: reports of other hosts cannot overflow counts

A report with counts near the largest number would have ended a debug build and wrapped around in a release build; sums saturate now. Rates of services that have no upstreams are dropped. The check for room below the bound of affinity has a function of its own and is made only while hosts report.

--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -152,14 +152,15 @@
         }
     }
 
-    /// Estimates the number of requests at this upstream, from what the other hosts report of theirs
-    /// if `is_exchanged`.
+    /// Estimates the number of requests at this upstream.
     ///
-    /// Otherwise the newest report, corrected by this host's requests since then, decays with its age towards
-    /// `mean`, the mean over the service. The estimate is at least this host's requests in flight.
+    /// If `is_exchanged`, the other hosts report their requests in flight, and the load is the sum.
+    /// Otherwise the newest report of the upstream, corrected by this host's requests since then,
+    /// decays with its age towards `mean`, the mean over the service. The estimate is at least this
+    /// host's requests in flight.
     fn estimated_load(&self, now: Instant, mean: f64, is_exchanged: bool) -> f64 {
         if is_exchanged {
-            return f64::from(self.own_in_flight + self.other_in_flight);
+            return f64::from(self.own_in_flight) + f64::from(self.other_in_flight);
         }
         let own_in_flight = f64::from(self.own_in_flight);
         let Some(report) = self.report else {
--- a/lib/src/gateway/upstreams/in_flight.rs
+++ b/lib/src/gateway/upstreams/in_flight.rs
@@ -84,7 +84,8 @@
         }
         for (_, source) in self.others.sources.iter().filter(is_included) {
             for (name, count) in &source.counts {
-                *counts.entry(name).or_default() += count;
+                let sum = counts.entry(name).or_default();
+                *sum = sum.saturating_add(*count);
             }
         }
         counts.into_iter().map(|(name, count)| (name.clone(), count)).collect()
@@ -111,7 +112,7 @@
         }
         for (name, count) in &counts {
             if let Some(state) = self.upstreams.get_mut(name) {
-                state.other_in_flight += count;
+                state.other_in_flight = state.other_in_flight.saturating_add(*count);
             }
         }
         self.others.sources.insert(sender.clone(), InFlightSource { heard: now, scope, counts });
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -236,7 +236,8 @@
         service: &ServiceName,
         candidates: &[Candidate<'_>],
     ) -> f64 {
-        let age = |it: &Candidate<'_>| Some(now - it.state.report?.reported_at);
+        let age =
+            |it: &Candidate<'_>| Some(now.saturating_duration_since(it.state.report?.reported_at));
         let lag = self.others.lag(now).unwrap_or_else(|| {
             let ages = candidates.iter().filter_map(age);
             ages.sum::<Duration>() / candidates.len().max(1) as u32
@@ -247,6 +248,22 @@
         arrivals.min(candidates.iter().map(|it| it.load).sum())
     }
 
+    /// Returns whether the room below `bound` is enough for what all hosts send until they hear of
+    /// each other. With less, they would all send to the few upstreams that have some.
+    ///
+    /// Without reports of other hosts most upstreams are open, and there is room.
+    fn has_room(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        candidates: &[Candidate<'_>],
+        bound: f64,
+    ) -> bool {
+        let room = || candidates.iter().map(|it| (bound - it.load).max(0.0)).sum::<f64>();
+        let is_exchanged = self.others.lag(now).is_some();
+        !is_exchanged || room() >= self.unknown_arrivals(now, service, candidates)
+    }
+
     fn choose(
         &self,
         now: Instant,
@@ -292,12 +309,8 @@
             healthy.retain(is_local);
         }
         let is_admissible = |it: &Candidate<'_>| is_admissible(it.state);
-        let arrivals = self.unknown_arrivals(now, request.service, &healthy);
         let bound = AFFINITY_LOAD_MULTIPLE * mean + AFFINITY_LOAD_SLACK;
-        let room: f64 = healthy.iter().map(|it| (bound - it.load).max(0.0)).sum();
-        // With less room than that, all hosts would send to the few upstreams that have some.
-        let has_room = lag.is_none() || room >= arrivals;
-        if request.affinity.is_some() && has_room {
+        if request.affinity.is_some() && self.has_room(now, request.service, &healthy, bound) {
             let in_bound = healthy.iter().filter(|it| it.load + 1.0 <= bound).collect();
             if let Some(first) = first_admissible(in_bound, |it| -it.score, is_admissible) {
                 let rank = healthy.iter().filter(|it| it.score > first.score).count();
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -170,5 +170,7 @@
         for name in expired {
             self.upstreams.remove(&name);
         }
+        let upstreams = &self.upstreams;
+        self.send_rates.retain(|service, _| upstreams.of_service(service).next().is_some());
     }
 }
