tests: large answers have a route with time for them

Its subject is that such answers are delivered, not when; the other tests keep their limits, and the checks are the same.

--- a/lib/tests/gateway_support/script.rs
+++ b/lib/tests/gateway_support/script.rs
@@ -27,6 +27,9 @@
 /// Time limit of every route; no test of a prompt answer comes near it.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time limit of the route for answers whose chunks keep a debug build busy for seconds.
+const LARGE_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Time limit of an answer that does not have to wait for anything.
 pub const PROMPT: Duration = Duration::from_secs(1);
 
@@ -162,7 +165,8 @@
     }
 }
 
-/// A gateway with the routes `/once/`, `/safe/`, `/stream/` and `/resumable/` to some upstreams.
+/// A gateway with the routes `/once/`, `/large/`, `/safe/`, `/stream/` and `/resumable/` to some
+/// upstreams.
 pub struct Site {
     pub addresses: ServerAddresses,
     _server: GatewayServer,
@@ -192,6 +196,7 @@
         let gateway = new_gateway_with(&addresses, limits);
         let routes = vec![
             route("/once/", RetryRule::Once),
+            RouteRecord { timeout: LARGE_TIMEOUT, ..route("/large/", RetryRule::Once) },
             RouteRecord { target_latency: SAFE_TARGET, ..route("/safe/", RetryRule::Idempotent) },
             route("/stream/", RetryRule::OnceStream),
             route("/resumable/", RetryRule::ResumableStream),
