--- a/lib/tests/gateway_load_limit.rs
+++ b/lib/tests/gateway_load_limit.rs
@@ -15,6 +15,7 @@
     engines: 9,
     centres: 4,
     requests_per_s: 73.4,
+    prompts: 180,
     length: Duration::from_secs(30),
 };
 
@@ -24,6 +25,7 @@
     engines: 60,
     centres: 4,
     requests_per_s: 490.0,
+    prompts: 180,
     length: Duration::from_secs(24),
 };
 
@@ -58,6 +60,15 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// Guards against the same where prompts are as many for each engine as in the small fleet, so that
+/// affinity alone stays within the limit while all engines are open.
+#[test]
+fn large_fleet_with_many_prompts_keeps_the_load_limit_while_two_data_centres_are_closed() {
+    let settings = FleetSettings { prompts: 1_200, ..LARGE };
+    let broken = broken_runs(1..=3, settings, &two_closures(0, 2));
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// Guards against a spread that loads some engines too much although most are open.
 #[test]
 fn small_fleet_keeps_the_load_limit_while_one_data_centre_is_closed() {
--- a/lib/tests/load_simulation/mod.rs
+++ b/lib/tests/load_simulation/mod.rs
@@ -35,9 +35,6 @@
 /// Largest delay after which a host learns that a data centre is closed or opened.
 const CHANGE_DELAY: Duration = Duration::from_millis(300);
 
-/// Prompts that requests share, for each engine; some are much more frequent than others.
-const PROMPTS_PER_ENGINE: usize = 20;
-
 /// Span of the load limit, its multiple of the mean, and the requests that it adds.
 const LIMIT_WINDOW: Duration = Duration::from_secs(5);
 const LIMIT_MULTIPLE: f64 = 2.0;
@@ -65,6 +62,8 @@
     pub engines: usize,
     pub centres: usize,
     pub requests_per_s: f64,
+    /// Prompts that requests share; some are much more frequent than others.
+    pub prompts: u32,
     /// Simulated time.
     pub length: Duration,
 }
@@ -265,7 +264,7 @@
         let kind = self.draw_kind();
         let (_, head, steps) = KINDS[kind];
         // Squared, so that low numbers are frequent.
-        let prompts = (PROMPTS_PER_ENGINE * self.names.len()) as f64;
+        let prompts = f64::from(self.settings.prompts);
         let prompt = (self.rng.random::<f64>().powi(2) * prompts) as u64;
         let pick = self.pick(host, prompt);
         let engine = self.names.iter().position(|it| *it == pick.name).expect("published");
