gateway: stated sizes of requests and all figures of load reports are read

Cause: the gateway read two of the four figures of a load report, and none of what callers state of the size of a request, so that no decision could depend on either. Nothing decides by these values yet.

--- a/lib/src/gateway/dialect.rs
+++ b/lib/src/gateway/dialect.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use super::upstreams::ReportedLoad;
-use crate::{names::TeamName, quarantine::PromptPart};
+use crate::{names::TeamName, quarantine::PromptPart, work::RequestSize};
 
 /// Contents of the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -27,6 +27,8 @@
     pub shared_tokens: u32,
     /// The parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<PromptPart>,
+    /// Size of the request as the caller states it.
+    pub size: RequestSize,
 }
 
 /// Values that the router sends to an upstream in the head of an attempt.
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -91,12 +91,17 @@
 }
 
 /// Load that an upstream reports in the head of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
     /// Requests that it runs.
     pub running: u32,
     /// Requests in its own queue.
     pub waiting: u32,
+    /// Requests that it runs concurrently at most, if it reports that.
+    pub slots: Option<u32>,
+    /// Time that work takes on its machine at the moment, in percent of the usual time, if it
+    /// reports that.
+    pub pace_percent: Option<u32>,
 }
 
 /// A load report as hosts exchange it.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod telemetry;
 pub mod threads;
 pub mod upstream;
+pub mod work;
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -103,7 +103,7 @@
     for index in 0..9 {
         let name = UpstreamName::new(&format!("chat-{index}"));
         let running = if name == first { 40 } else { 4 };
-        set.record_load(now, &name, ReportedLoad { running, waiting: 0 });
+        set.record_load(now, &name, ReportedLoad { running, ..ReportedLoad::default() });
     }
     assert_ne!(pick(&mut set, now, 7).name, first);
     // The weight of the reports has decayed.
@@ -119,9 +119,13 @@
     let name = pick(&mut first, now, 7).name;
     for index in 0..9 {
         let each = UpstreamName::new(&format!("chat-{index}"));
-        first.record_load(now, &each, ReportedLoad { running: 4, waiting: 0 });
+        first.record_load(now, &each, ReportedLoad { running: 4, ..ReportedLoad::default() });
         let running = if each == name { 40 } else { 4 };
-        second.record_load(now + SECOND, &each, ReportedLoad { running, waiting: 0 });
+        second.record_load(
+            now + SECOND,
+            &each,
+            ReportedLoad { running, ..ReportedLoad::default() },
+        );
     }
     let later = now + SECOND + 500 * MS;
     let samples = second.recent_loads(later);
--- a/lib/tests/load_simulation/mod.rs
+++ b/lib/tests/load_simulation/mod.rs
@@ -228,7 +228,8 @@
                     self.send_request();
                 }
                 FleetEvent::Head { host, engine } => {
-                    let load = ReportedLoad { running: self.held[engine], waiting: 0 };
+                    let load =
+                        ReportedLoad { running: self.held[engine], ..ReportedLoad::default() };
                     self.hosts[host].record_load(at, &self.names[engine], load);
                 }
                 FleetEvent::End { host, engine } => {
