work: requests and upstreams are weighed by their work

Load was counted in requests: a cached prompt of 100 tokens and one of 30,000 that has to be read were one each, and the reported pace of a machine was dropped. `WorkModel` learns from what a host sends and receives what a request costs at each upstream and how fast each upstream is. The choice spreads requests by load at the usual speed, moves a prompt whose first upstream would answer much later, and spreads a prompt with more than one engine's share of the traffic over the first ones in rendezvous order. The holder of a prompt is one that was sent its parts, if this host knows one.

After a burst the last report of an engine that was full kept it out of use for seconds: without requests it sends no other. The others held all of the load, and the old reports made the mean, and with it the bound, too high. A report above the limit now decays by the time that requests take. The limit also holds for the choice of the least load.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -58,9 +58,9 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        EjectedUpstream, InFlightCounts, InFlightScope, LoadSample, MAX_PAUSE, PickReason,
-        PickRefusal, PickRequest, PromptHolder, ReportedLoad, UpstreamPick, UpstreamProcess,
-        UpstreamRecord, UpstreamSet,
+        AssessedUpstream, Assessment, EjectedUpstream, InFlightCounts, InFlightScope, LoadSample,
+        MAX_PAUSE, PickReason, PickRefusal, PickRequest, PickedWork, PromptHolder, ReportedLoad,
+        UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
     },
 };
 pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -257,12 +257,15 @@
                 members.is_among_first(now, name.as_str(), count)
             })
         };
-        let pick = upstreams.pick(now, &pick_request, cold_rate).map_err(|refusal| {
-            if refusal == PickRefusal::AllPaused {
-                self.return_delay = upstreams.earliest_return(now, &self.request.service);
-            }
-            refusal.as_str()
-        })?;
+        let work = Some(self.request.work());
+        let pick = upstreams.pick_for(now, &pick_request, work.as_ref(), cold_rate).map_err(
+            |refusal| {
+                if refusal == PickRefusal::AllPaused {
+                    self.return_delay = upstreams.earliest_return(now, &self.request.service);
+                }
+                refusal.as_str()
+            },
+        )?;
         tracing::info!(
             request_id = %self.request.head.request_id,
             affinity = self.request.head.affinity.map(|it| format!("{it:016x}")),
@@ -275,6 +278,12 @@
             own_in_flight = pick.own_in_flight,
             open = pick.open_count,
             report_age_ms = pick.report_age.map(|it| it.as_millis() as u64),
+            slowness = pick.slowness,
+            prompt_upstreams = pick.prompt_upstreams,
+            expected_ms = pick.work.map(|it| it.first_event.as_millis() as u64),
+            work_ms = pick.work.map(|it| it.total.as_millis() as u64),
+            remaining_ms = pick.work.map(|it| it.remaining.as_millis() as u64),
+            cached_tokens = pick.work.map(|it| it.cached_tokens),
             prompt_holder = pick.prompt_holder.as_ref().map(|it| it.name.as_str()),
             attempt = self.tried.len() + 1,
             "upstream_picked"
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -23,6 +23,7 @@
     intake::{self, BodyError},
     names::{ServiceName, TeamName},
     quarantine::RequestFingerprint,
+    work::WorkRequest,
 };
 
 /// Multiple of the latency target after which an idempotent request is retried at another upstream.
@@ -79,6 +80,16 @@
         self.team.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
     }
 
+    /// What the work of the request is estimated from.
+    pub(in crate::gateway) fn work(&self) -> WorkRequest<'_> {
+        WorkRequest {
+            route: &self.route.name,
+            service: &self.service,
+            size: &self.head.size,
+            target_latency: self.route.target_latency,
+        }
+    }
+
     /// Identifies the request by team, method, path, prompt and body for crash detection.
     pub(super) fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -31,6 +31,7 @@
     },
     intake::{BufferError, BufferReservation, ResponseBuffers, record_cut_connection},
     names::UpstreamName,
+    work::AttemptTicket,
 };
 
 /// Largest body of a refusal that is read in order to reuse the connection.
@@ -71,6 +72,7 @@
     request: Rc<AdmittedRequest>,
     process: UpstreamProcess,
     dispatched: Instant,
+    ticket: AttemptTicket,
     /// Whether the head of a response has arrived.
     has_response: bool,
     end: AttemptEnd,
@@ -78,13 +80,18 @@
 
 impl AttemptGuard {
     fn new(gateway: &Rc<Gateway>, request: &Rc<AdmittedRequest>, pick: &UpstreamPick) -> Self {
-        gateway.state.borrow_mut().upstreams.request_started(&pick.name);
+        let dispatched = gateway.now();
+        let upstreams = &mut gateway.state.borrow_mut().upstreams;
+        upstreams.request_started(&pick.name);
+        let (work, incarnation) = (upstreams.work_mut(), pick.incarnation);
+        let ticket = work.started(dispatched, &pick.name, incarnation, &request.work());
         gateway.in_flight_changes.send_replace(());
         Self {
             gateway: gateway.clone(),
             request: request.clone(),
             process: pick.process(),
-            dispatched: gateway.now(),
+            dispatched,
+            ticket,
             has_response: false,
             end: AttemptEnd::Cancelled,
         }
@@ -118,6 +125,14 @@
         self.gateway.state.borrow_mut().crashes.record_proof(self.gateway.now(), parts);
     }
 
+    /// Records that events of a stream arrived.
+    pub(in crate::gateway) fn record_events(&self, count: u64) {
+        let (now, count) = (self.gateway.now(), u32::try_from(count).unwrap_or(u32::MAX));
+        let work = self.request.work();
+        let upstreams = &mut self.gateway.state.borrow_mut().upstreams;
+        upstreams.work_mut().events_arrived(now, self.upstream(), self.ticket, &work, count);
+    }
+
     pub(in crate::gateway) fn upstream(&self) -> &UpstreamName {
         &self.process.upstream
     }
@@ -143,6 +158,8 @@
         let state = &mut *self.gateway.state.borrow_mut();
         state.upstreams.request_ended(now, &self.process.upstream, self.end);
         let is_complete = self.end == AttemptEnd::Complete;
+        let (work, upstream) = (self.request.work(), &self.process.upstream);
+        state.upstreams.work_mut().ended(now, upstream, self.ticket, &work, is_complete);
         if is_complete || matches!(self.end, AttemptEnd::Failed | AttemptEnd::Lost) {
             state.outcomes.record(now, &self.process.upstream, is_complete);
         }
--- a/lib/src/gateway/stream.rs
+++ b/lib/src/gateway/stream.rs
@@ -180,6 +180,9 @@
         let mut memory = self.guard.buffers().open_part();
         memory.try_grow(batch.bytes.capacity()).map_err(StreamError::Buffer)?;
         let has_content = batch.has_content();
+        if has_content {
+            self.guard.record_events(batch.count);
+        }
         Ok(ReceivedEvents { bytes: reserved_bytes(batch.bytes, memory), has_content })
     }
 
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -7,6 +7,7 @@
 mod presence;
 mod prompt;
 mod spread;
+mod work;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -19,8 +20,9 @@
 pub use self::{
     announcement::MAX_PAUSE,
     in_flight::{InFlightCounts, InFlightScope},
-    pick::{PickReason, PickRefusal, PickRequest, UpstreamPick},
+    pick::{PickReason, PickRefusal, PickRequest, PickedWork, UpstreamPick},
     prompt::PromptHolder,
+    work::{AssessedUpstream, Assessment},
 };
 use self::{
     announcement::UpstreamAnnouncement,
@@ -36,12 +38,20 @@
 use crate::{
     names::{CentreName, HostName, ServiceName, UpstreamName},
     rendezvous,
+    work::{PromptDemand, WorkModel, WorkReport},
 };
 
 /// Age at which the weight of a load report has decayed to 1/e (37%); the rest of the estimate is
 /// the mean over the service.
 const REPORT_DECAY_TIME: Duration = Duration::from_secs(4);
 
+/// Shortest time in which an upstream that gets no requests is expected to finish most of those
+/// that it holds.
+const MIN_DRAIN_TIME: Duration = Duration::from_millis(250);
+
+/// Age at which the weight of a report has decayed to 1/e in the mean that follows falling loads.
+const FRESH_REPORT_TIME: Duration = Duration::from_millis(500);
+
 /// Age up to which a report is sent to other hosts; an older one is a worse estimate than the mean.
 const MAX_SHARED_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -123,6 +133,19 @@
     own_in_flight: u32,
 }
 
+/// What the estimated loads of the upstreams of a service have in common.
+#[derive(Clone, Copy, Debug)]
+struct LoadBasis {
+    now: Instant,
+    /// Whether the other hosts report their requests in flight.
+    is_exchanged: bool,
+    /// Load above which an upstream is not picked while others hold less. One that reported more
+    /// has only finished requests since.
+    limit: f64,
+    /// Time in which an upstream that gets no requests finishes 63% of those that it holds.
+    drain_time: Duration,
+}
+
 /// One upstream with this host's state of it.
 #[derive(Debug)]
 struct UpstreamState {
@@ -159,23 +182,42 @@
 
     /// Estimates the number of requests at this upstream.
     ///
-    /// If `is_exchanged`, the other hosts report their requests in flight, and the load is the sum.
-    /// Otherwise the newest report of the upstream, corrected by this host's requests since then,
-    /// decays with its age towards `mean`, the mean over the service. The estimate is at least this
-    /// host's requests in flight.
-    fn estimated_load(&self, now: Instant, mean: f64, is_exchanged: bool) -> f64 {
-        if is_exchanged {
+    /// If the other hosts report their requests in flight, the load is the sum. Otherwise the newest
+    /// report of the upstream, corrected by this host's requests since then, decays with its age
+    /// towards `mean`, the mean over the service. The estimate is at least this host's requests in
+    /// flight.
+    fn estimated_load(&self, basis: &LoadBasis, mean: f64) -> f64 {
+        if basis.is_exchanged {
             return f64::from(self.own_in_flight) + f64::from(self.other_in_flight);
         }
         let own_in_flight = f64::from(self.own_in_flight);
-        let Some(report) = self.report else {
+        let Some(current) = self.reported_load() else {
             return own_in_flight.max(mean);
         };
-        let age = now.saturating_duration_since(report.reported_at).as_secs_f64();
-        let weight = (-age / REPORT_DECAY_TIME.as_secs_f64()).exp();
-        let current = report.requests + own_in_flight - f64::from(report.own_in_flight);
+        let age = self.report_age(basis.now).unwrap_or_default();
+        // After a burst the reports of upstreams that were full are the oldest ones: without
+        // requests there are no responses. They would keep them out of use for seconds, while the
+        // others hold all of the load, and make the mean too high.
+        let drained = current * decay(age, basis.drain_time);
+        let current = if current > basis.limit { drained.max(basis.limit) } else { current };
+        let weight = decay(age, REPORT_DECAY_TIME);
         own_in_flight.max(weight * current + (1.0 - weight) * mean)
     }
+
+    /// Returns the newest reported load, corrected by this host's requests since then.
+    fn reported_load(&self) -> Option<f64> {
+        let report = self.report?;
+        Some(report.requests + f64::from(self.own_in_flight) - f64::from(report.own_in_flight))
+    }
+
+    fn report_age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.report?.reported_at))
+    }
+}
+
+/// Returns the weight of a report of some age.
+fn decay(age: Duration, time: Duration) -> f64 {
+    (-age.as_secs_f64() / time.as_secs_f64()).exp()
 }
 
 /// State of all upstreams at one host.
@@ -202,6 +244,9 @@
     host_count: usize,
     /// Makes the choices of hosts with the same knowledge differ.
     draws: EvenSequence,
+    work: WorkModel,
+    /// Prompts of each service that need more than one upstream.
+    prompt_demands: HashMap<ServiceName, PromptDemand>,
 }
 
 impl UpstreamSet {
@@ -221,6 +266,8 @@
             is_platform_down: false,
             withdrawn: Vec::new(),
             open_time_recorded: None,
+            work: WorkModel::default(),
+            prompt_demands: HashMap::new(),
         }
     }
 
@@ -263,9 +310,12 @@
         load: ReportedLoad,
     ) -> Option<f64> {
         let mean = self.mean_open_load(now, name)?;
-        let is_exchanged = self.others.lag(now).is_some();
+        let basis = self.load_basis(now, &self.upstreams.get(name)?.record.service);
+        if let Some(pace_percent) = load.pace_percent {
+            self.work.reported(now, name, WorkReport { pace_percent });
+        }
         let state = self.upstreams.get_mut(name)?;
-        let estimated = state.estimated_load(now, mean, is_exchanged);
+        let estimated = state.estimated_load(&basis, mean);
         let requests = f64::from(load.running) + f64::from(load.waiting);
         state.report =
             Some(LoadReport { reported_at: now, requests, own_in_flight: state.own_in_flight });
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -6,14 +6,21 @@
 };
 
 use super::{
-    PromptHolder, UpstreamProcess, UpstreamSet, UpstreamState,
+    FRESH_REPORT_TIME, LoadBasis, MIN_DRAIN_TIME, PromptHolder, REPORT_DECAY_TIME, UpstreamProcess,
+    UpstreamSet, UpstreamState, decay,
     spread::{self, SpreadChoice},
 };
 use crate::{
     names::{ServiceName, UpstreamName},
     rendezvous,
+    work::WorkRequest,
 };
 
+/// Load of an upstream, as a multiple of the mean and the requests added to it, above which the
+/// operators allow it no requests.
+const LOAD_LIMIT_MULTIPLE: f64 = 2.0;
+const LOAD_LIMIT_SLACK: f64 = 3.0;
+
 /// Load of an engine, as a multiple of the mean, up to which it is picked for prompts that it has
 /// cached. The operators require at most 2; the margin covers load reports that lag behind.
 const AFFINITY_LOAD_MULTIPLE: f64 = 1.7;
@@ -92,6 +99,25 @@
     pub report_age: Option<Duration>,
     /// Another upstream that probably has the prompt cached.
     pub prompt_holder: Option<PromptHolder>,
+    /// How many times the usual time work takes at it at the moment.
+    pub slowness: f64,
+    /// Number of upstreams over which the prompt is spread.
+    pub prompt_upstreams: usize,
+    /// Estimate of the request's work; none if its size is unknown.
+    pub work: Option<PickedWork>,
+}
+
+/// Estimated work of a request at the picked upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PickedWork {
+    /// Expected time to the first event, or to the response if it is no stream.
+    pub first_event: Duration,
+    /// Work of the request at the usual speed of the service.
+    pub total: Duration,
+    /// Work that this host's requests in flight still cause there.
+    pub remaining: Duration,
+    /// Prompt tokens that are probably cached there.
+    pub cached_tokens: u32,
 }
 
 impl UpstreamPick {
@@ -127,16 +153,35 @@
 }
 
 /// An eligible, untried upstream with its load and score for one pick.
-struct Candidate<'a> {
-    state: &'a UpstreamState,
-    load: f64,
+pub(super) struct Candidate<'a> {
+    pub(super) state: &'a UpstreamState,
+    pub(super) load: f64,
     /// Rendezvous score for the prompt; the highest is preferred.
-    score: f64,
+    pub(super) score: f64,
+    /// How many times the usual time work takes at the moment.
+    pub(super) slowness: f64,
+}
+
+/// The candidates for one pick, with what the choice is based on.
+pub(super) struct PickSurvey<'a> {
+    pub(super) healthy: Vec<Candidate<'a>>,
+    pub(super) unhealthy: Vec<Candidate<'a>>,
+    /// Mean load of the published upstreams.
+    pub(super) mean: f64,
+    /// Number of upstreams that take new requests.
+    pub(super) open_count: usize,
+    /// Number of upstreams over which the prompt is spread.
+    pub(super) prompt_upstreams: usize,
 }
 
 impl Candidate<'_> {
+    /// Returns the requests that it runs at a time, as if it had the usual speed.
+    fn capacity(&self) -> f64 {
+        f64::from(self.state.record.slots.max(1)) / self.slowness
+    }
+
     fn load_per_slot(&self) -> f64 {
-        self.load / f64::from(self.state.record.slots.max(1))
+        self.load / self.capacity()
     }
 }
 
@@ -153,6 +198,21 @@
         now: Instant,
         request: &PickRequest<'_>,
         cold_rate: impl Fn(&UpstreamName) -> f64,
+    ) -> Result<UpstreamPick, PickRefusal> {
+        self.pick_for(now, request, None, cold_rate)
+    }
+
+    /// Picks an upstream like [`Self::pick`], for a request whose work can be estimated.
+    ///
+    /// # Errors
+    ///
+    /// No upstream can take the request; [`PickRefusal`] says why.
+    pub fn pick_for(
+        &mut self,
+        now: Instant,
+        request: &PickRequest<'_>,
+        work: Option<&WorkRequest<'_>>,
+        cold_rate: impl Fn(&UpstreamName) -> f64,
     ) -> Result<UpstreamPick, PickRefusal> {
         let is_admissible = |state: &UpstreamState| {
             !request.has_cold_limit
@@ -160,10 +220,14 @@
                     !it.is_cold(now) || it.has_token(now, cold_rate(&state.record.name))
                 })
         };
-        let mut pick = self.choose(now, request, is_admissible)?;
+        let mut pick = self.choose(now, request, work, is_admissible)?;
         self.draws.advance();
         self.send_rates.entry(request.service.clone()).or_default().record(now);
-        pick.prompt_holder = self.prompt_holder(now, request, &pick.name);
+        if let Some(prompt) = request.affinity {
+            let demand = self.prompt_demands.entry(request.service.clone()).or_default();
+            demand.record(now, prompt, pick.open_count);
+        }
+        pick.prompt_holder = self.prompt_holder(now, request, work, &pick.name);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the index");
         if let Some(cold) = state.cold.as_mut().filter(|it| it.is_cold(now)) {
             cold.spend(now, cold_rate(&pick.name));
@@ -211,21 +275,39 @@
     /// Returns the mean load of the upstreams of the same service that take new requests.
     pub(super) fn mean_open_load(&self, now: Instant, name: &UpstreamName) -> Option<f64> {
         let service = &self.upstreams.get(name)?.record.service;
-        self.mean_load(now, self.eligible(now, service)).or(Some(0.0))
+        let basis = self.load_basis(now, service);
+        mean_load(&basis, self.eligible(now, service)).or(Some(0.0))
     }
 
-    /// Returns the mean load of upstreams; none if there are no upstreams.
-    fn mean_load<'a>(
+    /// Returns what the estimated loads of the upstreams of a service have in common.
+    pub(super) fn load_basis(&self, now: Instant, service: &ServiceName) -> LoadBasis {
+        let residence = self.work.residence(service).unwrap_or(REPORT_DECAY_TIME);
+        let unlimited = LoadBasis {
+            now,
+            is_exchanged: self.others.lag(now).is_some(),
+            limit: f64::INFINITY,
+            drain_time: residence.clamp(MIN_DRAIN_TIME, REPORT_DECAY_TIME),
+        };
+        if unlimited.is_exchanged {
+            return unlimited;
+        }
+        let published = || self.published_at(now, service);
+        let Some(mean) = mean_load(&unlimited, published()) else {
+            return unlimited;
+        };
+        // While loads fall, new reports show it first.
+        let mean = fresh_mean(now, published()).map_or(mean, |it| it.min(mean));
+        LoadBasis { limit: LOAD_LIMIT_MULTIPLE * mean + LOAD_LIMIT_SLACK, ..unlimited }
+    }
+
+    /// Returns the upstreams of a service that are published, also those that take no new requests.
+    fn published_at(
         &self,
         now: Instant,
-        states: impl Iterator<Item = &'a UpstreamState>,
-    ) -> Option<f64> {
-        let is_exchanged = self.others.lag(now).is_some();
-        // An upstream without a report counts with this host's requests in flight only.
-        let (count, sum) = states.fold((0_u32, 0.0), |(count, sum), it| {
-            (count + 1, sum + it.estimated_load(now, 0.0, is_exchanged))
-        });
-        (count > 0).then(|| sum / f64::from(count))
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &UpstreamState> + Clone {
+        let states = self.upstreams.of_service(service);
+        states.filter(move |it| it.removed_at.is_none_or(|at| now < at))
     }
 
     /// Returns the number of requests that all hosts send to a service until they hear of each
@@ -264,14 +346,19 @@
         !is_exchanged || room() >= self.unknown_arrivals(now, service, candidates)
     }
 
-    fn choose(
+    /// Collects the candidates for a pick. Changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// No upstream of the service is open and untried.
+    pub(super) fn survey(
         &self,
         now: Instant,
         request: &PickRequest<'_>,
-        is_admissible: impl Fn(&UpstreamState) -> bool,
-    ) -> Result<UpstreamPick, PickRefusal> {
+    ) -> Result<PickSurvey<'_>, PickRefusal> {
+        let basis = self.load_basis(now, request.service);
         let eligible = self.eligible(now, request.service);
-        let Some(eligible_mean) = self.mean_load(now, eligible.clone()) else {
+        let Some(eligible_mean) = mean_load(&basis, eligible.clone()) else {
             return Err(match self.earliest_return(now, request.service) {
                 Some(_) => PickRefusal::AllPaused,
                 None => PickRefusal::NoneEligible,
@@ -280,25 +367,27 @@
         // The operators bound the load relative to the mean of all published upstreams, including
         // those that take no new requests.
         let open_count = eligible.clone().count();
-        let published = self.upstreams.of_service(request.service);
-        let published = published.filter(|it| it.removed_at.is_none_or(|at| now < at));
-        let mean = self.mean_load(now, published).unwrap_or(eligible_mean);
+        let published = self.published_at(now, request.service);
+        let mean = mean_load(&basis, published).unwrap_or(eligible_mean);
         let untried: Vec<&UpstreamState> =
             eligible.filter(|it| !request.tried.contains(&it.record.name)).collect();
         if untried.is_empty() {
             return Err(PickRefusal::AllTried);
         }
         let median_failure = median_failure(now, &untried);
+        // An upstream that stays slow loses a part of its prompts; one that is slow for a moment
+        // loses none, because each prompt that moves is read again.
         let score = |it: &UpstreamState| {
-            request
-                .affinity
-                .map_or(0.0, |key| rendezvous::score_from_hashes(key, it.name_hash, 1.0))
+            request.affinity.map_or(0.0, |key| {
+                let slowness = self.work.steady_slowness(now, &it.record.name);
+                rendezvous::score_from_hashes(key, it.name_hash, 1.0 / slowness.max(1.0))
+            })
         };
-        let lag = self.others.lag(now);
         let candidates = untried.into_iter().map(|state| Candidate {
             state,
-            load: state.estimated_load(now, eligible_mean, lag.is_some()),
+            load: state.estimated_load(&basis, eligible_mean),
             score: score(state),
+            slowness: self.work.slowness(now, &state.record.name),
         });
         let is_healthy = |it: &Candidate<'_>| {
             !it.state.health.is_failing(now, median_failure) && !it.state.health.is_unreachable()
@@ -308,39 +397,93 @@
         if request.prefers_local && healthy.iter().any(is_local) {
             healthy.retain(is_local);
         }
+        let demand = self.prompt_demands.get(request.service).zip(request.affinity);
+        let prompt_upstreams = demand.map_or(1, |(it, prompt)| it.upstreams(now, prompt));
+        Ok(PickSurvey { healthy, unhealthy, mean, open_count, prompt_upstreams })
+    }
+
+    pub(super) fn choose(
+        &self,
+        now: Instant,
+        request: &PickRequest<'_>,
+        work: Option<&WorkRequest<'_>>,
+        is_admissible: impl Fn(&UpstreamState) -> bool,
+    ) -> Result<UpstreamPick, PickRefusal> {
+        let survey = self.survey(now, request)?;
+        let PickSurvey { healthy, unhealthy, mean, .. } = &survey;
         let is_admissible = |it: &Candidate<'_>| is_admissible(it.state);
+        let new_pick = |candidate: &Candidate<'_>, reason, rank| {
+            let mut pick = new_pick(now, &survey, candidate, reason, rank);
+            pick.work = work.map(|it| self.picked_work(now, &survey, candidate, it));
+            pick
+        };
         let bound = AFFINITY_LOAD_MULTIPLE * mean + AFFINITY_LOAD_SLACK;
-        if request.affinity.is_some() && self.has_room(now, request.service, &healthy, bound) {
-            let in_bound = healthy.iter().filter(|it| it.load + 1.0 <= bound).collect();
-            if let Some(first) = first_admissible(in_bound, |it| -it.score, is_admissible) {
+        if request.affinity.is_some() && self.has_room(now, request.service, healthy, bound) {
+            let in_bound: Vec<&Candidate<'_>> =
+                healthy.iter().filter(|it| it.load + 1.0 <= bound).collect();
+            let preferred = self.preferred(now, &survey, in_bound.clone(), work);
+            let first = preferred
+                .filter(|it| is_admissible(it))
+                .or_else(|| first_admissible(in_bound, |it| -it.score, is_admissible));
+            if let Some(first) = first {
                 let rank = healthy.iter().filter(|it| it.score > first.score).count();
-                return Ok(new_pick(now, first, PickReason::Affinity, rank, open_count, mean));
+                return Ok(new_pick(first, PickReason::Affinity, rank));
             }
         }
-        let groups = [(&healthy, PickReason::LeastLoaded), (&unhealthy, PickReason::LastResort)];
-        for (group, reason) in groups {
+        let limit = LOAD_LIMIT_MULTIPLE * mean + LOAD_LIMIT_SLACK;
+        for (group, reason) in
+            [(healthy, PickReason::LeastLoaded), (unhealthy, PickReason::LastResort)]
+        {
             let is_local_with_capacity = |it: &&Candidate<'_>| {
                 request.affinity.is_none()
                     && it.state.record.data_centre == self.centre
                     && it.load_per_slot() < MAX_LOCAL_LOAD_PER_SLOT
+                    && it.load <= limit
             };
             let local = group.iter().filter(is_local_with_capacity).collect();
             let least = first_admissible(local, Candidate::load_per_slot, is_admissible);
             let least = least.or_else(|| {
                 let arrivals =
                     SPREAD_TIME_MULTIPLE * self.unknown_arrivals(now, request.service, group);
-                spread_admissible(group, arrivals, self.draws.current(), is_admissible)
+                let draw = self.draws.current();
+                // Faster upstreams get more requests, but none above the limit while there is one
+                // below it.
+                let below = group.iter().filter(|it| it.load <= limit).collect();
+                spread_admissible(below, arrivals, draw, is_admissible).or_else(|| {
+                    spread_admissible(group.iter().collect(), arrivals, draw, is_admissible)
+                })
             });
             if let Some(least) = least {
                 let load = least.load_per_slot();
                 let rank = group.iter().filter(|it| it.load_per_slot() < load).count();
-                return Ok(new_pick(now, least, reason, rank, open_count, mean));
+                return Ok(new_pick(least, reason, rank));
             }
         }
         Err(PickRefusal::ColdLimit)
     }
 }
 
+/// Returns the mean load of upstreams; none if there are no upstreams.
+fn mean_load<'a>(
+    basis: &LoadBasis,
+    states: impl Iterator<Item = &'a UpstreamState>,
+) -> Option<f64> {
+    // An upstream without a report counts with this host's requests in flight only.
+    let (count, sum) = states
+        .fold((0_u32, 0.0), |(count, sum), it| (count + 1, sum + it.estimated_load(basis, 0.0)));
+    (count > 0).then(|| sum / f64::from(count))
+}
+
+/// Returns the mean reported load, in which new reports count most; none if all of them are old.
+fn fresh_mean<'a>(now: Instant, states: impl Iterator<Item = &'a UpstreamState>) -> Option<f64> {
+    let reports = states.filter_map(|it| Some((it.reported_load()?, it.report_age(now)?)));
+    let (weight, sum) = reports.fold((0.0, 0.0), |(weight, sum), (load, age)| {
+        let share = decay(age, FRESH_REPORT_TIME);
+        (weight + share, sum + share * load.max(0.0))
+    });
+    (weight >= 1.0).then(|| sum / weight)
+}
+
 /// Returns the admissible candidate with the lowest key.
 ///
 /// `is_admissible` is expensive and nearly always true, so it is evaluated lazily in key order.
@@ -361,25 +504,29 @@
 
 /// Returns the admissible candidate that [`spread::choose`] chooses.
 fn spread_admissible<'a, 'b>(
-    candidates: &'b [Candidate<'a>],
+    mut candidates: Vec<&'b Candidate<'a>>,
     arrivals: f64,
     draw: f64,
     is_admissible: impl Fn(&Candidate<'a>) -> bool,
 ) -> Option<&'b Candidate<'a>> {
-    let mut candidates: Vec<&Candidate<'a>> = candidates.iter().collect();
     loop {
-        let choice = |it: &&Candidate<'a>| SpreadChoice {
-            load: it.load,
-            capacity: f64::from(it.state.record.slots.max(1)),
-        };
-        let choices: Vec<SpreadChoice> = candidates.iter().map(choice).collect();
-        let candidate = candidates.swap_remove(spread::choose(&choices, arrivals, draw)?);
+        let candidate = candidates.swap_remove(spread_index(&candidates, arrivals, draw)?);
         if is_admissible(candidate) {
             return Some(candidate);
         }
     }
 }
 
+pub(super) fn spread_index(
+    candidates: &[&Candidate<'_>],
+    arrivals: f64,
+    draw: f64,
+) -> Option<usize> {
+    let choice = |it: &&Candidate<'_>| SpreadChoice { load: it.load, capacity: it.capacity() };
+    let choices: Vec<SpreadChoice> = candidates.iter().map(choice).collect();
+    spread::choose(&choices, arrivals, draw)
+}
+
 /// Returns the lower median of the failure shares, so that of two upstreams a single failing one
 /// is found. `states` must not be empty.
 fn median_failure(now: Instant, states: &[&UpstreamState]) -> f64 {
@@ -390,11 +537,10 @@
 
 fn new_pick(
     now: Instant,
+    survey: &PickSurvey<'_>,
     candidate: &Candidate<'_>,
     reason: PickReason,
     rank: usize,
-    open_count: usize,
-    mean: f64,
 ) -> UpstreamPick {
     let record = &candidate.state.record;
     UpstreamPick {
@@ -404,10 +550,13 @@
         reason,
         rank,
         load: candidate.load,
-        mean,
+        mean: survey.mean,
         own_in_flight: candidate.state.own_in_flight,
-        open_count,
-        report_age: candidate.state.report.map(|it| now.saturating_duration_since(it.reported_at)),
+        open_count: survey.open_count,
+        report_age: candidate.state.report_age(now),
         prompt_holder: None,
+        slowness: candidate.slowness,
+        prompt_upstreams: survey.prompt_upstreams,
+        work: None,
     }
 }
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -170,7 +170,9 @@
         for name in expired {
             self.upstreams.remove(&name);
         }
+        self.work.expire(now);
         let upstreams = &self.upstreams;
         self.send_rates.retain(|service, _| upstreams.of_service(service).next().is_some());
+        self.prompt_demands.retain(|service, _| upstreams.of_service(service).next().is_some());
     }
 }
--- a/lib/src/gateway/upstreams/prompt.rs
+++ b/lib/src/gateway/upstreams/prompt.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{PickRequest, UpstreamSet, UpstreamState};
-use crate::{names::UpstreamName, rendezvous};
+use crate::{names::UpstreamName, rendezvous, work::WorkRequest};
 
 /// Time for which an upstream must have been open to picks to be expected to have cached the
 /// prompts that rank it first. Requests with the same prompt are some seconds apart.
@@ -30,13 +30,16 @@
     /// Returns the upstream, other than the chosen one, that most probably has the prompt cached.
     ///
     /// All hosts send a prompt to the upstream with the highest rendezvous score that is not
-    /// overloaded. If the chosen upstream lacks the prompt, because it has just joined or replaces
+    /// overloaded. Of those to which this host has sent the parts of the prompt within the last
+    /// seconds, the one with the longest beginning of it is the holder. Without any it is inferred:
+    /// if the chosen upstream lacks the prompt, because it has just joined or replaces
     /// an overloaded one, the highest-scored upstream that was open to picks for long enough has
     /// it. That may be a leaving one, which takes no new requests but still serves its cache.
     pub(super) fn prompt_holder(
         &self,
         now: Instant,
         request: &PickRequest<'_>,
+        work: Option<&WorkRequest<'_>>,
         chosen: &UpstreamName,
     ) -> Option<PromptHolder> {
         let key = request.affinity?;
@@ -51,6 +54,17 @@
                 && it.announcement.pause_left(now).is_none()
         };
         let reachable = others.filter(is_within_reach);
+        let cached = |it: &&UpstreamState| {
+            work.map_or(0, |work| self.work.cached_tokens(now, &it.record.name, work.size))
+        };
+        let known = reachable.clone().map(|it| (cached(&it), it)).filter(|(tokens, _)| *tokens > 0);
+        let known = known.max_by(|(a, first), (b, second)| {
+            a.cmp(b).then_with(|| score(first).total_cmp(&score(second)))
+        });
+        if let Some((_, it)) = known {
+            let (name, address) = (it.record.name.clone(), it.record.address);
+            return Some(PromptHolder { name, address });
+        }
         let longest = reachable.clone().map(|it| it.open_time).max()?;
         let min_open_time = MIN_OPEN_TIME.min(longest / OPEN_TIME_DIVISOR);
         let holders = reachable.filter(|it| it.open_time >= min_open_time);
--- a/lib/src/work.rs
+++ b/lib/src/work.rs
@@ -1,25 +1,16 @@
-//! The work that requests cause at upstreams.
+//! The work that requests cause at upstreams: what a request costs, and what an upstream still has
+//! to do. Nothing here reads a clock or uses a network.
 
-use crate::quarantine::PromptPart;
+mod decay;
+mod model;
+mod prompt_demand;
+mod size;
+mod span_log;
+mod upstream_work;
 
-/// Consecutive tokens of a prompt that an upstream caches as a whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptSpan {
-    /// The part of the prompt.
-    pub part: PromptPart,
-    /// Its length, in tokens.
-    pub tokens: u32,
-}
-
-/// Size of a request as its caller states it. All of it may be absent or wrong.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RequestSize {
-    /// Length of the prompt, in tokens; absent for requests without a prompt.
-    pub prompt_tokens: Option<u32>,
-    /// Largest length of the response, in tokens.
-    pub max_output_tokens: Option<u32>,
-    /// The caller's estimate of the length of the response, in tokens.
-    pub expected_output_tokens: Option<u32>,
-    /// The parts of the prompt, in order; the last one belongs to the request alone.
-    pub spans: Vec<PromptSpan>,
-}
+pub use self::{
+    model::{AttemptTicket, WorkEstimate, WorkModel, WorkRequest},
+    prompt_demand::{MAX_PROMPT_SHARES, PromptDemand},
+    size::{PromptSpan, RequestSize},
+    upstream_work::WorkReport,
+};
--- /dev/null
+++ b/lib/src/work/size.rs
@@ -0,0 +1,25 @@
+//! What a caller states about the size of its request.
+
+use crate::quarantine::PromptPart;
+
+/// Consecutive tokens of a prompt that an upstream caches as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptSpan {
+    /// The part of the prompt.
+    pub part: PromptPart,
+    /// Its length, in tokens.
+    pub tokens: u32,
+}
+
+/// Size of a request as its caller states it. All of it may be absent or wrong.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RequestSize {
+    /// Length of the prompt, in tokens; absent for requests without a prompt.
+    pub prompt_tokens: Option<u32>,
+    /// Largest length of the response, in tokens.
+    pub max_output_tokens: Option<u32>,
+    /// The caller's estimate of the length of the response, in tokens.
+    pub expected_output_tokens: Option<u32>,
+    /// The parts of the prompt, in order; the last one belongs to the request alone.
+    pub spans: Vec<PromptSpan>,
+}
