schedule: requests wait at the host while a service is scarce

Cause: a gateway sent each request at once, and engines' own queues decided who is served. Change: start control with the room of a service, a queue of the host and early refusals.

--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod headers;
+mod start;
 
 use std::{
     rc::Rc,
@@ -19,11 +20,13 @@
 
 use self::{
     admission::{AdmittedRequest, admit, configuration_wait, read_body},
-    attempt::{UsableResponse, log_failure, run_attempt},
+    attempt::{UPSTREAMS_FULL, UsableResponse, log_failure, run_attempt},
+    start::StartTicket,
 };
 pub(super) use self::{
     attempt::{AttemptGuard, CUT_OFF, FailedAttempt, MEMORY_FULL, OpenResponse, open_response},
     headers::stream_head,
+    start::{StartSender, start_waiting},
 };
 use super::{
     body::{CompleteBody, ResponseBody},
@@ -131,6 +134,8 @@
     is_retry_acquired: bool,
     /// Time until an upstream takes requests again, if all of them are paused.
     return_delay: Option<Duration>,
+    /// Counts the request as in flight once it has started.
+    ticket: Option<Rc<StartTicket>>,
 }
 
 impl RequestAttempts {
@@ -144,6 +149,7 @@
             possible_runs: 0,
             is_retry_acquired: false,
             return_delay: None,
+            ticket: None,
         }
     }
 
@@ -155,6 +161,17 @@
         let last_response = gateway.wait_for_last_response();
         tokio::pin!(last_response);
         loop {
+            if self.ticket.is_none() {
+                let started = tokio::select! {
+                    biased;
+                    started = gateway.wait_to_start(&self.request) => started,
+                    () = &mut last_response => Err(draining_refusal()),
+                };
+                match started {
+                    Ok(ticket) => self.ticket = Some(Rc::new(ticket)),
+                    Err(refusal) => return self.refuse(&refusal),
+                }
+            }
             let pick = match self.next_upstream(None) {
                 Ok(pick) => pick,
                 Err(reason) => return self.give_up(last, reason),
@@ -174,8 +191,11 @@
                     self.unreached_attempts += 1;
                     self.possible_runs == 0 || self.may_retry()
                 }
-                FailedAttempt::NotRun(_) => {
+                FailedAttempt::NotRun(cause) => {
                     self.reached_attempts += 1;
+                    if *cause == UPSTREAMS_FULL && self.possible_runs == 0 {
+                        self.return_to_queue();
+                    }
                     self.possible_runs == 0 || self.may_retry()
                 }
                 FailedAttempt::MayHaveRun(_) | FailedAttempt::ErrorResponse(_) => {
@@ -193,12 +213,31 @@
                 }
                 (_, failed) => Some(failed),
             };
-            if !can_continue || self.tried.len() >= MAX_UPSTREAMS_TRIED {
+            if !can_continue || self.attempt_count() >= MAX_UPSTREAMS_TRIED {
                 return self.give_up(last, "no_attempt_left");
             }
         }
     }
 
+    fn attempt_count(&self) -> usize {
+        (self.unreached_attempts + self.reached_attempts) as usize
+    }
+
+    /// Ends the start of a request that a full upstream did not run. If the service is scarce, the
+    /// request waits for its turn again, and any upstream may take it then.
+    fn return_to_queue(&mut self) {
+        if self.ticket.as_ref().is_some_and(|it| it.record_full(&self.request.service)) {
+            self.tried.pop();
+            self.ticket = None;
+        }
+    }
+
+    /// Ends a request that is refused before it was sent, or before it was sent again.
+    fn refuse(&self, refusal: &RequestRefusal) -> Response<ResponseBody> {
+        self.log_end("", refusal.kind.status(), refusal.kind.as_str());
+        self.gateway.refuse(&self.request.head.request_id, refusal)
+    }
+
     /// Ends a request that has no response shortly before the process ends. An upstream may be
     /// running it.
     fn end_at_shutdown(&self, upstream: &UpstreamName) -> Response<ResponseBody> {
@@ -350,6 +389,9 @@
                 pending.await
             }
         };
+        if let (Ok(Ok(_)), Some(ticket)) = (&result, &self.ticket) {
+            ticket.record_response();
+        }
         match result {
             Err(_) => {
                 self.log_failure(&pick.name, "timeout", &"the deadline of the request expired");
@@ -404,8 +446,7 @@
             None => RequestRefusal::not_run(RefusalKind::NoUpstream, detail("no upstream is free"))
                 .with_retry_after(self.retry_after()),
         };
-        self.log_end("", refusal.kind.status(), refusal.kind.as_str());
-        self.gateway.refuse(&self.request.head.request_id, &refusal)
+        self.refuse(&refusal)
     }
 
     pub(super) fn log_failure(
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -164,6 +164,9 @@
 /// Kind of a failure after which the connection was cut off because of what the upstream sent.
 pub(in crate::gateway) const CUT_OFF: &str = "cut_off";
 
+/// Why a request was not run by an upstream that has no room.
+pub(super) const UPSTREAMS_FULL: &str = "the upstreams are full";
+
 /// Kind of a failure for want of memory for responses, which is not the upstream's.
 pub(in crate::gateway) const MEMORY_FULL: &str = "memory_full";
 
@@ -277,7 +280,7 @@
         if head.is_for_request {
             drain_refusal(&pick.name, response, exchange).await;
         }
-        return Err(FailedAttempt::NotRun("the upstreams are full"));
+        return Err(FailedAttempt::NotRun(UPSTREAMS_FULL));
     }
     if !head.is_for_request || (status.is_success() && !head.is_signed) {
         log_failure(gateway, request, &pick.name, "wrong_answer", &status);
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -15,6 +15,7 @@
 
 use super::{
     budget::{RetryAllowance, RetryBudget},
+    call::StartSender,
     crashes::CrashDetector,
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
@@ -31,6 +32,7 @@
     clock::ClockSource,
     intake::{ResponseBuffers, ResponseLimits},
     names::{CentreName, UpstreamName},
+    schedule::{StartControl, StartSettings},
     telemetry::RouterMetrics,
 };
 
@@ -47,6 +49,8 @@
     pub retries: RetryAllowance,
     /// Bounds of the memory of responses.
     pub responses: ResponseLimits,
+    /// Bounds of the requests that wait for their start.
+    pub waiting: StartSettings,
 }
 
 /// One change of what the platform publishes, or of whether it responds.
@@ -86,6 +90,7 @@
     pub(super) source_state: SourceState,
     pub(super) crashes: CrashDetector,
     pub(super) outcomes: OutcomeLog,
+    pub(super) start: StartControl<StartSender>,
 }
 
 /// The gateway of one host.
@@ -111,6 +116,8 @@
     pub(super) pauses: PauseDetector,
     /// Notified when there are strikes that other hosts may not know.
     pub(super) strike_news: Notify,
+    /// Notified when a request waits for its start, or when one ended while others wait.
+    pub(super) start_news: Notify,
     /// Changes of the number of this host's requests in flight.
     pub(super) in_flight_changes: watch::Sender<()>,
     /// Whether a full listing of the fleet was received.
@@ -138,10 +145,12 @@
             source_state: SourceState::default(),
             crashes: CrashDetector::default(),
             outcomes: OutcomeLog::new(clock.now()),
+            start: StartControl::new(settings.waiting),
         };
         Rc::new(Self {
             pauses: PauseDetector::new(clock.now()),
             strike_news: Notify::new(),
+            start_news: Notify::new(),
             in_flight_changes: watch::Sender::new(()),
             pool: Rc::new(UpstreamPool::new(clock.clone())),
             clock,
@@ -311,6 +320,7 @@
         }
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
+        self.metrics.set_waiting(self.state.borrow().start.waiting() as u64);
         self.metrics.set_response_memory(self.response_buffers.total_bytes() as u64);
     }
 
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    call::serve,
+    call::{serve, start_waiting},
     connection::set_socket_options,
     fleet::Gateway,
     load_exchange::exchange_in_flight,
@@ -97,6 +97,7 @@
             start("gossip", gateway, move |it| run_gossip(it, seeds.clone())),
             start("strikes", gateway, broadcast_strikes),
             start("load_exchange", gateway, exchange_in_flight),
+            start("start_waiting", gateway, start_waiting),
             start("tick", gateway, tick),
         ];
         Ok(Self { gateway: gateway.clone(), closing, tasks })
--- a/lib/src/gateway/table.rs
+++ b/lib/src/gateway/table.rs
@@ -69,7 +69,25 @@
     pub is_open: bool,
 }
 
+/// Shortest time for which a caller waits for the next event of a stream, its first included.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Multiple of the latency target for which a caller waits for the next event, if that is longer.
+const PATIENCE_PER_TARGET: u32 = 4;
+
+/// Multiple of the longest gap between events on time for which a caller waits, if that is longer.
+const PATIENCE_PER_EVENT_GAP: u32 = 8;
+
 impl RouteRecord {
+    /// Returns how long a caller waits for the first event of a stream before it leaves; none if
+    /// the response is not a stream.
+    pub fn caller_patience(&self) -> Option<Duration> {
+        let patience = MIN_CALLER_PATIENCE
+            .max(self.target_latency * PATIENCE_PER_TARGET)
+            .max(self.event_gap * PATIENCE_PER_EVENT_GAP);
+        self.retry_rule.is_stream().then_some(patience)
+    }
+
     /// Returns the service for a request, split by weight and determined by the request id. None if
     /// all weights are zero.
     pub fn service_for(&self, request_id: &str) -> Option<&ServiceName> {
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -6,6 +6,7 @@
 mod pick;
 mod presence;
 mod prompt;
+mod room;
 mod spread;
 
 use std::{
@@ -26,6 +27,7 @@
     announcement::UpstreamAnnouncement,
     in_flight::InFlightTable,
     index::UpstreamIndex,
+    room::ObservedRoom,
     spread::{EvenSequence, SendRate},
 };
 use super::{
@@ -136,6 +138,8 @@
     health: UpstreamHealth,
     announcement: UpstreamAnnouncement,
     report: Option<LoadReport>,
+    /// Requests that it can run, as its reports show.
+    room: Option<ObservedRoom>,
     own_in_flight: u32,
     /// Requests in flight of the other hosts, as far as they report them.
     other_in_flight: u32,
@@ -152,6 +156,7 @@
             health: UpstreamHealth::default(),
             announcement: UpstreamAnnouncement::default(),
             report: None,
+            room: None,
             own_in_flight: 0,
             other_in_flight: 0,
         }
@@ -269,6 +274,7 @@
         let requests = f64::from(load.running) + f64::from(load.waiting);
         state.report =
             Some(LoadReport { reported_at: now, requests, own_in_flight: state.own_in_flight });
+        state.room = ObservedRoom::after(state.room, now, state.record.slots, &load);
         Some(estimated)
     }
 
--- /dev/null
+++ b/lib/src/gateway/upstreams/room.rs
@@ -0,0 +1,77 @@
+//! How many requests the upstreams of a service can have in flight.
+
+use std::time::Instant;
+
+use super::{REPORT_DECAY_TIME, ReportedLoad, UpstreamSet, UpstreamState};
+use crate::{names::ServiceName, schedule::ServiceRoom};
+
+/// Requests in flight at an upstream beyond those that it can run. They keep it busy until the
+/// hosts hear that it has finished others.
+const QUEUED_PER_UPSTREAM: f64 = 2.0;
+
+/// Requests that an upstream was seen to run at most.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ObservedRoom {
+    seen: Instant,
+    slots: f64,
+    /// Below `slots` if the upstream had requests waiting while it ran fewer.
+    places: f64,
+}
+
+impl ObservedRoom {
+    /// Updates the room from a load report.
+    ///
+    /// An upstream with waiting requests is full. One without may have room for one more than it
+    /// runs; the room grows with what it is seen to run, since a full upstream is often without
+    /// waiting requests for a moment.
+    pub(super) fn after(
+        before: Option<Self>,
+        now: Instant,
+        published: u32,
+        load: &ReportedLoad,
+    ) -> Option<Self> {
+        let slots = f64::from(load.slots.filter(|it| *it > 0).unwrap_or(published));
+        if slots <= 0.0 {
+            return None;
+        }
+        let running = f64::from(load.running);
+        let places = if load.waiting > 0 {
+            running
+        } else {
+            before.map_or(slots, |it| it.current(now).max(running + 1.0))
+        };
+        Some(Self { seen: now, slots, places: places.clamp(1.0, slots) })
+    }
+
+    /// Returns the room; an old observation counts less.
+    fn current(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.seen).as_secs_f64();
+        let weight = (-age / REPORT_DECAY_TIME.as_secs_f64()).exp();
+        weight * self.places + (1.0 - weight) * self.slots
+    }
+}
+
+impl UpstreamSet {
+    /// Returns the room of the upstreams that take new requests. None if one of them publishes and
+    /// reports no slots, or if none has reported its load.
+    pub fn service_room(&self, now: Instant, service: &ServiceName) -> Option<ServiceRoom> {
+        let is_exchanged = self.others.lag(now).is_some();
+        let is_open = |it: &&UpstreamState| {
+            it.announcement.allows_requests(now) && !it.health.is_unreachable()
+        };
+        let mut room = ServiceRoom { places: 0.0, in_flight: 0.0 };
+        let mut has_report = false;
+        for state in self.published_to_picks(now, service).filter(is_open) {
+            let places = match state.room {
+                Some(room) => room.current(now),
+                None if state.record.slots > 0 => f64::from(state.record.slots),
+                None => return None,
+            };
+            has_report |= state.room.is_some();
+            room.places += places + QUEUED_PER_UPSTREAM;
+            // Without a report only the requests of this host are known.
+            room.in_flight += state.estimated_load(now, 0.0, is_exchanged);
+        }
+        has_report.then_some(room)
+    }
+}
--- a/lib/src/schedule/queue.rs
+++ b/lib/src/schedule/queue.rs
@@ -1,8 +1,8 @@
 //! Priorities between classes, start-time fair queueing between teams, shedding and expiry.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, VecDeque},
+    cmp::{Ordering, Reverse},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     fmt,
     sync::Arc,
     time::{Duration, Instant},
@@ -175,7 +175,7 @@
     }
 }
 
-/// Requests of one team in one class, in order of arrival.
+/// Requests of one team in one class, the earliest deadline first, and in order of arrival.
 #[derive(Clone, Debug)]
 struct TeamFlow<T> {
     entries: VecDeque<QueueEntry<T>>,
@@ -213,6 +213,8 @@
     /// Starts for which the band was passed over, if an overdue request waits there and the limit
     /// is reached; otherwise 0.
     overdue_skips: Reverse<u32>,
+    /// Whether the team uses more than its share of the upstreams.
+    is_above_share: bool,
     priority: u8,
     /// How far the flow is ahead of its band's virtual time. Virtual times of different bands have
     /// no common scale, but leads can be compared.
@@ -227,6 +229,9 @@
 ///   slots has an overdue request in it, and a class with any overdue request is passed over for
 ///   a limited number of starts only.
 /// - Teams of a class are served by start-time fair queueing, by weight and estimated work.
+/// - Requests of teams above their share of the upstreams start after those of all other teams.
+/// - Of one team in one class, the request with the earliest deadline is first: a caller that comes
+///   back has less time left than a new one.
 /// - When the queue is full, the lowest class is shed first. A team above its fair share of the
 ///   slots displaces only lower classes of other teams, and none above twice its fair share.
 #[derive(Clone, Debug)]
@@ -238,6 +243,8 @@
     next_number: u64,
     /// No entry expires before this time.
     next_expiry: Option<Instant>,
+    /// Teams that use more than their share of the upstreams.
+    above_share: BTreeSet<TeamName>,
     stats: BTreeMap<(TeamName, ClassName), QueueStats>,
 }
 
@@ -251,10 +258,56 @@
             len: 0,
             next_number: 0,
             next_expiry: None,
+            above_share: BTreeSet::new(),
             stats: BTreeMap::new(),
         }
     }
 
+    /// Sets the teams that use more than their share of the upstreams.
+    pub fn set_above_share(&mut self, teams: BTreeSet<TeamName>) {
+        self.above_share = teams;
+    }
+
+    /// Returns whether a team uses more than its share of the upstreams.
+    pub fn is_above_share(&self, team: &TeamName) -> bool {
+        self.above_share.contains(team)
+    }
+
+    /// Returns the number of waiting requests that would start before a new one of a team and
+    /// priority, if no other one arrived. The guard against starvation is not included.
+    pub fn len_ahead(&self, team: &TeamName, priority: u8) -> usize {
+        let is_above_share = self.above_share.contains(team);
+        let own_in_band = |band: &PriorityBand<T>| {
+            let own = band.flows.iter().filter(|(key, _)| key.0 == *team);
+            own.map(|(_, flow)| flow.entries.len()).sum::<usize>()
+        };
+        let own = self.bands.get(&priority).map_or(0, own_in_band);
+        let mut ahead = 0;
+        for (band_priority, band) in &self.bands {
+            let mut by_team: BTreeMap<&TeamName, usize> = BTreeMap::new();
+            for (key, flow) in &band.flows {
+                *by_team.entry(&key.0).or_default() += flow.entries.len();
+            }
+            for (other, len) in by_team {
+                let order = (self.above_share.contains(other), *band_priority);
+                ahead += match order.cmp(&(is_above_share, priority)) {
+                    Ordering::Less => len,
+                    Ordering::Equal if other == team => len,
+                    // The teams of a class take turns.
+                    Ordering::Equal => len.min(own + 1),
+                    Ordering::Greater => 0,
+                };
+            }
+        }
+        ahead
+    }
+
+    /// Returns the waiting requests, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &QueuedRequest<T>> {
+        let flows = self.bands.values().flat_map(|it| it.flows.values());
+        flows.flat_map(|it| &it.entries).map(|it| &it.request)
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.len
@@ -310,7 +363,9 @@
         let entry = QueueEntry { number, request, arrival: now, virtual_arrival };
         let expiry = entry.expiry();
         self.next_expiry = Some(self.next_expiry.map_or(expiry, |it| it.min(expiry)));
-        flow.entries.push_back(entry);
+        let index =
+            flow.entries.partition_point(|it| it.request.deadline <= entry.request.deadline);
+        flow.entries.insert(index, entry);
         self.len += 1;
         PushOutcome::Queued { number, shed }
     }
@@ -431,7 +486,8 @@
         let total_weight = self.total_weight();
         let mut best: Option<(StartOrder, EntryPosition)> = None;
         for (priority, band) in &self.bands {
-            let mut first_in_band: Option<(f64, Instant, &(TeamName, ClassName), usize)> = None;
+            let mut first_in_band: Option<((bool, f64, Instant), &(TeamName, ClassName), usize)> =
+                None;
             let (mut is_overdue, mut is_raised) = (false, false);
             for (key, flow) in &band.flows {
                 let head = flow
@@ -449,16 +505,18 @@
                 }
                 let start = entry.virtual_arrival.max(flow.virtual_finish);
                 let lead = (start - band.virtual_time).max(0.0);
-                if first_in_band.as_ref().is_none_or(|it| (lead, entry.arrival) < (it.0, it.1)) {
-                    first_in_band = Some((lead, entry.arrival, key, index));
+                let order = (self.above_share.contains(&key.0), lead, entry.arrival);
+                if first_in_band.as_ref().is_none_or(|it| order < it.0) {
+                    first_in_band = Some((order, key, index));
                 }
             }
-            let Some((lead, arrival, key, index)) = first_in_band else {
+            let Some(((is_above_share, lead, arrival), key, index)) = first_in_band else {
                 continue;
             };
             let is_due = is_overdue && band.overdue_skips >= self.settings.max_overdue_skips;
             let order = StartOrder {
                 overdue_skips: Reverse(if is_due { band.overdue_skips } else { 0 }),
+                is_above_share,
                 priority: priority.saturating_sub(u8::from(is_raised)),
                 lead,
                 arrival,
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -15,6 +15,7 @@
 
 const DECIMAL_FORMAT: &str = "a number, not negative";
 const MEMORY_RANGE: ((u64, u64), &str) = ((1, 1 << 20), "1 to 1048576 KiB");
+const WAITING_RANGE: ((u64, u64), &str) = ((0, 1 << 20), "0 to 1048576 requests");
 const BANDWIDTH_FORMAT: &str = "a number, at least 1";
 const SECONDS_RANGE: &str = "0 to 86400 s";
 
@@ -77,6 +78,20 @@
         MEMORY_RANGE,
         "memory of all responses that are being received",
     ),
+    number_spec(
+        "max-waiting",
+        "requests",
+        "1024",
+        WAITING_RANGE,
+        "requests that wait for their start while upstreams are full",
+    ),
+    number_spec(
+        "max-waiting-kb",
+        "KiB",
+        "16384",
+        MEMORY_RANGE,
+        "memory of the bodies of requests that wait for their start",
+    ),
     text_spec("stop-limit-s", "s", Some("8"), SECONDS_RANGE, "longest time of a planned stop"),
     LOG_SPEC,
 ];
@@ -114,6 +129,10 @@
     pub max_response_bytes: usize,
     /// Memory of all responses that are being received, in bytes.
     pub response_memory_bytes: usize,
+    /// Requests that wait for their start, at most.
+    pub max_waiting: usize,
+    /// Bytes of the bodies of waiting requests, at most.
+    pub max_waiting_bytes: usize,
     /// Time limit of a planned stop.
     pub stop_limit: Duration,
     /// Log filter in the syntax of `tracing_subscriber::EnvFilter`.
@@ -173,6 +192,8 @@
             config_bound: reader.milliseconds("config-bound-ms")?,
             max_response_bytes: reader.count("max-response-kb")? << 10,
             response_memory_bytes: reader.count("response-memory-kb")? << 10,
+            max_waiting: reader.count("max-waiting")?,
+            max_waiting_bytes: reader.count("max-waiting-kb")? << 10,
             stop_limit: reader.seconds("stop-limit-s")?,
             log: reader.read("log", parse_filter)?,
         })
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -139,6 +139,8 @@
     queue_wait: Histogram<f64>,
     queue_length: Gauge<u64>,
     in_flight: Gauge<u64>,
+    waiting: Gauge<u64>,
+    starts: Counter<u64>,
     response_memory: Gauge<u64>,
     upstream_errors: Counter<u64>,
     _cut_connections: ObservableCounter<u64>,
@@ -196,6 +198,12 @@
             ),
             queue_length: gauge(&meter, "snipepond_queue_length", "Requests in the queue."),
             in_flight: gauge(&meter, "snipepond_in_flight", "Requests at upstreams."),
+            waiting: gauge(&meter, "snipepond_waiting", "Requests that wait for their start."),
+            starts: counter(
+                &meter,
+                "snipepond_start_decisions",
+                "Requests that started after a wait, or were refused before their start, by result.",
+            ),
             response_memory: gauge(
                 &meter,
                 "snipepond_response_memory_bytes",
@@ -316,6 +324,16 @@
         self.in_flight.record(requests, &[]);
     }
 
+    /// Sets the number of requests that wait for their start.
+    pub fn set_waiting(&self, requests: u64) {
+        self.waiting.record(requests, &[]);
+    }
+
+    /// Counts a request that started after a wait, or was refused before its start.
+    pub fn count_start(&self, result: &'static str) {
+        self.starts.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a failed upstream call.
     pub fn count_upstream_error(&self, upstream: &UpstreamName, kind: &'static str) {
         let catalogue = self.catalogue();
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -15,6 +15,7 @@
         RequestHead, ResponseHead, ResponseLimits, RetryAllowance, ServerAddresses, WireDialect,
     },
     names::{CentreName, HostName},
+    schedule::StartSettings,
     telemetry::RouterMetrics,
 };
 use tokio::{runtime::Builder, task::LocalSet};
@@ -96,7 +97,7 @@
     };
     let retries = RetryAllowance { ratio: 0.2, window: Duration::from_secs(10), slack: 1_000.0 };
     Gateway::new(
-        GatewaySettings { identity, retries, responses },
+        GatewaySettings { identity, retries, responses, waiting: StartSettings::default() },
         Rc::new(SystemClock),
         Rc::new(TestDialect),
         Rc::new(EmptyDecoder),
