--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -225,7 +225,7 @@
         self.send_rates.entry(request.service.clone()).or_default().record(now);
         if let Some(prompt) = request.affinity {
             let demand = self.prompt_demands.entry(request.service.clone()).or_default();
-            demand.record(now, prompt, pick.open_count);
+            demand.record(now, prompt, pick.open_count, pick.mean);
         }
         pick.prompt_holder = self.prompt_holder(now, request, work, &pick.name);
         let state = self.upstreams.get_mut(&pick.name).expect("chosen from the index");
--- a/lib/src/work/prompt_demand.rs
+++ b/lib/src/work/prompt_demand.rs
@@ -13,13 +13,16 @@
 /// Requests of a prompt, as a decayed count, below which its rate says too little to split it.
 const MIN_REQUESTS: f64 = 12.0;
 
-/// Load of a prompt, in even shares of an upstream, above which one more upstream takes part. An
-/// upstream may hold twice the mean, and has other prompts besides.
-const SHARES_TO_ADD: f64 = 1.4;
+/// Requests of a prompt for each of its upstreams, as a multiple of the mean load, above which one
+/// more upstream takes part. An upstream may hold twice the mean, and has other prompts besides.
+const ADD_MULTIPLE: f64 = 1.4;
 
-/// The same, below which an upstream is given up. Hysteresis keeps the number from changing with
-/// every fluctuation of the rate; each change costs reading the prompt once more.
-const SHARES_TO_DROP: f64 = 0.9;
+/// Requests added to that, since nearly idle upstreams need no help.
+const ADD_SLACK: f64 = 2.5;
+
+/// Part of that load below which an upstream is given up. Hysteresis keeps the number from changing
+/// with every fluctuation of the rate; each change costs reading the prompt once more.
+const DROP_SHARE: f64 = 0.65;
 
 /// Largest number of upstreams of one prompt.
 pub const MAX_PROMPT_SHARES: usize = 32;
@@ -60,8 +63,8 @@
 }
 
 impl PromptDemand {
-    /// Counts a request of a prompt at a service with `open` upstreams.
-    pub fn record(&mut self, now: Instant, prompt: u64, open: usize) {
+    /// Counts a request of a prompt at a service with `open` upstreams that hold `mean` requests each.
+    pub fn record(&mut self, now: Instant, prompt: u64, open: usize, mean: f64) {
         let zero = DecayedCount { weight: 0.0, updated: now };
         let total = self.total.get_or_insert(zero);
         total.add(now);
@@ -71,14 +74,15 @@
         }
         let rate = self.prompts.entry(prompt).or_insert(PromptRate { count: zero, upstreams: 1 });
         rate.count.add(now);
-        let shares = rate.count.weight / total * open as f64;
+        let load = rate.count.weight / total * mean * open as f64;
         let most = open.clamp(1, MAX_PROMPT_SHARES);
+        let full = ADD_MULTIPLE * mean + ADD_SLACK;
         let is_known = rate.count.weight >= MIN_REQUESTS;
-        while is_known && rate.upstreams < most && shares > SHARES_TO_ADD * rate.upstreams as f64 {
+        while is_known && rate.upstreams < most && load > full * rate.upstreams as f64 {
             rate.upstreams += 1;
         }
         while rate.upstreams > 1
-            && (rate.upstreams > most || shares < SHARES_TO_DROP * (rate.upstreams - 1) as f64)
+            && (rate.upstreams > most || load < DROP_SHARE * full * (rate.upstreams - 1) as f64)
         {
             rate.upstreams -= 1;
         }
--- a/lib/tests/work_model.rs
+++ b/lib/tests/work_model.rs
@@ -240,10 +240,10 @@
     for index in 0..400_u64 {
         let now = start + 10 * MS * index as u32;
         let prompt = if index % 2 == 0 { 7 } else { 1_000 + index };
-        demand.record(now, prompt, 9);
+        demand.record(now, prompt, 9, 20.0);
         // Another host sees an eighth of it.
         if index % 16 < 2 {
-            other.record(now, prompt, 9);
+            other.record(now, prompt, 9, 20.0);
         }
     }
     let end = start + 4 * SECOND;
@@ -251,9 +251,13 @@
     assert!((3..=6).contains(&upstreams), "{upstreams}");
     assert!(other.upstreams(end, 7).abs_diff(upstreams) <= 1);
     assert_eq!(demand.upstreams(end, 1_399), 1);
+    // Nearly idle engines need no help.
+    let mut idle = PromptDemand::default();
+    (0..100).for_each(|_| idle.record(start, 7, 9, 0.2));
+    assert_eq!(idle.upstreams(start, 7), 1);
     for index in 0..2_000_u64 {
         let now = end + 10 * MS * index as u32;
-        demand.record(now, if index % 50 == 0 { 7 } else { 10_000 + index }, 9);
+        demand.record(now, if index % 50 == 0 { 7 } else { 10_000 + index }, 9, 20.0);
     }
     assert_eq!(demand.upstreams(end + 20 * SECOND, 7), 1);
 }
