--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -266,6 +266,7 @@
                 refusal.as_str()
             },
         )?;
+        self.gateway.metrics.count_pick(pick.reason.as_str());
         tracing::info!(
             request_id = %self.request.head.request_id,
             affinity = self.request.head.affinity.map(|it| format!("{it:016x}")),
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -311,6 +311,7 @@
         }
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
+        self.metrics.set_remaining_work(self.state.borrow().upstreams.work().total_remaining(now));
         self.metrics.set_response_memory(self.response_buffers.total_bytes() as u64);
     }
 
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -57,6 +57,10 @@
 pub enum PickReason {
     /// Highest rendezvous score for the prompt among upstreams within the load bound.
     Affinity,
+    /// One of the upstreams over which a prompt with much of the traffic is spread.
+    SpreadPrompt,
+    /// Answers much earlier than the upstream with the highest rendezvous score.
+    Earlier,
     /// Least loaded, or close to it, so that hosts do not all choose the same one.
     LeastLoaded,
     /// Least loaded of the unhealthy upstreams; no healthy one can take the request.
@@ -68,6 +72,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Affinity => "affinity",
+            Self::SpreadPrompt => "spread_prompt",
+            Self::Earlier => "earlier",
             Self::LeastLoaded => "least_loaded",
             Self::LastResort => "last_resort",
         }
@@ -422,12 +428,13 @@
             let in_bound: Vec<&Candidate<'_>> =
                 healthy.iter().filter(|it| it.load + 1.0 <= bound).collect();
             let preferred = self.preferred(now, &survey, in_bound.clone(), work);
-            let first = preferred
-                .filter(|it| is_admissible(it))
-                .or_else(|| first_admissible(in_bound, |it| -it.score, is_admissible));
-            if let Some(first) = first {
-                let rank = healthy.iter().filter(|it| it.score > first.score).count();
-                return Ok(new_pick(first, PickReason::Affinity, rank));
+            let preferred = preferred.filter(|(it, _)| is_admissible(it)).or_else(|| {
+                let first = first_admissible(in_bound, |it| -it.score, is_admissible)?;
+                Some((first, PickReason::Affinity))
+            });
+            if let Some((candidate, reason)) = preferred {
+                let rank = healthy.iter().filter(|it| it.score > candidate.score).count();
+                return Ok(new_pick(candidate, reason, rank));
             }
         }
         let limit = LOAD_LIMIT_MULTIPLE * mean + LOAD_LIMIT_SLACK;
--- a/lib/src/gateway/upstreams/work.rs
+++ b/lib/src/gateway/upstreams/work.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    PickRefusal, PickRequest, UpstreamPick, UpstreamSet,
+    PickReason, PickRefusal, PickRequest, UpstreamPick, UpstreamSet,
     pick::{Candidate, PickSurvey, PickedWork, spread_index},
 };
 use crate::{
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Returns the upstream that a prompt prefers among those within the load bound.
+    /// Returns the upstream that a prompt prefers among those within the load bound, and why.
     ///
     /// It is the first in rendezvous order, unless another one of the first few answers much
     /// earlier, with the delay of the requests that run there. A prompt that needs several
@@ -95,7 +95,7 @@
         survey: &PickSurvey<'_>,
         mut in_bound: Vec<&'b Candidate<'a>>,
         work: Option<&WorkRequest<'_>>,
-    ) -> Option<&'b Candidate<'a>> {
+    ) -> Option<(&'b Candidate<'a>, PickReason)> {
         let by_score = |a: &&Candidate<'_>, b: &&Candidate<'_>| b.score.total_cmp(&a.score);
         let most = survey.prompt_upstreams.max(COMPARED_CANDIDATES);
         if in_bound.len() > most {
@@ -107,17 +107,18 @@
             in_bound.truncate(survey.prompt_upstreams);
             let arrivals = in_bound.len() as f64;
             let index = spread_index(&in_bound, arrivals, self.draws.current())?;
-            return in_bound.get(index).copied();
+            return Some((in_bound[index], PickReason::SpreadPrompt));
         }
         let first = in_bound.first().copied()?;
         let Some(work) = work else {
-            return Some(first);
+            return Some((first, PickReason::Affinity));
         };
         let cost = |it: &Candidate<'_>| self.cost(now, survey, it, work);
         let worth_leaving = cost(first).saturating_sub(work.target_latency / MIN_GAIN_DIVISOR);
         let others = in_bound.iter().skip(1).map(|it| (cost(it), *it));
         let best = others.min_by_key(|(cost, _)| *cost);
-        Some(best.filter(|(cost, _)| *cost < worth_leaving).map_or(first, |(_, it)| it))
+        let earlier = best.filter(|(cost, _)| *cost < worth_leaving);
+        Some(earlier.map_or((first, PickReason::Affinity), |(_, it)| (it, PickReason::Earlier)))
     }
 
     /// Returns the expected time to the first event, and the delay that reading the prompt is to
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -134,11 +134,13 @@
     catalogue: RwLock<Arc<Catalogue>>,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    picks: Counter<u64>,
     first_chunk: Histogram<f64>,
     chunk_gap: Histogram<f64>,
     queue_wait: Histogram<f64>,
     queue_length: Gauge<u64>,
     in_flight: Gauge<u64>,
+    remaining_work: Gauge<u64>,
     response_memory: Gauge<u64>,
     upstream_errors: Counter<u64>,
     _cut_connections: ObservableCounter<u64>,
@@ -176,6 +178,7 @@
         let metrics = Self {
             requests: counter(&meter, "snipepond_requests", "Finished requests."),
             refusals: counter(&meter, "snipepond_refusals", "Refused requests by reason."),
+            picks: counter(&meter, "snipepond_upstream_picks", "Picked upstreams by reason."),
             first_chunk: histogram(
                 &meter,
                 "snipepond_first_chunk_seconds",
@@ -196,6 +199,11 @@
             ),
             queue_length: gauge(&meter, "snipepond_queue_length", "Requests in the queue."),
             in_flight: gauge(&meter, "snipepond_in_flight", "Requests at upstreams."),
+            remaining_work: gauge(
+                &meter,
+                "snipepond_remaining_work_milliseconds",
+                "Estimated work that requests in flight still cause at upstreams.",
+            ),
             response_memory: gauge(
                 &meter,
                 "snipepond_response_memory_bytes",
@@ -283,6 +291,16 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a pick of an upstream.
+    pub fn count_pick(&self, reason: &'static str) {
+        self.picks.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Sets the work that requests in flight still cause at upstreams.
+    pub fn set_remaining_work(&self, work: Duration) {
+        self.remaining_work.record(work.as_millis() as u64, &[]);
+    }
+
     /// Records the time from a request to the first chunk of its response.
     pub fn record_first_chunk(&self, class: &ClassName, time: Duration) {
         let label = class_label(&self.catalogue(), Some(class));
--- a/lib/src/work/model.rs
+++ b/lib/src/work/model.rs
@@ -168,6 +168,11 @@
         self.upstreams.get(upstream).map_or(Duration::ZERO, |(it, _)| it.remaining(now))
     }
 
+    /// Returns the work that this host's requests in flight still cause at all upstreams.
+    pub fn total_remaining(&self, now: Instant) -> Duration {
+        self.upstreams.values().map(|(it, _)| it.remaining(now)).sum()
+    }
+
     /// Returns the mean time from the start of an attempt at a service to its end; none before the
     /// first one has ended.
     pub fn residence(&self, service: &ServiceName) -> Option<Duration> {
