schedule: teams above their share start after the others

Cause: a surging team with urgent requests went before the others' less urgent ones. Change: what teams ask for and start is a decaying sum; tests of start control without a network.

--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -36,8 +36,8 @@
 /// Part of the latency target that a request may always wait, however slow responses are.
 const MIN_WAIT_PART: f64 = 0.5;
 
-/// Part of a caller's remaining time up to which it honours the stated delay before a retry.
-const RETRY_PART: f64 = 1.0 / 3.0;
+/// Divisor of a caller's remaining time; longer stated delays are not honoured.
+const RETRY_DIVISOR: u32 = 3;
 
 /// Range of the learned ratio of real to forecast waits.
 const FORECAST_ERROR_RANGE: (f64, f64) = (0.5, 4.0);
@@ -322,7 +322,7 @@
         load.requests += 1;
         load.places += weight;
         self.in_flight_total += 1;
-        self.usage.record(now, &request.team_or_open(), weight);
+        self.usage.record_start(now, &request.team_or_open(), weight);
         let is_counted = |it: HostShare| {
             it.places >= MIN_COUNTED_SHARE && self.in_flight_total as f64 <= it.places
         };
@@ -340,11 +340,7 @@
     }
 
     fn update_above_share(&mut self, now: Instant) {
-        let mut waiting: BTreeMap<TeamName, f64> = BTreeMap::new();
-        for queued in self.queue.iter() {
-            *waiting.entry(queued.team.clone()).or_default() += 1.0;
-        }
-        let above = self.usage.above_share(now, &waiting);
+        let above = self.usage.above_share(now);
         self.queue.set_above_share(above);
     }
 }
@@ -416,6 +412,8 @@
             .services
             .entry(request.service.clone())
             .or_insert_with(|| ServiceState::new(&settings));
+        let weight = work_weight(request.work, state.mean_time.get());
+        state.usage.record_arrival(now, &request.team_or_open(), weight);
         let is_idle = state.queue.is_empty() && !state.is_blocked(now);
         let Some(room) = room.filter(|it| !is_idle || it.in_flight + 1.0 > it.places) else {
             // With no known room there is nothing to wait for.
@@ -683,7 +681,7 @@
 /// again so that not all callers return together, and within the time that it honours.
 fn retry_after(now: Instant, request: &StartRequest, wait: Duration) -> Duration {
     let left = request.expires_at.saturating_duration_since(now);
-    let limit = left.mul_f64(RETRY_PART);
+    let limit = left / RETRY_DIVISOR;
     let usual = wait.clamp(request.target_latency.mul_f64(MIN_WAIT_PART).min(limit), limit);
     (usual.mul_f64(1.0 + rand::random::<f64>())).min(limit)
 }
--- a/lib/src/schedule/usage.rs
+++ b/lib/src/schedule/usage.rs
@@ -11,48 +11,61 @@
 /// and short enough that a team that stops its surge is served as before after some seconds.
 const USAGE_TIME: Duration = Duration::from_secs(2);
 
-/// Multiple of its fair part from which a team counts as above its share, so that teams with equal
-/// loads do not change places all the time.
-const ABOVE_SHARE_MULTIPLE: f64 = 1.25;
+/// Part of its fair part that a team lacks before others are put behind it. Without the tolerance,
+/// teams with equal loads would change places with each request, and classes would not count.
+const LACKING_PART: f64 = 0.05;
 
-/// Used work below which a team is forgotten, in requests.
+/// Least work that a team lacks then, in requests: small teams start about one request in the
+/// time that is looked at.
+const MIN_LACK: f64 = 0.5;
+
+/// Work below which a team is forgotten, in requests.
 const MIN_USAGE: f64 = 0.01;
 
-/// Work that teams have started, in requests of mean work, as a decaying sum.
+/// Work that teams have asked for and started, in requests of mean work, as decaying sums.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TeamUsage {
-    used: BTreeMap<TeamName, f64>,
+    teams: BTreeMap<TeamName, TeamWork>,
     updated: Option<Instant>,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamWork {
+    /// Work of all requests, refused ones included: a team that is refused asks for no less.
+    asked: f64,
+    started: f64,
+}
+
 impl TeamUsage {
+    /// Records a request that arrives.
+    pub(super) fn record_arrival(&mut self, now: Instant, team: &TeamName, work: f64) {
+        self.decay(now);
+        self.teams.entry(team.clone()).or_default().asked += work;
+    }
+
     /// Records a request that starts.
-    pub(super) fn record(&mut self, now: Instant, team: &TeamName, work: f64) {
+    pub(super) fn record_start(&mut self, now: Instant, team: &TeamName, work: f64) {
         self.decay(now);
-        *self.used.entry(team.clone()).or_default() += work;
+        self.teams.entry(team.clone()).or_default().started += work;
     }
 
-    /// Returns the teams whose use is above their fair part of all use.
+    /// Returns the teams that started more than their fair part of all that was started; none while
+    /// no other team lacks a part of its own.
     ///
-    /// `waiting` is what each team has waiting. The fair part is the level up to which all demands
-    /// are met with what was used: a team that wants less than the level is never above its share,
-    /// and a single team is never limited.
-    pub(super) fn above_share(
-        &mut self,
-        now: Instant,
-        waiting: &BTreeMap<TeamName, f64>,
-    ) -> BTreeSet<TeamName> {
+    /// The fair part is the level up to which every team gets what it asks for: a team that asks
+    /// for less is never above its share, and a single team is never limited.
+    pub(super) fn above_share(&mut self, now: Instant) -> BTreeSet<TeamName> {
         self.decay(now);
-        let mut demands = self.used.clone();
-        for (team, work) in waiting {
-            *demands.entry(team.clone()).or_default() += work;
-        }
-        if demands.len() < 2 {
+        let started = self.teams.values().map(|it| it.started).sum();
+        let level = fair_level(self.teams.values().map(|it| it.asked).collect(), started);
+        let lacks_part = |it: &TeamWork| {
+            let part = it.asked.min(level);
+            part - it.started > MIN_LACK.max(LACKING_PART * part)
+        };
+        if !self.teams.values().any(lacks_part) {
             return BTreeSet::new();
         }
-        let level = fair_level(demands.values().copied().collect(), self.used.values().sum());
-        let limit = level * ABOVE_SHARE_MULTIPLE;
-        let above = self.used.iter().filter(|(_, used)| **used > limit);
+        let above = self.teams.iter().filter(|(_, work)| work.started > level);
         above.map(|(team, _)| team.clone()).collect()
     }
 
@@ -60,9 +73,10 @@
         let age = self.updated.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
         let factor = (-age.as_secs_f64() / USAGE_TIME.as_secs_f64()).exp();
         self.updated = Some(now);
-        self.used.retain(|_, it| {
-            *it *= factor;
-            *it >= MIN_USAGE
+        self.teams.retain(|_, it| {
+            it.asked *= factor;
+            it.started *= factor;
+            it.asked.max(it.started) >= MIN_USAGE
         });
     }
 }
