--- a/lib/src/schedule/demand.rs
+++ b/lib/src/schedule/demand.rs
@@ -41,6 +41,38 @@
     ) -> HostShare;
 }
 
+/// What the start control of a host says of its own demand.
+pub trait DemandSource: Debug {
+    /// Returns the services that are scarce at this host.
+    fn scarce_services(&self, now: Instant) -> Vec<ScarceService>;
+
+    /// Returns the demand at this host for a service, whether it is scarce here or not.
+    fn demand(&self, now: Instant, service: &ServiceName) -> Vec<DemandCell>;
+}
+
+/// A service that is scarce at a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScarceService {
+    /// The service.
+    pub service: ServiceName,
+    /// Requests that its upstreams run together, as far as the host knows.
+    pub room: f64,
+}
+
+/// Demand of a host that starts every request at once.
+#[derive(Clone, Copy, Debug)]
+pub struct NoDemand;
+
+impl DemandSource for NoDemand {
+    fn scarce_services(&self, _: Instant) -> Vec<ScarceService> {
+        Vec::new()
+    }
+
+    fn demand(&self, _: Instant, _: &ServiceName) -> Vec<DemandCell> {
+        Vec::new()
+    }
+}
+
 /// Shares without any report: each host has the same part of the room.
 #[derive(Clone, Copy, Debug)]
 pub struct EvenShares {
