gateway: hosts report demand and requests in flight while these are needed

Hosts told each other their requests in flight only while few upstreams were open. While a surge drained, they chose by reports of up to some seconds before, and requests reached engines above the load limit. They now also do while a service is scarce and for 5 s after, and for 10 s after the rate of requests has changed. The same message, on a path of its own with fields by name, carries demand by class and team. A host that needs reports says for how long; relays notify the hosts of their data centre. Counts are used only if nine tenths of the hosts report, and relays that fail are replaced. Hosts of the release before answer 400 and get the reports that they read.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod follow;
 mod health;
+mod host_report;
 mod load_exchange;
 mod members;
 mod outcomes;
@@ -43,6 +44,7 @@
     fleet::{FleetChange, Gateway, GatewaySettings},
     follow::follow_entries,
     health::{AttemptEnd, UpstreamHealth},
+    host_report::{DemandEntry, DemandPart, HostReport, InFlightPart, REPORT_VERSION},
     load_exchange::InFlightReport,
     members::{MemberChange, MemberDigest, MemberHeartbeat, MemberRecord, MemberTable},
     outcomes::{OutcomeCount, OutcomeLog, OutcomeSlot},
@@ -58,9 +60,9 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        EjectedUpstream, InFlightCounts, InFlightScope, LoadSample, MAX_PAUSE, PickReason,
-        PickRefusal, PickRequest, PromptHolder, ReportedLoad, UpstreamPick, UpstreamProcess,
-        UpstreamRecord, UpstreamSet,
+        EjectedUpstream, HostCounts, InFlightCounts, InFlightScope, LoadSample, MAX_PAUSE,
+        PickReason, PickRefusal, PickRequest, PromptHolder, ReportedLoad, UpstreamPick,
+        UpstreamProcess, UpstreamRecord, UpstreamSet,
     },
 };
 pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -18,6 +18,7 @@
     crashes::CrashDetector,
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
+    load_exchange::ExchangeState,
     members::{MemberRecord, MemberTable},
     outcomes::OutcomeLog,
     packed::ChangeCache,
@@ -86,6 +87,7 @@
     pub(super) source_state: SourceState,
     pub(super) crashes: CrashDetector,
     pub(super) outcomes: OutcomeLog,
+    pub(super) exchange: ExchangeState,
 }
 
 /// The gateway of one host.
@@ -113,6 +115,8 @@
     pub(super) strike_news: Notify,
     /// Changes of the number of this host's requests in flight.
     pub(super) in_flight_changes: watch::Sender<()>,
+    /// Notified when another host needs reports.
+    pub(super) reports_wanted: Notify,
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
     /// The shutdown, once it has begun.
@@ -129,7 +133,7 @@
         metrics: Rc<RouterMetrics>,
     ) -> Rc<Self> {
         let MemberRecord { host, centre, .. } = settings.identity.clone();
-        let state = GatewayState {
+        let mut state = GatewayState {
             upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
             feed: EntryFeed::new(decoder),
@@ -138,11 +142,14 @@
             source_state: SourceState::default(),
             crashes: CrashDetector::default(),
             outcomes: OutcomeLog::new(clock.now()),
+            exchange: ExchangeState::new(),
         };
+        state.set_live_hosts(INITIAL_HOST_COUNT);
         Rc::new(Self {
             pauses: PauseDetector::new(clock.now()),
             strike_news: Notify::new(),
             in_flight_changes: watch::Sender::new(()),
+            reports_wanted: Notify::new(),
             pool: Rc::new(UpstreamPool::new(clock.clone())),
             clock,
             dialect,
@@ -309,6 +316,7 @@
         for host in lost {
             tracing::warn!(%host, "member_lost");
         }
+        self.tick_exchange(now);
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
         self.metrics.set_response_memory(self.response_buffers.total_bytes() as u64);
--- a/lib/src/gateway/members.rs
+++ b/lib/src/gateway/members.rs
@@ -395,7 +395,7 @@
 
 /// Returns the relays among the hosts of one data centre: those with the highest bandwidth, which
 /// all hosts of the data centre rank alike.
-fn select_relays(mut hosts: Vec<&MemberRecord>) -> Vec<&MemberRecord> {
+pub(super) fn select_relays(mut hosts: Vec<&MemberRecord>) -> Vec<&MemberRecord> {
     let preference =
         |it: &MemberRecord| (it.bandwidth, rendezvous::hash_parts(&["relay", it.host.as_str()]));
     hosts.sort_by_key(|it| std::cmp::Reverse(preference(it)));
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -24,6 +24,7 @@
     crashes::CrashDetector,
     feed::{FeedOutcome, SourceState},
     fleet::Gateway,
+    host_report::HostReport,
     load_exchange::InFlightReport,
     members::{MemberDigest, MemberRecord},
     outcomes::OutcomeSlot,
@@ -34,7 +35,7 @@
     config::ConfigChange,
     intake::read_body,
     names::HostName,
-    peer::{decode_message, encode_message},
+    peer::{decode_message, encode_message, encode_named_message},
     quarantine::{CrashClearance, CrashStrike, PartProof},
 };
 
@@ -42,6 +43,7 @@
 const DIGEST_PATH: &str = "/v1/digest";
 const CHANGES_PATH: &str = "/v1/changes";
 const IN_FLIGHT_PATH: &str = "/v1/in-flight";
+const REPORT_PATH: &str = "/v1/report";
 
 /// Largest digest or request that is read from a peer.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -202,6 +204,17 @@
         self.call(IN_FLIGHT_PATH, report, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
     }
 
+    /// Reports to a host and returns its report.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no readable reply within the time limit. A host of an older release
+    /// responds with status 400.
+    pub async fn report(&mut self, report: &HostReport) -> Result<HostReport, PeerFailure> {
+        let body = encode_named_message(report);
+        self.send(REPORT_PATH, body, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
+    }
+
     async fn call<Q: Serialize, R: DeserializeOwned>(
         &mut self,
         path: &str,
@@ -209,7 +222,17 @@
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<R, PeerFailure> {
-        let body = Full::new(Bytes::from(encode_message(message)));
+        self.send(path, encode_message(message), time_limit, max_bytes).await
+    }
+
+    async fn send<R: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        message: Vec<u8>,
+        time_limit: Duration,
+        max_bytes: usize,
+    ) -> Result<R, PeerFailure> {
+        let body = Full::new(Bytes::from(message));
         let request = Request::post(path).header(HOST, self.address().to_string()).body(body);
         let request = request.expect("paths and addresses are valid");
         let (status, body) = self.0.send(request, time_limit, max_bytes).await?;
@@ -261,6 +284,10 @@
             let report: InFlightReport = decode_request(path, body)?;
             Some(encode_message(&gateway.exchange_report(report)))
         }
+        REPORT_PATH => {
+            let report: HostReport = decode_request(path, body)?;
+            Some(encode_named_message(&gateway.exchange_host_report(report)))
+        }
         _ => None,
     }
 }
@@ -386,6 +413,9 @@
         for sample in &digest.loads {
             state.upstreams.merge_load(now, sample);
         }
+        // A host that has just started knows few members, but the sender may know them all.
+        let live_hosts = state.members.live(now).count().max(digest.members.known) + 1;
+        state.set_live_hosts(live_hosts);
         state.hosts_sharing_limits = state.members.hosts_sharing_limits(now);
         state.crashes.set_host_count(state.hosts_sharing_limits);
         state.upstreams.set_host_count(state.hosts_sharing_limits);
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -18,7 +18,7 @@
 
 pub use self::{
     announcement::MAX_PAUSE,
-    in_flight::{InFlightCounts, InFlightScope},
+    in_flight::{HostCounts, InFlightCounts, InFlightScope},
     pick::{PickReason, PickRefusal, PickRequest, UpstreamPick},
     prompt::PromptHolder,
 };
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns the hash of the name in reports between hosts.
+    fn short_hash(&self) -> u32 {
+        self.name_hash as u32
+    }
+
     /// Estimates the number of requests at this upstream.
     ///
     /// If `is_exchanged`, the other hosts report their requests in flight, and the load is the sum.
--- a/lib/src/gateway/upstreams/index.rs
+++ b/lib/src/gateway/upstreams/index.rs
@@ -14,6 +14,8 @@
 pub(super) struct UpstreamIndex {
     services: BTreeMap<ServiceName, BTreeMap<UpstreamName, UpstreamState>>,
     service_of: HashMap<UpstreamName, ServiceName>,
+    /// Names by their hash, as reports between hosts have them.
+    by_hash: HashMap<u32, UpstreamName>,
 }
 
 impl UpstreamIndex {
@@ -34,6 +36,7 @@
         let (name, service) = (state.record.name.clone(), state.record.service.clone());
         self.remove(&name);
         self.service_of.insert(name.clone(), service.clone());
+        self.by_hash.insert(state.short_hash(), name.clone());
         self.services.entry(service).or_default().insert(name, state);
     }
 
@@ -44,9 +47,17 @@
         if states.is_empty() {
             self.services.remove(&service);
         }
+        if let Some(state) = &state {
+            self.by_hash.remove(&state.short_hash());
+        }
         state
     }
 
+    /// Returns the upstream with this hash of its name.
+    pub(super) fn name_of(&self, short_hash: u32) -> Option<&UpstreamName> {
+        self.by_hash.get(&short_hash)
+    }
+
     /// Returns the services that have upstreams.
     pub(super) fn services(&self) -> impl Iterator<Item = &ServiceName> {
         self.services.keys()
--- a/lib/src/gateway/upstreams/spread.rs
+++ b/lib/src/gateway/upstreams/spread.rs
@@ -10,6 +10,19 @@
 /// Time constant of a [`SendRate`].
 const RATE_TIME: Duration = Duration::from_secs(2);
 
+/// Time constants of the rates that are compared in order to detect a change.
+const RECENT_TIME: Duration = Duration::from_millis(500);
+const USUAL_TIME: Duration = Duration::from_secs(8);
+
+/// Age of a rate before which no change is detected: a host that starts does not know what is usual.
+const MIN_RATE_AGE: Duration = Duration::from_secs(2);
+
+/// Smallest difference of the requests in `RECENT_TIME` that counts as a change, and the number of
+/// standard deviations that it must exceed. Hosts with few requests differ by chance from one moment
+/// to the next, and one host that detects a change lets all others report.
+const MIN_CHANGE: f64 = 8.0;
+const CHANGE_DEVIATIONS: f64 = 5.0;
+
 /// Fractional part of the golden ratio. The multiples of it, modulo 1, are spread evenly, so that
 /// the choices of a host differ less from their probabilities than random ones.
 const GOLDEN_FRACTION: f64 = 0.618_033_988_749_894_9;
@@ -17,23 +30,61 @@
 /// Requests per second, as an exponentially decaying mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SendRate {
-    weight: f64,
-    updated: Option<Instant>,
+    mean: DecayingCount,
+    recent: DecayingCount,
+    usual: DecayingCount,
+    first: Option<Instant>,
 }
 
 impl SendRate {
     pub(super) fn record(&mut self, now: Instant) {
-        self.weight = self.decayed(now) + 1.0;
-        self.updated = Some(now);
+        self.first.get_or_insert(now);
+        self.mean.record(now, RATE_TIME);
+        self.recent.record(now, RECENT_TIME);
+        self.usual.record(now, USUAL_TIME);
     }
 
     pub(super) fn per_second(&self, now: Instant) -> f64 {
-        self.decayed(now) / RATE_TIME.as_secs_f64()
+        self.mean.per_second(now, RATE_TIME)
+    }
+
+    /// Returns whether the rate of the last moments is far from that of some seconds before.
+    pub(super) fn is_changing(&self, now: Instant) -> bool {
+        let age = self.first.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
+        if age < MIN_RATE_AGE {
+            return false;
+        }
+        // The share of a count over an unlimited time that a host of this age has.
+        let seen = 1.0 - (-age.as_secs_f64() / USUAL_TIME.as_secs_f64()).exp();
+        let usual = self.usual.per_second(now, USUAL_TIME) / seen;
+        let recent = self.recent.decayed(now, RECENT_TIME);
+        let expected = usual * RECENT_TIME.as_secs_f64();
+        // Of independent arrivals, a decaying count varies by half of its mean.
+        let deviation = (expected / 2.0).sqrt();
+        (recent - expected).abs() >= MIN_CHANGE.max(CHANGE_DEVIATIONS * deviation)
+    }
+}
+
+/// Number of events that each count less the longer ago they are.
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayingCount {
+    weight: f64,
+    updated: Option<Instant>,
+}
+
+impl DecayingCount {
+    fn record(&mut self, now: Instant, time: Duration) {
+        self.weight = self.decayed(now, time) + 1.0;
+        self.updated = Some(now);
+    }
+
+    fn per_second(&self, now: Instant, time: Duration) -> f64 {
+        self.decayed(now, time) / time.as_secs_f64()
     }
 
-    fn decayed(&self, now: Instant) -> f64 {
+    fn decayed(&self, now: Instant, time: Duration) -> f64 {
         let age = self.updated.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
-        self.weight * (-age.as_secs_f64() / RATE_TIME.as_secs_f64()).exp()
+        self.weight * (-age.as_secs_f64() / time.as_secs_f64()).exp()
     }
 }
 
--- a/lib/src/peer.rs
+++ b/lib/src/peer.rs
@@ -6,7 +6,7 @@
 use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
 pub use self::{
-    http::{HttpPeer, MAX_MESSAGE_BYTES, decode_message, encode_message},
+    http::{HttpPeer, MAX_MESSAGE_BYTES, decode_message, encode_message, encode_named_message},
     pool::{PeerCall, PeerCaller, PeerPool},
 };
 
--- a/lib/src/peer/http.rs
+++ b/lib/src/peer/http.rs
@@ -110,6 +110,12 @@
     rmp_serde::to_vec(message).expect("peer messages are always encodable")
 }
 
+/// Encodes a message as MessagePack with the names of its fields. A receiver ignores those that it
+/// does not know, so that releases may add fields.
+pub fn encode_named_message<T: Serialize>(message: &T) -> Vec<u8> {
+    rmp_serde::to_vec_named(message).expect("peer messages are always encodable")
+}
+
 /// Reads and decodes a MessagePack message; one of more than 16 MiB is cut off and fails to decode.
 pub fn decode_message<T: DeserializeOwned>(reader: &mut dyn Read) -> Result<T, String> {
     let mut message = Vec::new();
--- a/lib/tests/gateway_load_limit.rs
+++ b/lib/tests/gateway_load_limit.rs
@@ -5,7 +5,7 @@
 
 use std::{ops::RangeInclusive, time::Duration};
 
-use self::load_simulation::{CentreClosure, FleetSettings, LimitReport, play};
+use self::load_simulation::{CentreClosure, FleetSettings, LimitReport, LoadSurge, play};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -17,6 +17,7 @@
     requests_per_s: 73.4,
     prompts: 180,
     length: Duration::from_secs(30),
+    surge: None,
 };
 
 /// 88 hosts before 60 engines in 4 data centres.
@@ -27,6 +28,7 @@
     requests_per_s: 490.0,
     prompts: 180,
     length: Duration::from_secs(24),
+    surge: None,
 };
 
 /// Closes two data centres for 8 s each, the second half a second after the first.
@@ -75,3 +77,16 @@
     let broken = broken_runs(1..=5, SMALL, &two_closures(1, 1)[..1]);
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Five times the usual load for 8 s.
+const SURGE: LoadSurge =
+    LoadSurge { multiple: 5.0, from: Duration::from_secs(5), until: Duration::from_secs(13) };
+
+/// Guards against requests that go to engines which still hold what a surge has left there, while
+/// the mean has fallen and hosts know the loads of some seconds before.
+#[test]
+fn large_fleet_keeps_the_load_limit_while_a_surge_drains() {
+    let settings = FleetSettings { surge: Some(SURGE), prompts: 500, ..LARGE };
+    let broken = broken_runs(1..=3, settings, &[]);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -161,9 +161,9 @@
     set.merge_in_flight(now, &host("h2"), InFlightScope::Host, 10 * MS, counts(2));
     set.request_started(&name);
     assert_eq!(load(&mut set, now), 43.0);
-    assert_eq!(set.in_flight(InFlightScope::Host, &host("h2")), counts(1));
-    assert_eq!(set.in_flight(InFlightScope::Group, &host("h3")), counts(3));
-    assert_eq!(set.in_flight(InFlightScope::Others, &host("h2")), counts(41));
+    assert_eq!(set.in_flight(now, InFlightScope::Host, &host("h2")).counts, counts(1));
+    assert_eq!(set.in_flight(now, InFlightScope::Group, &host("h3")).counts, counts(3));
+    assert_eq!(set.in_flight(now, InFlightScope::Others, &host("h2")).counts, counts(41));
     // The relay was lost, and another one knows the requests of all hosts.
     let later = now + 2 * SECOND;
     set.merge_in_flight(later, &host("h2"), InFlightScope::Host, 10 * MS, counts(4));
--- a/lib/tests/load_simulation/mod.rs
+++ b/lib/tests/load_simulation/mod.rs
@@ -30,6 +30,8 @@
 /// Least time between the reports of a host to another, and the delay of a report.
 const DIRECT_INTERVAL: Duration = Duration::from_millis(10);
 const RELAY_INTERVAL: Duration = Duration::from_millis(25);
+const DIRECT_SURGE_INTERVAL: Duration = Duration::from_millis(25);
+const RELAY_SURGE_INTERVAL: Duration = Duration::from_millis(50);
 const REPORT_DELAY: Duration = Duration::from_millis(3);
 
 /// Largest delay after which a host learns that a data centre is closed or opened.
@@ -66,6 +68,16 @@
     pub prompts: u32,
     /// Simulated time.
     pub length: Duration,
+    /// A time with more requests.
+    pub surge: Option<LoadSurge>,
+}
+
+/// Time in which callers send a multiple of their requests.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadSurge {
+    pub multiple: f64,
+    pub from: Duration,
+    pub until: Duration,
 }
 
 /// Time in which a data centre takes no new requests.
@@ -167,6 +179,7 @@
             let mut host = UpstreamSet::new(HostName::new(&format!("h{index}")), centre(index));
             host.replace_all(start, records(&names));
             host.set_host_count(settings.hosts);
+            host.set_live_hosts(settings.hosts);
             host
         };
         let hosts: Vec<UpstreamSet> = (0..settings.hosts).map(new_host).collect();
@@ -223,7 +236,7 @@
             match event {
                 FleetEvent::Arrival => {
                     let gap = -self.rng.random::<f64>().max(1e-9).ln();
-                    let gap = Duration::from_secs_f64(gap / self.settings.requests_per_s);
+                    let gap = Duration::from_secs_f64(gap / self.requests_per_s());
                     self.schedule_in(gap, FleetEvent::Arrival);
                     self.send_request();
                 }
@@ -244,10 +257,13 @@
                     self.schedule_in(GOSSIP_INTERVAL.mul_f64(jitter), FleetEvent::Gossip { host });
                 }
                 FleetEvent::Report { host } if self.hosts.len() > MAX_DIRECT_HOSTS => {
+                    self.hosts[host].update_report_needs(at, false);
                     self.report_by_relays(host);
-                    self.schedule_in(RELAY_INTERVAL, FleetEvent::Report { host });
+                    let interval = self.report_interval(host);
+                    self.schedule_in(interval, FleetEvent::Report { host });
                 }
                 FleetEvent::Report { host } => {
+                    self.hosts[host].update_report_needs(at, false);
                     let others = (0..self.hosts.len()).filter(|it| *it != host);
                     others.for_each(|it| self.report_to(host, it, InFlightScope::Host));
                 }
@@ -259,6 +275,12 @@
         }
     }
 
+    fn requests_per_s(&self) -> f64 {
+        let elapsed = self.now - self.start;
+        let surge = self.settings.surge.filter(|it| (it.from..it.until).contains(&elapsed));
+        self.settings.requests_per_s * surge.map_or(1.0, |it| it.multiple)
+    }
+
     fn send_request(&mut self) {
         let drawn = self.rng.random::<f64>();
         let host = self.host_shares.partition_point(|it| *it < drawn).min(self.hosts.len() - 1);
@@ -284,7 +306,7 @@
     /// Lets a host of a small fleet report a change, unless it is about to.
     fn schedule_report(&mut self, host: usize) {
         if self.hosts.len() <= MAX_DIRECT_HOSTS && self.reports[host] < self.now {
-            let at = (self.now + REPORT_DELAY).max(self.reports[host] + DIRECT_INTERVAL);
+            let at = (self.now + REPORT_DELAY).max(self.reports[host] + self.report_interval(host));
             self.reports[host] = at;
             self.schedule(at - self.start, FleetEvent::Report { host });
         }
@@ -295,6 +317,11 @@
         let centres = self.settings.centres;
         let relays = centres * RELAYS_PER_CENTRE;
         if host < relays {
+            // Notifies the hosts that do not report yet.
+            let wanted_for = self.hosts[host].reports_wanted_for(self.now);
+            for follower in (host % centres..self.hosts.len()).step_by(centres) {
+                self.hosts[follower].want_reports(self.now, wanted_for);
+            }
             for other in host + 1..relays {
                 self.report_to(host, other, InFlightScope::Group);
                 self.report_to(other, host, InFlightScope::Group);
@@ -306,15 +333,29 @@
         }
     }
 
+    /// Returns the least time between two reports of a host.
+    fn report_interval(&self, host: usize) -> Duration {
+        let has_few_open = self.hosts[host].has_few_open(self.now);
+        match (self.hosts.len() <= MAX_DIRECT_HOSTS, has_few_open) {
+            (true, true) => DIRECT_INTERVAL,
+            (true, false) => DIRECT_SURGE_INTERVAL,
+            (false, true) => RELAY_INTERVAL,
+            (false, false) => RELAY_SURGE_INTERVAL,
+        }
+    }
+
     fn report_to(&mut self, from: usize, to: usize, scope: InFlightScope) {
-        if !self.hosts[from].has_few_open(self.now) {
+        let wanted_for = self.hosts[from].reports_wanted_for(self.now);
+        if wanted_for.is_zero() {
             return;
         }
         let name = |host: usize| HostName::new(&format!("h{host}"));
-        let counts = self.hosts[from].in_flight(scope, &name(to));
+        let counts = self.hosts[from].in_flight(self.now, scope, &name(to));
         let is_direct = self.hosts.len() <= MAX_DIRECT_HOSTS;
-        let lag = if is_direct { DIRECT_INTERVAL } else { 3 * RELAY_INTERVAL };
-        self.hosts[to].merge_in_flight(self.now, &name(from), scope, lag, counts);
+        let interval = self.report_interval(from);
+        let lag = if is_direct { interval } else { 3 * interval };
+        self.hosts[to].want_reports(self.now, wanted_for);
+        self.hosts[to].merge_counts(self.now, &name(from), scope, lag, counts);
     }
 
     fn draw_kind(&mut self) -> usize {
