telemetry: room, share and hosts of a scarce service

Operators could not see which part of a service's room a host may use, and whether it follows from reports. Three gauges and the log line room_divided say so; bytes of reports count as control traffic of the purpose load.

--- a/lib/src/gateway/load_exchange.rs
+++ b/lib/src/gateway/load_exchange.rs
@@ -30,8 +30,10 @@
 };
 use crate::{
     names::{CentreName, HostName, ServiceName},
+    peer::encode_named_message,
     rendezvous,
     schedule::{DemandSource, DemandTable, HostShare, NoDemand, ScarceService, ShareSource},
+    telemetry::ControlPurpose,
 };
 
 /// Largest number of other hosts to which a host reports directly.
@@ -113,6 +115,8 @@
     failed: HashMap<HostName, Instant>,
     /// When a host last responded that it cannot read reports.
     older: HashMap<HostName, Instant>,
+    /// Services whose shares the metrics show.
+    shown: Vec<ServiceName>,
 }
 
 impl ExchangeState {
@@ -123,6 +127,7 @@
             heard: HashMap::new(),
             failed: HashMap::new(),
             older: HashMap::new(),
+            shown: Vec::new(),
         }
     }
 
@@ -211,8 +216,8 @@
             let report = gateway.in_flight_report(&target);
             client.report_in_flight(&report).await.map(|it| gateway.merge_in_flight_report(it))
         } else {
-            let report = gateway.host_report(&target);
-            client.report(&report).await.map(|it| gateway.merge_reply(sent, &target, it))
+            let report = gateway.encode_report(&gateway.host_report(&target));
+            client.report(report).await.map(|it| gateway.merge_reply(sent, &target, it))
         };
         if let Err(error) = result {
             tracing::debug!(host = %target.record.host, %error, "report_failed");
@@ -402,6 +407,13 @@
         state.host_report(self.now(), target.scope, target.wanted, target.lag, receiver)
     }
 
+    /// Encodes a report that is about to be sent, and counts its bytes.
+    pub(super) fn encode_report(&self, report: &HostReport) -> Vec<u8> {
+        let message = encode_named_message(report);
+        self.metrics.count_control_sent(ControlPurpose::Load, message.len() as u64);
+        message
+    }
+
     fn merge_reply(&self, sent: Instant, target: &ReportTarget, reply: HostReport) {
         let now = self.now();
         let is_late = now.saturating_duration_since(sent) > MAX_REPLY_AGE;
@@ -475,12 +487,34 @@
         upstreams.merge_in_flight(now, &sender, scope, lag, counts);
     }
 
-    /// Drops expired reports, and logs the shares of the services that are scarce here.
+    /// Drops expired reports, and tells operators the shares of the services that are scarce here.
     pub(super) fn tick_exchange(&self, now: Instant) {
         let exchange = &mut self.state.borrow_mut().exchange;
         exchange.expire(now);
-        for scarce in exchange.local_demand.scarce_services(now) {
-            log_share(now, &exchange.demands, &*exchange.local_demand, &scarce);
+        let scarce = exchange.local_demand.scarce_services(now);
+        for service in &exchange.shown {
+            if scarce.iter().all(|it| it.service != *service) {
+                self.metrics.set_share(service, 0.0, 0.0, 0);
+            }
+        }
+        exchange.shown = scarce.iter().map(|it| it.service.clone()).collect();
+        for ScarceService { service, room } in &scarce {
+            let own = exchange.local_demand.demand(now, service);
+            let share = exchange.demands.share(now, service, &own, *room);
+            let hosts = exchange.demands.covered_hosts(now, service);
+            self.metrics.set_share(service, *room, share.places, hosts as u64);
+            let division = exchange.demands.division(now, service, &own, *room);
+            let above: Vec<String> = division.above_share().map(ToString::to_string).collect();
+            tracing::info!(
+                %service,
+                room,
+                share = share.places,
+                demand = own.iter().map(|it| it.places).sum::<f32>(),
+                source = if share.is_reported { "reported" } else { "even" },
+                hosts,
+                above_share = above.join(","),
+                "room_divided"
+            );
         }
     }
 }
@@ -510,26 +544,3 @@
 fn is_within(now: Instant, at: Option<&Instant>, time: Duration) -> bool {
     at.is_some_and(|it| now.saturating_duration_since(*it) < time)
 }
-
-fn log_share(
-    now: Instant,
-    demands: &DemandTable,
-    local_demand: &dyn DemandSource,
-    scarce: &ScarceService,
-) {
-    let ScarceService { service, room } = scarce;
-    let own = local_demand.demand(now, service);
-    let share = demands.share(now, service, &own, *room);
-    let division = demands.division(now, service, &own, *room);
-    let above: Vec<String> = division.above_share().map(ToString::to_string).collect();
-    tracing::info!(
-        %service,
-        room,
-        share = share.places,
-        demand = own.iter().map(|it| it.places).sum::<f32>(),
-        source = if share.is_reported { "reported" } else { "even" },
-        hosts = demands.covered_hosts(now, service),
-        above_share = above.join(","),
-        "room_divided"
-    );
-}
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -35,7 +35,7 @@
     config::ConfigChange,
     intake::read_body,
     names::HostName,
-    peer::{decode_message, encode_message, encode_named_message},
+    peer::{decode_message, encode_message},
     quarantine::{CrashClearance, CrashStrike, PartProof},
 };
 
@@ -204,15 +204,14 @@
         self.call(IN_FLIGHT_PATH, report, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
     }
 
-    /// Reports to a host and returns its report.
+    /// Sends an encoded [`HostReport`] and returns that of the host.
     ///
     /// # Errors
     ///
     /// Fails if there is no readable reply within the time limit. A host of an older release
     /// responds with status 400.
-    pub async fn report(&mut self, report: &HostReport) -> Result<HostReport, PeerFailure> {
-        let body = encode_named_message(report);
-        self.send(REPORT_PATH, body, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
+    pub async fn report(&mut self, report: Vec<u8>) -> Result<HostReport, PeerFailure> {
+        self.send(REPORT_PATH, report, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
     }
 
     async fn call<Q: Serialize, R: DeserializeOwned>(
@@ -286,7 +285,7 @@
         }
         REPORT_PATH => {
             let report: HostReport = decode_request(path, body)?;
-            Some(encode_named_message(&gateway.exchange_host_report(report)))
+            Some(gateway.encode_report(&gateway.exchange_host_report(report)))
         }
         _ => None,
     }
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -26,7 +26,7 @@
 use crate::{
     catalogue::Catalogue,
     intake::cut_connections,
-    names::{ClassName, OPEN_TEAM, RouteName, TeamName, UpstreamName},
+    names::{ClassName, OPEN_TEAM, RouteName, ServiceName, TeamName, UpstreamName},
 };
 
 /// Cardinality limit of the instruments in [`HIGH_CARDINALITY_INSTRUMENTS`].
@@ -139,6 +139,9 @@
     queue_wait: Histogram<f64>,
     queue_length: Gauge<u64>,
     in_flight: Gauge<u64>,
+    service_room: Gauge<f64>,
+    service_share: Gauge<f64>,
+    share_hosts: Gauge<u64>,
     response_memory: Gauge<u64>,
     upstream_errors: Counter<u64>,
     _cut_connections: ObservableCounter<u64>,
@@ -196,6 +199,21 @@
             ),
             queue_length: gauge(&meter, "snipepond_queue_length", "Requests in the queue."),
             in_flight: gauge(&meter, "snipepond_in_flight", "Requests at upstreams."),
+            service_room: float_gauge(
+                &meter,
+                "snipepond_service_room",
+                "Requests that the upstreams of a scarce service run together; 0 if not scarce.",
+            ),
+            service_share: float_gauge(
+                &meter,
+                "snipepond_service_share",
+                "Part of the room of a scarce service that this host may use; 0 if not scarce.",
+            ),
+            share_hosts: gauge(
+                &meter,
+                "snipepond_share_hosts",
+                "Hosts whose demand the share follows from; 1 if it is the even part.",
+            ),
             response_memory: gauge(
                 &meter,
                 "snipepond_response_memory_bytes",
@@ -316,6 +334,15 @@
         self.in_flight.record(requests, &[]);
     }
 
+    /// Sets the room of a service that is scarce here, this host's part of it, and the number of
+    /// hosts whose demand is known. All are 0 once it is no longer scarce.
+    pub fn set_share(&self, service: &ServiceName, room: f64, share: f64, hosts: u64) {
+        let labels = [label("service", Some(service.as_str()))];
+        self.service_room.record(room, &labels);
+        self.service_share.record(share, &labels);
+        self.share_hosts.record(hosts, &labels);
+    }
+
     /// Counts a failed upstream call.
     pub fn count_upstream_error(&self, upstream: &UpstreamName, kind: &'static str) {
         let catalogue = self.catalogue();
@@ -416,6 +443,10 @@
     meter.u64_gauge(name).with_description(help).build()
 }
 
+fn float_gauge(meter: &Meter, name: &'static str, help: &'static str) -> Gauge<f64> {
+    meter.f64_gauge(name).with_description(help).build()
+}
+
 fn histogram(
     meter: &Meter,
     name: &'static str,
--- a/lib/tests/telemetry_metrics.rs
+++ b/lib/tests/telemetry_metrics.rs
@@ -4,7 +4,7 @@
 
 use snipepond::{
     catalogue::{Catalogue, RawEntries},
-    names::{ClassName, RouteName, TeamName, UpstreamName},
+    names::{ClassName, RouteName, ServiceName, TeamName, UpstreamName},
     telemetry::{ControlPurpose, RequestLabels, RouterMetrics},
 };
 
@@ -96,12 +96,15 @@
         metrics.count_grant("granted", 2.5);
         metrics.count_operation("unknown");
         metrics.count_refusal("queue_full");
+        metrics.set_share(&ServiceName::new("orders"), 18.0, queued as f64 / 2.0, 34);
         metrics.render().unwrap();
     }
     let text = metrics.render().unwrap();
     for line in [
         "snipepond_queue_length 2",
         "snipepond_in_flight 3",
+        r#"snipepond_service_share{service="orders"} 1"#,
+        r#"snipepond_share_hosts{service="orders"} 34"#,
         "snipepond_config_accepted_revision 8",
         "snipepond_config_seen_revision 9",
         r#"snipepond_control_sent_bytes_total{purpose="grant"} 200"#,
