merge: shares by reported demand, joined with start control

Cause: start control divided room evenly, and the reports had no demand of their own to send. Change: the demand of the host's own requests (gateway/local_demand.rs) feeds the reports, and start control asks DemandTable for its share.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -15,7 +15,9 @@
 mod fleet;
 mod follow;
 mod health;
+mod host_report;
 mod load_exchange;
+mod local_demand;
 mod members;
 mod outcomes;
 mod packed;
@@ -43,6 +45,7 @@
     fleet::{FleetChange, Gateway, GatewaySettings},
     follow::follow_entries,
     health::{AttemptEnd, UpstreamHealth},
+    host_report::{DemandEntry, DemandPart, HostReport, InFlightPart, REPORT_VERSION},
     load_exchange::InFlightReport,
     members::{MemberChange, MemberDigest, MemberHeartbeat, MemberRecord, MemberTable},
     outcomes::{OutcomeCount, OutcomeLog, OutcomeSlot},
@@ -58,9 +61,9 @@
         TeamRecord, WeightedService,
     },
     upstreams::{
-        AssessedUpstream, Assessment, EjectedUpstream, InFlightCounts, InFlightScope, LoadSample,
-        MAX_PAUSE, PickReason, PickRefusal, PickRequest, PickedWork, PromptHolder, ReportedLoad,
-        UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
+        AssessedUpstream, Assessment, EjectedUpstream, HostCounts, InFlightCounts, InFlightScope,
+        LoadSample, MAX_PAUSE, PickReason, PickRefusal, PickRequest, PickedWork, PromptHolder,
+        ReportedLoad, UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
     },
 };
 pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
--- a/lib/src/gateway/call/start.rs
+++ b/lib/src/gateway/call/start.rs
@@ -13,8 +13,7 @@
     gateway::fleet::{Gateway, GatewayState},
     names::ServiceName,
     schedule::{
-        EvenShares, StartOutcome, StartRefusal, StartRefusalReason, StartRequest, StartedWork,
-        WaitEnd,
+        StartOutcome, StartRefusal, StartRefusalReason, StartRequest, StartedWork, WaitEnd,
     },
 };
 
@@ -48,12 +47,10 @@
     /// again, because the others have no room either.
     pub(super) fn record_full(&self, service: &ServiceName) -> bool {
         let now = self.gateway.now();
-        let GatewayState { start, upstreams, hosts_sharing_limits, .. } =
-            &mut *self.gateway.state.borrow_mut();
-        let shares = EvenShares { host_count: *hosts_sharing_limits };
+        let GatewayState { start, upstreams, exchange, .. } = &mut *self.gateway.state.borrow_mut();
         upstreams
             .service_room(now, service)
-            .is_some_and(|it| start.record_full(now, service, &it, &shares))
+            .is_some_and(|it| start.record_full(now, service, &it, &exchange.demands))
     }
 }
 
@@ -95,11 +92,9 @@
         let (sender, receiver) = oneshot::channel();
         let now = self.now();
         let outcome = {
-            let GatewayState { start, upstreams, hosts_sharing_limits, .. } =
-                &mut *self.state.borrow_mut();
+            let GatewayState { start, upstreams, exchange, .. } = &mut *self.state.borrow_mut();
             let room = upstreams.service_room(now, &request.service);
-            let shares = EvenShares { host_count: *hosts_sharing_limits };
-            start.admit(now, request.start_request(), room, &shares, sender)
+            start.admit(now, request.start_request(), room, &exchange.demands, sender)
         };
         let number = match outcome {
             StartOutcome::Started(work) => return Ok(StartTicket::new(self, work)),
@@ -110,6 +105,8 @@
         };
         let place = QueuePlace { gateway: self, request, number };
         self.start_news.notify_one();
+        // The other hosts have to know of the demand soon.
+        self.reports_wanted.notify_one();
         let end = receiver.await;
         drop(place);
         let waited = self.now().saturating_duration_since(now);
@@ -173,12 +170,10 @@
         let now = self.now();
         let mut ends = Vec::new();
         let next = {
-            let GatewayState { start, upstreams, hosts_sharing_limits, .. } =
-                &mut *self.state.borrow_mut();
-            let shares = EvenShares { host_count: *hosts_sharing_limits };
+            let GatewayState { start, upstreams, exchange, .. } = &mut *self.state.borrow_mut();
             for service in start.services_with_waiting() {
                 let room = upstreams.service_room(now, &service);
-                ends.extend(start.serve(now, &service, room, &shares));
+                ends.extend(start.serve(now, &service, room, &exchange.demands));
             }
             start.next_serve(now)
         };
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -19,6 +19,7 @@
     crashes::CrashDetector,
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
+    load_exchange::ExchangeState,
     members::{MemberRecord, MemberTable},
     outcomes::OutcomeLog,
     packed::ChangeCache,
@@ -91,6 +92,7 @@
     pub(super) crashes: CrashDetector,
     pub(super) outcomes: OutcomeLog,
     pub(super) start: StartControl<StartSender>,
+    pub(super) exchange: ExchangeState,
 }
 
 /// The gateway of one host.
@@ -120,6 +122,8 @@
     pub(super) start_news: Notify,
     /// Changes of the number of this host's requests in flight.
     pub(super) in_flight_changes: watch::Sender<()>,
+    /// Notified when another host needs reports.
+    pub(super) reports_wanted: Notify,
     /// Whether a full listing of the fleet was received.
     has_listing: Cell<bool>,
     /// The shutdown, once it has begun.
@@ -136,7 +140,7 @@
         metrics: Rc<RouterMetrics>,
     ) -> Rc<Self> {
         let MemberRecord { host, centre, .. } = settings.identity.clone();
-        let state = GatewayState {
+        let mut state = GatewayState {
             upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
             feed: EntryFeed::new(decoder),
@@ -146,12 +150,15 @@
             crashes: CrashDetector::default(),
             outcomes: OutcomeLog::new(clock.now()),
             start: StartControl::new(settings.waiting),
+            exchange: ExchangeState::new(),
         };
+        state.set_live_hosts(INITIAL_HOST_COUNT);
         Rc::new(Self {
             pauses: PauseDetector::new(clock.now()),
             strike_news: Notify::new(),
             start_news: Notify::new(),
             in_flight_changes: watch::Sender::new(()),
+            reports_wanted: Notify::new(),
             pool: Rc::new(UpstreamPool::new(clock.clone())),
             clock,
             dialect,
@@ -318,6 +325,7 @@
         for host in lost {
             tracing::warn!(%host, "member_lost");
         }
+        self.tick_exchange(now);
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
         self.metrics.set_waiting(self.state.borrow().start.waiting() as u64);
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -20,7 +20,7 @@
 
 pub use self::{
     announcement::MAX_PAUSE,
-    in_flight::{InFlightCounts, InFlightScope},
+    in_flight::{HostCounts, InFlightCounts, InFlightScope},
     pick::{PickReason, PickRefusal, PickRequest, PickedWork, UpstreamPick},
     prompt::PromptHolder,
     work::{AssessedUpstream, Assessment},
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Returns the hash of the name in reports between hosts.
+    fn short_hash(&self) -> u32 {
+        self.name_hash as u32
+    }
+
     /// Estimates the number of requests at this upstream.
     ///
     /// If the other hosts report their requests in flight, the load is the sum. Otherwise the newest
@@ -286,6 +291,11 @@
         self.upstreams.len() == 0
     }
 
+    /// Returns the services that have upstreams.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.upstreams.services()
+    }
+
     /// Sets the number of hosts that send requests, this one included.
     pub fn set_host_count(&mut self, count: usize) {
         self.host_count = count;
--- a/lib/src/gateway/upstreams/room.rs
+++ b/lib/src/gateway/upstreams/room.rs
@@ -55,7 +55,7 @@
     /// Returns the room of the upstreams that take new requests. None if one of them publishes and
     /// reports no slots, or if none has reported its load.
     pub fn service_room(&self, now: Instant, service: &ServiceName) -> Option<ServiceRoom> {
-        let is_exchanged = self.others.lag(now).is_some();
+        let basis = self.load_basis(now, service);
         let is_open = |it: &&UpstreamState| {
             it.announcement.allows_requests(now) && !it.health.is_unreachable()
         };
@@ -70,7 +70,7 @@
             has_report |= state.room.is_some();
             room.places += places + QUEUED_PER_UPSTREAM;
             // Without a report only the requests of this host are known.
-            room.in_flight += state.estimated_load(now, 0.0, is_exchanged);
+            room.in_flight += state.estimated_load(&basis, 0.0);
         }
         has_report.then_some(room)
     }
--- a/lib/src/schedule.rs
+++ b/lib/src/schedule.rs
@@ -5,17 +5,23 @@
 //! request starts, waits or is refused; see `docs/design/start-control.md`.
 
 mod demand;
+mod demand_table;
 mod queue;
+mod report_table;
+mod share;
 mod start;
 mod stats;
 mod usage;
 
 pub use self::{
-    demand::{DemandCell, EvenShares, HostShare, ShareSource},
+    demand::{DemandCell, DemandSource, EvenShares, HostShare, ScarceService, ShareSource},
+    demand_table::{DemandTable, ServiceDemand},
     queue::{
         FairQueue, PushOutcome, QueueSettings, QueuedRequest, RefusalReason, RefusedRequest,
         StartedRequest,
     },
+    report_table::{ReportCoverage, ReportScope, ReportTable},
+    share::{CellGrant, RoomDivision, divide},
     start::{
         ServiceRoom, StartControl, StartForecast, StartOutcome, StartRefusal, StartRefusalReason,
         StartRequest, StartSettings, StartedWork, WaitEnd,
--- a/lib/src/schedule/demand.rs
+++ b/lib/src/schedule/demand.rs
@@ -41,6 +41,34 @@
     ) -> HostShare;
 }
 
+/// What the start control of a host says of its own demand.
+pub trait DemandSource {
+    /// Returns the services that are scarce at this host.
+    fn scarce_services(&self, now: Instant) -> Vec<ScarceService>;
+
+    /// Returns the demand at this host for a service, whether it is scarce here or not.
+    fn demand(&self, now: Instant, service: &ServiceName) -> Vec<DemandCell>;
+}
+
+impl<T: DemandSource + ?Sized> DemandSource for &T {
+    fn scarce_services(&self, now: Instant) -> Vec<ScarceService> {
+        (**self).scarce_services(now)
+    }
+
+    fn demand(&self, now: Instant, service: &ServiceName) -> Vec<DemandCell> {
+        (**self).demand(now, service)
+    }
+}
+
+/// A service that is scarce at a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScarceService {
+    /// The service.
+    pub service: ServiceName,
+    /// Requests that its upstreams run together, as far as the host knows.
+    pub room: f64,
+}
+
 /// Shares without any report: each host has the same part of the room.
 #[derive(Clone, Copy, Debug)]
 pub struct EvenShares {
--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -71,6 +71,11 @@
 }
 
 impl ServiceRoom {
+    /// Returns whether there is no room for one more request.
+    pub fn is_used_up(&self) -> bool {
+        self.in_flight + 1.0 > self.places
+    }
+
     fn idle(&self) -> f64 {
         (self.places - self.in_flight).max(0.0)
     }
@@ -386,6 +391,11 @@
         self.waiting
     }
 
+    /// Returns whether requests wait for a service.
+    pub fn has_waiting(&self, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|it| !it.queue.is_empty())
+    }
+
     /// Returns the services that have waiting requests.
     pub fn services_with_waiting(&self) -> Vec<ServiceName> {
         let waiting = self.services.iter().filter(|(_, state)| !state.queue.is_empty());
@@ -415,7 +425,7 @@
         let weight = work_weight(request.work, state.mean_time.get());
         state.usage.record_arrival(now, &request.team_or_open(), weight);
         let is_idle = state.queue.is_empty() && !state.is_blocked(now);
-        let Some(room) = room.filter(|it| !is_idle || it.in_flight + 1.0 > it.places) else {
+        let Some(room) = room.filter(|it| !is_idle || it.is_used_up()) else {
             // With no known room there is nothing to wait for.
             return StartOutcome::Started(state.start(now, &request, None));
         };
