--- a/lib/src/gateway/call/start.rs
+++ b/lib/src/gateway/call/start.rs
@@ -219,6 +219,7 @@
             work: None,
             body_bytes: self.body.len(),
             arrived: self.arrived,
+            time_left: self.head.deadline,
             target_latency: self.route.target_latency,
             gives_up_at: patience
                 .map_or(self.expires_at, |it| self.expires_at.min(self.arrived + it)),
--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -36,6 +36,10 @@
 /// Part of the latency target that a request may always wait, however slow responses are.
 const MIN_WAIT_PART: f64 = 0.5;
 
+/// Factor by which the usual time of callers shrinks with each request, so that a route whose
+/// callers now have less time is learned after some thousand requests.
+const TIME_LEFT_DECAY: f64 = 0.9995;
+
 /// Divisor of a caller's remaining time; longer stated delays are not honoured.
 const RETRY_DIVISOR: u32 = 3;
 
@@ -93,6 +97,8 @@
     pub body_bytes: usize,
     /// When it arrived at this host.
     pub arrived: Instant,
+    /// Time that its caller had left at its arrival, if the caller states it.
+    pub time_left: Option<Duration>,
     /// Latency target of the route, from the arrival.
     pub target_latency: Duration,
     /// When the deadline, the timeout of the route or the patience of the caller ends.
@@ -122,6 +128,8 @@
     pub share: HostShare,
     /// Whether the team of the request is above its share.
     pub is_above_share: bool,
+    /// Whether its caller came back so late that the latency target is missed already.
+    pub is_late: bool,
 }
 
 /// Why a request is refused before its start.
@@ -220,6 +228,21 @@
     total: LearnedTime,
     /// Time until the response or the first event.
     response: LearnedTime,
+    /// Longest time that callers have at their first attempt, slowly decaying.
+    usual_time_left: Duration,
+}
+
+impl RouteTimes {
+    fn record_time_left(&mut self, time_left: Duration) {
+        self.usual_time_left = time_left.max(self.usual_time_left.mul_f64(TIME_LEFT_DECAY));
+    }
+
+    /// Returns when the caller made its first attempt, as far as its remaining time shows.
+    fn first_attempt(&self, request: &StartRequest) -> Instant {
+        let elapsed = request.time_left.map(|it| self.usual_time_left.saturating_sub(it));
+        let elapsed = elapsed.unwrap_or_default();
+        request.arrived.checked_sub(elapsed).unwrap_or(request.arrived)
+    }
 }
 
 #[derive(Debug)]
@@ -345,6 +368,17 @@
     }
 }
 
+/// Steps of the queue's priority between two priorities of requests. The queue raises a class with
+/// overdue requests by one, which must not make late requests equal to those that can be in time.
+const PRIORITY_STEPS: u8 = 4;
+
+/// Returns the priority in the queue. Of one priority, requests whose target is missed already go
+/// last: each that starts would make a new one late.
+fn queue_priority(request: &StartRequest, is_late: bool) -> u8 {
+    let priority = request.priority.min(u8::MAX / PRIORITY_STEPS - 1) * PRIORITY_STEPS;
+    if is_late { priority + PRIORITY_STEPS / 2 } else { priority }
+}
+
 /// Returns the work of a request relative to the mean of its service.
 fn work_weight(work: Option<Duration>, mean: Option<Duration>) -> f64 {
     match (work, mean) {
@@ -408,6 +442,9 @@
         payload: T,
     ) -> StartOutcome {
         let settings = self.settings;
+        if let Some(time_left) = request.time_left {
+            self.routes.entry(request.route.clone()).or_default().record_time_left(time_left);
+        }
         let state = self
             .services
             .entry(request.service.clone())
@@ -470,12 +507,15 @@
         let team = request.team_or_open();
         let times = self.routes.get(&request.route).copied().unwrap_or_default();
         let response = times.response.get().unwrap_or_default();
-        let max_wait = (request.arrived + request.target_latency)
+        let target = times.first_attempt(request) + request.target_latency;
+        let is_late = target <= now;
+        let max_wait = target
             .saturating_duration_since(now + response)
             .max(request.target_latency.mul_f64(MIN_WAIT_PART));
         let give_up_wait = request.gives_up_at.saturating_duration_since(now + response);
         let state = self.services.get(&request.service);
-        let ahead = state.map_or(0, |it| it.queue.len_ahead(&team, request.priority));
+        let ahead =
+            state.map_or(0, |it| it.queue.len_ahead(&team, queue_priority(request, is_late)));
         let rate = state.map_or(0.0, |it| it.start_rate(share, request.target_latency))
             + room.idle() * (share.places / room.places.max(1.0)).min(1.0)
                 / IDLE_FILL_TIME.as_secs_f64();
@@ -490,6 +530,7 @@
             give_up_wait,
             share,
             is_above_share: state.is_some_and(|it| it.queue.is_above_share(&team)),
+            is_late,
         }
     }
 
@@ -507,7 +548,7 @@
             team: request.team_or_open(),
             weight: 1.0,
             class: ClassName::new(request.route.as_str()),
-            priority: request.priority,
+            priority: queue_priority(&request, forecast.is_late),
             target: request.service.as_str().into(),
             work: work.as_micros() as u64,
             max_wait: forecast.max_wait.min(forecast.give_up_wait),
--- a/lib/tests/schedule_start.rs
+++ b/lib/tests/schedule_start.rs
@@ -26,6 +26,7 @@
         work: None,
         body_bytes: 100,
         arrived: now,
+        time_left: Some(2 * SECOND),
         target_latency: 300 * MS,
         gives_up_at: now + 2 * SECOND,
         expires_at: now + 2 * SECOND,
@@ -263,24 +264,26 @@
     assert!(refusal.retry_after <= 2 * SECOND / 3, "{refusal:?}");
 }
 
-/// Load: callers that come back. Guards against a caller with little time left that waits behind
-/// new requests of its team and class.
+/// Load: callers that come back. Guards against a caller with less time left that waits behind new
+/// requests of its team and class while both can be in time, and against one that is late already
+/// and makes new ones late.
 #[test]
-fn a_caller_that_comes_back_goes_before_new_ones() {
+fn callers_that_come_back_go_first_while_they_are_in_time() {
     let now = Instant::now();
     let mut host = Host::new(30);
     host.arrive(now, Some(FULL), "a", 0);
     let mut control = host.control;
-    let mut admit = |name, left: Duration| {
+    for (name, time_used) in [("late", 400 * MS), ("new", Duration::ZERO), ("back", 100 * MS)] {
         let mut request = request(now, "a", 0);
-        (request.gives_up_at, request.expires_at) = (now + left, now + left);
-        control.admit(now, request, Some(FULL), &host.shares, (name, 0))
-    };
-    assert!(matches!(admit("new", 2 * SECOND), StartOutcome::Waits(_)));
-    assert!(matches!(admit("back", SECOND), StartOutcome::Waits(_)));
+        request.time_left = request.time_left.map(|it| it - time_used);
+        request.gives_up_at -= time_used;
+        request.expires_at -= time_used;
+        let outcome = control.admit(now, request, Some(FULL), &host.shares, (name, 0));
+        assert!(matches!(outcome, StartOutcome::Waits(_)), "{name}: {outcome:?}");
+    }
     let service = ServiceName::new("orders");
-    let ends =
-        (0..600).flat_map(|ms| control.serve(now + ms * MS, &service, Some(FULL), &host.shares));
-    let started: Vec<_> = ends.filter(|it| matches!(it.1, WaitEnd::Started(..))).collect();
-    assert_eq!(started[0].0.0, "back");
+    let ends = (0..600)
+        .flat_map(|ms| control.serve(now + ms * MS, &service, Some(FULL), &host.shares))
+        .map(|it| it.0.0);
+    assert_eq!(ends.collect::<Vec<_>>(), ["back", "new", "late"]);
 }
