--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -308,6 +308,11 @@
         if request.prefers_local && healthy.iter().any(is_local) {
             healthy.retain(is_local);
         }
+        // One that is full would only queue or reject the request.
+        let has_room = |it: &Candidate<'_>| it.state.has_room(now, it.load);
+        if healthy.iter().any(has_room) {
+            healthy.retain(has_room);
+        }
         let is_admissible = |it: &Candidate<'_>| is_admissible(it.state);
         let bound = AFFINITY_LOAD_MULTIPLE * mean + AFFINITY_LOAD_SLACK;
         if request.affinity.is_some() && self.has_room(now, request.service, &healthy, bound) {
--- a/lib/src/gateway/upstreams/room.rs
+++ b/lib/src/gateway/upstreams/room.rs
@@ -51,6 +51,21 @@
     }
 }
 
+impl UpstreamState {
+    /// Returns the requests that it can run; none if it publishes and reports no slots.
+    fn places(&self, now: Instant) -> Option<f64> {
+        let published = Some(f64::from(self.record.slots)).filter(|it| *it > 0.0);
+        self.room.map(|it| it.current(now)).or(published)
+    }
+
+    /// Returns whether it can run one more request than `load`. One without reports counts as
+    /// having room: its load is not known.
+    pub(super) fn has_room(&self, now: Instant, load: f64) -> bool {
+        let room = self.room.map(|it| it.current(now));
+        room.is_none_or(|it| load + 1.0 <= it + QUEUED_PER_UPSTREAM)
+    }
+}
+
 impl UpstreamSet {
     /// Returns the room of the upstreams that take new requests. None if one of them publishes and
     /// reports no slots, or if none has reported its load.
@@ -62,13 +77,8 @@
         let mut room = ServiceRoom { places: 0.0, in_flight: 0.0 };
         let mut has_report = false;
         for state in self.published_to_picks(now, service).filter(is_open) {
-            let places = match state.room {
-                Some(room) => room.current(now),
-                None if state.record.slots > 0 => f64::from(state.record.slots),
-                None => return None,
-            };
             has_report |= state.room.is_some();
-            room.places += places + QUEUED_PER_UPSTREAM;
+            room.places += state.places(now)? + QUEUED_PER_UPSTREAM;
             // Without a report only the requests of this host are known.
             room.in_flight += state.estimated_load(now, 0.0, is_exchanged);
         }
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -517,3 +517,44 @@
     let names: HashSet<UpstreamName> = (0..20).map(|it| pick(&mut set, now, it).name).collect();
     assert!(names.len() > 15, "{names:?}");
 }
+
+/// Load: one prompt that is asked for more than its engine can carry. Guards against requests that
+/// wait at a full engine, or are rejected by it, while others have room.
+#[test]
+fn a_full_engine_is_passed_over_while_another_has_room() {
+    let now = Instant::now();
+    let mut set = set(now, 3);
+    let first = pick(&mut set, now, 7).name;
+    for index in 0..3 {
+        let name = UpstreamName::new(&format!("chat-{index}"));
+        let (running, waiting) = if name == first { (64, 20) } else { (55, 0) };
+        let load = ReportedLoad { running, waiting, slots: Some(64), pace_percent: None };
+        set.record_load(now, &name, load);
+    }
+    assert_ne!(pick(&mut set, now, 7).name, first);
+}
+
+/// Load: engines that reject. Guards against a room that counts slots for which an engine has no
+/// memory, and against a report that takes an engine out for good.
+#[test]
+fn the_room_of_a_service_follows_the_reports() {
+    let now = Instant::now();
+    let mut set = set(now, 2);
+    let service = ServiceName::new("chat");
+    assert_eq!(set.service_room(now, &service), None);
+    let mut report = |index: usize, running, waiting| {
+        let name = UpstreamName::new(&format!("chat-{index}"));
+        let load = ReportedLoad { running, waiting, slots: Some(64), pace_percent: None };
+        set.record_load(now, &name, load);
+        set.service_room(now, &service).unwrap()
+    };
+    let idle = report(0, 10, 0);
+    assert!(idle.places >= 128.0 && idle.in_flight == 10.0, "{idle:?}");
+    // It runs 40 while others wait, so that it has no room for more.
+    let full = report(0, 40, 9);
+    assert!(full.places < idle.places - 20.0 && full.in_flight == 49.0, "{full:?}");
+    let silly = report(1, 0, 9);
+    assert!(silly.places >= 41.0);
+    let later = set.service_room(now + 30 * SECOND, &service).unwrap();
+    assert!(later.places >= 127.0, "{later:?}");
+}
