--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -403,6 +403,11 @@
         if request.prefers_local && healthy.iter().any(is_local) {
             healthy.retain(is_local);
         }
+        // One that is full would only queue or reject the request.
+        let has_room = |it: &Candidate<'_>| it.state.has_room(now, it.load);
+        if healthy.iter().any(has_room) {
+            healthy.retain(has_room);
+        }
         let demand = self.prompt_demands.get(request.service).zip(request.affinity);
         let prompt_upstreams = demand.map_or(1, |(it, prompt)| it.upstreams(now, prompt));
         Ok(PickSurvey { healthy, unhealthy, mean, open_count, prompt_upstreams })
