work: what is probably cached counts when the speed of an upstream is learned

A host that sees few requests sent most prompts to an engine that had them from other hosts, expected it to read them, and learned too small a time for a token. Slowness of less than twice the usual no longer moves prompts.

--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -84,7 +84,8 @@
         let upstreams = &mut gateway.state.borrow_mut().upstreams;
         upstreams.request_started(&pick.name);
         let (work, incarnation) = (upstreams.work_mut(), pick.incarnation);
-        let ticket = work.started(dispatched, &pick.name, incarnation, &request.work());
+        let cached = pick.work.map_or(0, |it| it.cached_tokens);
+        let ticket = work.started(dispatched, &pick.name, incarnation, &request.work(), cached);
         gateway.in_flight_changes.send_replace(());
         Self {
             gateway: gateway.clone(),
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -198,8 +198,11 @@
         // After a burst the reports of upstreams that were full are the oldest ones: without
         // requests there are no responses. They would keep them out of use for seconds, while the
         // others hold all of the load, and make the mean too high.
-        let drained = current * decay(age, basis.drain_time);
-        let current = if current > basis.limit { drained.max(basis.limit) } else { current };
+        let current = if current > basis.limit {
+            (current * decay(age, basis.drain_time)).max(basis.limit)
+        } else {
+            current
+        };
         let weight = decay(age, REPORT_DECAY_TIME);
         own_in_flight.max(weight * current + (1.0 - weight) * mean)
     }
@@ -309,8 +312,9 @@
         name: &UpstreamName,
         load: ReportedLoad,
     ) -> Option<f64> {
-        let mean = self.mean_open_load(now, name)?;
-        let basis = self.load_basis(now, &self.upstreams.get(name)?.record.service);
+        let service = &self.upstreams.get(name)?.record.service;
+        let basis = self.load_basis(now, service);
+        let mean = self.mean_open_load(&basis, service);
         if let Some(pace_percent) = load.pace_percent {
             self.work.reported(now, name, WorkReport { pace_percent });
         }
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -278,11 +278,9 @@
         })
     }
 
-    /// Returns the mean load of the upstreams of the same service that take new requests.
-    pub(super) fn mean_open_load(&self, now: Instant, name: &UpstreamName) -> Option<f64> {
-        let service = &self.upstreams.get(name)?.record.service;
-        let basis = self.load_basis(now, service);
-        mean_load(&basis, self.eligible(now, service)).or(Some(0.0))
+    /// Returns the mean load of the upstreams of a service that take new requests.
+    pub(super) fn mean_open_load(&self, basis: &LoadBasis, service: &ServiceName) -> f64 {
+        mean_load(basis, self.eligible(basis.now, service)).unwrap_or(0.0)
     }
 
     /// Returns what the estimated loads of the upstreams of a service have in common.
--- a/lib/src/work/model.rs
+++ b/lib/src/work/model.rs
@@ -187,18 +187,20 @@
         residence.mul_f64((load + 1.0 - slots).max(0.0) / slots).min(MAX_WORK)
     }
 
-    /// Records that an attempt starts at one process of an upstream.
+    /// Records that an attempt starts at one process of an upstream that probably has
+    /// `cached_tokens` of the prompt cached.
     pub fn started(
         &mut self,
         now: Instant,
         upstream: &UpstreamName,
         incarnation: u64,
         request: &WorkRequest<'_>,
+        cached_tokens: u32,
     ) -> AttemptTicket {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         let (state, _) = self.upstream_mut(now, upstream, incarnation);
-        let cached = state.spans.cached_tokens(now, request.size);
+        let cached = state.spans.cached_tokens(now, request.size).max(cached_tokens);
         let pace = state.pace(now);
         let estimate = self.estimate(request, cached);
         let event_time = self.services.get(request.service).and_then(|it| it.event.get());
--- a/lib/src/work/upstream_work.rs
+++ b/lib/src/work/upstream_work.rs
@@ -32,6 +32,9 @@
 /// in what was learned of a few requests.
 const USUAL_FACTOR: f64 = 1.25;
 
+/// The same for choices that have to be steady: each prompt that moves is read again.
+const STEADY_USUAL_FACTOR: f64 = 2.0;
+
 /// What an upstream reports of its machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WorkReport {
@@ -111,13 +114,13 @@
 
     /// Returns how many times the usual time work takes at the moment.
     pub(super) fn slowness(&self, now: Instant) -> f64 {
-        beyond_usual(self.speed.get(now, SPEED_FADE_TIME) * self.pace(now))
+        beyond(USUAL_FACTOR, self.speed.get(now, SPEED_FADE_TIME) * self.pace(now))
     }
 
     /// Returns the same over some seconds.
     pub(super) fn steady_slowness(&self, now: Instant) -> f64 {
         let pace = self.steady_pace.get(now, STEADY_PACE_FADE_TIME);
-        beyond_usual(self.speed.get(now, SPEED_FADE_TIME) * pace)
+        beyond(STEADY_USUAL_FACTOR, self.speed.get(now, SPEED_FADE_TIME) * pace)
     }
 
     /// Returns the work that this host's requests in flight still cause.
@@ -132,12 +135,8 @@
     }
 }
 
-/// Returns 1 for usual factors, and a factor that begins at 1 outside of them.
-fn beyond_usual(factor: f64) -> f64 {
-    let beyond = if factor > 1.0 {
-        (factor / USUAL_FACTOR).max(1.0)
-    } else {
-        (factor * USUAL_FACTOR).min(1.0)
-    };
+/// Returns 1 for factors up to `usual` or down to its inverse, and one that begins at 1 outside.
+fn beyond(usual: f64, factor: f64) -> f64 {
+    let beyond = if factor > 1.0 { (factor / usual).max(1.0) } else { (factor * usual).min(1.0) };
     beyond.clamp(MIN_FACTOR, MAX_FACTOR)
 }
--- a/lib/tests/work_model.rs
+++ b/lib/tests/work_model.rs
@@ -59,7 +59,7 @@
     first: Duration,
     events: u32,
 ) {
-    let ticket = model.started(now, upstream, 1, &request.work());
+    let ticket = model.started(now, upstream, 1, &request.work(), 0);
     for index in 0..events {
         let at = now + first + 10 * MS * index;
         model.events_arrived(at, upstream, ticket, &request.work(), 1);
@@ -116,7 +116,7 @@
     assert_eq!(uncached.after_first_event.as_millis(), 110);
     assert_eq!(model.estimate(&long.work(), 10_100).before_first_event.as_millis(), 50);
     // A new process has nothing cached.
-    model.started(later, &name(0), 2, &short.work());
+    model.started(later, &name(0), 2, &short.work(), 0);
     assert_eq!(model.cached_tokens(later, &name(0), &long.size), 0);
 }
 
@@ -126,7 +126,7 @@
     let (now, mut model) = (Instant::now(), WorkModel::default());
     let request = TestRequest::prompt("p", 50);
     (0..8).for_each(|_| answer(&mut model, now, &name(0), &request, 50 * MS, 21));
-    let ticket = model.started(now, &name(1), 1, &request.work());
+    let ticket = model.started(now, &name(1), 1, &request.work(), 0);
     let whole = model.remaining(now, &name(1));
     assert!(whole > 200 * MS, "{whole:?}");
     model.events_arrived(now + 50 * MS, &name(1), ticket, &request.work(), 10);
