--- a/lib/src/gateway/call/start.rs
+++ b/lib/src/gateway/call/start.rs
@@ -1,6 +1,10 @@
 //! Waits until the start control of the host starts a request.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     sync::oneshot,
@@ -13,8 +17,8 @@
     gateway::fleet::{Gateway, GatewayState},
     names::ServiceName,
     schedule::{
-        EvenShares, StartOutcome, StartRefusal, StartRefusalReason, StartRequest, StartedWork,
-        WaitEnd,
+        EvenShares, ShareSource, StartOutcome, StartRefusal, StartRefusalReason, StartRequest,
+        StartedWork, WaitEnd,
     },
 };
 
@@ -193,6 +197,32 @@
     }
 }
 
+impl Gateway {
+    /// Logs what the host believes of the services for which requests wait.
+    pub(in crate::gateway) fn log_scarcity(&self, now: Instant) {
+        let GatewayState { start, upstreams, hosts_sharing_limits, .. } = &*self.state.borrow();
+        let shares = EvenShares { host_count: *hosts_sharing_limits };
+        for service in start.services_with_waiting() {
+            let room = upstreams.service_room(now, &service);
+            let places = room.map_or(0.0, |it| it.places);
+            let demand = start.demand(now, &service);
+            let share = shares.share(now, &service, &demand, places);
+            let above_share: Vec<&str> =
+                start.above_share(&service).map(|it| it.as_str()).collect();
+            tracing::info!(
+                %service,
+                waiting = start.waiting_for(&service),
+                room = places,
+                in_flight = room.map_or(0.0, |it| it.in_flight),
+                share = share.places,
+                is_reported = share.is_reported,
+                above_share = above_share.join(","),
+                "scarcity"
+            );
+        }
+    }
+}
+
 /// Starts waiting requests when an attempt ends and when time allows it, until the process ends.
 pub(in crate::gateway) async fn start_waiting(gateway: Rc<Gateway>) {
     loop {
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -318,6 +318,7 @@
         for host in lost {
             tracing::warn!(%host, "member_lost");
         }
+        self.log_scarcity(now);
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
         self.metrics.set_waiting(self.state.borrow().start.waiting() as u64);
--- a/lib/src/schedule/queue.rs
+++ b/lib/src/schedule/queue.rs
@@ -268,6 +268,11 @@
         self.above_share = teams;
     }
 
+    /// Returns the teams that use more than their share of the upstreams.
+    pub fn above_share(&self) -> &BTreeSet<TeamName> {
+        &self.above_share
+    }
+
     /// Returns whether a team uses more than its share of the upstreams.
     pub fn is_above_share(&self, team: &TeamName) -> bool {
         self.above_share.contains(team)
--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -426,6 +426,16 @@
         waiting.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Returns the number of requests that wait for a service.
+    pub fn waiting_for(&self, service: &ServiceName) -> usize {
+        self.services.get(service).map_or(0, |it| it.queue.len())
+    }
+
+    /// Returns the teams that are above their share of a service, as of its last decision.
+    pub fn above_share(&self, service: &ServiceName) -> impl Iterator<Item = &TeamName> {
+        self.services.get(service).into_iter().flat_map(|it| it.queue.above_share())
+    }
+
     /// Returns the demand of this host for a service: its requests in flight and waiting.
     pub fn demand(&self, _now: Instant, service: &ServiceName) -> Vec<DemandCell> {
         self.services.get(service).map(ServiceState::demand).unwrap_or_default()
