upstreams: a few waiting requests do not make an upstream full

Cause: engines count requests as waiting while they read the prompt. Change: it is full from a quarter as many waiting as running requests.

--- a/lib/src/gateway/upstreams/room.rs
+++ b/lib/src/gateway/upstreams/room.rs
@@ -9,6 +9,10 @@
 /// hosts hear that it has finished others.
 const QUEUED_PER_UPSTREAM: f64 = 2.0;
 
+/// Waiting requests, relative to the running ones, from which an upstream is full. An engine counts
+/// a request as waiting while it reads its prompt, so that a few wait at one with room.
+const FULL_WAITING_SHARE: f64 = 0.25;
+
 /// Requests that an upstream was seen to run at most.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedRoom {
@@ -21,8 +25,8 @@
 impl ObservedRoom {
     /// Updates the room from a load report.
     ///
-    /// An upstream with waiting requests is full. One without may have room for one more than it
-    /// runs; the room grows with what it is seen to run, since a full upstream is often without
+    /// An upstream with many waiting requests is full. Otherwise it may have room for one more than
+    /// it runs; the room grows with what it is seen to run, since a full upstream is often without
     /// waiting requests for a moment.
     pub(super) fn after(
         before: Option<Self>,
@@ -35,7 +39,8 @@
             return None;
         }
         let running = f64::from(load.running);
-        let places = if load.waiting > 0 {
+        let waiting = f64::from(load.waiting);
+        let places = if waiting > QUEUED_PER_UPSTREAM.max(FULL_WAITING_SHARE * running) {
             running
         } else {
             before.map_or(slots, |it| it.current(now).max(running + 1.0))
