--- a/lib/src/schedule/queue.rs
+++ b/lib/src/schedule/queue.rs
@@ -207,6 +207,10 @@
     index: usize,
 }
 
+/// Sort key of the flows of a band: whether the team is above its share, the lead, and the arrival
+/// of the first request.
+type FlowOrder = (bool, f64, Instant);
+
 /// Sort key of the order in which requests start; the smallest starts first.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct StartOrder {
@@ -491,8 +495,7 @@
         let total_weight = self.total_weight();
         let mut best: Option<(StartOrder, EntryPosition)> = None;
         for (priority, band) in &self.bands {
-            let mut first_in_band: Option<((bool, f64, Instant), &(TeamName, ClassName), usize)> =
-                None;
+            let mut first_in_band: Option<(FlowOrder, &(TeamName, ClassName), usize)> = None;
             let (mut is_overdue, mut is_raised) = (false, false);
             for (key, flow) in &band.flows {
                 let head = flow
