--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -326,6 +326,7 @@
             tracing::warn!(%host, "member_lost");
         }
         self.tick_exchange(now);
+        self.log_scarcity(now);
         self.pool.expire();
         self.metrics.set_in_flight(self.in_flight.get() as u64);
         self.metrics.set_waiting(self.state.borrow().start.waiting() as u64);
