work: a prompt leaves its engine only for requests that would miss their target there

Now the request has to miss its target at the first engine, the second one has to save half of it, and no further engine is compared.

--- a/lib/src/gateway/upstreams/work.rs
+++ b/lib/src/gateway/upstreams/work.rs
@@ -11,12 +11,13 @@
     work::{WorkModel, WorkRequest},
 };
 
-/// Candidates of the highest scores that are compared with the first one.
-const COMPARED_CANDIDATES: usize = 3;
+/// Candidates of the highest scores that are compared. With two, a prompt that leaves the first one
+/// is read once more only.
+const COMPARED_CANDIDATES: usize = 2;
 
-/// Part of the latency target that another upstream has to save a request, its reading of the
-/// prompt included, before a prompt leaves the upstream that has it cached.
-const MIN_GAIN_DIVISOR: u32 = 4;
+/// Part of the latency target that the second upstream has to save a request that would miss it,
+/// the reading of the prompt included, before the request leaves the one that has it cached.
+const MIN_GAIN_DIVISOR: u32 = 2;
 
 /// An upstream as one pick sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -114,7 +115,11 @@
             return Some((first, PickReason::Affinity));
         };
         let cost = |it: &Candidate<'_>| self.cost(now, survey, it, work);
-        let worth_leaving = cost(first).saturating_sub(work.target_latency / MIN_GAIN_DIVISOR);
+        let first_cost = cost(first);
+        if first_cost <= work.target_latency {
+            return Some((first, PickReason::Affinity));
+        }
+        let worth_leaving = first_cost.saturating_sub(work.target_latency / MIN_GAIN_DIVISOR);
         let others = in_bound.iter().skip(1).map(|it| (cost(it), *it));
         let best = others.min_by_key(|(cost, _)| *cost);
         let earlier = best.filter(|(cost, _)| *cost < worth_leaving);
--- a/lib/tests/work_model.rs
+++ b/lib/tests/work_model.rs
@@ -276,3 +276,23 @@
     let holder = pick(&mut set, now + SECOND, &request, Some(7)).prompt_holder;
     assert_eq!(holder.map(|it| it.name), Some(sent));
 }
+
+/// Guards against requests that miss their latency target in the queue of the engine that has their
+/// prompt while the next one answers at once, and against prompts that move for less.
+#[test]
+fn a_prompt_leaves_an_engine_whose_queue_is_longer_than_the_target() {
+    let now = Instant::now();
+    let mut set = set(now, 9);
+    let request = TestRequest::prompt("p", 500);
+    let first = pick(&mut set, now, &request, Some(7)).name;
+    (0..16).for_each(|_| answer(set.work_mut(), now, &first, &request, 100 * MS, 91));
+    for (load, reason) in [(80, PickReason::Affinity), (110, PickReason::Earlier)] {
+        for index in 0..9 {
+            let running = if name(index) == first { load } else { 64 };
+            let load = ReportedLoad { running, ..ReportedLoad::default() };
+            set.record_load(now, &name(index), load);
+        }
+        let pick = pick(&mut set, now, &request, Some(7));
+        assert_eq!((pick.reason, pick.name == first), (reason, reason == PickReason::Affinity));
+    }
+}
