--- a/lib/src/gateway/upstreams/in_flight.rs
+++ b/lib/src/gateway/upstreams/in_flight.rs
@@ -176,6 +176,12 @@
             }
         }
         let table = &mut self.others;
+        let is_current = |at: Instant| now.saturating_duration_since(at) < MAX_REPORT_AGE;
+        if !table.last_heard.is_some_and(is_current) {
+            // The hosts that reported in an earlier exchange have not begun to in this one, but
+            // still have requests.
+            table.coverage = ReportCoverage::default();
+        }
         let covered = 1 + table.reports.values(now).map(|it| it.hosts).sum::<usize>();
         table.coverage.record(now, covered);
         table.is_complete = table.coverage.part(now, covered, table.live_hosts) >= MIN_COVERAGE;
