--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -35,10 +35,6 @@
 /// Interval at which a new host checks whether it knows another one.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Time for which a relay may wait for its first entries in a request of a host that has none. A
-/// relay that starts at the same time has them earlier, since few hosts read the platform.
-const FIRST_CHANGE_WAIT: Duration = Duration::from_millis(500);
-
 /// Age of the platform's last response to a relay from which the relay counts as failed: its
 /// longest watch and the interval between two watches, with time for a slow call.
 const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2_200);
@@ -233,8 +229,7 @@
     /// usable reply, or if the platform's last response to the relay is too old.
     async fn poll_relay(&self, client: &mut PeerClient, relay: &MemberRecord) -> bool {
         let revision = self.revision();
-        let wait = if revision == 0 { FIRST_CHANGE_WAIT } else { RELAY_CHANGE_WAIT };
-        let reason = match client.changes(revision, wait).await {
+        let reason = match client.changes(revision, RELAY_CHANGE_WAIT).await {
             Ok(reply) => {
                 let age = reply.response_age();
                 let is_recent = age.is_some_and(|it| it < MAX_RESPONSE_AGE);
