intake: one account for what callers make a process hold

Cause: limits applied to one request at a time.

Change: MemoryAccount (connections, bodies, responses) and ConnectionTable, sized from memory-mb and descriptors, for gateway and router. Route, key and announced length come before the body; the largest and newest unfinished body, and the longest idle or newest unfinished connection give way. Writes without progress end after 15 s.

--- a/cli/tests/support/fleet.rs
+++ b/cli/tests/support/fleet.rs
@@ -74,6 +74,8 @@
     pub has_peer_links: bool,
     /// Additional command-line arguments of every router.
     pub extra_arguments: Vec<&'static str>,
+    /// Settings of every router that are given as environment variables.
+    pub variables: Vec<(&'static str, &'static str)>,
 }
 
 impl Default for FleetPlan {
@@ -89,6 +91,7 @@
             supports_resume: true,
             has_peer_links: false,
             extra_arguments: Vec::new(),
+            variables: Vec::new(),
         }
     }
 }
@@ -206,6 +209,7 @@
             list_lag_ms: LIST_LAG_MS,
             margin_ms: MARGIN_MS,
             extra_arguments: self.plan.extra_arguments.clone(),
+            variables: self.plan.variables.clone(),
         });
         if self.plan.has_peer_links {
             let link =
--- a/cli/tests/support/router.rs
+++ b/cli/tests/support/router.rs
@@ -34,6 +34,8 @@
     pub margin_ms: u64,
     /// Additional command-line arguments.
     pub extra_arguments: Vec<&'static str>,
+    /// Settings that are given as environment variables.
+    pub variables: Vec<(&'static str, &'static str)>,
 }
 
 /// A running router process; it is killed when dropped.
@@ -75,6 +77,7 @@
             .args(["--margin-ms", &settings.margin_ms.to_string()])
             .args(["--log", LOG_FILTER])
             .args(&settings.extra_arguments)
+            .envs(settings.variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped());
@@ -146,6 +149,11 @@
         status.expect("exit status")
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process is still running.
     pub fn is_running(&mut self) -> bool {
         !self.has_exited && self.child.try_wait().is_ok_and(|it| it.is_none())
--- a/lib/src/daemon.rs
+++ b/lib/src/daemon.rs
@@ -168,12 +168,13 @@
 
 fn front_limits(settings: &RouterSettings) -> FrontLimits {
     FrontLimits {
-        max_connections: settings.max_connections,
+        max_connections: settings.max_connections.min(settings.host_size.caller_connections()),
         max_active: settings.max_active,
         max_body_bytes: settings.max_body_bytes,
         max_head_bytes: MAX_HEAD_BYTES,
         head_timeout: settings.header_timeout,
         body_timeout: settings.body_timeout,
+        account_bytes: settings.host_size.account_bytes(),
     }
 }
 
--- a/lib/src/daemon/admin_server.rs
+++ b/lib/src/daemon/admin_server.rs
@@ -20,18 +20,20 @@
 
 use crate::{
     control::PeerReply,
-    intake::read_body,
+    intake::{ConnectionTable, read_body},
     listener::{ListenerLimits, serve_listener},
     peer::{MAX_MESSAGE_BYTES, encode_message},
 };
 
-/// Limits of the connections of peers and operators. A peer closes an idle connection after 60 s,
+/// Time within which a head must arrive, also on an idle connection. A peer closes an idle connection after 60 s,
 /// which is earlier, so that no message is sent on a connection that is being closed.
-const LIMITS: ListenerLimits = ListenerLimits {
-    max_connections: 4_096,
-    max_head_bytes: 16 << 10,
-    head_timeout: Duration::from_secs(75),
-};
+const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
+
+/// Largest head of a message or an operator's request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Most connections of peers and operators at the same time.
+const MAX_CONNECTIONS: usize = 4_096;
 
 /// Time within which a request body must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -147,9 +149,14 @@
         let stop = watch::Sender::new(false);
         let stopped = stop.subscribe();
         let service = move |request| serve(handler.clone(), request);
+        let limits = ListenerLimits {
+            connections: ConnectionTable::new(MAX_CONNECTIONS, None),
+            max_head_bytes: MAX_HEAD_BYTES,
+            head_timeout: HEAD_TIMEOUT,
+        };
         let thread = thread::Builder::new()
             .name("admin".into())
-            .spawn(move || runtime.block_on(serve_listener(listener, LIMITS, stopped, service)))?;
+            .spawn(move || runtime.block_on(serve_listener(listener, limits, stopped, service)))?;
         Ok(Self { address, stop, thread: Some(thread) })
     }
 
--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -187,7 +187,7 @@
             RouteKind::Service => {
                 // Only method and target tell requests without a body apart, such as GET requests.
                 let head = format!("{} {}\n", self.request.method, self.request.target);
-                RequestFingerprint::of(team, &[head.as_bytes(), &self.request.body].concat())
+                RequestFingerprint::of_parts(team, &[head.as_bytes(), &self.request.body])
             }
         }
     }
--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -11,11 +11,13 @@
     time::Duration,
 };
 
-use hyper::{Request, Response, body::Incoming};
+use hyper::{
+    Request, Response,
+    body::{Bytes, Incoming},
+};
 use tokio::{
     runtime::{Builder, Handle},
     sync::{Semaphore, oneshot, watch},
-    time::timeout,
 };
 
 use super::{
@@ -24,7 +26,10 @@
     respond::{CallerResponder, CallerResponse, ChannelBody},
 };
 use crate::{
-    intake::{BodyError, read_body},
+    intake::{
+        CallerBodyError, CallerBodyLimits, ConnectionPhase, ConnectionTable, MemoryAccount,
+        PhaseHandle, can_discard, discard_rest, read_caller_body,
+    },
     listener::{ListenerLimits, serve_listener},
 };
 
@@ -40,7 +45,7 @@
 /// Limits of the server for callers.
 #[derive(Clone, Copy, Debug)]
 pub struct FrontLimits {
-    /// Concurrent connections; further ones wait in the listen backlog.
+    /// Concurrent connections; for a further one the idle or the newest unfinished one closes.
     pub max_connections: usize,
     /// Concurrent requests, each on its own worker thread; further ones are refused.
     pub max_active: usize,
@@ -52,6 +57,8 @@
     pub head_timeout: Duration,
     /// Time within which a request body must arrive.
     pub body_timeout: Duration,
+    /// What the process may hold for its callers, in bytes.
+    pub account_bytes: usize,
 }
 
 /// Handles requests on the worker threads.
@@ -66,6 +73,7 @@
 struct FrontState {
     handler: Arc<dyn RequestHandler>,
     limits: FrontLimits,
+    account: Arc<MemoryAccount>,
     worker_permits: Arc<Semaphore>,
     active_requests: AtomicUsize,
     is_draining: AtomicBool,
@@ -88,9 +96,12 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
+        let account = MemoryAccount::new(limits.account_bytes);
+        let connections = ConnectionTable::new(limits.max_connections, Some(account.clone()));
         let state = Arc::new(FrontState {
             handler,
             limits,
+            account,
             worker_permits: Arc::new(Semaphore::new(limits.max_active)),
             active_requests: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
@@ -105,7 +116,7 @@
         let (service_state, stop) = (state.clone(), state.stop.subscribe());
         let service = move |request| serve_request(request, service_state.clone());
         let listener_limits = ListenerLimits {
-            max_connections: limits.max_connections,
+            connections,
             max_head_bytes: limits.max_head_bytes,
             head_timeout: limits.head_timeout,
         };
@@ -153,6 +164,12 @@
     }
 }
 
+/// A request whose body is charged to the account of the process.
+struct ReadRequest {
+    request: CallerRequest,
+    _charged: Bytes,
+}
+
 async fn serve_request(
     request: Request<Incoming>,
     state: Arc<FrontState>,
@@ -166,10 +183,17 @@
     match request.uri().path() {
         "/healthz" => responder.health(true),
         "/readyz" => responder.health(state.handler.is_ready()),
-        _ => match read_request(request, request_id, &state.limits).await {
-            Ok(request) => start_worker(request, responder, &state, guard),
-            Err(refusal) => responder.refuse(&refusal),
-        },
+        _ => {
+            let phase = request.extensions().get::<PhaseHandle>().cloned();
+            let result = read_request(request, request_id, &state).await;
+            if let Some(phase) = phase {
+                phase.set(ConnectionPhase::Responding);
+            }
+            match result {
+                Ok(request) => start_worker(request, responder, &state, guard),
+                Err(refusal) => responder.refuse(&refusal),
+            }
+        }
     }
     match receiver.await {
         Ok(response) => response,
@@ -178,7 +202,7 @@
 }
 
 fn start_worker(
-    request: CallerRequest,
+    request: ReadRequest,
     responder: CallerResponder,
     state: &Arc<FrontState>,
     guard: ActiveGuard,
@@ -193,6 +217,7 @@
     };
     let handler = state.handler.clone();
     tokio::task::spawn_blocking(move || {
+        let ReadRequest { request, _charged } = request;
         handler.handle(request, responder);
         drop(guard);
         drop(permit);
@@ -214,30 +239,20 @@
 async fn read_request(
     request: Request<Incoming>,
     request_id: String,
-    limits: &FrontLimits,
-) -> Result<CallerRequest, RequestRefusal> {
-    let (parts, body) = request.into_parts();
-    let too_large = || {
-        let message = format!("the body exceeds {} bytes", limits.max_body_bytes);
-        RequestRefusal::not_run(RefusalKind::BodyTooLarge, message)
-    };
-    let content_length =
-        parts.headers.get("content-length").and_then(|it| it.to_str().ok()?.parse().ok());
-    if content_length.is_some_and(|it: u64| it > limits.max_body_bytes as u64) {
-        return Err(too_large());
-    }
-    let reading = read_body(body, limits.max_body_bytes, None);
-    let body = match timeout(limits.body_timeout, reading).await {
-        Err(_) => {
-            let message = format!("the body took longer than {} s", limits.body_timeout.as_secs());
-            return Err(RequestRefusal::not_run(RefusalKind::BodyTimeout, message));
-        }
-        Ok(Err(BodyError::TooLarge(_))) => return Err(too_large()),
-        Ok(Err(BodyError::Lost(error))) => {
-            let message = format!("the body is incomplete: {error}");
-            return Err(RequestRefusal::not_run(RefusalKind::InvalidRequest, message));
+    state: &FrontState,
+) -> Result<ReadRequest, RequestRefusal> {
+    let (parts, mut body) = request.into_parts();
+    let limits = &state.limits;
+    let body_limits =
+        CallerBodyLimits { max_bytes: limits.max_body_bytes, time: limits.body_timeout };
+    let body = match read_caller_body(&mut body, body_limits, &state.account).await {
+        Ok(body) => body,
+        Err(error) => {
+            if can_discard(&parts.headers) {
+                tokio::spawn(discard_rest(body, limits.max_body_bytes));
+            }
+            return Err(body_refusal(&error));
         }
-        Ok(Ok(body)) => body,
     };
     let mut headers = Vec::with_capacity(parts.headers.len());
     for (name, value) in &parts.headers {
@@ -248,13 +263,29 @@
         headers.push((name.as_str().to_owned(), value.to_owned()));
     }
     let target = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
-    Ok(CallerRequest {
+    let request = CallerRequest {
         method: parts.method.as_str().to_owned(),
         target,
         headers,
         body: body.as_ref().into(),
         request_id,
-    })
+    };
+    // The charge of the received bytes, which the copy does not exceed, is that of the request now.
+    Ok(ReadRequest { request, _charged: body })
+}
+
+/// Returns the refusal of a request whose body was not received.
+fn body_refusal(error: &CallerBodyError<hyper::Error>) -> RequestRefusal {
+    let kind = match error {
+        CallerBodyError::Timeout(_) | CallerBodyError::Stalled => RefusalKind::BodyTimeout,
+        CallerBodyError::TooLarge(_) => RefusalKind::BodyTooLarge,
+        CallerBodyError::Lost(_) => RefusalKind::InvalidRequest,
+        CallerBodyError::NoMemory(_) => {
+            return RequestRefusal::not_run(RefusalKind::Overloaded, error.to_string())
+                .with_retry_after(Duration::from_secs(1));
+        }
+    };
+    RequestRefusal::not_run(kind, error.to_string())
 }
 
 fn request_id_of(request: &Request<Incoming>) -> String {
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -63,4 +63,6 @@
         UpstreamRecord, UpstreamSet,
     },
 };
-pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
+pub use crate::intake::{
+    BufferError, BufferReservation, HostSize, ResponseBuffers, ResponseLimits,
+};
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -12,10 +12,13 @@
 use http_body_util::Either;
 use hyper::{
     Request, Response, StatusCode,
-    body::{Bytes, Incoming},
+    body::{Body, Bytes, Incoming},
     header::{self, HeaderValue},
 };
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 use self::{
     admission::{AdmittedRequest, admit, configuration_wait, read_body},
@@ -31,10 +34,12 @@
     crashes::CrashDetector,
     fleet::{Gateway, GatewayState},
     stream::relay,
+    table::RouteTable,
     upstreams::{PickRefusal, PickRequest, UpstreamPick},
 };
 use crate::{
     front::{OutcomeKind, RefusalKind, RequestRefusal},
+    intake::{ConnectionPhase, PhaseHandle, can_discard, discard_rest},
     names::UpstreamName,
     quarantine::CrashVerdict,
     telemetry::RequestLabels,
@@ -59,16 +64,26 @@
 ) -> Response<ResponseBody> {
     let arrived = gateway.now();
     let _active = ActiveGuard::new(&gateway);
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = gateway.dialect.read_request(&parts.headers);
     let table = gateway.wait_for_route_table(configuration_wait(&head)).await;
-    let admitted = match read_body(body, table.as_deref()).await {
-        Ok(body) => admit(table, head.clone(), parts, body, arrived),
-        Err(refusal) => Err(refusal),
-    };
-    let admitted = admitted.and_then(|request| {
-        if gateway.accepts(request.expires_at) { Ok(request) } else { Err(draining_refusal()) }
-    });
+    let limits = table.as_deref().map(RouteTable::limits).unwrap_or_default();
+    let can_discard = can_discard(&parts.headers);
+    let phase = parts.extensions.get::<PhaseHandle>().cloned();
+    let mut admitted = admit(table, head.clone(), parts, arrived);
+    if let Ok(request) = &mut admitted {
+        match read_body(&mut body, &limits, &gateway.account).await {
+            Ok(_) if !gateway.accepts(request.expires_at) => admitted = Err(draining_refusal()),
+            Ok(bytes) => request.body = bytes,
+            Err(refusal) => admitted = Err(refusal),
+        }
+    }
+    if let Some(phase) = phase {
+        phase.set(ConnectionPhase::Responding);
+    }
+    if admitted.is_err() && can_discard && !body.is_end_stream() {
+        spawn_local(discard_rest(body, limits.max_body_bytes));
+    }
     let request = match admitted {
         Ok(request) => request,
         Err(refusal) => {
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -6,24 +6,22 @@
     time::{Duration, Instant},
 };
 
-use hyper::{
-    Method, Uri,
-    body::{Bytes, Incoming},
-    header::{self, HeaderMap},
-    http::request::Parts,
-};
-use tokio::time::timeout;
-
 use crate::{
     front::{RefusalKind, RequestRefusal},
     gateway::{
         dialect::RequestHead,
-        table::{CallerIdentity, RouteRecord, RouteTable, TeamRecord},
+        table::{CallerIdentity, CallerLimits, RouteRecord, RouteTable, TeamRecord},
     },
-    intake::{self, BodyError},
+    intake::{CallerBodyError, CallerBodyLimits, MemoryAccount, read_caller_body},
     names::{ServiceName, TeamName},
     quarantine::RequestFingerprint,
 };
+use hyper::{
+    Method, Uri,
+    body::{Bytes, Incoming},
+    header::{self, HeaderMap},
+    http::request::Parts,
+};
 
 /// Multiple of the latency target after which an idempotent request is retried at another upstream.
 /// All but a few in 100 requests take a small part of the target.
@@ -44,6 +42,10 @@
 /// Time after which a caller that was refused for want of a configuration is told to retry.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a caller that was refused for want of memory is told to retry. Unfinished bodies
+/// give way within milliseconds.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Longest time for which a request waits for the first configuration. A new process receives it
 /// within some tenths of a second when all hosts start at the same time; a refused caller retries
 /// later than that.
@@ -85,7 +87,7 @@
             let team = self.team.as_ref().map_or_else(|| TeamName::new(""), |it| it.name.clone());
             let path = self.uri.path_and_query().map_or("", |it| it.as_str());
             let head = format!("{} {path}\n{:?}\n", self.method, self.head.prompt);
-            RequestFingerprint::of(&team, &[head.as_bytes(), &self.body].concat())
+            RequestFingerprint::of_parts(&team, &[head.as_bytes(), &self.body])
         })
     }
 
@@ -118,35 +120,41 @@
         .map_or(MAX_CONFIGURATION_WAIT, |it| MAX_CONFIGURATION_WAIT.min(it / DEADLINE_DIVISOR))
 }
 
-/// Reads the complete body, within the size and time limits of the configuration.
+/// Reads the complete body, within the size and time limits of the configuration and the memory of
+/// the host.
 pub(super) async fn read_body(
-    body: Incoming,
-    table: Option<&RouteTable>,
+    body: &mut Incoming,
+    limits: &CallerLimits,
+    account: &Arc<MemoryAccount>,
 ) -> Result<Bytes, RequestRefusal> {
-    let limits = table.map(RouteTable::limits).unwrap_or_default();
-    let reading = intake::read_body(body, limits.max_body_bytes, None);
-    match timeout(limits.read_timeout, reading).await {
-        Err(_) => {
-            let message = format!("the body took longer than {:?}", limits.read_timeout);
-            Err(RequestRefusal::not_run(RefusalKind::BodyTimeout, message))
+    let limits = CallerBodyLimits { max_bytes: limits.max_body_bytes, time: limits.read_timeout };
+    let error = match read_caller_body(body, limits, account).await {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
+    };
+    Err(match error {
+        CallerBodyError::Timeout(_) | CallerBodyError::Stalled => {
+            RequestRefusal::not_run(RefusalKind::BodyTimeout, error.to_string())
         }
-        Ok(Err(error @ BodyError::TooLarge(_))) => {
-            Err(RequestRefusal::not_run(RefusalKind::BodyTooLarge, error.to_string()))
+        CallerBodyError::TooLarge(_) => {
+            RequestRefusal::not_run(RefusalKind::BodyTooLarge, error.to_string())
         }
-        Ok(Err(BodyError::Lost(error))) => {
-            let message = format!("the body is incomplete: {error}");
-            Err(RequestRefusal::not_run(RefusalKind::InvalidRequest, message))
+        CallerBodyError::Lost(_) => {
+            RequestRefusal::not_run(RefusalKind::InvalidRequest, error.to_string())
         }
-        Ok(Ok(body)) => Ok(body),
-    }
+        CallerBodyError::NoMemory(error) => {
+            RequestRefusal::not_run(RefusalKind::Overloaded, error.to_string())
+                .with_retry_after(MEMORY_RETRY_AFTER)
+        }
+    })
 }
 
-/// Determines route, team and service of a request, or refuses it before it is sent anywhere.
+/// Determines route, team and service of a request from its head, or refuses it before its body is
+/// read. The body of the result is empty.
 pub(super) fn admit(
     table: Option<Arc<RouteTable>>,
     head: RequestHead,
     parts: Parts,
-    body: Bytes,
     arrived: Instant,
 ) -> Result<AdmittedRequest, RequestRefusal> {
     let Some(table) = table else {
@@ -184,7 +192,7 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body,
+        body: Bytes::new(),
         route,
         service,
         team,
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -29,7 +29,7 @@
 };
 use crate::{
     clock::ClockSource,
-    intake::{ResponseBuffers, ResponseLimits},
+    intake::{ConnectionTable, HostSize, MemoryAccount, ResponseBuffers, ResponseLimits},
     names::{CentreName, UpstreamName},
     telemetry::RouterMetrics,
 };
@@ -47,6 +47,8 @@
     pub retries: RetryAllowance,
     /// Bounds of the memory of responses.
     pub responses: ResponseLimits,
+    /// Memory and descriptors of the process.
+    pub host_size: HostSize,
 }
 
 /// One change of what the platform publishes, or of whether it responds.
@@ -108,6 +110,9 @@
     pub(super) source_unavailable: watch::Sender<bool>,
     pub(super) change_cache: ChangeCache,
     pub(super) response_buffers: Arc<ResponseBuffers>,
+    /// What the process holds for its callers.
+    pub(super) account: Arc<MemoryAccount>,
+    pub(super) connections: Arc<ConnectionTable>,
     pub(super) pauses: PauseDetector,
     /// Notified when there are strikes that other hosts may not know.
     pub(super) strike_news: Notify,
@@ -129,6 +134,11 @@
         metrics: Rc<RouterMetrics>,
     ) -> Rc<Self> {
         let MemberRecord { host, centre, .. } = settings.identity.clone();
+        let host_size = settings.host_size;
+        let account = MemoryAccount::new(host_size.account_bytes());
+        let max_total_bytes = settings.responses.max_total_bytes.min(host_size.response_bytes());
+        let max_bytes = settings.responses.max_bytes.min(max_total_bytes);
+        let responses = ResponseLimits { max_bytes, max_total_bytes };
         let state = GatewayState {
             upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
@@ -154,7 +164,12 @@
             revisions: watch::Sender::new(0),
             source_unavailable: watch::Sender::new(false),
             change_cache: ChangeCache::default(),
-            response_buffers: ResponseBuffers::new(settings.responses),
+            response_buffers: ResponseBuffers::with_account(responses, account.clone()),
+            connections: ConnectionTable::new(
+                host_size.caller_connections(),
+                Some(account.clone()),
+            ),
+            account,
             has_listing: Cell::new(false),
             shutdown: watch::Sender::new(None),
         })
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -13,7 +13,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
-    task::{JoinHandle, spawn_local},
+    task::{JoinHandle, spawn_local, yield_now},
     time::{Instant, interval, sleep, sleep_until},
 };
 
@@ -26,7 +26,7 @@
     shutdown::{ShutdownTimes, ShutdownWindow},
     supervise::supervise,
 };
-use crate::intake::MeteredSocket;
+use crate::intake::{ConnectionPhase, ConnectionSlot, MeteredSocket, PhaseBody, close_evicted};
 
 /// Backlog of connections that wait to be accepted. After a host is killed all its callers
 /// reconnect at the same time, and one that finds the backlog full retries only after a second.
@@ -166,7 +166,14 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        spawn_local(serve_caller(stream, gateway.clone(), closing.clone()));
+        // Without a slot the connection closes unread.
+        if let Some(slot) = gateway.connections.open() {
+            spawn_local(serve_caller(stream, slot, gateway.clone(), closing.clone()));
+        }
+        if gateway.connections.is_full() {
+            // Connections that have to close do so before the next one is accepted.
+            yield_now().await;
+        }
     }
 }
 
@@ -182,7 +189,12 @@
     }
 }
 
-async fn serve_caller(stream: TcpStream, gateway: Rc<Gateway>, mut closing: watch::Receiver<bool>) {
+async fn serve_caller(
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    gateway: Rc<Gateway>,
+    mut closing: watch::Receiver<bool>,
+) {
     if let Err(error) = set_socket_options(&stream, CALLER_UNACKNOWLEDGED_TIMEOUT) {
         tracing::debug!(%error, "caller_connection_ended");
         return;
@@ -190,10 +202,17 @@
     let limits = gateway.route_table().map(|it| it.limits()).unwrap_or_default();
     let connection_use = Rc::new(ConnectionUse::new(&gateway));
     let request_use = connection_use.clone();
-    let service = service_fn(move |request| {
+    let phase = slot.phase_handle();
+    let service = service_fn(move |mut request| {
         request_use.record_request();
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(serve(gateway, request).await) }
+        phase.set(ConnectionPhase::Unfinished);
+        request.extensions_mut().insert(phase.clone());
+        let phase = phase.clone();
+        async move {
+            let response = serve(gateway, request).await;
+            Ok::<_, Infallible>(response.map(|body| PhaseBody::new(body, phase)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -213,6 +232,13 @@
         biased;
         // Polled first, so that a request that has arrived is read before the connection closes.
         result = connection.as_mut() => result,
+        () = slot.wait_evicted() => {
+            let phase = slot.phase_handle().phase();
+            if phase != ConnectionPhase::Unfinished {
+                connection.as_mut().graceful_shutdown();
+            }
+            close_evicted(connection, phase).await
+        }
         () = must_close => {
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/lib/src/intake/buffers.rs
+++ b/lib/src/intake/buffers.rs
@@ -5,6 +5,8 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use super::{MemoryAccount, MemoryCharge};
+
 /// Memory that a response may take also while larger ones take up their part of the total.
 const SMALL_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -40,12 +42,20 @@
 pub struct ResponseBuffers {
     limits: ResponseLimits,
     total_bytes: AtomicUsize,
+    /// Account of the process, to which responses are charged too.
+    account: Option<Arc<MemoryAccount>>,
 }
 
 impl ResponseBuffers {
-    /// Creates the account of a process.
+    /// Creates the account of the responses of a process.
     pub fn new(limits: ResponseLimits) -> Arc<Self> {
-        Arc::new(Self { limits, total_bytes: AtomicUsize::new(0) })
+        Arc::new(Self { limits, total_bytes: AtomicUsize::new(0), account: None })
+    }
+
+    /// Creates the same; responses are charged to `account` too, where they have the room of
+    /// unfinished bodies.
+    pub fn with_account(limits: ResponseLimits, account: Arc<MemoryAccount>) -> Arc<Self> {
+        Arc::new(Self { limits, total_bytes: AtomicUsize::new(0), account: Some(account) })
     }
 
     /// Starts to account for a response that is received completely.
@@ -60,7 +70,13 @@
     }
 
     fn open_with(self: &Arc<Self>, max_bytes: usize) -> BufferReservation {
-        BufferReservation { buffers: self.clone(), bytes: 0, response_bytes: 0, max_bytes }
+        BufferReservation {
+            buffers: self.clone(),
+            bytes: 0,
+            charge: None,
+            response_bytes: 0,
+            max_bytes,
+        }
     }
 
     /// Returns the memory that responses take now, in bytes.
@@ -74,6 +90,8 @@
 pub struct BufferReservation {
     buffers: Arc<ResponseBuffers>,
     bytes: usize,
+    /// The same bytes in the account of the process.
+    charge: Option<MemoryCharge>,
     /// Memory of the whole response, with the parts that were split off.
     response_bytes: usize,
     /// Largest value of `response_bytes`.
@@ -101,6 +119,16 @@
         if total_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grow).is_err() {
             return Err(BufferError::MemoryFull);
         }
+        if let Some(account) = &self.buffers.account {
+            let Ok(charge) = account.charge(bytes, is_small) else {
+                total_bytes.fetch_sub(bytes, Ordering::Relaxed);
+                return Err(BufferError::MemoryFull);
+            };
+            match &mut self.charge {
+                Some(held) => held.merge(charge),
+                None => self.charge = Some(charge),
+            }
+        }
         self.bytes += bytes;
         self.response_bytes += bytes;
         Ok(())
@@ -117,6 +145,8 @@
         }
         let less = self.bytes - bytes;
         self.bytes = bytes;
+        // Dropped, which releases it.
+        self.charge.as_mut().map(|it| it.split(less));
         self.response_bytes -= less;
         self.buffers.total_bytes.fetch_sub(less, Ordering::Relaxed);
         Ok(())
@@ -128,6 +158,7 @@
         Self {
             buffers: self.buffers.clone(),
             bytes: std::mem::take(&mut self.bytes),
+            charge: self.charge.take(),
             response_bytes: self.response_bytes,
             max_bytes: self.max_bytes,
         }
--- a/lib/src/intake/socket.rs
+++ b/lib/src/intake/socket.rs
@@ -6,11 +6,13 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
 
 use super::IntakeMeter;
@@ -18,6 +20,10 @@
 /// Bytes after which the reader of a socket yields to other tasks.
 pub const BYTES_PER_POLL: usize = 16 << 10;
 
+/// Time without progress of a write after which the connection of a caller fails. What waits for a
+/// caller that does not read takes memory.
+pub const MAX_WRITE_STALL: Duration = Duration::from_secs(15);
+
 /// A TCP connection whose reads are bounded.
 ///
 /// The HTTP library reads on in one poll for as long as the socket has bytes. This socket is not
@@ -29,17 +35,39 @@
     meter: Option<Arc<IntakeMeter>>,
     /// Bytes read since the socket was last not ready.
     bytes_in_poll: usize,
+    /// Ends a write that makes no progress; `None` while none waits, and for connections that this
+    /// process opened.
+    write_stall: Option<Pin<Box<Sleep>>>,
 }
 
 impl MeteredSocket {
     /// Creates the socket of a connection that this process opened; reads fail once `meter` does.
     pub fn outgoing(stream: TcpStream, meter: Arc<IntakeMeter>) -> Self {
-        Self { stream, meter: Some(meter), bytes_in_poll: 0 }
+        Self { stream, meter: Some(meter), bytes_in_poll: 0, write_stall: None }
     }
 
     /// Creates the socket of a connection that this process accepted.
     pub fn accepted(stream: TcpStream) -> Self {
-        Self { stream, meter: None, bytes_in_poll: 0 }
+        Self { stream, meter: None, bytes_in_poll: 0, write_stall: None }
+    }
+
+    /// Passes the result of a write on; fails if the writes of an accepted connection have waited
+    /// for [`MAX_WRITE_STALL`].
+    fn check_write_stall(
+        &mut self,
+        context: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if result.is_ready() {
+            self.write_stall = None;
+            return result;
+        }
+        if self.meter.is_some() {
+            return result;
+        }
+        let stall = self.write_stall.get_or_insert_with(|| Box::pin(sleep(MAX_WRITE_STALL)));
+        ready!(stall.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -81,7 +109,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check_write_stall(context, result)
     }
 
     fn poll_write_vectored(
@@ -89,7 +118,8 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.check_write_stall(context, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -11,11 +11,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::TcpStream,
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    sync::watch,
+    task::yield_now,
     time::{sleep, timeout},
 };
 
-use crate::intake::MeteredSocket;
+use crate::intake::{
+    ConnectionPhase, ConnectionSlot, ConnectionTable, MeteredSocket, PhaseBody, close_evicted,
+};
 
 /// Longest wait at a stop for connections that are still sending a response.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -24,10 +27,10 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Limits of a listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct ListenerLimits {
-    /// Concurrent connections; further ones wait in the listen backlog.
-    pub(crate) max_connections: usize,
+    /// Connections of this listener.
+    pub(crate) connections: Arc<ConnectionTable>,
     /// Largest request head, in bytes.
     pub(crate) max_head_bytes: usize,
     /// Time within which a request head must arrive, also on an idle connection.
@@ -45,28 +48,31 @@
     service: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + Unpin + 'static,
 {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(error) => return tracing::error!(%error, "listen_failed"),
     };
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &permits) => accepted,
+            accepted = accept(&listener) => accepted,
             () = wait_for_stop(&mut stop) => break,
         };
-        if let Some((stream, permit)) = accepted {
-            let (stop, service) = (stop.clone(), service.clone());
-            tokio::spawn(async move {
-                serve_connection(stream, limits, stop, service).await;
-                drop(permit);
-            });
+        let Some(stream) = accepted else {
+            continue;
+        };
+        // Without a slot the connection closes unread.
+        if let Some(slot) = limits.connections.open() {
+            let (limits, stop, service) = (limits.clone(), stop.clone(), service.clone());
+            tokio::spawn(serve_connection(stream, slot, limits, stop, service));
+        }
+        if limits.connections.is_full() {
+            // Connections that have to close do so before the next one is accepted.
+            yield_now().await;
         }
     }
-    let all_permits = u32::try_from(limits.max_connections).unwrap_or(u32::MAX);
-    let _ = timeout(CLOSE_TIMEOUT, permits.acquire_many(all_permits)).await;
+    let _ = timeout(CLOSE_TIMEOUT, limits.connections.wait_empty()).await;
 }
 
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
@@ -74,15 +80,11 @@
     let _ = stop.wait_for(|it| *it).await;
 }
 
-async fn accept(
-    listener: &tokio::net::TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
+async fn accept(listener: &tokio::net::TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => {
             let _ = stream.set_nodelay(true);
-            Some((stream, permit))
+            Some(stream)
         }
         Err(error) => {
             // Usually the process is out of file descriptors; closing a connection frees one.
@@ -95,16 +97,20 @@
 
 async fn serve_connection<F, B>(
     stream: TcpStream,
+    slot: ConnectionSlot,
     limits: ListenerLimits,
     mut stop: watch::Receiver<bool>,
     service: impl Fn(Request<Incoming>) -> F,
 ) where
     F: Future<Output = Response<B>>,
-    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + 'static,
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin + 'static,
 {
-    let service = service_fn(move |request| {
-        let response = service(request);
-        async move { Ok::<_, Infallible>(response.await) }
+    let phase = slot.phase_handle();
+    let service = service_fn(move |mut request| {
+        phase.set(ConnectionPhase::Unfinished);
+        request.extensions_mut().insert(phase.clone());
+        let (response, phase) = (service(request), phase.clone());
+        async move { Ok::<_, Infallible>(response.await.map(|it| PhaseBody::new(it, phase))) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -114,7 +120,15 @@
         .serve_connection(TokioIo::new(MeteredSocket::accepted(stream)), service);
     tokio::pin!(connection);
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
+        () = slot.wait_evicted() => {
+            let phase = slot.phase_handle().phase();
+            if phase != ConnectionPhase::Unfinished {
+                connection.as_mut().graceful_shutdown();
+            }
+            close_evicted(connection, phase).await
+        }
         () = wait_for_stop(&mut stop) => {
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/lib/src/quarantine/crash_register.rs
+++ b/lib/src/quarantine/crash_register.rs
@@ -25,11 +25,15 @@
 impl RequestFingerprint {
     /// Computes the fingerprint of a team's request.
     pub fn of(team: &TeamName, body: &[u8]) -> Self {
-        let hash = Sha256::new()
+        Self::of_parts(team, &[body])
+    }
+
+    /// Computes the fingerprint of a request whose body consists of `parts`, without a copy of it.
+    pub fn of_parts(team: &TeamName, parts: &[&[u8]]) -> Self {
+        let start = Sha256::new()
             .chain_update((team.as_str().len() as u64).to_be_bytes())
-            .chain_update(team.as_str())
-            .chain_update(body)
-            .finalize();
+            .chain_update(team.as_str());
+        let hash = parts.iter().fold(start, |hash, part| hash.chain_update(part)).finalize();
         let mut fingerprint = [0; 16];
         fingerprint.copy_from_slice(&hash[..16]);
         Self(fingerprint)
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -17,7 +17,10 @@
     reader::{SettingsError, ValueOrigin, env_var_name},
     spec::{ROUTER_SETTINGS, SettingSpec},
 };
-use crate::names::{CentreName, HostName};
+use crate::{
+    intake::HostSize,
+    names::{CentreName, HostName},
+};
 
 /// Validated settings of a router process.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +58,8 @@
     pub body_timeout: Duration,
     /// Maximum wait for running requests at a planned stop; `None` waits without a limit.
     pub drain_timeout: Option<Duration>,
+    /// Memory and descriptors of the process.
+    pub host_size: HostSize,
     /// Log filter in the syntax of `tracing_subscriber::EnvFilter`.
     pub log: String,
 }
@@ -109,6 +114,7 @@
             body_timeout: reader.milliseconds("body-timeout-ms")?,
             drain_timeout: Some(reader.milliseconds("drain-timeout-ms")?)
                 .filter(|it| !it.is_zero()),
+            host_size: reader.host_size()?,
             log: reader.read("log", parse_filter)?,
         };
         let (listen, admin) = (settings.listen, settings.admin_listen);
--- a/lib/src/settings/gateway.rs
+++ b/lib/src/settings/gateway.rs
@@ -8,10 +8,14 @@
         parse_flags, parse_name,
     },
     spec::{
-        ADDRESS_FORMAT, LOG_SPEC, NAME_FORMAT, SettingSpec, TIME_RANGE, number_spec, text_spec,
+        ADDRESS_FORMAT, DESCRIPTORS_SPEC, LOG_SPEC, MEMORY_SPEC, NAME_FORMAT, SettingSpec,
+        TIME_RANGE, number_spec, text_spec,
     },
 };
-use crate::names::{CentreName, HostName};
+use crate::{
+    intake::HostSize,
+    names::{CentreName, HostName},
+};
 
 const DECIMAL_FORMAT: &str = "a number, not negative";
 const MEMORY_RANGE: ((u64, u64), &str) = ((1, 1 << 20), "1 to 1048576 KiB");
@@ -77,6 +81,8 @@
         MEMORY_RANGE,
         "memory of all responses that are being received",
     ),
+    MEMORY_SPEC,
+    DESCRIPTORS_SPEC,
     text_spec("stop-limit-s", "s", Some("8"), SECONDS_RANGE, "longest time of a planned stop"),
     LOG_SPEC,
 ];
@@ -114,6 +120,8 @@
     pub max_response_bytes: usize,
     /// Memory of all responses that are being received, in bytes.
     pub response_memory_bytes: usize,
+    /// Memory and descriptors of the process.
+    pub host_size: HostSize,
     /// Time limit of a planned stop.
     pub stop_limit: Duration,
     /// Log filter in the syntax of `tracing_subscriber::EnvFilter`.
@@ -173,6 +181,7 @@
             config_bound: reader.milliseconds("config-bound-ms")?,
             max_response_bytes: reader.count("max-response-kb")? << 10,
             response_memory_bytes: reader.count("response-memory-kb")? << 10,
+            host_size: reader.host_size()?,
             stop_limit: reader.seconds("stop-limit-s")?,
             log: reader.read("log", parse_filter)?,
         })
--- a/lib/src/settings/reader.rs
+++ b/lib/src/settings/reader.rs
@@ -5,7 +5,7 @@
 use tracing_subscriber::EnvFilter;
 
 use super::spec::SettingSpec;
-use crate::names::is_valid_name;
+use crate::{intake::HostSize, names::is_valid_name};
 
 /// Prefix of the environment variables.
 const ENV_PREFIX: &str = "SNIPEPOND_";
@@ -183,6 +183,14 @@
         Ok(usize::try_from(number).expect("the ranges of counts fit into usize"))
     }
 
+    /// Reads the settings `memory-mb` and `descriptors`.
+    pub(super) fn host_size(&self) -> Result<HostSize, SettingsError> {
+        Ok(HostSize {
+            memory_bytes: self.count("memory-mb")? << 20,
+            descriptors: self.count("descriptors")?,
+        })
+    }
+
     /// Reads a number, not negative, that may have a fraction.
     pub(super) fn decimal(&self, name: &'static str) -> Result<f64, SettingsError> {
         self.read(name, |it| it.parse().ok().filter(|it: &f64| it.is_finite() && *it >= 0.0))
--- a/lib/src/settings/spec.rs
+++ b/lib/src/settings/spec.rs
@@ -60,6 +60,24 @@
     "which events are logged",
 );
 
+/// Memory of the process, a setting of every daemon that serves callers.
+pub(super) const MEMORY_SPEC: SettingSpec = number_spec(
+    "memory-mb",
+    "MiB",
+    "160",
+    ((16, 1 << 20), "16 to 1048576 MiB"),
+    "memory of the process; bounds what it holds for callers",
+);
+
+/// Descriptors of the process, a setting of every daemon that serves callers.
+pub(super) const DESCRIPTORS_SPEC: SettingSpec = number_spec(
+    "descriptors",
+    "descriptors",
+    "4096",
+    ((64, 1 << 20), "64 to 1048576"),
+    "file descriptors of the process; callers may take three quarters",
+);
+
 /// All settings of a router in the order of the help text.
 pub const ROUTER_SETTINGS: &[SettingSpec] = &[
     text_spec("host", "name", None, NAME_FORMAT, "name of this host in the host list"),
@@ -156,5 +174,7 @@
         TIME_OR_ZERO_RANGE,
         "longest wait for running requests at a planned stop; 0 waits without a limit",
     ),
+    MEMORY_SPEC,
+    DESCRIPTORS_SPEC,
     LOG_SPEC,
 ];
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -12,7 +12,9 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, ObservableCounter},
+    metrics::{
+        Counter, Gauge, Histogram, Meter, MeterProvider, ObservableCounter, ObservableGauge,
+    },
 };
 use opentelemetry_sdk::{
     error::{OTelSdkError, OTelSdkResult},
@@ -25,7 +27,7 @@
 use super::exposition;
 use crate::{
     catalogue::Catalogue,
-    intake::cut_connections,
+    intake::{cut_connections, evicted_bodies, evicted_connections, held_bytes, open_connections},
     names::{ClassName, OPEN_TEAM, RouteName, TeamName, UpstreamName},
 };
 
@@ -142,6 +144,10 @@
     response_memory: Gauge<u64>,
     upstream_errors: Counter<u64>,
     _cut_connections: ObservableCounter<u64>,
+    _held_bytes: ObservableGauge<u64>,
+    _caller_connections: ObservableGauge<u64>,
+    _evicted_bodies: ObservableCounter<u64>,
+    _evicted_connections: ObservableCounter<u64>,
     config_accepted: Gauge<u64>,
     config_seen: Gauge<u64>,
     control_sent: Counter<u64>,
@@ -211,6 +217,26 @@
                 .with_description("Connections closed because of what the remote side sent.")
                 .with_callback(|observer| observer.observe(cut_connections(), &[]))
                 .build(),
+            _held_bytes: meter
+                .u64_observable_gauge("snipepond_held_memory_bytes")
+                .with_description("Memory that is held for callers.")
+                .with_callback(|observer| observer.observe(held_bytes(), &[]))
+                .build(),
+            _caller_connections: meter
+                .u64_observable_gauge("snipepond_caller_connections")
+                .with_description("Open connections of callers.")
+                .with_callback(|observer| observer.observe(open_connections(), &[]))
+                .build(),
+            _evicted_bodies: meter
+                .u64_observable_counter("snipepond_evicted_bodies")
+                .with_description("Unfinished bodies given up because memory was short.")
+                .with_callback(|observer| observer.observe(evicted_bodies(), &[]))
+                .build(),
+            _evicted_connections: meter
+                .u64_observable_counter("snipepond_evicted_connections")
+                .with_description("Connections of callers closed because too many were open.")
+                .with_callback(|observer| observer.observe(evicted_connections(), &[]))
+                .build(),
             config_accepted: gauge(
                 &meter,
                 "snipepond_config_accepted_revision",
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -11,7 +11,7 @@
     clock::SystemClock,
     config::EntryChange,
     gateway::{
-        AttemptHead, EntryDecoder, FleetChange, Gateway, GatewaySettings, MemberRecord,
+        AttemptHead, EntryDecoder, FleetChange, Gateway, GatewaySettings, HostSize, MemberRecord,
         RequestHead, ResponseHead, ResponseLimits, RetryAllowance, ServerAddresses, WireDialect,
     },
     names::{CentreName, HostName},
@@ -19,6 +19,9 @@
 };
 use tokio::{runtime::Builder, task::LocalSet};
 
+/// Size of a host whose memory and descriptors bound no test.
+const HOST_SIZE: HostSize = HostSize { memory_bytes: 1 << 30, descriptors: 4_096 };
+
 /// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams.
 /// Accepts every response as signed, and one without an id as that of the request unless it is a
 /// refusal.
@@ -96,7 +99,7 @@
     };
     let retries = RetryAllowance { ratio: 0.2, window: Duration::from_secs(10), slack: 1_000.0 };
     Gateway::new(
-        GatewaySettings { identity, retries, responses },
+        GatewaySettings { identity, retries, responses, host_size: HOST_SIZE },
         Rc::new(SystemClock),
         Rc::new(TestDialect),
         Rc::new(EmptyDecoder),
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! lists all settings and controls.
 
 mod caller;
+mod crowd;
 mod engine;
 mod faults;
 mod http;
@@ -23,6 +24,7 @@
     caller::{
         CallerConnection, CallerEvent, CallerRequest, CallerResponse, ResponseEnd, ResponseReader,
     },
+    crowd::{CallerCrowd, CrowdKind, CrowdPlan, ProcessFigures},
     engine::{EngineServer, EngineSettings, expected_text, expected_tokens},
     faults::{FaultMode, ResponseFault},
     http::RequestLog,
