control: a token request counts for the attempt that it is sent for

Cause: requests handled at one clock value get attempt times a nanosecond apart, which run ahead of the clock. A token request stamped with the clock was older than the attempt, so the empty reply of an own bucket was asked for again without end: the control thread took a core and answered nobody.

Change: the request is stamped with the later of both times.

Tests limits_service, limits_faults, limits_state, control_operations, control_loads and the router's limits pass.

--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -144,7 +144,7 @@
                     self.refuse_first(now, team, refusal);
                 }
                 AcquireOutcome::RequestFrom(centres) => {
-                    if !self.request_from_owner(now, team, &centres) {
+                    if !self.request_from_owner(now.max(attempt_started), team, &centres) {
                         return;
                     }
                 }
