--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -66,4 +66,6 @@
         ReportedLoad, UpstreamPick, UpstreamProcess, UpstreamRecord, UpstreamSet,
     },
 };
-pub use crate::intake::{BufferError, BufferReservation, ResponseBuffers, ResponseLimits};
+pub use crate::intake::{
+    BufferError, BufferReservation, HostSize, ResponseBuffers, ResponseLimits,
+};
--- a/lib/tests/gateway_reports.rs
+++ b/lib/tests/gateway_reports.rs
@@ -9,7 +9,9 @@
     time::{Duration, Instant},
 };
 
-use gateway_support::{EmptyDecoder, RESPONSE_LIMITS, TestDialect, loopback_addresses, run_local};
+use gateway_support::{
+    EmptyDecoder, HOST_SIZE, RESPONSE_LIMITS, TestDialect, loopback_addresses, run_local,
+};
 use serde::{Deserialize, Serialize};
 use snipepond::{
     clock::SystemClock,
@@ -89,6 +91,7 @@
                 retries,
                 responses: RESPONSE_LIMITS,
                 waiting: StartSettings::default(),
+                host_size: HOST_SIZE,
             },
             Rc::new(SystemClock),
             Rc::new(TestDialect),
