--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -21,7 +21,7 @@
 use tokio::{runtime::Builder, task::LocalSet};
 
 /// Size of a host whose memory and descriptors bound no test.
-const HOST_SIZE: HostSize = HostSize { memory_bytes: 1 << 30, descriptors: 4_096 };
+pub const HOST_SIZE: HostSize = HostSize { memory_bytes: 1 << 30, descriptors: 4_096 };
 
 /// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams.
 /// Accepts every response as signed, and one without an id as that of the request unless it is a
