gateway: start control weighs requests by their estimated work

Cause: shares and order counted each request as one, though requests that look alike differ much. Change: start control gets the estimate of the work model, and weighs it by the mean of the service.

--- a/lib/src/gateway/call/start.rs
+++ b/lib/src/gateway/call/start.rs
@@ -19,6 +19,7 @@
     schedule::{
         StartOutcome, StartRefusal, StartRefusalReason, StartRequest, StartedWork, WaitEnd,
     },
+    work::WorkModel,
 };
 
 /// Time for which events are collected before the queue is served.
@@ -98,7 +99,8 @@
         let outcome = {
             let GatewayState { start, upstreams, exchange, .. } = &mut *self.state.borrow_mut();
             let room = upstreams.service_room(now, &request.service);
-            start.admit(now, request.start_request(), room, &exchange.demands, sender)
+            let start_request = request.start_request(upstreams.work());
+            start.admit(now, start_request, room, &exchange.demands, sender)
         };
         let number = match outcome {
             StartOutcome::Started(work) => return Ok(StartTicket::new(self, work)),
@@ -227,14 +229,16 @@
 }
 
 impl AdmittedRequest {
-    fn start_request(&self) -> StartRequest {
+    fn start_request(&self, model: &WorkModel) -> StartRequest {
         let patience = self.route.caller_patience();
+        // Some upstream has the shared parts of the prompt cached in most cases.
+        let work = model.estimate(&self.work(), self.head.shared_tokens).total();
         StartRequest {
             service: self.service.clone(),
             route: self.route.name.clone(),
             team: self.team.as_ref().map(|it| it.name.clone()),
             priority: self.priority(),
-            work: None,
+            work: Some(work).filter(|it| !it.is_zero()),
             body_bytes: self.body.len(),
             arrived: self.arrived,
             time_left: self.head.deadline,
--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -257,6 +257,8 @@
     in_flight_total: usize,
     /// Time in flight of requests.
     mean_time: LearnedTime,
+    /// Estimated work of requests.
+    mean_work: LearnedTime,
     /// Starts that have been saved up.
     credit: f64,
     credited: Option<Instant>,
@@ -281,6 +283,7 @@
             in_flight: BTreeMap::new(),
             in_flight_total: 0,
             mean_time: LearnedTime::default(),
+            mean_work: LearnedTime::default(),
             credit: 1.0,
             credited: None,
             blocked_until: None,
@@ -302,7 +305,7 @@
     fn demand(&self) -> Vec<DemandCell> {
         let mut cells: BTreeMap<(u8, Option<TeamName>), f64> =
             self.in_flight.iter().map(|(key, load)| (key.clone(), load.places)).collect();
-        let mean = self.mean_time.get();
+        let mean = self.mean_work.get();
         for queued in self.queue.iter() {
             let request = &queued.payload.request;
             let key = (request.priority, request.team.clone());
@@ -344,7 +347,7 @@
         request: &StartRequest,
         share: Option<HostShare>,
     ) -> StartedWork {
-        let weight = work_weight(request.work, self.mean_time.get());
+        let weight = work_weight(request.work, self.mean_work.get());
         let key = (request.priority, request.team.clone());
         let load = self.in_flight.entry(key).or_default();
         load.requests += 1;
@@ -469,7 +472,10 @@
             .services
             .entry(request.service.clone())
             .or_insert_with(|| ServiceState::new(&settings));
-        let weight = work_weight(request.work, state.mean_time.get());
+        if let Some(work) = request.work {
+            state.mean_work.record(work);
+        }
+        let weight = work_weight(request.work, state.mean_work.get());
         state.usage.record_arrival(now, &request.team_or_open(), weight);
         let is_idle = state.queue.is_empty() && !state.is_blocked(now);
         let Some(room) = room.filter(|it| !is_idle || it.is_used_up()) else {
