--- a/lib/src/front/server.rs
+++ b/lib/src/front/server.rs
@@ -28,7 +28,7 @@
 use crate::{
     intake::{
         CallerBodyError, CallerBodyLimits, ConnectionPhase, ConnectionTable, MemoryAccount,
-        PhaseHandle, can_discard, discard_rest, read_caller_body,
+        PhaseHandle, discard_rest, read_caller_body, sends_body_at_once,
     },
     listener::{ListenerLimits, serve_listener},
 };
@@ -248,8 +248,10 @@
     let body = match read_caller_body(&mut body, body_limits, &state.account).await {
         Ok(body) => body,
         Err(error) => {
-            if can_discard(&parts.headers) {
-                tokio::spawn(discard_rest(body, limits.max_body_bytes));
+            // A body that was announced as too large was not asked for.
+            let is_asked_for = !matches!(error, CallerBodyError::TooLarge(_));
+            if is_asked_for || sends_body_at_once(&parts.headers) {
+                tokio::spawn(discard_rest(body, body_limits, state.account.clone()));
             }
             return Err(body_refusal(&error));
         }
--- a/lib/src/gateway/call.rs
+++ b/lib/src/gateway/call.rs
@@ -42,7 +42,7 @@
 };
 use crate::{
     front::{OutcomeKind, RefusalKind, RequestRefusal},
-    intake::{ConnectionPhase, PhaseHandle, can_discard, discard_rest},
+    intake::{ConnectionPhase, PhaseHandle, discard_rest, sends_body_at_once},
     names::UpstreamName,
     quarantine::CrashVerdict,
     telemetry::RequestLabels,
@@ -71,21 +71,25 @@
     let head = gateway.dialect.read_request(&parts.headers);
     let table = gateway.wait_for_route_table(configuration_wait(&head)).await;
     let limits = table.as_deref().map(RouteTable::limits).unwrap_or_default();
-    let can_discard = can_discard(&parts.headers);
+    let mut is_body_sent = sends_body_at_once(&parts.headers);
     let phase = parts.extensions.get::<PhaseHandle>().cloned();
     let mut admitted = admit(table, head.clone(), parts, arrived);
     if let Ok(request) = &mut admitted {
         match read_body(&mut body, &limits, &gateway.account).await {
             Ok(_) if !gateway.accepts(request.expires_at) => admitted = Err(draining_refusal()),
             Ok(bytes) => request.body = bytes,
-            Err(refusal) => admitted = Err(refusal),
+            Err(refusal) => {
+                // A body that was announced as too large was not asked for.
+                is_body_sent |= refusal.kind != RefusalKind::BodyTooLarge;
+                admitted = Err(refusal);
+            }
         }
     }
     if let Some(phase) = phase {
         phase.set(ConnectionPhase::Responding);
     }
-    if admitted.is_err() && can_discard && !body.is_end_stream() {
-        spawn_local(discard_rest(body, limits.max_body_bytes));
+    if admitted.is_err() && is_body_sent && !body.is_end_stream() {
+        spawn_local(discard_rest(body, limits.body_limits(), gateway.account.clone()));
     }
     let request = match admitted {
         Ok(request) => request,
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -19,7 +19,7 @@
         dialect::RequestHead,
         table::{CallerIdentity, CallerLimits, RouteRecord, RouteTable, TeamRecord},
     },
-    intake::{CallerBodyError, CallerBodyLimits, MemoryAccount, read_caller_body},
+    intake::{CallerBodyError, MemoryAccount, read_caller_body},
     names::{ServiceName, TeamName},
     quarantine::RequestFingerprint,
     work::WorkRequest,
@@ -139,8 +139,7 @@
     limits: &CallerLimits,
     account: &Arc<MemoryAccount>,
 ) -> Result<Bytes, RequestRefusal> {
-    let limits = CallerBodyLimits { max_bytes: limits.max_body_bytes, time: limits.read_timeout };
-    let error = match read_caller_body(body, limits, account).await {
+    let error = match read_caller_body(body, limits.body_limits(), account).await {
         Ok(body) => return Ok(body),
         Err(error) => error,
     };
--- a/lib/src/gateway/call/start.rs
+++ b/lib/src/gateway/call/start.rs
@@ -241,7 +241,11 @@
             work: Some(work).filter(|it| !it.is_zero()),
             body_bytes: self.body.len(),
             arrived: self.arrived,
-            time_left: self.head.deadline,
+            // Callers may state any deadline; the timeout of the route bounds it.
+            time_left: self
+                .head
+                .deadline
+                .map(|it| it.min(self.expires_at.saturating_duration_since(self.arrived))),
             target_latency: self.route.target_latency,
             gives_up_at: patience
                 .map_or(self.expires_at, |it| self.expires_at.min(self.arrived + it)),
--- a/lib/src/gateway/server.rs
+++ b/lib/src/gateway/server.rs
@@ -234,11 +234,11 @@
         // Polled first, so that a request that has arrived is read before the connection closes.
         result = connection.as_mut() => result,
         () = slot.wait_evicted() => {
-            let phase = slot.phase_handle().phase();
-            if phase != ConnectionPhase::Unfinished {
+            let phase = slot.phase_handle();
+            if !phase.is_unfinished() {
                 connection.as_mut().graceful_shutdown();
             }
-            close_evicted(connection, phase).await
+            close_evicted(connection, &phase).await
         }
         () = must_close => {
             connection.as_mut().graceful_shutdown();
--- a/lib/src/gateway/table.rs
+++ b/lib/src/gateway/table.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     catalogue::KeyHash,
+    intake::CallerBodyLimits,
     names::{RouteName, ServiceName, TeamName},
     rendezvous,
 };
@@ -141,6 +142,12 @@
     pub idle_timeout: Duration,
 }
 
+impl CallerLimits {
+    pub(super) fn body_limits(&self) -> CallerBodyLimits {
+        CallerBodyLimits { max_bytes: self.max_body_bytes, time: self.read_timeout }
+    }
+}
+
 impl Default for CallerLimits {
     /// Returns the limits that apply until a configuration is known.
     fn default() -> Self {
--- a/lib/src/gateway/upstreams/pick.rs
+++ b/lib/src/gateway/upstreams/pick.rs
@@ -403,8 +403,9 @@
         }
         // One that is full would only queue or reject the request.
         let has_room = |it: &Candidate<'_>| it.state.has_room(now, it.load);
-        if healthy.iter().any(has_room) {
-            healthy.retain(has_room);
+        let is_room_known = healthy.iter().all(|it| has_room(it).is_some());
+        if is_room_known && healthy.iter().any(|it| has_room(it) == Some(true)) {
+            healthy.retain(|it| has_room(it) == Some(true));
         }
         let demand = self.prompt_demands.get(request.service).zip(request.affinity);
         let prompt_upstreams = demand.map_or(1, |(it, prompt)| it.upstreams(now, prompt));
--- a/lib/src/gateway/upstreams/room.rs
+++ b/lib/src/gateway/upstreams/room.rs
@@ -34,10 +34,12 @@
         published: u32,
         load: &ReportedLoad,
     ) -> Option<Self> {
-        let slots = f64::from(load.slots.filter(|it| *it > 0).unwrap_or(published));
-        if slots <= 0.0 {
+        let slots = load.slots.filter(|it| *it > 0).unwrap_or(published);
+        if slots == 0 {
             return None;
         }
+        // One that runs more than it states has at least as many slots.
+        let slots = f64::from(slots.max(load.running));
         let running = f64::from(load.running);
         let waiting = f64::from(load.waiting);
         let places = if waiting > QUEUED_PER_UPSTREAM.max(FULL_WAITING_SHARE * running) {
@@ -58,22 +60,21 @@
 
 impl UpstreamState {
     /// Returns the requests that it can run; none if it publishes and reports no slots.
-    fn places(&self, now: Instant) -> Option<f64> {
+    pub(super) fn places(&self, now: Instant) -> Option<f64> {
         let published = Some(f64::from(self.record.slots)).filter(|it| *it > 0.0);
         self.room.map(|it| it.current(now)).or(published)
     }
 
-    /// Returns whether it can run one more request than `load`. One without reports counts as
-    /// having room: its load is not known.
-    pub(super) fn has_room(&self, now: Instant, load: f64) -> bool {
-        let room = self.room.map(|it| it.current(now));
-        room.is_none_or(|it| load + 1.0 <= it + QUEUED_PER_UPSTREAM)
+    /// Returns whether it can run one more request than `load`, if that is known.
+    pub(super) fn has_room(&self, now: Instant, load: f64) -> Option<bool> {
+        self.places(now).map(|it| load + 1.0 <= it + QUEUED_PER_UPSTREAM)
     }
 }
 
 impl UpstreamSet {
-    /// Returns the room of the upstreams that take new requests. None if one of them publishes and
-    /// reports no slots, or if none has reported its load.
+    /// Returns the room of the upstreams that take new requests. None if none of them publishes or
+    /// reports slots, or if none has reported its load. One without slots counts like the mean of
+    /// the others.
     pub fn service_room(&self, now: Instant, service: &ServiceName) -> Option<ServiceRoom> {
         let basis = self.load_basis(now, service);
         let is_open = |it: &&UpstreamState| {
@@ -81,12 +82,20 @@
         };
         let mut room = ServiceRoom { places: 0.0, in_flight: 0.0 };
         let mut has_report = false;
+        let (mut known, mut unknown) = (0_u32, 0_u32);
         for state in self.published_to_picks(now, service).filter(is_open) {
             has_report |= state.room.is_some();
-            room.places += state.places(now)? + QUEUED_PER_UPSTREAM;
+            match state.places(now) {
+                Some(places) => {
+                    known += 1;
+                    room.places += places + QUEUED_PER_UPSTREAM;
+                }
+                None => unknown += 1,
+            }
             // Without a report only the requests of this host are known.
             room.in_flight += state.estimated_load(&basis, 0.0);
         }
-        has_report.then_some(room)
+        room.places *= 1.0 + f64::from(unknown) / f64::from(known.max(1));
+        (has_report && known > 0).then_some(room)
     }
 }
--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -37,8 +37,8 @@
 };
 pub(crate) use self::{
     body::{
-        BodyError, CallerBodyError, CallerBodyLimits, can_discard, discard_rest, read_body,
-        read_caller_body,
+        BodyError, CallerBodyError, CallerBodyLimits, discard_rest, read_body, read_caller_body,
+        sends_body_at_once,
     },
     connections::{PhaseBody, close_evicted},
     meter::{log_cut_connection, record_cut_connection},
--- a/lib/src/intake/account.rs
+++ b/lib/src/intake/account.rs
@@ -179,6 +179,12 @@
         if bytes > limit {
             return Err(AccountError::MemoryFull);
         }
+        // Nothing is given up if all unfinished bodies together do not free enough.
+        let others = state.unfinished.iter().filter(|(number, _)| Some(**number) != body);
+        let most_freed: usize = others.map(|(_, entry)| entry.held).sum();
+        if state.bytes + bytes > limit + most_freed {
+            return Err(AccountError::MemoryFull);
+        }
         while state.bytes + bytes > limit {
             let sizes = state.unfinished.iter().map(|(number, entry)| {
                 let growth = if Some(*number) == body { bytes } else { 0 };
--- a/lib/src/intake/body.rs
+++ b/lib/src/intake/body.rs
@@ -27,8 +27,8 @@
 /// Lowest mean rate of a caller's body while memory is scarce, in bytes per second.
 const MIN_BODY_RATE: u64 = 1 << 10;
 
-/// Time for which the rest of a refused body is read and dropped, so that its caller can read the
-/// refusal: closing a connection with unread bytes would reset it.
+/// Time for which the rest of a refused body is read and dropped while memory is scarce, so that its
+/// caller can read the refusal: closing a connection with unread bytes would reset it.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
 /// Why a body was not read completely.
@@ -173,16 +173,23 @@
     elapsed > RATE_GRACE && received < elapsed.as_secs().saturating_mul(MIN_BODY_RATE)
 }
 
-/// Returns whether the rest of a refused body is read, for up to a second. A caller that waits for
-/// `100 Continue` sends no body after a refusal.
-pub(crate) fn can_discard(headers: &HeaderMap) -> bool {
+/// Returns whether the caller sends its body without waiting for `100 Continue`, which it gets once
+/// the body is read for the first time.
+pub(crate) fn sends_body_at_once(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::EXPECT)
 }
 
-/// Reads and drops up to `max_bytes` of the rest of a refused body.
-pub(crate) async fn discard_rest(mut body: Incoming, max_bytes: usize) {
+/// Reads and drops the rest of a refused body, within the limits of a body that is read, or for a
+/// shorter time while memory is scarce.
+pub(crate) async fn discard_rest(
+    mut body: Incoming,
+    limits: CallerBodyLimits,
+    account: Arc<MemoryAccount>,
+) {
+    let time = if account.is_scarce() { DISCARD_TIME.min(limits.time) } else { limits.time };
+
     let reading = async {
-        let mut left = max_bytes;
+        let mut left = limits.max_bytes;
         while let Some(Ok(frame)) = body.frame().await {
             let length = frame.data_ref().map_or(0, Bytes::len);
             let Some(rest) = left.checked_sub(length) else {
@@ -192,5 +199,5 @@
         }
     };
     // The time limit is no failure: the connection closes when the body is dropped.
-    let _ = timeout(DISCARD_TIME, reading).await;
+    let _ = timeout(time, reading).await;
 }
--- a/lib/src/intake/connections.rs
+++ b/lib/src/intake/connections.rs
@@ -45,7 +45,9 @@
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionPhase {
-    /// A request is awaited or arrives; initially the first one.
+    /// The head of the first request is awaited.
+    Awaiting,
+    /// A request arrives.
     Unfinished,
     /// A request has arrived completely or was refused, and its response is not complete.
     Responding,
@@ -72,8 +74,8 @@
 
 /// The open connections of callers, with a limit.
 ///
-/// Beyond the limit the connection that is idle for longest closes, or if none is idle the newest one
-/// whose request is unfinished. One with a response in flight never closes for others.
+/// Beyond the limit the connection that is idle for longest closes, or if none is idle the one that
+/// waits longest for its first request, or else the newest one whose request is unfinished. One with a response in flight never closes for others.
 #[derive(Debug)]
 pub struct ConnectionTable {
     max_connections: usize,
@@ -111,7 +113,7 @@
         state.next_change += 1;
         let evicted = Arc::new(Notify::new());
         let entry = ConnectionEntry {
-            phase: ConnectionPhase::Unfinished,
+            phase: ConnectionPhase::Awaiting,
             changed,
             is_evicted: false,
             evicted: evicted.clone(),
@@ -171,17 +173,20 @@
 pub fn first_to_close(
     connections: impl Iterator<Item = (u64, ConnectionPhase, u64)>,
 ) -> Option<u64> {
-    let (mut idle, mut unfinished) = (None::<(u64, u64)>, None);
+    let (mut idle, mut awaiting) = (None::<(u64, u64)>, None::<(u64, u64)>);
+    let mut unfinished = None;
     for (number, phase, changed) in connections {
+        let since = (changed, number);
         match phase {
-            ConnectionPhase::Idle if idle.is_none_or(|it| changed < it.0) => {
-                idle = Some((changed, number));
+            ConnectionPhase::Idle => idle = Some(idle.map_or(since, |it| it.min(since))),
+            ConnectionPhase::Awaiting => {
+                awaiting = Some(awaiting.map_or(since, |it| it.min(since)));
             }
             ConnectionPhase::Unfinished => unfinished = unfinished.max(Some(number)),
-            ConnectionPhase::Idle | ConnectionPhase::Responding => {}
+            ConnectionPhase::Responding => {}
         }
     }
-    idle.map(|it| it.1).or(unfinished)
+    idle.or(awaiting).map(|it| it.1).or(unfinished)
 }
 
 /// The place of one connection in its table; dropping it frees the place.
@@ -231,24 +236,29 @@
         }
     }
 
-    /// Returns the phase; that of a closed connection is idle.
-    pub fn phase(&self) -> ConnectionPhase {
+    /// Returns whether the connection has no request that was read.
+    pub fn is_unfinished(&self) -> bool {
         let state = self.table.lock();
-        state.connections.get(&self.number).map_or(ConnectionPhase::Idle, |it| it.phase)
+        let phase = state.connections.get(&self.number).map(|it| it.phase);
+        matches!(phase, Some(ConnectionPhase::Awaiting | ConnectionPhase::Unfinished))
     }
 }
 
-/// Ends a connection that has to close for another one. One with a response in flight, whose graceful
-/// shutdown has begun, ends after the response; an idle one has a moment to send what it holds, and
-/// one with an unfinished request closes at once.
+/// Ends a connection that has to close for another one, and whose graceful shutdown has begun unless
+/// its request is unfinished. One with a response in flight ends after the response, also if the
+/// request or the last bytes of a response crossed the decision; one with an unfinished request closes
+/// at once.
 pub(crate) async fn close_evicted<E>(
-    connection: Pin<&mut impl Future<Output = Result<(), E>>>,
-    phase: ConnectionPhase,
+    mut connection: Pin<&mut impl Future<Output = Result<(), E>>>,
+    phase: &PhaseHandle,
 ) -> Result<(), E> {
-    match phase {
-        ConnectionPhase::Unfinished => Ok(()),
-        ConnectionPhase::Responding => connection.await,
-        ConnectionPhase::Idle => timeout(IDLE_CLOSE_TIME, connection).await.unwrap_or(Ok(())),
+    if phase.is_unfinished() {
+        return Ok(());
+    }
+    match timeout(IDLE_CLOSE_TIME, connection.as_mut()).await {
+        Ok(result) => result,
+        Err(_) if phase.is_unfinished() => Ok(()),
+        Err(_) => connection.await,
     }
 }
 
--- a/lib/src/intake/socket.rs
+++ b/lib/src/intake/socket.rs
@@ -22,7 +22,7 @@
 
 /// Time without progress of a write after which the connection of a caller fails. What waits for a
 /// caller that does not read takes memory.
-pub const MAX_WRITE_STALL: Duration = Duration::from_secs(15);
+pub const MAX_WRITE_STALL: Duration = Duration::from_secs(30);
 
 /// A TCP connection whose reads are bounded.
 ///
--- a/lib/src/listener.rs
+++ b/lib/src/listener.rs
@@ -123,11 +123,11 @@
         biased;
         result = connection.as_mut() => result,
         () = slot.wait_evicted() => {
-            let phase = slot.phase_handle().phase();
-            if phase != ConnectionPhase::Unfinished {
+            let phase = slot.phase_handle();
+            if !phase.is_unfinished() {
                 connection.as_mut().graceful_shutdown();
             }
-            close_evicted(connection, phase).await
+            close_evicted(connection, &phase).await
         }
         () = wait_for_stop(&mut stop) => {
             connection.as_mut().graceful_shutdown();
--- a/lib/src/schedule/share.rs
+++ b/lib/src/schedule/share.rs
@@ -94,7 +94,7 @@
 }
 
 /// Returns the most that one team may get, so that all together get `room` or what they ask for.
-fn fair_limit(mut demands: Vec<f64>, room: f64) -> f64 {
+pub(super) fn fair_limit(mut demands: Vec<f64>, room: f64) -> f64 {
     demands.sort_by(f64::total_cmp);
     let mut left = room.max(0.0);
     for (index, demand) in demands.iter().enumerate() {
--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -7,7 +7,8 @@
 
 use super::{
     DemandCell, FairQueue, HostShare, PushOutcome, QueueSettings, QueuedRequest, RefusalReason,
-    ShareSource, usage::TeamUsage,
+    ShareSource,
+    usage::{DemandKey, RefusedDemand, TeamUsage},
 };
 use crate::names::{ClassName, OPEN_TEAM, RouteName, ServiceName, TeamName};
 
@@ -23,6 +24,9 @@
 /// share would be lost whenever no request waits for a moment.
 const MAX_SAVED_STARTS: f64 = 3.0;
 
+/// Multiple of its share that a host may have in flight beyond the saved starts before pacing ends.
+const MAX_STUCK_SHARES: f64 = 2.0;
+
 /// Share below which starts are paced. A host with a larger one counts its requests in flight.
 const MIN_COUNTED_SHARE: f64 = 2.0;
 
@@ -113,6 +117,10 @@
 }
 
 impl StartRequest {
+    fn demand_key(&self) -> DemandKey {
+        (self.priority, self.team.clone())
+    }
+
     fn team_or_open(&self) -> TeamName {
         self.team.clone().unwrap_or_else(|| TeamName::new(OPEN_TEAM))
     }
@@ -253,7 +261,11 @@
 #[derive(Debug)]
 struct ServiceState<T> {
     queue: FairQueue<WaitingRequest<T>>,
-    in_flight: BTreeMap<(u8, Option<TeamName>), CellLoad>,
+    in_flight: BTreeMap<DemandKey, CellLoad>,
+    /// Requests that were refused lately.
+    refused: RefusedDemand,
+    /// The room when it was last known.
+    last_room: Option<ServiceRoom>,
     in_flight_total: usize,
     /// Time in flight of requests.
     mean_time: LearnedTime,
@@ -281,6 +293,8 @@
         Self {
             queue: FairQueue::new(queue),
             in_flight: BTreeMap::new(),
+            refused: RefusedDemand::default(),
+            last_room: None,
             in_flight_total: 0,
             mean_time: LearnedTime::default(),
             mean_work: LearnedTime::default(),
@@ -302,14 +316,23 @@
         self.blocked_until.is_some_and(|it| now < it)
     }
 
-    fn demand(&self) -> Vec<DemandCell> {
-        let mut cells: BTreeMap<(u8, Option<TeamName>), f64> =
+    /// Returns the requests in flight and waiting, `arriving`, and what those that were refused
+    /// lately would have had in flight. Without the latter two, a host that may start nothing would
+    /// seem to need nothing.
+    fn demand(&self, now: Instant, arriving: Option<&StartRequest>) -> Vec<DemandCell> {
+        let mut cells: BTreeMap<DemandKey, f64> =
             self.in_flight.iter().map(|(key, load)| (key.clone(), load.places)).collect();
         let mean = self.mean_work.get();
+        let time = self.mean_time.get().unwrap_or_default();
+        for (key, places) in self.refused.places(now, time) {
+            *cells.entry(key.clone()).or_default() += places;
+        }
+        if let Some(request) = arriving {
+            *cells.entry(request.demand_key()).or_default() += work_weight(request.work, mean);
+        }
         for queued in self.queue.iter() {
             let request = &queued.payload.request;
-            let key = (request.priority, request.team.clone());
-            *cells.entry(key).or_default() += work_weight(request.work, mean);
+            *cells.entry(request.demand_key()).or_default() += work_weight(request.work, mean);
         }
         let cells = cells.into_iter().filter(|(_, places)| *places > 0.0);
         let cell =
@@ -322,12 +345,19 @@
     fn accrue(&mut self, now: Instant, room: &ServiceRoom, share: HostShare, fallback: Duration) {
         let elapsed = self.credited.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
         self.credited = Some(now);
+        // Nothing is saved up while the service is not scarce, or while the host is frozen.
+        let elapsed = elapsed.min(self.mean_time.get().unwrap_or(fallback).max(MAX_SERVE_INTERVAL));
         let part = (share.places / room.places.max(1.0)).min(1.0);
         let own_idle = room.idle() * part;
-        let paced =
-            if share.places < MIN_COUNTED_SHARE { self.start_rate(share, fallback) } else { 0.0 };
-        let rate = paced + own_idle / IDLE_FILL_TIME.as_secs_f64();
-        let limit = MAX_SAVED_STARTS.max(own_idle);
+        // Of a share that is counted, the fraction is paced.
+        let is_counted = share.places >= MIN_COUNTED_SHARE;
+        let places = if is_counted { share.places.fract() } else { share.places };
+        // Requests that hang do not end, so that pacing alone would go on without a bound.
+        let is_stuck =
+            self.in_flight_total as f64 > MAX_STUCK_SHARES * share.places + MAX_SAVED_STARTS;
+        let paced = self.start_rate(HostShare { places, ..share }, fallback);
+        let rate = if is_stuck { 0.0 } else { paced } + own_idle / IDLE_FILL_TIME.as_secs_f64();
+        let limit = MAX_SAVED_STARTS.min(1.0 + share.places).max(own_idle);
         self.credit = (self.credit + elapsed.as_secs_f64() * rate).min(limit);
     }
 
@@ -450,8 +480,8 @@
     }
 
     /// Returns the demand of this host for a service: its requests in flight and waiting.
-    pub fn demand(&self, _now: Instant, service: &ServiceName) -> Vec<DemandCell> {
-        self.services.get(service).map(ServiceState::demand).unwrap_or_default()
+    pub fn demand(&self, now: Instant, service: &ServiceName) -> Vec<DemandCell> {
+        self.services.get(service).map(|it| it.demand(now, None)).unwrap_or_default()
     }
 
     /// Decides on a request. `room` is absent if the room of the service is not known; it is then
@@ -482,7 +512,8 @@
             // With no known room there is nothing to wait for.
             return StartOutcome::Started(state.start(now, &request, None));
         };
-        let share = host_share(now, &request.service, state, &room, shares);
+        state.last_room = Some(room);
+        let share = host_share(now, state, &request.service, Some(&request), &room, shares);
         state.accrue(now, &room, share, request.target_latency);
         if state.queue.is_empty() && state.may_start(now, share) {
             return StartOutcome::Started(state.start(now, &request, Some(share)));
@@ -493,11 +524,16 @@
             let retry_after = retry_after(now, &request, forecast.wait);
             StartOutcome::Refused(StartRefusal { reason, retry_after })
         };
-        if forecast.wait > forecast.give_up_wait {
-            return refused(StartRefusalReason::TooLate);
-        }
-        if forecast.wait > forecast.max_wait {
-            return refused(StartRefusalReason::OverTarget);
+        let too_late = forecast.wait > forecast.give_up_wait;
+        if too_late || forecast.wait > forecast.max_wait {
+            if let Some(state) = self.services.get_mut(&request.service) {
+                state.refused.record(now, request.demand_key(), weight);
+            }
+            return refused(if too_late {
+                StartRefusalReason::TooLate
+            } else {
+                StartRefusalReason::OverTarget
+            });
         }
         if self.waiting >= settings.max_waiting
             || self.waiting_bytes + request.body_bytes > settings.max_waiting_bytes
@@ -614,10 +650,12 @@
             ends.push((waiting.payload, WaitEnd::Refused(StartRefusal { reason, retry_after })));
         }
         state.update_above_share(now);
+        // Upstreams that are paused or lost for a moment must not release the whole queue.
+        let room = room.or(state.last_room);
         while !state.queue.is_empty() {
             let share = match &room {
                 Some(room) => {
-                    let share = host_share(now, service, state, room, shares);
+                    let share = host_share(now, state, service, None, room, shares);
                     let fallback = state.queue.iter().map(|it| it.payload.request.target_latency);
                     let fallback = fallback.min().unwrap_or_default();
                     state.accrue(now, room, share, fallback);
@@ -679,7 +717,7 @@
             return false;
         }
         if let Some(state) = self.services.get_mut(service) {
-            let share = host_share(now, service, state, room, shares);
+            let share = host_share(now, state, service, None, room, shares);
             state.credit = state.credit.min(0.0);
             let rate = state.start_rate(share, MAX_SERVE_INTERVAL);
             let pause = Duration::from_secs_f64(1.0 / rate.max(1.0)).min(MAX_SERVE_INTERVAL);
@@ -731,12 +769,13 @@
 
 fn host_share<T>(
     now: Instant,
-    service: &ServiceName,
     state: &ServiceState<T>,
+    service: &ServiceName,
+    arriving: Option<&StartRequest>,
     room: &ServiceRoom,
     shares: &dyn ShareSource,
 ) -> HostShare {
-    bounded(shares.share(now, service, &state.demand(), room.places))
+    bounded(shares.share(now, service, &state.demand(now, arriving), room.places))
 }
 
 fn bounded(share: HostShare) -> HostShare {
--- a/lib/src/schedule/usage.rs
+++ b/lib/src/schedule/usage.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use super::share::fair_limit;
 use crate::names::TeamName;
 
 /// Time in which used work decays to 1/e (37%). It is longer than the bursts of an ordinary team,
@@ -57,7 +58,7 @@
     pub(super) fn above_share(&mut self, now: Instant) -> BTreeSet<TeamName> {
         self.decay(now);
         let started = self.teams.values().map(|it| it.started).sum();
-        let level = fair_level(self.teams.values().map(|it| it.asked).collect(), started);
+        let level = fair_limit(self.teams.values().map(|it| it.asked).collect(), started);
         let lacks_part = |it: &TeamWork| {
             let part = it.asked.min(level);
             part - it.started > MIN_LACK.max(LACKING_PART * part)
@@ -70,8 +71,7 @@
     }
 
     fn decay(&mut self, now: Instant) {
-        let age = self.updated.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
-        let factor = (-age.as_secs_f64() / USAGE_TIME.as_secs_f64()).exp();
+        let factor = decay_factor(self.updated, now);
         self.updated = Some(now);
         self.teams.retain(|_, it| {
             it.asked *= factor;
@@ -81,17 +81,43 @@
     }
 }
 
-/// Returns the level at which the sum of the demands, each cut to the level, is `room`.
-fn fair_level(mut demands: Vec<f64>, room: f64) -> f64 {
-    demands.sort_by(f64::total_cmp);
-    let (mut left, mut count) = (room, demands.len());
-    for demand in demands {
-        let level = left / count as f64;
-        if demand >= level {
-            return level;
-        }
-        left -= demand;
-        count -= 1;
+/// Priority and team of requests; no team on routes that are open to all.
+pub(super) type DemandKey = (u8, Option<TeamName>);
+
+/// Requests of mean work that were refused, as decaying sums.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RefusedDemand {
+    sums: BTreeMap<DemandKey, f64>,
+    updated: Option<Instant>,
+}
+
+impl RefusedDemand {
+    /// Records a request that is refused.
+    pub(super) fn record(&mut self, now: Instant, key: DemandKey, work: f64) {
+        let factor = decay_factor(self.updated, now);
+        self.updated = Some(now);
+        self.sums.retain(|_, it| {
+            *it *= factor;
+            *it >= MIN_USAGE
+        });
+        *self.sums.entry(key).or_default() += work;
+    }
+
+    /// Returns how many of the refused requests would have been in flight at a time, if each takes
+    /// `time`.
+    pub(super) fn places(
+        &self,
+        now: Instant,
+        time: Duration,
+    ) -> impl Iterator<Item = (&DemandKey, f64)> {
+        let factor =
+            decay_factor(self.updated, now) * time.as_secs_f64() / USAGE_TIME.as_secs_f64();
+        self.sums.iter().map(move |(key, sum)| (key, sum * factor))
     }
-    f64::INFINITY
+}
+
+/// Returns what is left of a sum that was updated at `then`.
+fn decay_factor(then: Option<Instant>, now: Instant) -> f64 {
+    let age = then.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
+    (-age.as_secs_f64() / USAGE_TIME.as_secs_f64()).exp()
 }
--- a/lib/src/settings/reader.rs
+++ b/lib/src/settings/reader.rs
@@ -183,11 +183,21 @@
         Ok(usize::try_from(number).expect("the ranges of counts fit into usize"))
     }
 
+    /// Reads a number of which a fraction is dropped.
+    fn floor(&self, name: &'static str) -> Result<usize, SettingsError> {
+        let (low, high) = self.spec(name).range.expect("a numeric setting has a range");
+        self.read(name, |it| {
+            let is_number = it.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+            let number: f64 = it.parse().ok().filter(|_| is_number)?;
+            ((low as f64)..=(high as f64)).contains(&number).then_some(number as usize)
+        })
+    }
+
     /// Reads the settings `memory-mb` and `descriptors`.
     pub(super) fn host_size(&self) -> Result<HostSize, SettingsError> {
         Ok(HostSize {
-            memory_bytes: self.count("memory-mb")? << 20,
-            descriptors: self.count("descriptors")?,
+            memory_bytes: self.floor("memory-mb")? << 20,
+            descriptors: self.floor("descriptors")?,
         })
     }
 
--- a/lib/tests/intake_account.rs
+++ b/lib/tests/intake_account.rs
@@ -36,12 +36,14 @@
 /// another connection is idle.
 #[test]
 fn the_longest_idle_and_then_the_newest_unfinished_connection_closes_first() {
-    use ConnectionPhase::{Idle, Responding, Unfinished};
+    use ConnectionPhase::{Awaiting, Idle, Responding, Unfinished};
     assert_eq!(first_to_close([(1, Responding, 9)].into_iter()), None);
     let all = [(1, Idle, 8), (2, Idle, 3), (3, Unfinished, 1), (4, Unfinished, 2)];
     assert_eq!(first_to_close(all.into_iter()), Some(2));
     let busy = [(1, Responding, 1), (3, Unfinished, 7), (4, Unfinished, 2)];
     assert_eq!(first_to_close(busy.into_iter()), Some(4));
+    let silent = [(1, Responding, 1), (2, Awaiting, 5), (3, Awaiting, 6), (4, Unfinished, 7)];
+    assert_eq!(first_to_close(silent.into_iter()), Some(2));
 }
 
 /// Guards against a charge that differs from what is held, also after bodies end in each way.
