--- a/lib/tests/schedule_start.rs
+++ b/lib/tests/schedule_start.rs
@@ -339,7 +339,9 @@
 fn no_starts_are_saved_up_while_nothing_is_scarce() {
     let mut host = Host::new(30);
     let now = Instant::now();
-    (0..20).for_each(|_| drop(host.arrive(now, Some(FULL), "a", 1)));
+    for _ in 0..20 {
+        host.arrive(now, Some(FULL), "a", 1);
+    }
     // The share is 24 / 30 of a request.
     assert!(host.started.len() <= 2, "{}", host.started.len());
 }
@@ -350,7 +352,9 @@
 fn the_queue_is_not_released_while_the_room_is_unknown() {
     let mut host = Host::new(3);
     let now = Instant::now();
-    (0..60).for_each(|_| drop(host.arrive(now, Some(FULL), "a", 1)));
+    for _ in 0..60 {
+        host.arrive(now, Some(FULL), "a", 1);
+    }
     let (before, waiting) = (host.started.len(), host.control.waiting());
     assert!(waiting > 5, "{waiting}");
     host.advance(now + MS, None);
