schedule: requests may wait at upstreams for a part of their target

Change: the room takes in what waits at upstreams for a quarter of the latency target, by the learned time in flight, and at most one and a half times what they run.

--- a/lib/src/gateway/call/start.rs
+++ b/lib/src/gateway/call/start.rs
@@ -55,6 +55,7 @@
         let GatewayState { start, upstreams, exchange, .. } = &mut *self.gateway.state.borrow_mut();
         upstreams
             .service_room(now, service)
+            .map(|it| start.usable_room(service, it))
             .is_some_and(|it| start.record_full(now, service, &it, &exchange.demands))
     }
 }
@@ -99,6 +100,7 @@
         let outcome = {
             let GatewayState { start, upstreams, exchange, .. } = &mut *self.state.borrow_mut();
             let room = upstreams.service_room(now, &request.service);
+            let room = room.map(|it| start.usable_room(&request.service, it));
             let start_request = request.start_request(upstreams.work());
             start.admit(now, start_request, room, &exchange.demands, sender)
         };
@@ -179,6 +181,7 @@
             let GatewayState { start, upstreams, exchange, .. } = &mut *self.state.borrow_mut();
             for service in start.services_with_waiting() {
                 let room = upstreams.service_room(now, &service);
+                let room = room.map(|it| start.usable_room(&service, it));
                 ends.extend(start.serve(now, &service, room, &exchange.demands));
             }
             start.next_serve(now)
--- a/lib/src/gateway/local_demand.rs
+++ b/lib/src/gateway/local_demand.rs
@@ -28,6 +28,7 @@
     fn scarce_services(&self, now: Instant) -> Vec<ScarceService> {
         let scarce = |service: &ServiceName| {
             let room = self.upstreams.service_room(now, service)?;
+            let room = self.start.usable_room(service, room);
             let is_scarce = room.is_used_up() || self.start.has_waiting(service);
             is_scarce.then(|| ScarceService { service: service.clone(), room: room.places })
         };
--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -24,6 +24,13 @@
 /// share would be lost whenever no request waits for a moment.
 const MAX_SAVED_STARTS: f64 = 3.0;
 
+/// Part of the latency target for which requests may wait at the upstreams. Without waiting requests
+/// there, an upstream would be idle whenever hosts do not know yet that it has finished one.
+const UPSTREAM_WAIT_PART: f64 = 0.25;
+
+/// Most requests that may wait at the upstreams, as a multiple of those that they run.
+const MAX_UPSTREAM_WAITING: f64 = 1.5;
+
 /// Multiple of its share that a host may have in flight beyond the saved starts before pacing ends.
 const MAX_STUCK_SHARES: f64 = 2.0;
 
@@ -266,6 +273,8 @@
     refused: RefusedDemand,
     /// The room when it was last known.
     last_room: Option<ServiceRoom>,
+    /// Shortest latency target of the requests to the service.
+    target_latency: Option<Duration>,
     in_flight_total: usize,
     /// Time in flight of requests.
     mean_time: LearnedTime,
@@ -295,6 +304,7 @@
             in_flight: BTreeMap::new(),
             refused: RefusedDemand::default(),
             last_room: None,
+            target_latency: None,
             in_flight_total: 0,
             mean_time: LearnedTime::default(),
             mean_work: LearnedTime::default(),
@@ -312,6 +322,15 @@
         share.places / time.as_secs_f64().max(0.001)
     }
 
+    /// Adds to the room the requests that may wait at the upstreams.
+    fn usable_room(&self, room: ServiceRoom) -> ServiceRoom {
+        let waiting =
+            self.target_latency.zip(self.mean_time.get()).map_or(0.0, |(target, time)| {
+                UPSTREAM_WAIT_PART * target.as_secs_f64() / time.as_secs_f64().max(0.001)
+            });
+        ServiceRoom { places: room.places * (1.0 + waiting.min(MAX_UPSTREAM_WAITING)), ..room }
+    }
+
     fn is_blocked(&self, now: Instant) -> bool {
         self.blocked_until.is_some_and(|it| now < it)
     }
@@ -479,6 +498,12 @@
         self.services.get(service).into_iter().flat_map(|it| it.queue.above_share())
     }
 
+    /// Returns the room of a service with the requests that may wait at its upstreams, which is the
+    /// room that decisions take.
+    pub fn usable_room(&self, service: &ServiceName, room: ServiceRoom) -> ServiceRoom {
+        self.services.get(service).map_or(room, |it| it.usable_room(room))
+    }
+
     /// Returns the demand of this host for a service: its requests in flight and waiting.
     pub fn demand(&self, now: Instant, service: &ServiceName) -> Vec<DemandCell> {
         self.services.get(service).map(|it| it.demand(now, None)).unwrap_or_default()
@@ -507,6 +532,8 @@
         }
         let weight = work_weight(request.work, state.mean_work.get());
         state.usage.record_arrival(now, &request.team_or_open(), weight);
+        let target = state.target_latency.get_or_insert(request.target_latency);
+        *target = request.target_latency.min(*target);
         let is_idle = state.queue.is_empty() && !state.is_blocked(now);
         let Some(room) = room.filter(|it| !is_idle || it.is_used_up()) else {
             // With no known room there is nothing to wait for.
--- a/lib/tests/schedule_start.rs
+++ b/lib/tests/schedule_start.rs
@@ -360,3 +360,16 @@
     host.advance(now + MS, None);
     assert!(host.started.len() - before <= 3, "{}", host.started.len() - before);
 }
+
+/// Guards against refusals by a service that is far from full, because requests of some milliseconds
+/// come in bursts, and against queues at upstreams that cost the latency target.
+#[test]
+fn requests_may_wait_at_upstreams_for_a_part_of_the_target() {
+    let host = Host::new(7);
+    let room = host.control.usable_room(&ServiceName::new("orders"), FULL);
+    // 300 ms target and 30 ms of work: 18 running requests may have 27 behind them, in time.
+    assert_eq!(room.places, 60.0);
+    assert_eq!(room.in_flight, FULL.in_flight);
+    let unknown = Host::with_settings(7, StartSettings::default());
+    assert_eq!(unknown.control.usable_room(&ServiceName::new("orders"), FULL), FULL);
+}
