upstreams: current load reports go before counts of requests in flight

Cause: with a team at thirty times its usual, the hosts' own processors are busy, so that responses wait at the hosts and their requests count as in flight: the booking service counted as full (31 to 44 places) while its upstreams had few requests. Change: for the room, a report of up to 100 ms and this host's requests since then go before the counts, if they are lower.

--- a/lib/src/gateway/upstreams/room.rs
+++ b/lib/src/gateway/upstreams/room.rs
@@ -1,8 +1,8 @@
 //! How many requests the upstreams of a service can have in flight.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use super::{REPORT_DECAY_TIME, ReportedLoad, UpstreamSet, UpstreamState};
+use super::{LoadReport, REPORT_DECAY_TIME, ReportedLoad, UpstreamSet, UpstreamState};
 use crate::{names::ServiceName, schedule::ServiceRoom};
 
 /// Requests in flight at an upstream beyond those that it can run. They keep it busy until the
@@ -13,6 +13,10 @@
 /// a request as waiting while it reads its prompt, so that a few wait at one with room.
 const FULL_WAITING_SHARE: f64 = 0.25;
 
+/// Age up to which a report of an upstream says more of its load than counts of requests in flight.
+/// These also count requests on their way, and those that a busy host has not looked at yet.
+const CURRENT_REPORT_TIME: Duration = Duration::from_millis(100);
+
 /// Requests that an upstream was seen to run at most.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedRoom {
@@ -65,6 +69,15 @@
         self.room.map(|it| it.current(now)).or(published)
     }
 
+    /// Returns its load by its own report and this host's requests since, if the report is current.
+    fn current_load(&self, now: Instant) -> Option<f64> {
+        let is_current =
+            |it: &LoadReport| now.saturating_duration_since(it.reported_at) <= CURRENT_REPORT_TIME;
+        let report = self.report.filter(is_current)?;
+        let since = f64::from(self.own_in_flight) - f64::from(report.own_in_flight);
+        Some((report.requests + since).max(0.0))
+    }
+
     /// Returns whether it can run one more request than `load`, if that is known.
     pub(super) fn has_room(&self, now: Instant, load: f64) -> Option<bool> {
         self.places(now).map(|it| load + 1.0 <= it + QUEUED_PER_UPSTREAM)
@@ -93,7 +106,9 @@
                 None => unknown += 1,
             }
             // Without a report only the requests of this host are known.
-            room.in_flight += state.estimated_load(&basis, 0.0);
+            let estimated = state.estimated_load(&basis, 0.0);
+            let reported = state.current_load(now);
+            room.in_flight += reported.map_or(estimated, |it| it.min(estimated));
         }
         room.places *= 1.0 + f64::from(unknown) / f64::from(known.max(1));
         (has_report && known > 0).then_some(room)
--- a/lib/tests/gateway_upstreams.rs
+++ b/lib/tests/gateway_upstreams.rs
@@ -584,3 +584,20 @@
     let later = set.service_room(now + 30 * SECOND, &service).unwrap();
     assert!(later.places >= 127.0, "{later:?}");
 }
+
+/// Load: a host that is busy itself. Guards against a service that counts as full because responses
+/// wait at this host, while its engines report that they are nearly idle.
+#[test]
+fn requests_that_wait_at_a_busy_host_do_not_use_up_the_room() {
+    let now = Instant::now();
+    let mut set = set(now, 9);
+    let service = ServiceName::new("chat");
+    for index in 0..9 {
+        let name = UpstreamName::new(&format!("chat-{index}"));
+        (0..20).for_each(|_| set.request_started(&name));
+        set.record_load(now, &name, ReportedLoad { running: 1, ..ReportedLoad::default() });
+    }
+    assert_eq!(set.service_room(now, &service).unwrap().in_flight, 9.0);
+    // An old report says nothing of the requests that were sent since.
+    assert!(set.service_room(now + SECOND, &service).unwrap().in_flight >= 180.0);
+}
