--- a/lib/src/schedule/start.rs
+++ b/lib/src/schedule/start.rs
@@ -1,41 +1,24 @@
 //! Start control of one host: whether a request starts now, waits, or is refused.
 
+mod learned;
+mod request;
+mod service_state;
+
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
-use super::{
-    DemandCell, FairQueue, HostShare, PushOutcome, QueueSettings, QueuedRequest, RefusalReason,
-    ShareSource,
-    usage::{DemandKey, RefusedDemand, TeamUsage},
+pub use self::request::{
+    ServiceRoom, StartForecast, StartOutcome, StartRefusal, StartRefusalReason, StartRequest,
+    StartSettings, StartedWork, WaitEnd,
 };
-use crate::names::{ClassName, OPEN_TEAM, RouteName, ServiceName, TeamName};
-
-/// Weight of one request in the learned times. At 8 requests per second to a service, a change is
-/// learned in about a second.
-const LEARNING_WEIGHT: f64 = 0.15;
-
-/// Time in which all hosts together fill room that is idle. Load reports are older than this on
-/// average, so that a shorter time would fill the same room twice.
-const IDLE_FILL_TIME: Duration = Duration::from_millis(100);
-
-/// Starts that a host can save up while it sends less than its share. With fewer, a part of the
-/// share would be lost whenever no request waits for a moment.
-const MAX_SAVED_STARTS: f64 = 3.0;
-
-/// Part of the latency target for which requests may wait at the upstreams. Without waiting requests
-/// there, an upstream would be idle whenever hosts do not know yet that it has finished one.
-const UPSTREAM_WAIT_PART: f64 = 0.25;
-
-/// Most requests that may wait at the upstreams, as a multiple of those that they run.
-const MAX_UPSTREAM_WAITING: f64 = 1.5;
-
-/// Multiple of its share that a host may have in flight beyond the saved starts before pacing ends.
-const MAX_STUCK_SHARES: f64 = 2.0;
-
-/// Share below which starts are paced. A host with a larger one counts its requests in flight.
-const MIN_COUNTED_SHARE: f64 = 2.0;
+use self::{
+    learned::RouteTimes,
+    service_state::{IDLE_FILL_TIME, ServiceState, WaitingRequest, work_weight},
+};
+use super::{DemandCell, HostShare, PushOutcome, QueuedRequest, RefusalReason, ShareSource};
+use crate::names::{ClassName, RouteName, ServiceName, TeamName};
 
 /// Smallest share of a host, so that a wrong room never stops it.
 const MIN_SHARE: f64 = 0.02;
@@ -47,384 +30,13 @@
 /// Part of the latency target that a request may always wait, however slow responses are.
 const MIN_WAIT_PART: f64 = 0.5;
 
-/// Factor by which the usual time of callers shrinks with each request, so that a route whose
-/// callers now have less time is learned after some thousand requests.
-const TIME_LEFT_DECAY: f64 = 0.9995;
-
 /// Divisor of a caller's remaining time; longer stated delays are not honoured.
 const RETRY_DIVISOR: u32 = 3;
 
-/// Range of the learned ratio of real to forecast waits.
-const FORECAST_ERROR_RANGE: (f64, f64) = (0.5, 4.0);
-
 /// Interval at which the queue is served without any event: credit accrues with time.
 const MAX_SERVE_INTERVAL: Duration = Duration::from_millis(50);
 const MIN_SERVE_INTERVAL: Duration = Duration::from_millis(2);
 
-/// Bounds of the queue of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StartSettings {
-    /// Requests that wait, over all services.
-    pub max_waiting: usize,
-    /// Bytes of their bodies.
-    pub max_waiting_bytes: usize,
-}
-
-impl Default for StartSettings {
-    fn default() -> Self {
-        Self { max_waiting: 1_024, max_waiting_bytes: 16 << 20 }
-    }
-}
-
-/// What a host knows of the upstreams of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ServiceRoom {
-    /// Requests that the upstreams can have in flight together.
-    pub places: f64,
-    /// Requests of all hosts in flight, as far as they are known.
-    pub in_flight: f64,
-}
-
-impl ServiceRoom {
-    /// Returns whether there is no room for one more request.
-    pub fn is_used_up(&self) -> bool {
-        self.in_flight + 1.0 > self.places
-    }
-
-    fn idle(&self) -> f64 {
-        (self.places - self.in_flight).max(0.0)
-    }
-}
-
-/// A request before its start.
-#[derive(Clone, Debug)]
-pub struct StartRequest {
-    /// Service that the request is routed to.
-    pub service: ServiceName,
-    /// Route of the request; learned times are kept by route.
-    pub route: RouteName,
-    /// Team of the caller; absent on routes that are open to all.
-    pub team: Option<TeamName>,
-    /// Priority; 0 is served first.
-    pub priority: u8,
-    /// Estimated work; absent if only the learned time of the route is known.
-    pub work: Option<Duration>,
-    /// Bytes of the body.
-    pub body_bytes: usize,
-    /// When it arrived at this host.
-    pub arrived: Instant,
-    /// Time that its caller had left at its arrival, if the caller states it.
-    pub time_left: Option<Duration>,
-    /// Latency target of the route, from the arrival.
-    pub target_latency: Duration,
-    /// When the deadline, the timeout of the route or the patience of the caller ends.
-    pub gives_up_at: Instant,
-    /// When the deadline of the caller or the timeout of the route ends.
-    pub expires_at: Instant,
-}
-
-impl StartRequest {
-    fn demand_key(&self) -> DemandKey {
-        (self.priority, self.team.clone())
-    }
-
-    fn team_or_open(&self) -> TeamName {
-        self.team.clone().unwrap_or_else(|| TeamName::new(OPEN_TEAM))
-    }
-}
-
-/// What is expected of a request that would have to wait.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StartForecast {
-    /// Waiting requests that start before it.
-    pub ahead: usize,
-    /// Expected wait until it starts.
-    pub wait: Duration,
-    /// Longest wait with which the first event or the response is in time for the target.
-    pub max_wait: Duration,
-    /// Longest wait with which the caller is still there.
-    pub give_up_wait: Duration,
-    /// Share of this host.
-    pub share: HostShare,
-    /// Whether the team of the request is above its share.
-    pub is_above_share: bool,
-    /// Whether its caller came back so late that the latency target is missed already.
-    pub is_late: bool,
-}
-
-/// Why a request is refused before its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartRefusalReason {
-    /// The caller gives up before a response is expected.
-    TooLate,
-    /// The response is expected after the latency target, while more is asked for than can be
-    /// served.
-    OverTarget,
-    /// The queue is full, or the request lost its place to another one.
-    QueueFull,
-    /// It waited for as long as was useful.
-    WaitedTooLong,
-}
-
-impl StartRefusalReason {
-    /// Returns the value of the log field and metrics label.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::TooLate => "too_late",
-            Self::OverTarget => "over_target",
-            Self::QueueFull => "queue_full",
-            Self::WaitedTooLong => "waited_too_long",
-        }
-    }
-}
-
-/// A refusal before the start; the request has not run.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StartRefusal {
-    /// Why it is refused.
-    pub reason: StartRefusalReason,
-    /// Time after which room is expected.
-    pub retry_after: Duration,
-}
-
-/// A request that has started, until [`StartControl::end`].
-#[derive(Clone, Debug, PartialEq)]
-pub struct StartedWork {
-    service: ServiceName,
-    route: RouteName,
-    team: Option<TeamName>,
-    priority: u8,
-    weight: f64,
-    started: Instant,
-}
-
-/// Decision on a request.
-#[derive(Clone, Debug)]
-pub enum StartOutcome {
-    /// It starts now.
-    Started(StartedWork),
-    /// It waits; the number identifies it for [`StartControl::cancel`].
-    Waits(u64),
-    /// It is refused.
-    Refused(StartRefusal),
-}
-
-/// How the wait of a request ended, for its owner.
-#[derive(Clone, Debug)]
-pub enum WaitEnd {
-    /// It starts now, after a wait.
-    Started(StartedWork, Duration),
-    /// It is refused.
-    Refused(StartRefusal),
-}
-
-#[derive(Clone, Debug)]
-struct WaitingRequest<T> {
-    request: StartRequest,
-    /// Forecast at its arrival, before the correction by the learned error.
-    raw_wait: Duration,
-    payload: T,
-}
-
-/// Exponentially weighted mean of a time.
-#[derive(Clone, Copy, Debug, Default)]
-struct LearnedTime(Option<f64>);
-
-impl LearnedTime {
-    fn record(&mut self, time: Duration) {
-        let seconds = time.as_secs_f64();
-        let mean = self.0.get_or_insert(seconds);
-        *mean += LEARNING_WEIGHT * (seconds - *mean);
-    }
-
-    fn get(self) -> Option<Duration> {
-        self.0.map(Duration::from_secs_f64)
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct RouteTimes {
-    /// Time in flight.
-    total: LearnedTime,
-    /// Time until the response or the first event.
-    response: LearnedTime,
-    /// Longest time that callers have at their first attempt, slowly decaying.
-    usual_time_left: Duration,
-}
-
-impl RouteTimes {
-    fn record_time_left(&mut self, time_left: Duration) {
-        self.usual_time_left = time_left.max(self.usual_time_left.mul_f64(TIME_LEFT_DECAY));
-    }
-
-    /// Returns when the caller made its first attempt, as far as its remaining time shows.
-    fn first_attempt(&self, request: &StartRequest) -> Instant {
-        let elapsed = request.time_left.map(|it| self.usual_time_left.saturating_sub(it));
-        let elapsed = elapsed.unwrap_or_default();
-        request.arrived.checked_sub(elapsed).unwrap_or(request.arrived)
-    }
-}
-
-#[derive(Debug)]
-struct ServiceState<T> {
-    queue: FairQueue<WaitingRequest<T>>,
-    in_flight: BTreeMap<DemandKey, CellLoad>,
-    /// Requests that were refused lately.
-    refused: RefusedDemand,
-    /// The room when it was last known.
-    last_room: Option<ServiceRoom>,
-    /// Shortest latency target of the requests to the service.
-    target_latency: Option<Duration>,
-    in_flight_total: usize,
-    /// Time in flight of requests.
-    mean_time: LearnedTime,
-    /// Estimated work of requests.
-    mean_work: LearnedTime,
-    /// Starts that have been saved up.
-    credit: f64,
-    credited: Option<Instant>,
-    /// No start before this time, because an upstream was full.
-    blocked_until: Option<Instant>,
-    usage: TeamUsage,
-    /// Learned ratio of real to forecast waits.
-    forecast_error: f64,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct CellLoad {
-    requests: u32,
-    places: f64,
-}
-
-impl<T> ServiceState<T> {
-    fn new(settings: &StartSettings) -> Self {
-        let queue = QueueSettings { capacity: settings.max_waiting, ..QueueSettings::default() };
-        Self {
-            queue: FairQueue::new(queue),
-            in_flight: BTreeMap::new(),
-            refused: RefusedDemand::default(),
-            last_room: None,
-            target_latency: None,
-            in_flight_total: 0,
-            mean_time: LearnedTime::default(),
-            mean_work: LearnedTime::default(),
-            credit: 1.0,
-            credited: None,
-            blocked_until: None,
-            usage: TeamUsage::default(),
-            forecast_error: 1.0,
-        }
-    }
-
-    /// Returns the starts per second with which the share of the host is met over time.
-    fn start_rate(&self, share: HostShare, fallback_time: Duration) -> f64 {
-        let time = self.mean_time.get().unwrap_or(fallback_time);
-        share.places / time.as_secs_f64().max(0.001)
-    }
-
-    /// Adds to the room the requests that may wait at the upstreams.
-    fn usable_room(&self, room: ServiceRoom) -> ServiceRoom {
-        let waiting =
-            self.target_latency.zip(self.mean_time.get()).map_or(0.0, |(target, time)| {
-                UPSTREAM_WAIT_PART * target.as_secs_f64() / time.as_secs_f64().max(0.001)
-            });
-        ServiceRoom { places: room.places * (1.0 + waiting.min(MAX_UPSTREAM_WAITING)), ..room }
-    }
-
-    fn is_blocked(&self, now: Instant) -> bool {
-        self.blocked_until.is_some_and(|it| now < it)
-    }
-
-    /// Returns the requests in flight and waiting, `arriving`, and what those that were refused
-    /// lately would have had in flight. Without the latter two, a host that may start nothing would
-    /// seem to need nothing.
-    fn demand(&self, now: Instant, arriving: Option<&StartRequest>) -> Vec<DemandCell> {
-        let mut cells: BTreeMap<DemandKey, f64> =
-            self.in_flight.iter().map(|(key, load)| (key.clone(), load.places)).collect();
-        let mean = self.mean_work.get();
-        let time = self.mean_time.get().unwrap_or_default();
-        for (key, places) in self.refused.places(now, time) {
-            *cells.entry(key.clone()).or_default() += places;
-        }
-        if let Some(request) = arriving {
-            *cells.entry(request.demand_key()).or_default() += work_weight(request.work, mean);
-        }
-        for queued in self.queue.iter() {
-            let request = &queued.payload.request;
-            *cells.entry(request.demand_key()).or_default() += work_weight(request.work, mean);
-        }
-        let cells = cells.into_iter().filter(|(_, places)| *places > 0.0);
-        let cell =
-            |((priority, team), places)| DemandCell { priority, team, places: places as f32 };
-        cells.map(cell).collect()
-    }
-
-    /// Adds the starts that time has brought: those of the share, and this host's part of the room
-    /// that is idle.
-    fn accrue(&mut self, now: Instant, room: &ServiceRoom, share: HostShare, fallback: Duration) {
-        let elapsed = self.credited.map_or(Duration::ZERO, |it| now.saturating_duration_since(it));
-        self.credited = Some(now);
-        // Nothing is saved up while the service is not scarce, or while the host is frozen.
-        let elapsed = elapsed.min(self.mean_time.get().unwrap_or(fallback).max(MAX_SERVE_INTERVAL));
-        let part = (share.places / room.places.max(1.0)).min(1.0);
-        let own_idle = room.idle() * part;
-        // Of a share that is counted, the fraction is paced.
-        let is_counted = share.places >= MIN_COUNTED_SHARE;
-        let places = if is_counted { share.places.fract() } else { share.places };
-        // Requests that hang do not end, so that pacing alone would go on without a bound.
-        let is_stuck =
-            self.in_flight_total as f64 > MAX_STUCK_SHARES * share.places + MAX_SAVED_STARTS;
-        let paced = self.start_rate(HostShare { places, ..share }, fallback);
-        let rate = if is_stuck { 0.0 } else { paced } + own_idle / IDLE_FILL_TIME.as_secs_f64();
-        let limit = MAX_SAVED_STARTS.min(1.0 + share.places).max(own_idle);
-        self.credit = (self.credit + elapsed.as_secs_f64() * rate).min(limit);
-    }
-
-    /// Returns whether one more request may start, while the service is scarce.
-    fn may_start(&self, now: Instant, share: HostShare) -> bool {
-        if self.is_blocked(now) {
-            return false;
-        }
-        let is_within_share =
-            share.places >= MIN_COUNTED_SHARE && self.in_flight_total as f64 + 1.0 <= share.places;
-        is_within_share || self.credit >= 1.0
-    }
-
-    fn start(
-        &mut self,
-        now: Instant,
-        request: &StartRequest,
-        share: Option<HostShare>,
-    ) -> StartedWork {
-        let weight = work_weight(request.work, self.mean_work.get());
-        let key = (request.priority, request.team.clone());
-        let load = self.in_flight.entry(key).or_default();
-        load.requests += 1;
-        load.places += weight;
-        self.in_flight_total += 1;
-        self.usage.record_start(now, &request.team_or_open(), weight);
-        let is_counted = |it: HostShare| {
-            it.places >= MIN_COUNTED_SHARE && self.in_flight_total as f64 <= it.places
-        };
-        if share.is_some_and(|it| !is_counted(it)) {
-            self.credit -= 1.0;
-        }
-        StartedWork {
-            service: request.service.clone(),
-            route: request.route.clone(),
-            team: request.team.clone(),
-            priority: request.priority,
-            weight,
-            started: now,
-        }
-    }
-
-    fn update_above_share(&mut self, now: Instant) {
-        let above = self.usage.above_share(now);
-        self.queue.set_above_share(above);
-    }
-}
-
 /// Steps of the queue's priority between two priorities of requests. The queue raises a class with
 /// overdue requests by one, which must not make late requests equal to those that can be in time.
 const PRIORITY_STEPS: u8 = 4;
@@ -436,16 +48,6 @@
     if is_late { priority + PRIORITY_STEPS / 2 } else { priority }
 }
 
-/// Returns the work of a request relative to the mean of its service.
-fn work_weight(work: Option<Duration>, mean: Option<Duration>) -> f64 {
-    match (work, mean) {
-        (Some(work), Some(mean)) if !mean.is_zero() => {
-            (work.as_secs_f64() / mean.as_secs_f64()).clamp(0.05, 20.0)
-        }
-        _ => 1.0,
-    }
-}
-
 /// Decides for one host which requests start, wait or are refused; `T` is what its user needs to
 /// answer a request that waits.
 ///
@@ -783,17 +385,6 @@
     }
 }
 
-impl<T> ServiceState<T> {
-    fn learn_wait(&mut self, forecast: Duration, wait: Duration) {
-        if forecast < MIN_SERVE_INTERVAL {
-            return;
-        }
-        let (low, high) = FORECAST_ERROR_RANGE;
-        let ratio = (wait.as_secs_f64() / forecast.as_secs_f64()).clamp(low, high);
-        self.forecast_error += LEARNING_WEIGHT * (ratio - self.forecast_error);
-    }
-}
-
 fn host_share<T>(
     now: Instant,
     state: &ServiceState<T>,
