upstreams: the holder of a prompt has all its shared parts

Change: an engine that was sent all shared parts is the holder; else it is inferred as before. The new test was not run on the code before.

--- a/lib/src/gateway/upstreams/prompt.rs
+++ b/lib/src/gateway/upstreams/prompt.rs
@@ -30,8 +30,8 @@
     /// Returns the upstream, other than the chosen one, that most probably has the prompt cached.
     ///
     /// All hosts send a prompt to the upstream with the highest rendezvous score that is not
-    /// overloaded. Of those to which this host has sent the parts of the prompt within the last
-    /// seconds, the one with the longest beginning of it is the holder. Without any it is inferred:
+    /// overloaded. If this host has sent all shared parts of the prompt to one within the last
+    /// seconds, that one is the holder. Otherwise it is inferred:
     /// if the chosen upstream lacks the prompt, because it has just joined or replaces
     /// an overloaded one, the highest-scored upstream that was open to picks for long enough has
     /// it. That may be a leaving one, which takes no new requests but still serves its cache.
@@ -54,14 +54,15 @@
                 && it.announcement.pause_left(now).is_none()
         };
         let reachable = others.filter(is_within_reach);
-        let cached = |it: &&UpstreamState| {
-            work.map_or(0, |work| self.work.cached_tokens(now, &it.record.name, work.size))
+        // Many upstreams have the first parts, which most prompts share.
+        let has_shared_parts = |it: &&UpstreamState| {
+            work.is_some_and(|work| {
+                let shared = work.size.shared_tokens();
+                shared > 0 && self.work.cached_tokens(now, &it.record.name, work.size) >= shared
+            })
         };
-        let known = reachable.clone().map(|it| (cached(&it), it)).filter(|(tokens, _)| *tokens > 0);
-        let known = known.max_by(|(a, first), (b, second)| {
-            a.cmp(b).then_with(|| score(first).total_cmp(&score(second)))
-        });
-        if let Some((_, it)) = known {
+        let known = reachable.clone().filter(has_shared_parts);
+        if let Some(it) = known.max_by(|a, b| score(a).total_cmp(&score(b))) {
             let (name, address) = (it.record.name.clone(), it.record.address);
             return Some(PromptHolder { name, address });
         }
--- a/lib/src/work/size.rs
+++ b/lib/src/work/size.rs
@@ -23,3 +23,11 @@
     /// The parts of the prompt, in order; the last one belongs to the request alone.
     pub spans: Vec<PromptSpan>,
 }
+
+impl RequestSize {
+    /// Returns the length of the parts that other requests may share, in tokens: all but the last.
+    pub fn shared_tokens(&self) -> u32 {
+        let shared = self.spans.split_last().map_or(&[][..], |(_, before)| before);
+        shared.iter().fold(0, |sum, it| sum.saturating_add(it.tokens))
+    }
+}
--- a/lib/tests/work_model.rs
+++ b/lib/tests/work_model.rs
@@ -277,6 +277,26 @@
     assert_eq!(holder.map(|it| it.name), Some(sent));
 }
 
+/// Guards against a copy from an engine that has only the part that all prompts begin with, in place of
+/// the one that ranks first for the prompt.
+#[test]
+fn an_engine_with_the_first_part_alone_is_not_the_holder() {
+    let now = Instant::now();
+    let mut set = set(now, 9);
+    let mut request = TestRequest::prompt("p", 5_000);
+    let system = PromptSpan { part: PromptPart::new("m", "system"), tokens: 800 };
+    request.size.spans.insert(0, system);
+    set.expire(now);
+    set.expire(now + SECOND);
+    let inferred = pick(&mut set, now + SECOND, &request, Some(7)).prompt_holder;
+    let other = TestRequest::prompt("system", 800);
+    for sent in (0..9).map(name).filter(|it| Some(it) != inferred.as_ref().map(|it| &it.name)) {
+        answer(set.work_mut(), now + SECOND, &sent, &other, 80 * MS, 3);
+    }
+    assert!(inferred.is_some());
+    assert_eq!(pick(&mut set, now + 2 * SECOND, &request, Some(7)).prompt_holder, inferred);
+}
+
 /// Guards against requests that miss their latency target in the queue of the engine that has their
 /// prompt while the next one answers at once, and against prompts that move for less.
 #[test]
