--- a/lib/src/control/admission.rs
+++ b/lib/src/control/admission.rs
@@ -144,6 +144,8 @@
                     self.refuse_first(now, team, refusal);
                 }
                 AcquireOutcome::RequestFrom(centres) => {
+                    // The time of an attempt may be ahead of the clock. A request for tokens at an
+                    // earlier time would not count for it, and would be made again without end.
                     if !self.request_from_owner(now.max(attempt_started), team, &centres) {
                         return;
                     }
