--- a/review/standin-2/large_watch.rs
+++ b/review/standin-2/large_watch.rs
@@ -113,6 +113,7 @@
             config_ms: CONFIG_TIME.as_millis() as u64,
             retry_slack: 208,
             memory_mb: 393,
+            descriptors: 10_064,
         };
         gateways.push(Gateway::start(&settings).map_err(|error| error.to_string())?);
     }
--- a/review/standin-2/late_refusal.rs
+++ b/review/standin-2/late_refusal.rs
@@ -78,6 +78,7 @@
             config_ms: 2_000,
             retry_slack: 54,
             memory_mb: 260,
+            descriptors: 4_100,
         };
         gateways.push(Gateway::start(&settings).map_err(|error| error.to_string())?);
     }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. With
 //! `TROUBLE=0` the same is played without the disruption.
 
+mod flood;
 mod large_watch;
 mod late_refusal;
 mod world;
@@ -27,6 +28,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     record.say(&format!("case {name}, disruption: {has_trouble}"));
     let result = match name.as_str() {
+        "flood" => flood::play(&record, has_trouble),
         "large-watch" => large_watch::play(&record, has_trouble),
         "late-refusal" => late_refusal::play(&record, has_trouble),
         _ => Err(format!("no case {name}")),
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -238,19 +238,6 @@
         revision
     }
 
-    pub fn remove(&self, key: &str) -> u64 {
-        let mut state = self.state.lock().unwrap();
-        if state.items.remove(key).is_none() {
-            return state.revision;
-        }
-        state.revision += 1;
-        let revision = state.revision;
-        let text = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"tombstone\":true}}");
-        state.events.push((key.to_owned(), StoreEvent { revision, at: Instant::now(), text }));
-        self.changed.notify_all();
-        revision
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().unwrap();
@@ -533,8 +520,10 @@
                     return Some(respond("503 Service Unavailable", "Not-Executed: 1\r\n", b""));
                 }
                 places.waiting += 1;
+                // Many waiting threads must not take the processor.
+                let pause = Duration::from_millis(if self.queue > 50 { 250 } else { 5 });
                 while places.running >= self.slots {
-                    places = self.freed.wait_timeout(places, Duration::from_millis(5)).unwrap().0;
+                    places = self.freed.wait_timeout(places, pause).unwrap().0;
                     if is_closed(probe) {
                         places.waiting -= 1;
                         return None;
@@ -550,7 +539,9 @@
         self.places.lock().unwrap().running -= 1;
         self.freed.notify_all();
         let seal = format!("Server-Seal: {}.{id}\r\n", self.id);
-        Some(respond("200 OK", &seal, &[b'x'; 800]))
+        // One event, so that a stream is complete too.
+        let body = format!("id: 1\ndata: {}\n\n", "x".repeat(786));
+        Some(respond("200 OK", &seal, body.as_bytes()))
     }
 }
 
@@ -573,7 +564,6 @@
     child: Child,
     pub listen: SocketAddr,
     pub ready: SocketAddr,
-    pub peers: SocketAddr,
 }
 
 /// Settings that the deploy file takes from the platform.
@@ -587,6 +577,7 @@
     pub config_ms: u64,
     pub retry_slack: u64,
     pub memory_mb: u64,
+    pub descriptors: u64,
 }
 
 impl Gateway {
@@ -603,7 +594,10 @@
             }
             Err(_) => Stdio::null(),
         };
-        let child = Command::new("target/release/snipepond-gateway")
+        // The shell sets the limit of descriptors and is replaced by the program.
+        let limit = format!("ulimit -n {} 2>/dev/null; exec \"$0\" \"$@\"", settings.descriptors);
+        let child = Command::new("sh")
+            .args(["-c", &limit, "target/release/snipepond-gateway"])
             .arg(format!("--host={}", settings.host))
             .arg(format!("--data-centre={}", settings.zone))
             .arg(format!("--listen={listen}"))
@@ -619,12 +613,12 @@
             .arg(format!("--config-bound-ms={}", settings.config_ms))
             .arg("--stop-limit-s=8")
             .arg(format!("--memory-mb={}", settings.memory_mb))
-            .arg("--descriptors=4100")
+            .arg(format!("--descriptors={}", settings.descriptors))
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(Stdio::null())
             .spawn()?;
-        Ok(Self { child, listen, ready, peers: settings.peers })
+        Ok(Self { child, listen, ready })
     }
 
     pub fn is_ready(&self) -> bool {
@@ -648,8 +642,20 @@
         false
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.id()
+    /// Returns the memory that the process takes, and the most that it has taken, in MiB.
+    pub fn memory_mib(&self) -> Option<(u64, u64)> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let field = |name: &str| -> Option<u64> {
+            let line = text.lines().find(|it| it.starts_with(name))?;
+            let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+            Some(kib.div_ceil(1024))
+        };
+        Some((field("VmRSS:")?, field("VmHWM:")?))
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 
     pub fn has_exited(&mut self) -> bool {
