Review: case 9, an entry without the time of a start is used

An entry of another writer that lacks a field names no engine to use, but one without the time of its start is accepted. It moves a server to another service, and that server runs orders that no route sends to it.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! `TROUBLE=0` the same is played without the disruption.
 
 mod flood;
+mod foreign_entry;
 mod large_watch;
 mod late_refusal;
 mod world;
@@ -28,6 +29,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     record.say(&format!("case {name}, disruption: {has_trouble}"));
     let result = match name.as_str() {
+        "foreign-entry" => foreign_entry::play(&record, has_trouble),
         "flood" => flood::play(&record, has_trouble),
         "large-watch" => large_watch::play(&record, has_trouble),
         "late-refusal" => late_refusal::play(&record, has_trouble),
