--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/cases review/standin-2/main.rs
+rustc --edition 2024 -O -o target/review-2/cases review/standin-2/main.rs
--- a/review/standin-2/flood.rs
+++ b/review/standin-2/flood.rs
@@ -5,14 +5,14 @@
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::world::{free_port, Answer, Client, Gateway, GatewaySettings, Record, Server, Store};
+use crate::world::{Answer, Client, Gateway, GatewaySettings, Record, Server, Store, free_port};
 
 const SERVICE: &str = "huvo11a";
 const HOST: &str = "ficu95.example";
@@ -165,6 +165,8 @@
     }
     let answers = answers.lock().unwrap();
     record.say(&format!("answers of ordinary clients: {answers:?}"));
-    record.say(&format!("whole requests that a server ran and nobody answered: {ran_without_answer}"));
+    record.say(&format!(
+        "whole requests that a server ran and nobody answered: {ran_without_answer}"
+    ));
     Ok(is_killed)
 }
--- a/review/standin-2/foreign_entry.rs
+++ b/review/standin-2/foreign_entry.rs
@@ -4,15 +4,15 @@
 use std::{
     collections::HashSet,
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
 };
 
 use crate::world::{
-    free_port, Answer, Client, Gateway, GatewaySettings, Random, Record, Server, Store,
+    Answer, Client, Gateway, GatewaySettings, Random, Record, Server, Store, free_port,
 };
 
 const SERVICES: [&str; 2] = ["wuno96b", "huvo11a"];
--- a/review/standin-2/large_watch.rs
+++ b/review/standin-2/large_watch.rs
@@ -3,15 +3,15 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
 use crate::world::{
-    free_port, Answer, Client, Gateway, GatewaySettings, Random, Record, Server, Store,
+    Answer, Client, Gateway, GatewaySettings, Random, Record, Server, Store, free_port,
 };
 
 const SERVICES: [&str; 2] = ["wuno96b", "huvo11a"];
--- a/review/standin-2/late_refusal.rs
+++ b/review/standin-2/late_refusal.rs
@@ -4,15 +4,15 @@
 use std::{
     collections::HashMap,
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
 use crate::world::{
-    free_port, Answer, Client, Gateway, GatewaySettings, Random, Record, Server, Store,
+    Answer, Client, Gateway, GatewaySettings, Random, Record, Server, Store, free_port,
 };
 
 /// The service of the orders has one server; the other service has the other one.
@@ -65,8 +65,9 @@
         let zone = ["qc-est-a", "qc-est-b"][index];
         store.put(&server.key(), &server.entry(zone, "ready"));
     }
-    let peers: Vec<_> =
-        (0..CLIENTS.len()).map(|_| std::net::SocketAddr::from(([127, 0, 0, 1], free_port()))).collect();
+    let peers: Vec<_> = (0..CLIENTS.len())
+        .map(|_| std::net::SocketAddr::from(([127, 0, 0, 1], free_port())))
+        .collect();
     let mut gateways = Vec::new();
     for (index, letter) in ["a", "b", "a", "b", "c", "c", "d"].iter().enumerate() {
         let settings = GatewaySettings {
@@ -94,7 +95,8 @@
     let sent = Arc::new(AtomicU64::new(0));
     let answers: Arc<Mutex<HashMap<String, Answer>>> = Arc::default();
     let mut clients = Vec::new();
-    let places = CLIENTS.iter().enumerate().flat_map(|(index, count)| (0..*count).map(move |_| index));
+    let places =
+        CLIENTS.iter().enumerate().flat_map(|(index, count)| (0..*count).map(move |_| index));
     for (number, gateway) in (0_u64..).zip(places) {
         let address = gateways[gateway].listen;
         let (stop, sent, answers) = (stop.clone(), sent.clone(), answers.clone());
@@ -184,8 +186,7 @@
 /// Returns the requests that have run although their clients were told that they never will.
 fn refused_runs(servers: &[Arc<Server>], answers: &HashMap<String, Answer>) -> Vec<String> {
     let ran = runs(servers);
-    let is_promise =
-        |answer: &Answer| matches!(answer, Answer::Status(408 | 421 | 429 | 503));
+    let is_promise = |answer: &Answer| matches!(answer, Answer::Status(408 | 421 | 429 | 503));
     answers
         .iter()
         .filter(|(id, answer)| is_promise(answer) && ran.contains_key(*id))
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -4,13 +4,13 @@
 use std::{
     collections::{BTreeMap, HashMap},
     fs::File,
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -124,7 +124,7 @@
 }
 
 /// Reads one message with a length, in chunks, or without a body. `None` at the end of the connection.
-pub fn read_message(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+pub fn read_message(reader: &mut impl BufRead) -> io::Result<Option<Message>> {
     let mut message = Message::default();
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
@@ -260,7 +260,8 @@
                 "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if writer.write_all(head.as_bytes()).is_err() || writer.write_all(body.as_bytes()).is_err()
+            if writer.write_all(head.as_bytes()).is_err()
+                || writer.write_all(body.as_bytes()).is_err()
             {
                 return;
             }
@@ -293,14 +294,16 @@
     }
 
     fn watch(&self, query: &HashMap<String, String>) -> (u16, String) {
-        let number = |name: &str| query.get(name).and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
+        let number =
+            |name: &str| query.get(name).and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
         let prefix = query.get("prefix").cloned().unwrap_or_default();
         let after = number("after");
         let limit = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
             let history = self.history;
-            let dropped = state.events.iter().take_while(|(_, it)| it.at.elapsed() > history).count();
+            let dropped =
+                state.events.iter().take_while(|(_, it)| it.at.elapsed() > history).count();
             if dropped > 0 {
                 state.oldest = state.events[dropped - 1].1.revision;
                 state.events.drain(..dropped);
@@ -460,8 +463,9 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-        let mut writer = stream.try_clone().unwrap();
-        let probe = stream.try_clone().unwrap();
+        // One descriptor for each connection.
+        let stream = &stream;
+        let mut writer = stream;
         let mut random = Random::new(
             self.seed.fetch_add(1, Ordering::Relaxed) * 7919 + u64::from(self.address.port()),
         );
@@ -480,7 +484,7 @@
                     return;
                 }
             }
-            let Some(answer) = self.answer(&request, &id, &probe) else {
+            let Some(answer) = self.answer(&request, &id, stream) else {
                 return;
             };
             if writer.write_all(&answer).is_err() {
