--- a/review/standin-2/flood.rs
+++ b/review/standin-2/flood.rs
@@ -35,6 +35,9 @@
 /// Ordinary clients, each with one request at a time.
 const ORDINARY_CLIENTS: usize = 4;
 
+/// Two requests of each ordinary client.
+const WARM_UP: Duration = Duration::from_secs(9);
+
 const WATCHED_TIME: Duration = Duration::from_secs(12);
 
 fn config() -> String {
@@ -100,7 +103,8 @@
             }
         }));
     }
-    thread::sleep(Duration::from_millis(100));
+    // The gateway has answered, and knows the loads, before the flood.
+    thread::sleep(WARM_UP);
     let mut flood = Vec::new();
     if has_trouble {
         let padding: String = (0..FLOOD_HEADERS)
