--- a/review/standin-2/foreign_entry.rs
+++ b/review/standin-2/foreign_entry.rs
@@ -47,6 +47,13 @@
     )
 }
 
+/// The entry of a server with the other service, and without the time of its start.
+fn foreign_entry(server: &Server, zone: &str) -> String {
+    let entry = server.entry(zone, "ready").replace(SERVICES[1], SERVICES[0]);
+    let born = entry.rfind(",\"born\"").unwrap_or(entry.len() - 1);
+    format!("{}}}", &entry[..born])
+}
+
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
     let store = Store::start(record.clone(), Duration::from_secs(20));
     let servers: Vec<Arc<Server>> = (0..4)
@@ -60,12 +67,21 @@
     let zones = ["qc-est-a", "qc-est-b"];
     let stop = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
+    let is_due = Arc::new(AtomicBool::new(false));
     for (index, server) in servers.iter().enumerate() {
         let (store, server, stop) = (store.clone(), server.clone(), stop.clone());
+        let (is_due, record) = (is_due.clone(), record.clone());
         threads.push(thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
                 store.put(&server.key(), &server.entry(zones[index % 2], "ready"));
-                thread::sleep(HEARTBEAT);
+                thread::sleep(HEARTBEAT / 6);
+                // The other writer comes once, soon after a heartbeat of the server.
+                if index == 2 && is_due.swap(false, Ordering::Relaxed) {
+                    let entry = foreign_entry(&server, zones[index % 2]);
+                    record.say(&format!("another writer leaves under {}: {entry}", server.key()));
+                    store.put(&server.key(), &entry);
+                }
+                thread::sleep(HEARTBEAT * 5 / 6);
             }
         }));
     }
@@ -116,14 +132,7 @@
         }));
     }
     thread::sleep(Duration::from_secs(3));
-    if has_trouble {
-        let server = &servers[2];
-        let entry = server.entry(zones[0], "ready").replace(SERVICES[1], SERVICES[0]);
-        let born = entry.rfind(",\"born\"").ok_or("the entry has no time of its start")?;
-        let entry = format!("{}}}", &entry[..born]);
-        record.say(&format!("another writer leaves under {}: {entry}", server.key()));
-        store.put(&server.key(), &entry);
-    }
+    is_due.store(has_trouble, Ordering::Relaxed);
     thread::sleep(Duration::from_secs(6));
     stop.store(true, Ordering::Relaxed);
     for thread in threads {
