pool: no request is sent twice on one connection

Cause: a late second copy of a response is recognised by the request id in it. A request that a full upstream refused returns to the queue and may come to the same upstream again, on the connection that the refusal had put back into the pool. There the copy has the id that the gateway waits for.

The new test late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_repeated_request failed before: the upstream received ["r1", "r1"] on one connection, and the caller got 503.

Change: a request keeps the connections that it was sent on, and the pool sends it on none of them again. This holds for every attempt, also of resumed streams. Copies of other requests' responses have another id, so the connection of a refusal still serves others.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -52,7 +52,7 @@
     packed::PackedChange,
     pauses::PauseDetector,
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure, STRIKE_FANOUT},
-    pool::{PoolKey, SendError, UpstreamExchange, UpstreamPool},
+    pool::{ConnectionHistory, PoolKey, SendError, UpstreamExchange, UpstreamPool},
     server::{GatewayServer, ServerAddresses},
     shutdown::{LAST_RESPONSE_MARGIN, ShutdownTimes, ShutdownWindow},
     supervise::supervise,
--- a/lib/src/gateway/call/admission.rs
+++ b/lib/src/gateway/call/admission.rs
@@ -17,6 +17,7 @@
     front::{RefusalKind, RequestRefusal},
     gateway::{
         dialect::RequestHead,
+        pool::ConnectionHistory,
         table::{CallerIdentity, CallerLimits, RouteRecord, RouteTable, TeamRecord},
     },
     intake::{CallerBodyError, MemoryAccount, read_caller_body},
@@ -75,6 +76,8 @@
     pub(super) arrived: Instant,
     /// When the deadline of the caller or the timeout of the route expires.
     pub(in crate::gateway) expires_at: Instant,
+    /// The connections to upstreams that the request was sent on.
+    pub(super) connections: ConnectionHistory,
     fingerprint: OnceCell<RequestFingerprint>,
 }
 
@@ -209,6 +212,7 @@
         team,
         arrived,
         expires_at: arrived + time_limit,
+        connections: ConnectionHistory::default(),
         fingerprint: OnceCell::new(),
     })
 }
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -251,7 +251,8 @@
         incarnation: pick.incarnation,
         address: pick.address,
     };
-    let sent = gateway.pool.send(key, outgoing, request.route.retry_rule.may_retry()).await;
+    let may_retry = request.route.retry_rule.may_retry();
+    let sent = gateway.pool.send(key, outgoing, may_retry, &request.connections).await;
     let (response, exchange) = match sent {
         Ok(sent) => sent,
         Err(error @ SendError::CutOff(_)) => {
--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -1,7 +1,8 @@
-//! Pool of connections to upstreams. A connection is reused only after a complete response.
+//! Pool of connections to upstreams. A connection is reused only after a complete response, and for
+//! one request only once.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -62,9 +63,37 @@
     CutOff(#[from] CutReason),
 }
 
+/// Identifies a connection of one [`UpstreamPool`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ConnectionId(u64);
+
+/// The connections that a request was sent on. The pool does not send it on one of them again: an
+/// upstream may send a second copy of a response late, and the id in it would be that of the
+/// request.
+#[derive(Debug, Default)]
+pub struct ConnectionHistory {
+    ids: RefCell<Vec<ConnectionId>>,
+}
+
+impl ConnectionHistory {
+    fn contains(&self, id: ConnectionId) -> bool {
+        self.ids.borrow().contains(&id)
+    }
+
+    fn record(&self, id: ConnectionId) {
+        self.ids.borrow_mut().push(id);
+    }
+}
+
+#[derive(Debug)]
+struct PooledConnection {
+    id: ConnectionId,
+    http: HttpConnection,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
-    connection: HttpConnection,
+    connection: PooledConnection,
     since: Instant,
     idle_timeout: Duration,
 }
@@ -72,7 +101,7 @@
 impl IdleConnection {
     fn is_usable(&self, now: Instant, max_idle: Duration) -> bool {
         let idle = now.saturating_duration_since(self.since);
-        self.connection.is_usable() && idle < max_idle.min(self.idle_timeout)
+        self.connection.http.is_usable() && idle < max_idle.min(self.idle_timeout)
     }
 }
 
@@ -91,7 +120,7 @@
 /// request at the upstream.
 #[derive(Debug)]
 pub struct UpstreamExchange {
-    connection: HttpConnection,
+    connection: PooledConnection,
     pool: Rc<UpstreamPool>,
     key: PoolKey,
     idle_timeout: Option<Duration>,
@@ -100,7 +129,7 @@
 impl UpstreamExchange {
     /// Returns the meter of the connection, to which the reader of the response reports.
     pub fn meter(&self) -> &IntakeMeter {
-        &self.connection.meter
+        &self.connection.http.meter
     }
 
     /// Returns the connection to the pool; to be called after a complete and valid response.
@@ -116,18 +145,20 @@
 pub struct UpstreamPool {
     clock: Rc<dyn ClockSource>,
     idle: RefCell<HashMap<PoolKey, Vec<IdleConnection>>>,
+    next_id: Cell<u64>,
 }
 
 impl UpstreamPool {
     /// Creates an empty pool.
     pub fn new(clock: Rc<dyn ClockSource>) -> Self {
-        Self { clock, idle: RefCell::default() }
+        Self { clock, idle: RefCell::default(), next_id: Cell::default() }
     }
 
     /// Sends a request and returns the response, of which only the head has been read.
     ///
     /// `may_retry` is whether the request may run twice; it may then be sent on a connection that
-    /// was idle for longer than `ONCE_MAX_IDLE`.
+    /// was idle for longer than `ONCE_MAX_IDLE`. `history` has the connections of its earlier
+    /// attempts, and gets the one of this attempt.
     ///
     /// # Errors
     ///
@@ -137,23 +168,26 @@
         key: PoolKey,
         request: Request<Full<Bytes>>,
         may_retry: bool,
+        history: &ConnectionHistory,
     ) -> Result<(Response<Incoming>, UpstreamExchange), SendError> {
         let max_idle = if may_retry { Duration::MAX } else { ONCE_MAX_IDLE };
-        let mut connection = match self.take_idle(&key, max_idle) {
+        let mut connection = match self.take_idle(&key, max_idle, history) {
             Some(connection) => connection,
-            None => connect(key.address).await?,
+            None => self.connect(key.address).await?,
         };
-        connection.meter.restart();
-        let response = match connection.sender.try_send_request(request).await {
+        history.record(connection.id);
+        connection.http.meter.restart();
+        let response = match connection.http.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
                 // The connection ended before any of the request was written to it.
                 Some(request) => {
-                    connection = connect(key.address).await?;
-                    let sent = connection.sender.send_request(request).await;
-                    sent.map_err(|error| head_error(&error, &connection.meter))?
+                    connection = self.connect(key.address).await?;
+                    history.record(connection.id);
+                    let sent = connection.http.sender.send_request(request).await;
+                    sent.map_err(|error| head_error(&error, &connection.http.meter))?
                 }
-                None => return Err(head_error(&error.into_error(), &connection.meter)),
+                None => return Err(head_error(&error.into_error(), &connection.http.meter)),
             },
         };
         let idle_timeout = idle_timeout(response.headers());
@@ -167,7 +201,7 @@
     ///
     /// The upstream was not reached.
     pub async fn probe(&self, key: PoolKey) -> Result<(), SendError> {
-        let connection = connect(key.address).await?;
+        let connection = self.connect(key.address).await?;
         self.put_idle(key, connection, DEFAULT_IDLE_TIMEOUT);
         Ok(())
     }
@@ -181,24 +215,38 @@
         });
     }
 
-    fn take_idle(&self, key: &PoolKey, max_idle: Duration) -> Option<HttpConnection> {
+    async fn connect(&self, address: SocketAddr) -> Result<PooledConnection, SendError> {
+        let timeouts =
+            ConnectTimeouts { connect: CONNECT_TIMEOUT, unacknowledged: UNACKNOWLEDGED_TIMEOUT };
+        let http = HttpConnection::open(address, &timeouts).await.map_err(|error| match error {
+            ConnectError::Refused(reason) => SendError::Refused(reason),
+            ConnectError::Failed(reason) => SendError::NotSent(reason),
+            ConnectError::Timeout => SendError::ConnectTimeout,
+        })?;
+        let id = ConnectionId(self.next_id.get());
+        self.next_id.set(id.0 + 1);
+        Ok(PooledConnection { id, http })
+    }
+
+    /// Returns the most recently used connection that is usable and not in `history`; the upstream
+    /// is least likely to have closed it.
+    fn take_idle(
+        &self,
+        key: &PoolKey,
+        max_idle: Duration,
+        history: &ConnectionHistory,
+    ) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(key)?;
-        // The upstream is least likely to have closed the most recently used connection.
-        while let Some(last) = connections.pop() {
-            if last.is_usable(now, max_idle) {
-                return Some(last.connection);
-            }
-            if last.is_usable(now, Duration::MAX) {
-                connections.push(last);
-                return None;
-            }
-        }
-        None
+        connections.retain(|it| it.is_usable(now, Duration::MAX));
+        let index = connections
+            .iter()
+            .rposition(|it| it.is_usable(now, max_idle) && !history.contains(it.connection.id))?;
+        Some(connections.remove(index).connection)
     }
 
-    fn put_idle(&self, key: PoolKey, connection: HttpConnection, idle_timeout: Duration) {
+    fn put_idle(&self, key: PoolKey, connection: PooledConnection, idle_timeout: Duration) {
         let idle = IdleConnection { connection, since: self.clock.now(), idle_timeout };
         let mut pool = self.idle.borrow_mut();
         let connections = pool.entry(key).or_default();
@@ -215,16 +263,6 @@
         .map_or_else(|| SendError::Lost(error.to_string()), SendError::CutOff)
 }
 
-async fn connect(address: SocketAddr) -> Result<HttpConnection, SendError> {
-    let timeouts =
-        ConnectTimeouts { connect: CONNECT_TIMEOUT, unacknowledged: UNACKNOWLEDGED_TIMEOUT };
-    HttpConnection::open(address, &timeouts).await.map_err(|error| match error {
-        ConnectError::Refused(reason) => SendError::Refused(reason),
-        ConnectError::Failed(reason) => SendError::NotSent(reason),
-        ConnectError::Timeout => SendError::ConnectTimeout,
-    })
-}
-
 /// Returns how long a connection may stay idle after a response with these headers; `None` if it
 /// must not be reused.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -12,7 +12,8 @@
     config::EntryChange,
     gateway::{
         AttemptHead, EntryDecoder, FleetChange, Gateway, GatewaySettings, HostSize, MemberRecord,
-        RequestHead, ResponseHead, ResponseLimits, RetryAllowance, ServerAddresses, WireDialect,
+        ReportedLoad, RequestHead, ResponseHead, ResponseLimits, RetryAllowance, ServerAddresses,
+        WireDialect,
     },
     names::{CentreName, HostName},
     schedule::StartSettings,
@@ -23,7 +24,8 @@
 /// Size of a host whose memory and descriptors bound no test.
 pub const HOST_SIZE: HostSize = HostSize { memory_bytes: 1 << 30, descriptors: 4_096 };
 
-/// Dialect that reads the ids of requests and responses, prompts, and refusals of upstreams.
+/// Dialect that reads the ids of requests and responses, prompts, and the refusals and loads of
+/// upstreams.
 /// Accepts every response as signed, and one without an id as that of the request unless it is a
 /// refusal.
 #[derive(Debug)]
@@ -46,6 +48,7 @@
             is_for_other_request: id.is_some_and(|it| it != request_id),
             is_signed: true,
             is_not_run,
+            load: headers.get("load").and_then(|it| read_load(it.to_str().ok()?)),
             ..ResponseHead::default()
         }
     }
@@ -53,6 +56,13 @@
     fn write_refusal(&self, _: &mut HeaderMap, _: &str) {}
 }
 
+/// Reads the numbers of running requests, waiting requests and slots.
+fn read_load(text: &str) -> Option<ReportedLoad> {
+    let mut numbers = text.split(',').map(|it| it.parse().ok());
+    let (running, waiting) = (numbers.next()??, numbers.next()??);
+    Some(ReportedLoad { running, waiting, slots: numbers.next().flatten(), pace_percent: None })
+}
+
 /// Decoder that ignores every entry of the platform.
 #[derive(Debug)]
 pub struct EmptyDecoder;
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -14,6 +14,7 @@
 use snipepond::gateway::{ConnectError, ConnectTimeouts, HttpConnection};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
+    join,
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
@@ -139,6 +140,38 @@
     });
 }
 
+/// Guards against a refusal by a full upstream whose second copy arrives late, once the refused
+/// request has been sent again: both have the same id, and the caller would be told that the request
+/// did not run while the upstream runs it.
+#[test]
+fn late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_repeated_request() {
+    run_local(async {
+        let refusal = "HTTP/1.1 503 x\r\nid: r1\r\nnot-run: 1\r\nload: 8,2,8\r\n\
+                       content-length: 0\r\n\r\n";
+        let relief =
+            format!("{OK_HEAD}load: 0,0,8\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone");
+        for (index, path) in ["/once/", "/stream/", "/resumable/"].into_iter().enumerate() {
+            // The refused request waits until the answer to another one reports that there is room.
+            let scripts = vec![
+                vec![Step::Read, Step::Wait(EVENT_GAP * 2), send(&*relief)],
+                vec![Step::Read, send(refusal), Step::Read, send(refusal)],
+                events(1..2, EVENT_GAP),
+            ];
+            let upstream = ScriptedUpstream::start(scripts).await;
+            let site = Site::start(3_800 + index as u16, &[&upstream]);
+            let refused_call = async {
+                sleep(EVENT_GAP).await;
+                site.call(path, "r1").await
+            };
+            let (_, reply) = join!(site.call("/once/", "r0"), refused_call);
+            let received = upstream.connection(1).request_ids.borrow().clone();
+            assert_eq!(received, ["r1"], "{path}: sent again on the connection of the refusal");
+            assert_eq!(upstream.connections(), 3, "{path}: not sent again");
+            assert!(reply.status() == 200 && reply.is_complete(), "{path}: {reply:?}");
+        }
+    });
+}
+
 /// Guards against an error of the upstream that should resume a stream: its text, or its head, in
 /// the middle of the caller's stream, or an end that looks complete.
 #[test]
