intake: the end of a stream is not taken for complete before a reset

Callers saw: a part of a response as a complete 200. An upstream answers a long upload at once without a length, sends a part of the body, closes its direction, and resets the connection while the upload is being written.

Cause: after the end of the stream, reading does not show a reset. The HTTP library takes the end as that of the response and drops the rest of the request.

Evidence: the new test early_response_that_is_reset_during_the_upload_is_not_complete failed before with 200 and "half", for an end of the direction followed by a reset, with a request body of 4 MiB; without the check of the socket's error also with one of 50 kB, which the system takes as a whole. A reset alone did not give a complete response before either.

Change: connections to upstreams report the end of a stream once no write waits, and then ask for the socket's error. An upstream that reads the rest of the request still has its response delivered; a test guards this.

--- a/lib/src/intake/socket.rs
+++ b/lib/src/intake/socket.rs
@@ -1,8 +1,9 @@
-//! A socket that hands over few bytes for each poll, and ends when its meter says so.
+//! A socket that hands over few bytes for each poll, ends when its meter says so, and tells the end of
+//! a stream from a reset.
 
 use std::{
     io::{self, IoSlice},
-    mem::MaybeUninit,
+    mem::{self, MaybeUninit},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -38,17 +39,61 @@
     /// Ends a write that makes no progress; `None` while none waits, and for connections that this
     /// process opened.
     write_stall: Option<Pin<Box<Sleep>>>,
+    /// Whether the last write had to wait, so that only a part of a message has been sent.
+    is_write_waiting: bool,
+    /// Whether the end of the stream was reached, and is reported once no write waits.
+    is_end_deferred: bool,
 }
 
 impl MeteredSocket {
     /// Creates the socket of a connection that this process opened; reads fail once `meter` does.
+    ///
+    /// Reading fails if the remote side resets the connection after the end of the stream, and the
+    /// end is not reported while a write waits: a response without a length ends with the stream,
+    /// and is not complete if the request is answered with a reset.
     pub fn outgoing(stream: TcpStream, meter: Arc<IntakeMeter>) -> Self {
-        Self { stream, meter: Some(meter), bytes_in_poll: 0, write_stall: None }
+        Self::new(stream, Some(meter))
     }
 
     /// Creates the socket of a connection that this process accepted.
     pub fn accepted(stream: TcpStream) -> Self {
-        Self { stream, meter: None, bytes_in_poll: 0, write_stall: None }
+        Self::new(stream, None)
+    }
+
+    fn new(stream: TcpStream, meter: Option<Arc<IntakeMeter>>) -> Self {
+        Self {
+            stream,
+            meter,
+            bytes_in_poll: 0,
+            write_stall: None,
+            is_write_waiting: false,
+            is_end_deferred: false,
+        }
+    }
+
+    /// Checks whether the end of the stream, which was read, may be reported.
+    fn check_end(&mut self) -> Poll<io::Result<()>> {
+        if self.is_write_waiting {
+            // The result of the write wakes the task.
+            self.is_end_deferred = true;
+            self.bytes_in_poll = 0;
+            return Poll::Pending;
+        }
+        // A reset after the end of the stream is not seen by reading.
+        Poll::Ready(self.stream.take_error()?.map_or(Ok(()), Err))
+    }
+
+    /// Notes whether a write waits, and passes its result on.
+    fn after_write(
+        &mut self,
+        context: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        self.is_write_waiting = result.is_pending();
+        if !self.is_write_waiting && mem::take(&mut self.is_end_deferred) {
+            context.waker().wake_by_ref();
+        }
+        self.check_write_stall(context, result)
     }
 
     /// Passes the result of a write on; fails if the writes of an accepted connection have waited
@@ -94,6 +139,9 @@
         }
         ready!(result)?;
         let length = part.filled().len();
+        if length == 0 && self.meter.is_some() {
+            ready!(self.check_end())?;
+        }
         buffer.put_slice(part.filled());
         self.bytes_in_poll += length;
         if let Some(meter) = &self.meter {
@@ -110,7 +158,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.check_write_stall(context, result)
+        self.after_write(context, result)
     }
 
     fn poll_write_vectored(
@@ -119,7 +167,7 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.check_write_stall(context, result)
+        self.after_write(context, result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/lib/tests/gateway_support/script.rs
+++ b/lib/tests/gateway_support/script.rs
@@ -16,7 +16,7 @@
     names::{CentreName, RouteName, ServiceName, UpstreamName},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, copy, sink},
     net::{TcpListener, TcpStream},
     task::spawn_local,
     time::{sleep, timeout},
@@ -52,6 +52,10 @@
     Wait(Duration),
     /// Sends the text until the connection is closed, with a pause after each.
     Repeat(String, Duration),
+    /// Closes the direction to the gateway.
+    EndWrite,
+    /// Reads until the gateway closes its direction.
+    Drain,
     /// Closes the connection with a reset.
     Reset,
 }
@@ -133,6 +137,8 @@
                 log.sent_bytes.set(log.sent_bytes.get() + text.len());
                 sleep(pause).await;
             },
+            Step::EndWrite => stream.shutdown().await,
+            Step::Drain => copy(&mut stream, &mut sink()).await.map(drop),
             Step::Reset => stream.set_zero_linger(),
         };
         if result.is_err() {
@@ -237,12 +243,21 @@
     }
 
     pub async fn call_with(&self, path: &str, headers: &str) -> CallerReply {
+        self.call_with_body(path, headers, &[]).await
+    }
+
+    pub async fn call_with_body(&self, path: &str, headers: &str, body: &[u8]) -> CallerReply {
         let started = Instant::now();
         let mut stream = TcpStream::connect(self.addresses.callers).await.unwrap();
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nhost: site.example\r\n{headers}\r\nconnection: close\r\n\r\n"
+        let length = match body {
+            [] => String::new(),
+            body => format!("\r\ncontent-length: {}", body.len()),
+        };
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: site.example\r\n{headers}{length}\r\n\
+             connection: close\r\n\r\n"
         );
-        stream.write_all(request.as_bytes()).await.unwrap();
+        stream.write_all(&[head.as_bytes(), body].concat()).await.unwrap();
         let mut bytes = Vec::new();
         // A reset ends the response as well; what counts is whether it is complete.
         let _ = timeout(ROUTE_TIMEOUT * 3, stream.read_to_end(&mut bytes)).await;
