upstream: a status that is not from 200 to 599 is no answer

Callers saw: the status and body of a response with a status from 600 to 999, and 101 without the change of protocols that it announces. 000, which operators saw passed on by other systems, gave 502 here already.

Cause: statuses were left to the HTTP libraries, which accept 100 to 999 and return 101 as final.

Evidence: the new tests status_that_is_not_final_is_no_answer (gateway) and status_that_is_not_final_is_no_response (router) failed before: 101 reached the caller, and the router's client returned 101 and 600 with the body.

Change: such a response closes the connection, counts as a failure of the upstream, and says nothing of whether the request ran. The caller gets 502, or the answer of another upstream where that is allowed.

--- a/lib/src/exchange.rs
+++ b/lib/src/exchange.rs
@@ -249,7 +249,7 @@
                 self.may_have_run = true;
                 upstream_lost_refusal()
             }
-            CallError::WrongResponse { .. } => {
+            CallError::InvalidStatus(_) | CallError::WrongResponse { .. } => {
                 guard.end(DispatchEnd::BadResponse);
                 self.may_have_run = true;
                 upstream_lost_refusal()
--- a/lib/src/gateway/call/attempt.rs
+++ b/lib/src/gateway/call/attempt.rs
@@ -31,6 +31,7 @@
     },
     intake::{BufferError, BufferReservation, ResponseBuffers, record_cut_connection},
     names::UpstreamName,
+    upstream::is_final_status,
     work::AttemptTicket,
 };
 
@@ -275,7 +276,7 @@
     let status = response.status();
     let head = gateway.dialect.read_response(status, response.headers(), &request.head.request_id);
     record_response_head(gateway, pick, &head);
-    if head.is_for_other_request {
+    if head.is_for_other_request || !is_final_status(status.as_u16()) {
         // Nothing in it applies to this request, which the upstream may be running.
         log_failure(gateway, request, &pick.name, "wrong_answer", &status);
         guard.end(AttemptEnd::Failed);
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -75,6 +75,9 @@
     /// The connection was cut off because of what the upstream sent; it may have run the request.
     #[error("cut off: {0}")]
     CutOff(String),
+    /// The status is not that of a final response; the upstream may have run the request.
+    #[error("{0} is not the status of a final response")]
+    InvalidStatus(u16),
     /// The response belongs to another request.
     #[error("response carries request id {found:?}")]
     WrongResponse {
@@ -94,6 +97,12 @@
     }
 }
 
+/// Returns whether a response with this status can answer a request. Responses of the class 1xx
+/// precede the one that does, and HTTP has no class above 5xx.
+pub(crate) fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Sends requests to upstreams.
 pub trait UpstreamClient: Debug + Send + Sync {
     /// Sends a request and returns the response as soon as its head has arrived.
--- a/lib/src/upstream/http.rs
+++ b/lib/src/upstream/http.rs
@@ -12,7 +12,7 @@
     http::{Request, Response},
 };
 
-use super::{CallError, UpstreamClient, UpstreamRequest, UpstreamResponse};
+use super::{CallError, UpstreamClient, UpstreamRequest, UpstreamResponse, is_final_status};
 use crate::{
     daemon::byte_counting_agent,
     intake::{is_cut_off, metered_body},
@@ -133,6 +133,9 @@
             agent.run(http_request)
         };
         let response = into_upstream_response(result.map_err(classify)?);
+        if !is_final_status(response.status) {
+            return Err(CallError::InvalidStatus(response.status));
+        }
         match response.header(REQUEST_ID_HEADER) {
             Some(found) if found == request.request_id => Ok(response),
             found => Err(CallError::WrongResponse { found: found.map(str::to_owned) }),
--- a/lib/tests/gateway_wire_faults.rs
+++ b/lib/tests/gateway_wire_faults.rs
@@ -468,6 +468,38 @@
     });
 }
 
+/// Guards against a status that is none of a final response and reaches the caller as the answer. The
+/// upstream may have run the request, whatever else the response says.
+#[test]
+fn status_that_is_not_final_is_no_answer() {
+    run_local(async {
+        let mut number = 3_900;
+        for status in ["000", "099", "101", "199", "600", "999"] {
+            for (path, mark) in [("/once/", ""), ("/once/", "not-run: 1\r\n"), ("/stream/", "")] {
+                let head = format!("HTTP/1.1 {status} x\r\nid: r1\r\n{mark}");
+                let response = format!("{head}content-length: 4\r\n\r\nboom");
+                let upstream =
+                    ScriptedUpstream::start(vec![vec![Step::Read, send(response)]]).await;
+                let site = Site::start(number, &[&upstream]);
+                number += 1;
+                let reply = site.call(path, "r1").await;
+                assert_eq!(reply.status(), 502, "{status} {path}: {reply:?}");
+                assert!(!reply.text.contains("boom"), "{status} {path}: {reply:?}");
+                assert_eq!(upstream.requests(), 1, "{status} {path}: run twice");
+            }
+            // Another upstream answers a request that may be repeated.
+            let broken = format!("HTTP/1.1 {status} x\r\nid: r1\r\ncontent-length: 0\r\n\r\n");
+            let broken = ScriptedUpstream::start(vec![vec![Step::Read, send(broken)]]).await;
+            let sound = ScriptedUpstream::start(vec![answer()]).await;
+            let upstreams = [(broken.address, "a"), (sound.address, "b")];
+            let site = Site::start_with(number, |it| upstreams.get(it).copied());
+            number += 1;
+            let reply = site.call("/safe/", "r1").await;
+            assert_eq!((reply.status(), broken.requests()), (200, 1), "{status}: {reply:?}");
+        }
+    });
+}
+
 /// Guards against a host that waits without limit for the rest of a message of another host.
 #[test]
 fn message_of_a_peer_does_not_wait_without_limit() {
--- a/lib/tests/upstream_floods.rs
+++ b/lib/tests/upstream_floods.rs
@@ -158,3 +158,18 @@
         assert_eq!(cut_connections(), 2 * index as u64 + 2, "{index}");
     }
 }
+
+/// Guards against a status that is none of a final response and is passed on as the answer, or taken
+/// for a request that was not sent.
+#[test]
+fn status_that_is_not_final_is_no_response() {
+    for status in ["000", "099", "101", "199", "600", "999"] {
+        let response =
+            format!("HTTP/1.1 {status} x\r\nx-request-id: r1\r\ncontent-length: 4\r\n\r\nboom");
+        let (address, server) = serve_once(response);
+        let result = call(address);
+        server.join().unwrap();
+        assert!(result.is_err(), "{status}: {result:?}");
+        assert!(!matches!(result, Err(CallError::NotSent(_))), "{status}: {result:?}");
+    }
+}
