docs: what is not noticed of a reset, and how large a connection history gets

Cause: the page of the platform and the doc of MeteredSocket::outgoing promised that every reset during an upload makes an answer without a length a lost one. One that arrives after the gateway has read the end of the stream, when the system has taken the whole request, is not noticed.

--- a/lib/src/gateway/pool.rs
+++ b/lib/src/gateway/pool.rs
@@ -69,7 +69,7 @@
 
 /// The connections that a request was sent on. The pool does not send it on one of them again: an
 /// upstream may send a second copy of a response late, and the id in it would be that of the
-/// request.
+/// request. It lives as long as the request and has at most two entries for each attempt.
 #[derive(Debug, Default)]
 pub struct ConnectionHistory {
     ids: RefCell<Vec<ConnectionId>>,
--- a/lib/src/intake/socket.rs
+++ b/lib/src/intake/socket.rs
@@ -48,9 +48,9 @@
 impl MeteredSocket {
     /// Creates the socket of a connection that this process opened; reads fail once `meter` does.
     ///
-    /// Reading fails if the remote side resets the connection after the end of the stream, and the
-    /// end is not reported while a write waits: a response without a length ends with the stream,
-    /// and is not complete if the request is answered with a reset.
+    /// A response without a length ends with the stream, and is not complete if the request is
+    /// answered with a reset. Hence the end is not reported while a write waits, and reading fails
+    /// if a reset has arrived by then. A later one is not noticed.
     pub fn outgoing(stream: TcpStream, meter: Arc<IntakeMeter>) -> Self {
         Self::new(stream, Some(meter))
     }
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -25,9 +25,8 @@
 pub const HOST_SIZE: HostSize = HostSize { memory_bytes: 1 << 30, descriptors: 4_096 };
 
 /// Dialect that reads the ids of requests and responses, prompts, and the refusals and loads of
-/// upstreams.
-/// Accepts every response as signed, and one without an id as that of the request unless it is a
-/// refusal.
+/// upstreams. Accepts every response as signed, and one without an id as that of the request unless
+/// it is a refusal.
 #[derive(Debug)]
 pub struct TestDialect;
 
