--- a/review/standin-3/drill.rs
+++ b/review/standin-3/drill.rs
@@ -38,10 +38,11 @@
 const JUDGED_TIME: Duration = Duration::from_secs(15);
 
 const ZONES: [&str; 4] = ["zone-a", "zone-a", "zone-b", "zone-b"];
-const KEPT_KEY: &str = "keptkeykeptkeykeptke";
-const REMOVED_KEY: &str = "gonekeygonekeygoneke";
+pub const KEPT_KEY: &str = "keptkeykeptkeykeptke";
+pub const REMOVED_KEY: &str = "gonekeygonekeygoneke";
 
-fn config(version: u64, keys: &[&str]) -> String {
+/// Returns a configuration with one unsafe route, and one tenant with these keys.
+pub fn config(version: u64, keys: &[&str]) -> String {
     let keys: Vec<String> = keys.iter().map(|it| format!("\"{it}\"")).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-orders\",\"host\":\"shop.example\",\
@@ -57,13 +58,24 @@
     )
 }
 
+/// A request that was sent, and the status of its answer; 0 without one.
 #[derive(Clone, Debug)]
-struct Sent {
-    id: String,
-    key: &'static str,
-    node: String,
-    at: Instant,
-    status: u16,
+pub struct Sent {
+    pub id: String,
+    pub key: &'static str,
+    pub node: String,
+    pub at: Instant,
+    pub status: u16,
+}
+
+/// Returns an order.
+pub fn order_request(id: &str, key: &str) -> Vec<u8> {
+    format!(
+        "POST /orders/new HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: 600\r\nAuthorization: Token {key}\r\nContent-Length: 5\r\n\
+         Connection: close\r\n\r\norder"
+    )
+    .into_bytes()
 }
 
 fn send_orders(
@@ -78,13 +90,8 @@
         for key in [KEPT_KEY, REMOVED_KEY] {
             number += 1;
             let id = format!("{label:02x}{number:014x}");
-            let request = format!(
-                "POST /orders/new HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\n\
-                 Deadline-Ms: 600\r\nAuthorization: Token {key}\r\nContent-Length: 5\r\n\
-                 Connection: close\r\n\r\norder"
-            );
             let at = Instant::now();
-            let answer = call(front, request.as_bytes(), Duration::from_secs(2));
+            let answer = call(front, &order_request(&id, key), Duration::from_secs(2));
             let status = answer.map_or(0, |it| it.status());
             let entry = Sent { id, key, node: node.to_owned(), at, status };
             sent.lock().unwrap_or_else(PoisonError::into_inner).push(entry);
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -1,12 +1,13 @@
 //! Gateways as processes, started with the command of the deploy file.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fs::{self, File},
     io,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -16,6 +17,24 @@
 /// Time within which all gateways have to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(15);
 
+/// Processes that this one started and has not waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all gateways that run, and ends the case as one that could not run.
+pub fn abort_case() -> ! {
+    let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
+    for pid in started.iter() {
+        let _ = Command::new("kill").args(["-9", &pid.to_string()]).status();
+    }
+    std::process::exit(2);
+}
+
+fn reap(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner).retain(|it| *it != child.id());
+}
+
 /// Settings that all machines of a deployment share, as the pages name them.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -31,6 +50,8 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub child: Child,
+    fields: HashMap<&'static str, String>,
+    log: PathBuf,
 }
 
 /// The gateways; dropping it ends them.
@@ -43,8 +64,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         for gateway in &mut self.gateways {
-            let _ = gateway.child.kill();
-            let _ = gateway.child.wait();
+            reap(&mut gateway.child);
         }
         let _ = fs::remove_dir_all(&self.folder);
     }
@@ -89,7 +109,7 @@
         for (index, (ip, front, ready, control)) in addresses.into_iter().enumerate() {
             let zone = zones[index];
             let node = format!("front-{zone}-{}", index + 1);
-            let fields: HashMap<&str, String> = [
+            let fields: HashMap<&'static str, String> = [
                 ("node", node.clone()),
                 ("zone", zone.to_owned()),
                 ("ip", ip),
@@ -108,12 +128,25 @@
                 ("bounds.grace_s", "8".to_owned()),
             ]
             .into();
-            let child = spawn(&fields, &fleet.folder.join(format!("{node}.log")))?;
-            fleet.gateways.push(Gateway { node, front, ready, child });
+            let log = fleet.folder.join(format!("{node}.log"));
+            let child = spawn(&fields, &log)?;
+            fleet.gateways.push(Gateway { node, front, ready, child, fields, log });
         }
         Ok(fleet)
     }
 
+    /// Kills the process of a machine.
+    pub fn kill(&mut self, index: usize) {
+        reap(&mut self.gateways[index].child);
+    }
+
+    /// Starts the process of a machine again.
+    pub fn restart(&mut self, index: usize) -> io::Result<()> {
+        let gateway = &mut self.gateways[index];
+        gateway.child = spawn(&gateway.fields, &gateway.log)?;
+        Ok(())
+    }
+
     /// Waits until all gateways are ready.
     pub fn wait_ready(&self) -> bool {
         let started = Instant::now();
@@ -134,14 +167,28 @@
         call(self.ready, request, Duration::from_secs(1)).is_ok_and(|it| it.status() == 200)
     }
 
-    /// Returns the memory of the process that is resident now, and at most so far, in KiB.
-    pub fn memory_kb(&self) -> Option<(u64, u64)> {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let field = |name: &str| {
-            let line = text.lines().find_map(|it| it.strip_prefix(name))?;
-            line.trim().trim_end_matches("kB").trim().parse().ok()
+    /// Returns whether the process has a connection from one of these local addresses.
+    pub fn has_connection(&self, local: &HashSet<SocketAddr>) -> bool {
+        let ports: HashSet<String> =
+            local.iter().map(|it| format!("{:04X}", it.port())).collect();
+        let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let inode = |line: &str| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            let port = fields.get(1)?.split(':').nth(1)?;
+            ports.contains(port).then(|| format!("socket:[{}]", fields.get(9).unwrap_or(&"")))
         };
-        Some((field("VmRSS:")?, field("VmHWM:")?))
+        let sockets: HashSet<String> = table.lines().filter_map(inode).collect();
+        let folder = format!("/proc/{}/fd", self.child.id());
+        let links = fs::read_dir(folder).into_iter().flatten().flatten();
+        let mut links = links.filter_map(|it| fs::read_link(it.path()).ok());
+        links.any(|it| sockets.contains(&*it.to_string_lossy()))
+    }
+
+    /// Returns the resident memory of the process, in KiB.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
     }
 }
 
@@ -156,10 +203,12 @@
     }
     let mut words = command.split(' ');
     let program = words.next().unwrap_or_default();
-    Command::new(program)
+    let child = Command::new(program)
         .args(words)
         .stdin(Stdio::null())
         .stdout(File::create(log)?)
         .stderr(Stdio::null())
-        .spawn()
+        .spawn()?;
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner).push(child.id());
+    Ok(child)
 }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,15 +6,19 @@
 mod drill;
 mod engine;
 mod fleet;
+mod freeze;
 mod heads;
 mod http;
 mod record;
 mod store;
 
-use std::{env, process::ExitCode};
+use std::{env, panic, process::ExitCode, thread, time::Duration};
 
 use record::Record;
 
+/// Longest time of a case.
+const CASE_LIMIT: Duration = Duration::from_secs(115);
+
 /// How a case ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -28,6 +32,16 @@
         eprintln!("usage: cases NUMBER RECORD");
         return ExitCode::from(2);
     };
+    // No process stays behind if a thread fails or the case takes too long.
+    panic::set_hook(Box::new(|info| {
+        eprintln!("{info}");
+        fleet::abort_case();
+    }));
+    thread::spawn(|| {
+        thread::sleep(CASE_LIMIT);
+        eprintln!("the case takes too long");
+        fleet::abort_case();
+    });
     let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     let record = match Record::create(path) {
         Ok(record) => record,
@@ -40,6 +54,7 @@
     let result = match number.as_str() {
         "11" => drill::run(&record, has_trouble),
         "12" => heads::run(&record, has_trouble),
+        "14" => freeze::run(&record, has_trouble),
         _ => Err(format!("there is no case {number}").into()),
     };
     match result {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store: items with revisions, listings and watches.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap, HashSet},
     io::BufReader,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
@@ -47,6 +47,8 @@
     is_away: bool,
     connections: Vec<TcpStream>,
     gone_answers: u64,
+    /// When each address last called.
+    last_calls: HashMap<SocketAddr, Instant>,
 }
 
 /// The store; clones share it.
@@ -120,6 +122,13 @@
         self.lock().gone_answers
     }
 
+    /// Returns the addresses that called within `time`.
+    pub fn readers(&self, time: Duration) -> HashSet<SocketAddr> {
+        let state = self.lock();
+        let recent = state.last_calls.iter().filter(|(_, at)| at.elapsed() < time);
+        recent.map(|(address, _)| *address).collect()
+    }
+
     /// Returns a copy of what the store holds.
     pub fn copy(&self) -> Content {
         self.lock().content.clone()
@@ -150,6 +159,9 @@
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(copy);
         while let Ok(Some(request)) = read_request(&mut reader) {
+            if let Ok(peer) = stream.peer_addr() {
+                self.lock().last_calls.insert(peer, Instant::now());
+            }
             let Some((status, body, era)) = self.answer(&request) else {
                 return;
             };
