--- a/review/standin-3/drill.rs
+++ b/review/standin-3/drill.rs
@@ -108,6 +108,7 @@
     for (index, zone) in ZONES.iter().enumerate() {
         let settings = EngineSettings {
             name: format!("i-{index:08x}"),
+            version: b"v1".to_vec(),
             service: "orders".to_owned(),
             zone: (*zone).to_owned(),
             ip: format!("{prefix}.1.{}", index + 1),
@@ -119,7 +120,7 @@
         };
         Engine::start(settings, &store, &runs)?;
     }
-    store.put("op/config", &config(3, &[KEPT_KEY, REMOVED_KEY]));
+    store.put("op/config", config(3, &[KEPT_KEY, REMOVED_KEY]));
     let limits = Limits { memory_mb: 260, descriptors: 4_100, link_mbps: 1_000 };
     let fleet = Fleet::start(&format!("{prefix}.2"), &ZONES, store.address, &limits)?;
     if !fleet.wait_ready() {
@@ -153,14 +154,14 @@
     }
     let returned = Instant::now();
     thread::sleep(CHANGE_AFTER);
-    let revision = store.put("op/config", &config(5, &[KEPT_KEY])).ok_or("the store is away")?;
+    let revision = store.put("op/config", config(5, &[KEPT_KEY])).ok_or("the store is away")?;
     let changed = Instant::now();
     record.line(&format!("version 5 without the second key acknowledged at {revision}"));
     let revision = store.put("op/evacuate/zone-b", "{}").ok_or("the store is away")?;
     record.line(&format!("evacuation of zone-b acknowledged at {revision}"));
     // Every bound is over, although an unstable store stretches some of them.
-    let judged = (changed + EVACUATION_BOUND.max(CONFIG_BOUND) + OUTER_BOUND)
-        .max(returned + STABLE_WINDOW);
+    let judged =
+        (changed + EVACUATION_BOUND.max(CONFIG_BOUND) + OUTER_BOUND).max(returned + STABLE_WINDOW);
     thread::sleep(judged.saturating_duration_since(Instant::now()) + JUDGED_TIME);
     stop.store(true, Ordering::Relaxed);
     for client in clients {
@@ -187,7 +188,8 @@
     for it in sent {
         let run = runs.get(&it.id).and_then(|it| it.first());
         let kind = if it.key == KEPT_KEY { "kept" } else { "removed" };
-        let place = run.map_or("not run".to_owned(), |it| format!("run by {} in {}", it.engine, it.zone));
+        let place =
+            run.map_or("not run".to_owned(), |it| format!("run by {} in {}", it.engine, it.zone));
         record.line_at(
             it.at,
             &format!("{} to {} with the {kind} key: {}, {place}", it.id, it.node, it.status),
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
     pub name: String,
+    /// Version of the software, as the bytes that stand in the entry.
+    pub version: Vec<u8>,
     pub service: String,
     pub zone: String,
     pub ip: String,
@@ -96,17 +98,18 @@
         let mut sequence = 0;
         while !self.is_ended.load(Ordering::Relaxed) {
             sequence += 1;
-            let value = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"slots\":{},\"state\":\"{}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\
+            let before = format!(
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"",
+                self.settings.service, self.address, self.settings.zone,
+            );
+            let after = format!(
+                "\",\"slots\":{},\"state\":\"{}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\
                  \"models\":[],\"born\":{},\"sequence\":{sequence}}}",
-                self.settings.service,
-                self.address,
-                self.settings.zone,
                 self.settings.slots,
                 if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" },
                 self.born,
             );
+            let value = [before.as_bytes(), &self.settings.version, after.as_bytes()].concat();
             let written = store.put(&key, &value);
             thread::sleep(if written.is_some() { HEARTBEAT } else { HEARTBEAT_RETRY });
         }
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -169,8 +169,7 @@
 
     /// Returns whether the process has a connection from one of these local addresses.
     pub fn has_connection(&self, local: &HashSet<SocketAddr>) -> bool {
-        let ports: HashSet<String> =
-            local.iter().map(|it| format!("{:04X}", it.port())).collect();
+        let ports: HashSet<String> = local.iter().map(|it| format!("{:04X}", it.port())).collect();
         let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
         let inode = |line: &str| {
             let fields: Vec<&str> = line.split_whitespace().collect();
--- a/review/standin-3/freeze.rs
+++ b/review/standin-3/freeze.rs
@@ -1,4 +1,4 @@
-//! Case 14: the two machines of a zone that read the store freeze. The others of the zone, which read
+//! Case 15: the two machines of a zone that read the store freeze. The others of the zone, which read
 //! from these, go on with an old configuration for longer than the bound.
 
 use std::{
@@ -70,6 +70,7 @@
     for (index, zone) in ZONES.iter().enumerate() {
         let settings = EngineSettings {
             name: format!("i-{index:08x}"),
+            version: b"v1".to_vec(),
             service: "orders".to_owned(),
             zone: (*zone).to_owned(),
             ip: format!("{prefix}.1.{}", index + 1),
@@ -81,7 +82,7 @@
         };
         Engine::start(settings, &store, &runs)?;
     }
-    store.put("op/config", &config(3, &[KEPT_KEY, REMOVED_KEY]));
+    store.put("op/config", config(3, &[KEPT_KEY, REMOVED_KEY]));
     let limits = Limits { memory_mb: 260, descriptors: 4_100, link_mbps: 1_000 };
     let zones: Vec<&str> =
         ZONES.iter().flat_map(|it| std::iter::repeat_n(*it, MACHINES_PER_ZONE)).collect();
@@ -118,7 +119,7 @@
     }
     let started = Instant::now();
     thread::sleep(CHANGE_AFTER);
-    let revision = store.put("op/config", &config(5, &[KEPT_KEY])).ok_or("the store is away")?;
+    let revision = store.put("op/config", config(5, &[KEPT_KEY])).ok_or("the store is away")?;
     let changed = Instant::now();
     record.line(&format!("version 5 without the second key acknowledged at {revision}"));
     thread::sleep(FREEZE_TIME.saturating_sub(started.elapsed()));
--- a/review/standin-3/heads.rs
+++ b/review/standin-3/heads.rs
@@ -1,4 +1,4 @@
-//! Case 12: many requests with long heads at once, all within the limits, take a process over the
+//! Case 13: many requests with long heads at once, all within the limits, take a process over the
 //! memory of its machine.
 
 use std::{
@@ -175,6 +175,7 @@
     for index in 0..9 {
         let settings = EngineSettings {
             name: format!("i-{index:08x}"),
+            version: b"v1".to_vec(),
             service: "llm".to_owned(),
             zone: ZONES[index % 2].to_owned(),
             ip: format!("{prefix}.1.{}", index + 1),
@@ -186,7 +187,7 @@
         };
         Engine::start(settings, &store, &runs)?;
     }
-    store.put("op/config", &config());
+    store.put("op/config", config());
     let limits = Limits { memory_mb: MEMORY_MB, descriptors: 4_100, link_mbps: 1_000 };
     let fleet = Fleet::start(&format!("{prefix}.2"), &ZONES, store.address, &limits)?;
     if !fleet.wait_ready() {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod drill;
 mod engine;
 mod fleet;
+mod foreign;
 mod freeze;
 mod heads;
 mod http;
@@ -53,8 +54,9 @@
     record.line(&format!("case {number}, trouble {}", if has_trouble { "on" } else { "off" }));
     let result = match number.as_str() {
         "11" => drill::run(&record, has_trouble),
-        "12" => heads::run(&record, has_trouble),
-        "14" => freeze::run(&record, has_trouble),
+        "13" => heads::run(&record, has_trouble),
+        "12" => foreign::run(&record, has_trouble),
+        "15" => freeze::run(&record, has_trouble),
         _ => Err(format!("there is no case {number}").into()),
     };
     match result {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -19,7 +19,7 @@
 
 #[derive(Clone, Debug)]
 struct Item {
-    value: String,
+    value: Vec<u8>,
     revision: u64,
     create_rev: u64,
 }
@@ -91,7 +91,7 @@
     }
 
     /// Writes an item; returns its revision, or none while the store is away.
-    pub fn put(&self, key: &str, value: &str) -> Option<u64> {
+    pub fn put(&self, key: &str, value: impl AsRef<[u8]>) -> Option<u64> {
         let state = &mut *self.lock();
         if state.is_away {
             return None;
@@ -100,7 +100,7 @@
         content.revision += 1;
         let revision = content.revision;
         let create_rev = content.items.get(key).map_or(revision, |it| it.create_rev);
-        let item = Item { value: value.to_owned(), revision, create_rev };
+        let item = Item { value: value.as_ref().to_vec(), revision, create_rev };
         content.items.insert(key.to_owned(), item.clone());
         content.history.push(Change { key: key.to_owned(), revision, item: Some(item) });
         self.state.1.notify_all();
@@ -165,8 +165,7 @@
             let Some((status, body, era)) = self.answer(&request) else {
                 return;
             };
-            let headers =
-                [("Content-Type", "application/json"), ("Store-Era", &*era.to_string())];
+            let headers = [("Content-Type", "application/json"), ("Store-Era", &*era.to_string())];
             if write_response(&mut stream, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
@@ -258,7 +257,7 @@
 fn item_text(key: &str, item: &Item) -> String {
     format!(
         "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{},\"create_rev\":{},\"lease\":0}}",
-        base64(item.value.as_bytes()),
+        base64(&item.value),
         item.revision,
         item.create_rev
     )
