--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -50,8 +50,6 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub child: Child,
-    fields: HashMap<&'static str, String>,
-    log: PathBuf,
 }
 
 /// The gateways; dropping it ends them.
@@ -130,23 +128,11 @@
             .into();
             let log = fleet.folder.join(format!("{node}.log"));
             let child = spawn(&fields, &log)?;
-            fleet.gateways.push(Gateway { node, front, ready, child, fields, log });
+            fleet.gateways.push(Gateway { node, front, ready, child });
         }
         Ok(fleet)
     }
 
-    /// Kills the process of a machine.
-    pub fn kill(&mut self, index: usize) {
-        reap(&mut self.gateways[index].child);
-    }
-
-    /// Starts the process of a machine again.
-    pub fn restart(&mut self, index: usize) -> io::Result<()> {
-        let gateway = &mut self.gateways[index];
-        gateway.child = spawn(&gateway.fields, &gateway.log)?;
-        Ok(())
-    }
-
     /// Waits until all gateways are ready.
     pub fn wait_ready(&self) -> bool {
         let started = Instant::now();
@@ -182,13 +168,6 @@
         let mut links = links.filter_map(|it| fs::read_link(it.path()).ok());
         links.any(|it| sockets.contains(&*it.to_string_lossy()))
     }
-
-    /// Returns the resident memory of the process, in KiB.
-    pub fn memory_kb(&self) -> Option<u64> {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = text.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
-        line.trim().trim_end_matches("kB").trim().parse().ok()
-    }
 }
 
 fn spawn(fields: &HashMap<&str, String>, log: &Path) -> io::Result<Child> {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,10 +8,10 @@
 mod fleet;
 mod foreign;
 mod freeze;
-mod heads;
 mod http;
 mod record;
 mod store;
+mod tenants;
 
 use std::{env, panic, process::ExitCode, thread, time::Duration};
 
@@ -54,7 +54,7 @@
     record.line(&format!("case {number}, trouble {}", if has_trouble { "on" } else { "off" }));
     let result = match number.as_str() {
         "11" => drill::run(&record, has_trouble),
-        "13" => heads::run(&record, has_trouble),
+        "13" => tenants::run(&record, has_trouble),
         "12" => foreign::run(&record, has_trouble),
         "15" => freeze::run(&record, has_trouble),
         _ => Err(format!("there is no case {number}").into()),
