--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -24,7 +24,7 @@
 pub fn abort_case() -> ! {
     let started = STARTED.lock().unwrap_or_else(PoisonError::into_inner);
     for pid in started.iter() {
-        let _ = Command::new("kill").args(["-9", &pid.to_string()]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -9 {pid}")]).status();
     }
     std::process::exit(2);
 }
--- a/review/standin-3/freeze.rs
+++ b/review/standin-3/freeze.rs
@@ -36,7 +36,7 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
 fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").args([name, &pid.to_string()]).status();
+    let _ = Command::new("sh").args(["-c", &format!("kill {name} {pid}")]).status();
 }
 
 fn send_orders(
