gateway: positions of era and revision wherever revisions were compared

Callers saw: after the store came back from a copy some seconds old, a key that was removed then went on working on all hosts, and a data centre that was closed then went on taking requests, until a later change of the entry.

Cause: hosts compared revisions alone, and nothing read the store's era. Revisions go back with the copy and are given out again. A listing below the known revision was dropped; where the store had passed it, the changes in between were skipped for good; and hosts could have talked each other back.

Change: StorePosition (era, then revision) in the store client, the feed, the cache of packed changes, the waits for changes, the watch, relays and digests. A delta of another era is a gap and leads to one full read at once; an era that rises ends a watch; entries of an earlier era are dropped. The era travels between hosts in a header, so that the bodies stay those of the last release, and a request without it is answered by revisions as before. A relay that is behind by an era, or knows none, is not followed.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -24,6 +24,7 @@
 mod pauses;
 mod peers;
 mod pool;
+mod position;
 mod reach;
 mod segments;
 mod server;
@@ -40,7 +41,8 @@
     crashes::{CrashDetector, LostAttempt},
     dialect::{AttemptHead, RequestHead, ResponseHead, WireDialect},
     feed::{
-        EntryDecoder, EntryFeed, EntrySource, FeedOutcome, SourceError, SourceFuture, SourceState,
+        EntryDecoder, EntryFeed, EntrySource, EntryUpdate, FeedOutcome, SourceError, SourceFuture,
+        SourceState,
     },
     fleet::{FleetChange, Gateway, GatewaySettings},
     follow::follow_entries,
@@ -53,6 +55,7 @@
     pauses::PauseDetector,
     peers::{ChangesReply, ChangesRequest, PeerClient, PeerDigest, PeerFailure, STRIKE_FANOUT},
     pool::{ConnectionHistory, PoolKey, SendError, UpstreamExchange, UpstreamPool},
+    position::StorePosition,
     server::{GatewayServer, ServerAddresses},
     shutdown::{LAST_RESPONSE_MARGIN, ShutdownTimes, ShutdownWindow},
     supervise::supervise,
--- a/lib/src/gateway/connection.rs
+++ b/lib/src/gateway/connection.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::Full;
 use hyper::{
-    Request, StatusCode,
+    Request, Response,
     body::Bytes,
     client::conn::http1::{self, SendRequest},
 };
@@ -187,7 +187,7 @@
         request: Request<Full<Bytes>>,
         time_limit: Duration,
         max_bytes: usize,
-    ) -> Result<(StatusCode, Bytes), ClientError> {
+    ) -> Result<Response<Bytes>, ClientError> {
         let usable = self.connection.take().filter(HttpConnection::is_usable);
         let mut connection = match usable {
             Some(connection) => connection,
@@ -198,7 +198,7 @@
         let exchange = async {
             let (parts, body) = connection.sender.send_request(request).await?.into_parts();
             let body = read_body(body, max_bytes, Some(&meter)).await?;
-            Ok((parts.status, body))
+            Ok(Response::from_parts(parts, body))
         };
         let response = timeout(time_limit, exchange)
             .await
--- a/lib/src/gateway/feed.rs
+++ b/lib/src/gateway/feed.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use super::fleet::FleetChange;
+use super::{fleet::FleetChange, position::StorePosition};
 use crate::config::{ConfigChange, EntryChange, EntryLog};
 
 /// Why a read of an [`EntrySource`] failed.
@@ -23,16 +23,26 @@
     HistoryLost,
 }
 
+/// A change of the entries, with the era in which its revisions were given out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryUpdate {
+    /// The era.
+    pub era: u64,
+    /// The change.
+    pub change: ConfigChange,
+}
+
 /// A pending read of an [`EntrySource`].
-pub type SourceFuture<'a> = Pin<Box<dyn Future<Output = Result<ConfigChange, SourceError>> + 'a>>;
+pub type SourceFuture<'a> = Pin<Box<dyn Future<Output = Result<EntryUpdate, SourceError>> + 'a>>;
 
 /// Reads the entries of the platform; tests implement it with a fake.
 pub trait EntrySource {
     /// Reads all entries.
     fn read_all(&mut self) -> SourceFuture<'_>;
 
-    /// Waits up to `wait` for changes after `revision`; returns an empty change if there are none.
-    fn watch(&mut self, revision: u64, wait: Duration) -> SourceFuture<'_>;
+    /// Waits up to `wait` for changes after a position; returns an empty change if there are none.
+    /// The era of the result is that of the platform, which may differ from that of `after`.
+    fn watch(&mut self, after: StorePosition, wait: Duration) -> SourceFuture<'_>;
 }
 
 /// Translates entries of the platform into changes of the fleet.
@@ -49,43 +59,46 @@
     Applied(Vec<FleetChange>),
     /// It is not newer than the known entries.
     NotNewer,
-    /// It is a delta from a revision that has not been reached here; a full set is needed.
+    /// It is a delta from a position that has not been reached here; a full set is needed.
     Gap,
 }
 
-/// The entries known to one host; their revision never goes back.
+/// The entries known to one host; their position never goes back.
 #[derive(Debug)]
 pub struct EntryFeed {
     decoder: Rc<dyn EntryDecoder>,
+    era: u64,
+    /// The entries of `era`; their revisions are comparable with each other only.
     log: EntryLog,
 }
 
 impl EntryFeed {
     /// Creates a feed without entries.
     pub fn new(decoder: Rc<dyn EntryDecoder>) -> Self {
-        Self { decoder, log: EntryLog::default() }
+        Self { decoder, era: 0, log: EntryLog::default() }
     }
 
-    /// Returns the revision up to which all changes are known; 0 if none are.
-    pub fn revision(&self) -> u64 {
-        self.log.revision()
+    /// Returns the position up to which all changes are known.
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.log.revision())
     }
 
-    /// Returns the change from `revision` to the current one, for a peer; a full set if the history
-    /// does not reach back to `revision`.
-    pub fn change_since(&self, revision: u64) -> ConfigChange {
-        self.log.change_since(revision)
+    /// Returns the change from a position to the current one, for a peer; a full set if the history
+    /// does not reach back to it, as after a change of the era.
+    pub fn change_since(&self, position: StorePosition) -> ConfigChange {
+        self.log.change_since(if position.era == self.era { position.revision } else { 0 })
     }
 
-    /// Applies a change, unless it is not newer or leaves a gap.
-    pub fn apply(&mut self, change: &ConfigChange) -> FeedOutcome {
-        if change.revision <= self.log.revision() {
+    /// Applies an update, unless it is not newer or leaves a gap.
+    pub fn apply(&mut self, update: &EntryUpdate) -> FeedOutcome {
+        let EntryUpdate { era, change } = update;
+        if StorePosition::new(*era, change.revision) <= self.position() {
             return FeedOutcome::NotNewer;
         }
         if change.base == 0 {
-            return FeedOutcome::Applied(self.replace(change));
+            return FeedOutcome::Applied(self.replace(*era, change));
         }
-        if change.base > self.log.revision() {
+        if *era != self.era || change.base > self.log.revision() {
             return FeedOutcome::Gap;
         }
         let is_new = |it: &&EntryChange| it.revision > self.log.entry_revision(&it.key);
@@ -95,9 +108,12 @@
         FeedOutcome::Applied(changes)
     }
 
-    /// Applies a full set of entries: those that it lacks were removed.
-    fn replace(&mut self, change: &ConfigChange) -> Vec<FleetChange> {
+    /// Applies a full set of entries: those that it lacks were removed, unless the era has changed.
+    fn replace(&mut self, era: u64, change: &ConfigChange) -> Vec<FleetChange> {
         let mut changes = Vec::new();
+        if era != self.era && !self.position().is_start() {
+            changes.push(FleetChange::EraStarted);
+        }
         let (mut upstreams, mut closed) = (Vec::new(), Vec::new());
         for entry in &change.entries {
             match self.decoder.decode(entry) {
@@ -109,6 +125,7 @@
             }
         }
         changes.push(FleetChange::FullListing { upstreams, closed });
+        self.era = era;
         self.log.apply(change);
         changes
     }
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -25,6 +25,7 @@
     packed::ChangeCache,
     pauses::PauseDetector,
     pool::UpstreamPool,
+    position::StorePosition,
     shutdown::ShutdownWindow,
     table::RouteTable,
     upstreams::{UpstreamRecord, UpstreamSet},
@@ -69,6 +70,9 @@
     CentreClosed(CentreName),
     /// A data centre takes new requests again.
     CentreOpened(CentreName),
+    /// The platform came back from an older copy of its entries. A listing may lack what was
+    /// published, until it has been written again.
+    EraStarted,
     /// A full listing; what it lacks is no longer published.
     FullListing {
         /// All upstreams.
@@ -111,8 +115,8 @@
     used_connections: Cell<usize>,
     /// The configuration in force; `None` until the first one is known.
     route_table: watch::Sender<Option<Arc<RouteTable>>>,
-    /// Revision of the entries, for peers that wait for changes.
-    pub(super) revisions: watch::Sender<u64>,
+    /// Position of the entries, for peers that wait for changes.
+    pub(super) positions: watch::Sender<StorePosition>,
     /// Whether neither the platform nor a relay of the data centre responds to this host.
     pub(super) source_unavailable: watch::Sender<bool>,
     pub(super) change_cache: ChangeCache,
@@ -177,7 +181,7 @@
             in_flight: Cell::new(0),
             used_connections: Cell::new(0),
             route_table: watch::Sender::new(None),
-            revisions: watch::Sender::new(0),
+            positions: watch::Sender::new(StorePosition::default()),
             source_unavailable: watch::Sender::new(false),
             change_cache: ChangeCache::default(),
             response_buffers: ResponseBuffers::with_account(responses, account.clone()),
@@ -222,6 +226,7 @@
                 tracing::info!(%centre, "data_centre_opened");
                 state.upstreams.set_closed(&centre, false);
             }
+            FleetChange::EraStarted => state.upstreams.start_era(now),
             FleetChange::FullListing { upstreams, closed } => {
                 let (count, closed_count) = (upstreams.len(), closed.len());
                 tracing::info!(upstreams = count, closed = closed_count, "fleet_listed");
@@ -309,9 +314,9 @@
         known.ok()?.ok()?.clone()
     }
 
-    /// Returns the revision of the known entries.
-    pub fn revision(&self) -> u64 {
-        self.state.borrow().feed.revision()
+    /// Returns the position of the known entries.
+    pub fn position(&self) -> StorePosition {
+        self.state.borrow().feed.position()
     }
 
     /// Merges the times of the platform's responses that another host reported along with changes.
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -11,6 +11,7 @@
     fleet::{FleetChange, Gateway},
     members::MemberRecord,
     peers::PeerClient,
+    position::StorePosition,
 };
 
 /// Initial backoff after a failed call, doubled with each further failure up to [`MAX_BACKOFF`].
@@ -120,7 +121,7 @@
             let client = relay_client(&mut relay, &member);
             follower.has_asked_for_first = true;
             if follower.gateway.poll_relay(client, &member).await {
-                follower.needs_full_read &= follower.gateway.revision() == 0;
+                follower.needs_full_read &= follower.gateway.position().is_start();
                 follower.has_failed = false;
                 follower.gateway.source_unavailable.send_replace(false);
             }
@@ -130,18 +131,19 @@
         match follower.read(&mut *source).await {
             Ok(()) => {
                 backoff = MIN_BACKOFF;
-                if !std::mem::take(&mut follower.has_failed) {
+                if !std::mem::take(&mut follower.has_failed) && !follower.needs_full_read {
                     sleep_until(called + min_interval).await;
                 }
             }
             Err(SourceError::HistoryLost) => {
-                tracing::info!(revision = follower.gateway.revision(), "source_history_lost");
+                let StorePosition { era, revision } = follower.gateway.position();
+                tracing::info!(era, revision, "source_history_lost");
                 follower.needs_full_read = true;
             }
             Err(error) => {
-                let (revision, pause_ms) =
-                    (follower.gateway.revision(), backoff.as_millis() as u64);
-                tracing::warn!(%error, revision, pause_ms, "source_failed");
+                let StorePosition { era, revision } = follower.gateway.position();
+                let pause_ms = backoff.as_millis() as u64;
+                tracing::warn!(%error, era, revision, pause_ms, "source_failed");
                 follower.has_failed = true;
                 follower.gateway.apply(FleetChange::SourceFailed);
                 sleep(backoff).await;
@@ -167,23 +169,28 @@
     /// no first entries from a relay.
     fn relay(&self) -> Option<MemberRecord> {
         let now = self.gateway.now();
-        let may_ask = self.gateway.revision() > 0 || !self.has_asked_for_first;
+        let may_ask = !self.gateway.position().is_start() || !self.has_asked_for_first;
         let state = self.gateway.state.borrow();
         state.members.relays(now).first().filter(|_| may_ask).map(|it| (*it).clone())
     }
 
     async fn read(&mut self, source: &mut dyn EntrySource) -> Result<(), SourceError> {
-        let revision = self.gateway.revision();
-        let change = if self.needs_full_read || revision == 0 {
+        let position = self.gateway.position();
+        let update = if self.needs_full_read || position.is_start() {
             source.read_all().await?
         } else {
-            source.watch(revision, self.watch_wait()).await?
+            let mut positions = self.gateway.positions.subscribe();
+            tokio::select! {
+                update = source.watch(position, self.watch_wait()) => update?,
+                // Another host told of a new era, in which the platform does not know `position`.
+                _ = positions.wait_for(|it| it.era > position.era) => return Ok(()),
+            }
         };
         self.needs_full_read = false;
         // Applied before the changes: entries that are missing soon after an outage may have
         // expired during it.
         self.gateway.apply(FleetChange::SourceResponded);
-        if !self.gateway.apply_entries(&change, "platform") {
+        if !self.gateway.apply_entries(&update, "platform") {
             self.needs_full_read = true;
         }
         Ok(())
@@ -208,7 +215,7 @@
     async fn wait_for_first_peer(&self) {
         let started = Instant::now();
         while started.elapsed() < FIRST_PEER_WAIT
-            && self.revision() == 0
+            && self.position().is_start()
             && self.state.borrow().members.live(self.now()).next().is_none()
         {
             sleep(PEER_CHECK_INTERVAL).await;
@@ -228,19 +235,24 @@
     /// Requests changes from a relay. Returns false and starts the relay's backoff if there is no
     /// usable reply, or if the platform's last response to the relay is too old.
     async fn poll_relay(&self, client: &mut PeerClient, relay: &MemberRecord) -> bool {
-        let revision = self.revision();
-        let reason = match client.changes(revision, RELAY_CHANGE_WAIT).await {
+        let position = self.position();
+        let reason = match client.changes(position, RELAY_CHANGE_WAIT).await {
             Ok(reply) => {
-                let age = reply.response_age();
+                let (age, relay_era) = (reply.response_age(), reply.era);
                 let is_recent = age.is_some_and(|it| it < MAX_RESPONSE_AGE);
-                if is_recent && self.apply_reply(reply, &relay.host) {
+                // A relay that is behind by an era, or does not know eras, cannot tell what is new.
+                let is_current = relay_era >= position.era;
+                if is_recent && is_current && self.apply_reply(reply, &relay.host) {
                     return true;
                 }
-                format!("no usable changes, or no response of the platform for {age:?}")
+                format!(
+                    "no usable changes, era {relay_era}, or no response of the platform for {age:?}"
+                )
             }
             Err(error) => error.to_string(),
         };
-        tracing::warn!(relay = %relay.host, revision, reason, "relay_failed");
+        let StorePosition { era, revision } = position;
+        tracing::warn!(relay = %relay.host, era, revision, reason, "relay_failed");
         self.state.borrow_mut().members.record_relay_failure(self.now(), &relay.host);
         false
     }
--- a/lib/src/gateway/packed.rs
+++ b/lib/src/gateway/packed.rs
@@ -8,7 +8,7 @@
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
-use super::feed::EntryFeed;
+use super::{feed::EntryFeed, position::StorePosition};
 use crate::{
     config::ConfigChange,
     peer::{decode_message, encode_message},
@@ -76,8 +76,8 @@
 
 #[derive(Debug)]
 struct CachedChange {
-    base: u64,
-    revision: u64,
+    from: StorePosition,
+    to: StorePosition,
     packed: PackedChange,
 }
 
@@ -86,18 +86,18 @@
 pub(super) struct ChangeCache(RefCell<Vec<CachedChange>>);
 
 impl ChangeCache {
-    /// Returns the change from revision `base` to the current one.
-    pub(super) fn change_since(&self, feed: &EntryFeed, base: u64) -> PackedChange {
-        let revision = feed.revision();
+    /// Returns the change from a position to the current one.
+    pub(super) fn change_since(&self, feed: &EntryFeed, from: StorePosition) -> PackedChange {
+        let to = feed.position();
         let mut cached = self.0.borrow_mut();
-        if let Some(known) = cached.iter().find(|it| it.base == base && it.revision == revision) {
+        if let Some(known) = cached.iter().find(|it| it.from == from && it.to == to) {
             return known.packed.clone();
         }
-        let packed = PackedChange::pack(&feed.change_since(base));
+        let packed = PackedChange::pack(&feed.change_since(from));
         if cached.len() >= MAX_CACHED_CHANGES {
             cached.remove(0);
         }
-        cached.push(CachedChange { base, revision, packed: packed.clone() });
+        cached.push(CachedChange { from, to, packed: packed.clone() });
         packed
     }
 }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -22,17 +22,17 @@
 use super::{
     connection::{ClientError, ConnectTimeouts, HttpClient},
     crashes::CrashDetector,
-    feed::{FeedOutcome, SourceState},
+    feed::{EntryUpdate, FeedOutcome, SourceState},
     fleet::Gateway,
     host_report::HostReport,
     load_exchange::InFlightReport,
     members::{MemberDigest, MemberRecord},
     outcomes::OutcomeSlot,
     packed::PackedChange,
+    position::{self, ENTRY_ERA, StorePosition, read_era},
     upstreams::{LoadSample, UpstreamProcess},
 };
 use crate::{
-    config::ConfigChange,
     intake::read_body,
     names::HostName,
     peer::{decode_message, encode_message},
@@ -89,8 +89,9 @@
     pub sender: MemberRecord,
     /// What the sender knows of the members of the fleet.
     pub members: MemberDigest,
-    /// Revision of the sender's entries.
-    pub revision: u64,
+    /// Position of the sender's entries.
+    #[serde(with = "position")]
+    pub position: StorePosition,
     /// Strikes against requests that may crash upstreams: recent ones, and those of blocked
     /// requests.
     pub strikes: Vec<CrashStrike>,
@@ -109,8 +110,9 @@
 /// Request for changes of the entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangesRequest {
-    /// Revision of the requesting host's entries.
-    pub after: u64,
+    /// Position of the requesting host's entries.
+    #[serde(with = "position")]
+    pub after: StorePosition,
     /// Time for which the receiver waits for a change before it replies without one, in
     /// milliseconds.
     pub wait_ms: u64,
@@ -120,7 +122,10 @@
 /// complete.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangesReply {
-    /// The changes; `None` if there was no newer revision within the wait.
+    /// Era of the sender's entries.
+    #[serde(skip)]
+    pub era: u64,
+    /// The changes; `None` if there was no newer position within the wait.
     pub change: Option<PackedChange>,
     /// Time since the platform last responded, in milliseconds.
     pub answered_age_ms: Option<u64>,
@@ -128,6 +133,45 @@
     pub regained_age_ms: Option<u64>,
 }
 
+/// A message with the era of its sender's entries, which is sent in [`ENTRY_ERA`].
+trait EraMessage {
+    /// Returns the era.
+    fn era(&self) -> u64;
+
+    /// Sets the era, after the message was decoded.
+    fn set_era(&mut self, era: u64);
+}
+
+impl EraMessage for PeerDigest {
+    fn era(&self) -> u64 {
+        self.position.era
+    }
+
+    fn set_era(&mut self, era: u64) {
+        self.position.era = era;
+    }
+}
+
+impl EraMessage for ChangesRequest {
+    fn era(&self) -> u64 {
+        self.after.era
+    }
+
+    fn set_era(&mut self, era: u64) {
+        self.after.era = era;
+    }
+}
+
+impl EraMessage for ChangesReply {
+    fn era(&self) -> u64 {
+        self.era
+    }
+
+    fn set_era(&mut self, era: u64) {
+        self.era = era;
+    }
+}
+
 impl ChangesReply {
     /// Returns the time since the platform's last response that the sender knows of.
     pub fn response_age(&self) -> Option<Duration> {
@@ -178,14 +222,14 @@
         self.call(DIGEST_PATH, digest, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
     }
 
-    /// Requests the changes after a revision; the host waits up to `wait` for the first one.
+    /// Requests the changes after a position; the host waits up to `wait` for the first one.
     ///
     /// # Errors
     ///
     /// Fails if there is no readable reply within `wait` and the time limit of a message.
     pub async fn changes(
         &mut self,
-        after: u64,
+        after: StorePosition,
         wait: Duration,
     ) -> Result<ChangesReply, PeerFailure> {
         let request = ChangesRequest { after, wait_ms: wait.as_millis() as u64 };
@@ -201,7 +245,10 @@
         &mut self,
         report: &InFlightReport,
     ) -> Result<InFlightReport, PeerFailure> {
-        self.call(IN_FLIGHT_PATH, report, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
+        let (_, report) = self
+            .send(IN_FLIGHT_PATH, encode_message(report), None, REPLY_TIMEOUT, MAX_MESSAGE_BYTES)
+            .await?;
+        Ok(report)
     }
 
     /// Sends an encoded [`HostReport`] and returns that of the host.
@@ -211,34 +258,62 @@
     /// Fails if there is no readable reply within the time limit. A host of an older release
     /// responds with status 400.
     pub async fn report(&mut self, report: Vec<u8>) -> Result<HostReport, PeerFailure> {
-        self.send(REPORT_PATH, report, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await
+        let (_, report) =
+            self.send(REPORT_PATH, report, None, REPLY_TIMEOUT, MAX_MESSAGE_BYTES).await?;
+        Ok(report)
     }
 
-    async fn call<Q: Serialize, R: DeserializeOwned>(
+    /// Exchanges messages that have an era. A reply of a release without eras has era 0, the lowest.
+    async fn call<Q: Serialize + EraMessage, R: DeserializeOwned + EraMessage>(
         &mut self,
         path: &str,
         message: &Q,
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<R, PeerFailure> {
-        self.send(path, encode_message(message), time_limit, max_bytes).await
+        let body = encode_message(message);
+        let era = Some(message.era());
+        let (era, mut reply) = self.send::<R>(path, body, era, time_limit, max_bytes).await?;
+        reply.set_era(era.unwrap_or_default());
+        Ok(reply)
     }
 
+    /// Sends a message, and returns the reply with the era that it names.
     async fn send<R: DeserializeOwned>(
         &mut self,
         path: &str,
         message: Vec<u8>,
+        era: Option<u64>,
         time_limit: Duration,
         max_bytes: usize,
-    ) -> Result<R, PeerFailure> {
-        let body = Full::new(Bytes::from(message));
-        let request = Request::post(path).header(HOST, self.address().to_string()).body(body);
+    ) -> Result<(Option<u64>, R), PeerFailure> {
+        let mut request = Request::post(path).header(HOST, self.address().to_string());
+        if let Some(era) = era {
+            request = request.header(ENTRY_ERA, era);
+        }
+        let request = request.body(Full::new(Bytes::from(message)));
         let request = request.expect("paths and addresses are valid");
-        let (status, body) = self.0.send(request, time_limit, max_bytes).await?;
+        let response = self.0.send(request, time_limit, max_bytes).await?;
+        let status = response.status();
         if status != StatusCode::OK {
             return Err(PeerFailure::Unreadable(status));
         }
-        decode_message(&mut &body[..]).map_err(|_| PeerFailure::Unreadable(status))
+        let reply = decode_message(&mut &response.body()[..]);
+        let reply = reply.map_err(|_| PeerFailure::Unreadable(status))?;
+        Ok((read_era(response.headers()), reply))
+    }
+}
+
+/// Encoded reply to a message.
+struct PeerReply {
+    /// Era of this host's entries, if the message is one that has it.
+    era: Option<u64>,
+    body: Vec<u8>,
+}
+
+impl PeerReply {
+    fn encode<T: Serialize + EraMessage>(message: &T) -> Self {
+        Self { era: Some(message.era()), body: encode_message(message) }
     }
 }
 
@@ -248,9 +323,10 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
+    let era = read_era(request.headers());
     let reading = read_body(request.into_body(), MAX_MESSAGE_BYTES, None);
     let reply = match timeout(MESSAGE_TIMEOUT, reading).await {
-        Ok(Ok(body)) => handle_message(&gateway, &path, &body).await,
+        Ok(Ok(body)) => handle_message(&gateway, &path, era, &body).await,
         Ok(Err(error)) => {
             tracing::debug!(%error, "peer_message_lost");
             None
@@ -260,32 +336,49 @@
             None
         }
     };
-    let status = if reply.is_some() { StatusCode::OK } else { StatusCode::BAD_REQUEST };
-    let mut response = Response::new(Full::new(Bytes::from(reply.unwrap_or_default())));
-    *response.status_mut() = status;
+    let Some(PeerReply { era, body }) = reply else {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        return response;
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    if let Some(era) = era {
+        response.headers_mut().insert(ENTRY_ERA, era.into());
+    }
     response
 }
 
-async fn handle_message(gateway: &Rc<Gateway>, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+/// Handles a message whose sender names this era, if its release has eras.
+async fn handle_message(
+    gateway: &Rc<Gateway>,
+    path: &str,
+    era: Option<u64>,
+    body: &[u8],
+) -> Option<PeerReply> {
     match path {
         DIGEST_PATH => {
-            let digest: PeerDigest = decode_request(path, body)?;
+            let mut digest: PeerDigest = decode_request(path, body)?;
+            digest.set_era(era.unwrap_or_default());
             let is_local = gateway.is_local(&digest.sender);
             let reply = gateway.digest(is_local, Some(&digest.members));
             gateway.merge_digest(digest);
-            Some(encode_message(&reply))
+            Some(PeerReply::encode(&reply))
         }
         CHANGES_PATH => {
-            let request: ChangesRequest = decode_request(path, body)?;
-            Some(encode_message(&gateway.wait_for_changes(request).await))
+            let mut request: ChangesRequest = decode_request(path, body)?;
+            // A release without eras compares revisions alone.
+            request.set_era(era.unwrap_or_else(|| gateway.position().era));
+            Some(PeerReply::encode(&gateway.wait_for_changes(request).await))
         }
         IN_FLIGHT_PATH => {
             let report: InFlightReport = decode_request(path, body)?;
-            Some(encode_message(&gateway.exchange_report(report)))
+            let body = encode_message(&gateway.exchange_report(report));
+            Some(PeerReply { era: None, body })
         }
         REPORT_PATH => {
             let report: HostReport = decode_request(path, body)?;
-            Some(gateway.encode_report(&gateway.exchange_host_report(report)))
+            let body = gateway.encode_report(&gateway.exchange_host_report(report));
+            Some(PeerReply { era: None, body })
         }
         _ => None,
     }
@@ -297,7 +390,7 @@
 }
 
 /// Runs gossip rounds until the process ends, and requests changes from hosts that have a newer
-/// revision.
+/// position.
 pub(super) async fn run_gossip(gateway: Rc<Gateway>, seeds: Vec<SocketAddr>) {
     let mut behind_since = None;
     loop {
@@ -306,9 +399,9 @@
             let mut client = PeerClient::new(address);
             match client.digest(&gateway.digest(is_local, None)).await {
                 Ok(digest) => {
-                    let (host, revision) = (digest.sender.host.clone(), digest.revision);
+                    let (host, position) = (digest.sender.host.clone(), digest.position);
                     gateway.merge_digest(digest);
-                    if revision <= gateway.revision() {
+                    if position <= gateway.position() {
                         behind_since = None;
                         continue;
                     }
@@ -376,7 +469,7 @@
         PeerDigest {
             members: state.members.digest(now, request),
             sender: state.members.local().clone(),
-            revision: state.feed.revision(),
+            position: state.feed.position(),
             strikes: state.crashes.strikes_to_send(now),
             clearances: state.crashes.clearances_to_send(now),
             proofs: state.crashes.proofs_to_send(now),
@@ -430,9 +523,9 @@
         });
     }
 
-    /// Requests the missing changes from a host that has a newer revision.
+    /// Requests the missing changes from a host that has a newer position.
     async fn pull_changes(&self, client: &mut PeerClient, host: &HostName) {
-        match client.changes(self.revision(), Duration::ZERO).await {
+        match client.changes(self.position(), Duration::ZERO).await {
             Ok(reply) => {
                 self.apply_reply(reply, host);
             }
@@ -443,13 +536,14 @@
     /// Applies a reply of another host; returns false if its changes cannot be read or leave a gap.
     pub(super) fn apply_reply(&self, reply: ChangesReply, host: &HostName) -> bool {
         self.merge_source_state(reply.source_state(self.now()));
+        let era = reply.era;
         let Some(packed) = reply.change else {
             return true;
         };
-        match packed.unpack() {
-            Ok(change) if self.apply_entries(&change, host.as_str()) => true,
-            Ok(change) => {
-                tracing::warn!(%host, base = change.base, "changes_with_gap");
+        match packed.unpack().map(|change| EntryUpdate { era, change }) {
+            Ok(update) if self.apply_entries(&update, host.as_str()) => true,
+            Ok(update) => {
+                tracing::warn!(%host, era, base = update.change.base, "changes_with_gap");
                 false
             }
             Err(error) => {
@@ -459,22 +553,34 @@
         }
     }
 
-    /// Applies a change of the entries; returns false if it leaves a gap, so that all entries have
+    /// Applies an update of the entries; returns false if it leaves a gap, so that all entries have
     /// to be read.
-    pub(super) fn apply_entries(&self, change: &ConfigChange, from: &str) -> bool {
-        let before = self.revision();
-        let outcome = self.state.borrow_mut().feed.apply(change);
+    pub(super) fn apply_entries(&self, update: &EntryUpdate, from: &str) -> bool {
+        let before = self.position();
+        let outcome = self.state.borrow_mut().feed.apply(update);
         match outcome {
             FeedOutcome::Applied(changes) => {
+                let StorePosition { era, revision } = self.position();
+                if era != before.era {
+                    tracing::info!(
+                        from,
+                        era_before = before.era,
+                        revision_before = before.revision,
+                        era,
+                        revision,
+                        "store_era_changed"
+                    );
+                    self.metrics.set_store_era(era);
+                }
                 tracing::info!(
                     from,
-                    before,
-                    revision = change.revision,
+                    before = before.revision,
+                    revision,
                     changes = changes.len(),
                     "entries_changed"
                 );
                 changes.into_iter().for_each(|it| self.apply(it));
-                self.revisions.send_replace(change.revision);
+                self.positions.send_replace(self.position());
                 true
             }
             FeedOutcome::NotNewer => true,
@@ -483,18 +589,19 @@
     }
 
     async fn wait_for_changes(&self, request: ChangesRequest) -> ChangesReply {
-        let mut revisions = self.revisions.subscribe();
+        let mut positions = self.positions.subscribe();
         let wait = Duration::from_millis(request.wait_ms).min(MAX_CHANGE_WAIT);
-        let newer = revisions.wait_for(|it| *it > request.after);
+        let newer = positions.wait_for(|it| *it > request.after);
         // A reply without a change still tells how recent the platform's last response is.
         let is_newer = timeout(wait, newer).await.is_ok();
-        let is_newer = is_newer || self.revision() > request.after;
+        let is_newer = is_newer || self.position() > request.after;
         let now = self.now();
         let state = self.state.borrow();
         let age =
             |at: Option<Instant>| at.map(|it| now.saturating_duration_since(it).as_millis() as u64);
         let source = state.source_state;
         ChangesReply {
+            era: state.feed.position().era,
             change: is_newer.then(|| self.change_cache.change_since(&state.feed, request.after)),
             answered_age_ms: age(source.last_response),
             regained_age_ms: age(source.last_recovery),
--- a/lib/src/telemetry/metrics.rs
+++ b/lib/src/telemetry/metrics.rs
@@ -157,6 +157,7 @@
     _evicted_connections: ObservableCounter<u64>,
     config_accepted: Gauge<u64>,
     config_seen: Gauge<u64>,
+    store_era: Gauge<u64>,
     control_sent: Counter<u64>,
     control_received: Counter<u64>,
     grants: Counter<u64>,
@@ -281,6 +282,12 @@
                 "snipepond_config_seen_revision",
                 "Highest revision of the configuration known.",
             ),
+            store_era: gauge(
+                &meter,
+                "snipepond_store_era",
+                "Number of the history of the platform's entries; it rises when the platform comes \
+                 back from an older copy.",
+            ),
             control_sent: counter(
                 &meter,
                 "snipepond_control_sent_bytes",
@@ -420,6 +427,11 @@
         self.config_seen.record(seen, &[]);
     }
 
+    /// Sets the era of the platform's entries.
+    pub fn set_store_era(&self, era: u64) {
+        self.store_era.record(era, &[]);
+    }
+
     /// Adds to the bytes of control traffic sent.
     pub fn count_control_sent(&self, purpose: ControlPurpose, bytes: u64) {
         let label = KeyValue::new("purpose", purpose.as_str());
--- a/lib/tests/gateway_feed.rs
+++ b/lib/tests/gateway_feed.rs
@@ -5,7 +5,9 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use snipepond::{
     config::{ConfigChange, EntryChange},
-    gateway::{EntryDecoder, EntryFeed, FeedOutcome, FleetChange, PackedChange},
+    gateway::{
+        EntryDecoder, EntryFeed, EntryUpdate, FeedOutcome, FleetChange, PackedChange, StorePosition,
+    },
     names::{CentreName, UpstreamName},
 };
 
@@ -35,8 +37,17 @@
     EntryChange { key: key.into(), revision, value: has_value.then(|| Arc::from("{}")) }
 }
 
-fn change(base: u64, revision: u64, entries: Vec<EntryChange>) -> ConfigChange {
-    ConfigChange { base, revision, entries }
+/// Returns an update in the first era.
+fn change(base: u64, revision: u64, entries: Vec<EntryChange>) -> EntryUpdate {
+    change_in(1, base, revision, entries)
+}
+
+fn change_in(era: u64, base: u64, revision: u64, entries: Vec<EntryChange>) -> EntryUpdate {
+    EntryUpdate { era, change: ConfigChange { base, revision, entries } }
+}
+
+fn start() -> StorePosition {
+    StorePosition::default()
 }
 
 fn applied(outcome: FeedOutcome) -> Vec<FleetChange> {
@@ -54,7 +65,7 @@
     applied(feed.apply(&change(5, 9, vec![entry("a", 9, false)])));
     assert!(matches!(feed.apply(&change(5, 7, vec![entry("a", 7, true)])), FeedOutcome::NotNewer));
     assert!(matches!(feed.apply(&change(0, 9, vec![entry("a", 3, true)])), FeedOutcome::NotNewer));
-    assert_eq!(feed.revision(), 9);
+    assert_eq!(feed.position(), StorePosition::new(1, 9));
 }
 
 /// Guards against applying a delta from a revision that has not been reached, which would skip
@@ -74,7 +85,7 @@
     applied(feed.apply(&change(0, 5, vec![entry("a", 8, true)])));
     let changes = applied(feed.apply(&change(5, 9, vec![entry("a", 6, false)])));
     assert!(changes.is_empty(), "{changes:?}");
-    assert_eq!(feed.change_since(0).entries, vec![entry("a", 8, true)]);
+    assert_eq!(feed.change_since(start()).entries, vec![entry("a", 8, true)]);
 }
 
 /// Guards against entries that stay although they were removed while a host received no changes.
@@ -89,40 +100,111 @@
     );
 }
 
+/// Guards against a host with the entries of the era before a return, which have higher revisions,
+/// that talks others back into that era.
+#[test]
+fn a_later_revision_of_an_older_era_changes_nothing() {
+    let mut feed = feed();
+    applied(feed.apply(&change_in(2, 0, 5, vec![])));
+    let old = change_in(1, 0, 90, vec![entry("a", 80, true)]);
+    assert!(matches!(feed.apply(&old), FeedOutcome::NotNewer));
+    assert_eq!(feed.position(), StorePosition::new(2, 5));
+}
+
+/// Guards against changes that are skipped for good because their revisions were given out a second
+/// time: the platform computes a delta although the host's base is one of another history.
+#[test]
+fn a_delta_of_another_era_needs_a_full_set() {
+    let mut feed = feed();
+    applied(feed.apply(&change_in(1, 0, 5, vec![])));
+    assert!(matches!(feed.apply(&change_in(2, 5, 9, vec![])), FeedOutcome::Gap));
+    assert_eq!(feed.position(), StorePosition::new(1, 5));
+}
+
+/// Guards against a peer that receives a delta although it is in another era.
+#[test]
+fn a_peer_of_another_era_receives_a_full_set_of_lower_revision() {
+    let mut feed = feed();
+    applied(feed.apply(&change_in(1, 0, 90, vec![])));
+    let changes = applied(feed.apply(&change_in(2, 0, 5, vec![entry("a", 3, true)])));
+    assert!(
+        matches!(&changes[..], [FleetChange::EraStarted, FleetChange::FullListing { .. }]),
+        "{changes:?}"
+    );
+    assert_eq!(feed.change_since(StorePosition::new(1, 90)).base, 0);
+    assert_eq!(feed.change_since(StorePosition::new(2, 5)).base, 5);
+}
+
+/// Fake platform whose revisions are the positions in `history`, which it may lose the end of.
+struct FakeStore {
+    era: u64,
+    /// Keys of the changes, and whether they set a value.
+    history: Vec<(&'static str, bool)>,
+}
+
+impl FakeStore {
+    /// Returns the changes that a watch gets; all entries if it is from a later revision.
+    fn change_since(&self, revision: u64) -> EntryUpdate {
+        let last = self.history.len() as u64;
+        let base = if revision > last { 0 } else { revision };
+        let mut entries: Vec<EntryChange> = Vec::new();
+        for (index, (key, has_value)) in self.history.iter().enumerate().skip(base as usize) {
+            entries.retain(|it| &*it.key != *key);
+            entries.push(entry(key, index as u64 + 1, *has_value));
+        }
+        entries.retain(|it| base > 0 || it.value.is_some());
+        change_in(self.era, base, last, entries)
+    }
+
+    /// Brings a host up to date.
+    fn update(&self, host: &mut EntryFeed) {
+        let update = self.change_since(host.position().revision);
+        if matches!(host.apply(&update), FeedOutcome::Gap) {
+            applied(host.apply(&self.change_since(0)));
+        }
+    }
+}
+
 /// Guards against hosts that end with different entries, although all changes reached each of them
-/// from the source or from another host.
+/// from the platform or from another host, and the platform came back from older copies meanwhile,
+/// several times in a row in some seeds.
 #[test]
 fn hosts_that_exchange_changes_end_with_the_same_entries() {
     for seed in 0..40 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut source = feed();
-        applied(source.apply(&change(0, 1, vec![])));
+        let mut store = FakeStore { era: 1, history: vec![("a", true)] };
         let mut hosts: Vec<EntryFeed> = (0..6).map(|_| feed()).collect();
-        for revision in 2..200 {
+        for _ in 2..200 {
+            if seed % 2 == 1 && rng.random_bool(0.03) {
+                store.era += 1;
+                let lost = rng.random_range(0..store.history.len());
+                store.history.truncate(store.history.len() - lost);
+            }
             let key = *["a", "b", "c", "d"].choose(&mut rng).unwrap();
-            let entries = vec![entry(key, revision, rng.random_bool(0.6))];
-            applied(source.apply(&change(revision - 1, revision, entries)));
+            store.history.push((key, rng.random_bool(0.6)));
             let to = rng.random_range(0..hosts.len());
             let from = rng.random_range(0..hosts.len());
-            let delta = match rng.random_range(0..3) {
-                0 => source.change_since(hosts[to].revision()),
-                1 => hosts[from].change_since(hosts[to].revision()),
+            let before = hosts[to].position();
+            match rng.random_range(0..3) {
+                0 => store.update(&mut hosts[to]),
+                1 => {
+                    let era = hosts[from].position().era;
+                    let delta = hosts[from].change_since(before);
+                    let packed = PackedChange::pack(&delta).unpack().unwrap();
+                    assert_eq!(packed, delta);
+                    hosts[to].apply(&EntryUpdate { era, change: packed });
+                }
                 _ => continue,
-            };
-            let before = hosts[to].revision();
-            let packed = PackedChange::pack(&delta).unpack().unwrap();
-            assert_eq!(packed, delta);
-            hosts[to].apply(&packed);
-            assert!(hosts[to].revision() >= before);
+            }
+            assert!(hosts[to].position() >= before);
         }
         for host in &mut hosts {
-            let delta = source.change_since(host.revision());
-            host.apply(&delta);
-            let values = |it: &EntryFeed| {
-                let entries = it.change_since(0).entries.into_iter();
-                entries.filter(|it| it.value.is_some()).collect::<Vec<_>>()
-            };
-            assert_eq!(values(host), values(&source), "seed {seed}");
+            store.update(host);
+            let mut entries = host.change_since(start()).entries;
+            let mut stored = store.change_since(0).change.entries;
+            entries.sort_by(|a, b| a.key.cmp(&b.key));
+            stored.sort_by(|a, b| a.key.cmp(&b.key));
+            assert_eq!(entries, stored, "seed {seed}");
         }
     }
 }
@@ -131,7 +213,7 @@
 #[test]
 fn corrupt_changes_are_an_error() {
     bolero::check!().with_type::<Vec<u8>>().for_each(|bytes| {
-        let message = rmp_serde::to_vec(&PackedChange::pack(&change(0, 1, vec![]))).unwrap();
+        let message = rmp_serde::to_vec(&PackedChange::pack(&change(0, 1, vec![]).change)).unwrap();
         let mut broken = message.clone();
         for (position, byte) in bytes.iter().enumerate().take(broken.len()) {
             broken[position] ^= byte;
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -13,8 +13,9 @@
 use snipepond::{
     config::ConfigChange,
     gateway::{
-        ChangesReply, ChangesRequest, EntrySource, GatewayServer, MemberDigest, MemberRecord,
-        PackedChange, PeerDigest, SourceError, SourceFuture, follow_entries,
+        ChangesReply, ChangesRequest, EntrySource, EntryUpdate, GatewayServer, MemberDigest,
+        MemberRecord, PackedChange, PeerDigest, SourceError, SourceFuture, StorePosition,
+        follow_entries,
     },
     names::{CentreName, HostName},
     peer::{decode_message, encode_message},
@@ -30,9 +31,14 @@
 /// Time limit of a test; far above the expected time, since the test asserts no duration.
 const TEST_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Revision of the remote relay's entries.
+/// Position of the entries of relays and of the platform.
+const ERA: u64 = 2;
 const REVISION: u64 = 5;
 
+/// Returns the era and the revision of a relay's entries at its reply with this number; `None` if it
+/// has no entries. A relay without an era is one of a release that has none.
+type RelayScript = fn(usize) -> Option<(Option<u64>, u64)>;
+
 /// Fake platform that rejects every call.
 #[derive(Debug)]
 struct RejectingSource;
@@ -42,26 +48,36 @@
         Box::pin(async { Err(SourceError::Failed("rejected".into())) })
     }
 
-    fn watch(&mut self, _: u64, _: Duration) -> SourceFuture<'_> {
+    fn watch(&mut self, _: StorePosition, _: Duration) -> SourceFuture<'_> {
         self.read_all()
     }
 }
 
-/// Fake platform without entries that counts its listings.
+/// Calls that a [`CountingSource`] received.
+#[derive(Debug, Default)]
+struct SourceCalls {
+    listings: Cell<usize>,
+    watches: Cell<usize>,
+}
+
+/// Fake platform without entries that counts its calls.
 #[derive(Debug)]
-struct CountingSource(Rc<Cell<usize>>);
+struct CountingSource(Rc<SourceCalls>);
 
 impl EntrySource for CountingSource {
     fn read_all(&mut self) -> SourceFuture<'_> {
-        self.0.set(self.0.get() + 1);
+        self.0.listings.set(self.0.listings.get() + 1);
         let change = ConfigChange { base: 0, revision: REVISION, entries: vec![] };
-        Box::pin(async move { Ok(change) })
+        Box::pin(async move { Ok(EntryUpdate { era: ERA, change }) })
     }
 
-    fn watch(&mut self, revision: u64, wait: Duration) -> SourceFuture<'_> {
+    fn watch(&mut self, after: StorePosition, wait: Duration) -> SourceFuture<'_> {
+        self.0.watches.set(self.0.watches.get() + 1);
+        let StorePosition { era, revision } = after;
         Box::pin(async move {
             sleep(wait).await;
-            Ok(ConfigChange { base: revision, revision, entries: vec![] })
+            let change = ConfigChange { base: revision, revision, entries: vec![] };
+            Ok(EntryUpdate { era, change })
         })
     }
 }
@@ -74,8 +90,8 @@
 }
 
 impl FakeRelay {
-    /// Starts a relay of data centre `centre`; `has_entries` is whether it has changes to send.
-    async fn start(centre: &'static str, has_entries: bool) -> Self {
+    /// Starts a relay of data centre `centre`.
+    async fn start(centre: &'static str, script: RelayScript) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, longest_wait) = watch::channel(Duration::ZERO);
@@ -83,7 +99,7 @@
         spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                spawn_local(serve_peer(stream, address, centre, has_entries, sender.clone()));
+                spawn_local(serve_peer(stream, address, centre, script, sender.clone()));
             }
         });
         Self { address, longest_wait }
@@ -94,7 +110,7 @@
     stream: TcpStream,
     address: SocketAddr,
     centre: &str,
-    has_entries: bool,
+    script: RelayScript,
     longest_wait: Rc<watch::Sender<Duration>>,
 ) {
     let member = |host: &str| MemberRecord {
@@ -106,7 +122,9 @@
         bandwidth: 100,
     };
     let mut stream = BufReader::new(stream);
+    let mut replies = 0;
     while let Some((path, body)) = read_message(&mut stream).await {
+        let mut era_header = String::new();
         let reply = if path == "/v1/digest" {
             // Both relays of its data centre have its address.
             let records = vec![member("relay-2")];
@@ -115,7 +133,7 @@
             let digest = PeerDigest {
                 sender: member("relay-1"),
                 members: MemberDigest { records, ..MemberDigest::default() },
-                revision: 0,
+                position: StorePosition::default(),
                 strikes: vec![],
                 clearances: vec![],
                 proofs: vec![],
@@ -128,15 +146,21 @@
             let request: ChangesRequest = decode_message(&mut &body[..]).unwrap();
             let wait = Duration::from_millis(request.wait_ms);
             longest_wait.send_modify(|it| *it = wait.max(*it));
-            let change = ConfigChange { base: 0, revision: REVISION, entries: vec![] };
-            let is_new = has_entries && !wait.is_zero() && request.after < REVISION;
+            let entries = script(replies);
+            replies += 1;
+            let (era, revision) = entries.unwrap_or_default();
+            era_header = era.map(|it| format!("entry-era: {it}\r\n")).unwrap_or_default();
+            let change = ConfigChange { base: 0, revision, entries: vec![] };
+            let is_new = !wait.is_zero() && request.after.revision < revision;
             encode_message(&ChangesReply {
+                era: era.unwrap_or_default(),
                 change: is_new.then(|| PackedChange::pack(&change)),
-                answered_age_ms: has_entries.then_some(0),
+                answered_age_ms: entries.map(|_| 0),
                 regained_age_ms: None,
             })
         };
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", reply.len());
+        let length = reply.len();
+        let head = format!("HTTP/1.1 200 OK\r\n{era_header}content-length: {length}\r\n\r\n");
         stream.write_all(head.as_bytes()).await.unwrap();
         stream.write_all(&reply).await.unwrap();
         // Limits the rate of requests, as a relay does that has no changes.
@@ -169,7 +193,7 @@
 #[test]
 fn a_host_without_a_source_waits_for_changes_at_a_remote_relay() {
     run_local(async {
-        let relay = FakeRelay::start("b", true).await;
+        let relay = FakeRelay::start("b", |_| Some((None, REVISION))).await;
         let addresses = loopback_addresses(1);
         let gateway = new_gateway(&addresses);
         let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
@@ -177,7 +201,7 @@
         let follower =
             spawn_local(follow_entries(gateway.clone(), Box::new(RejectingSource), min_interval));
         let started = Instant::now();
-        while gateway.revision() < REVISION {
+        while gateway.position().revision < REVISION {
             assert!(started.elapsed() < TEST_TIMEOUT, "the relay's change was not received");
             sleep(Duration::from_millis(10)).await;
         }
@@ -187,34 +211,125 @@
 }
 
 /// Returns how often a new host reads all entries of the platform until it has them. It finds a relay
-/// of its data centre at its start; `has_entries` is whether that relay has entries.
-async fn count_listings(has_entries: bool) -> usize {
-    let relay = FakeRelay::start("a", has_entries).await;
-    let addresses = loopback_addresses(if has_entries { 2 } else { 3 });
+/// of its data centre at its start.
+async fn count_listings(number: u16, script: RelayScript) -> usize {
+    let relay = FakeRelay::start("a", script).await;
+    let addresses = loopback_addresses(number);
     let gateway = new_gateway(&addresses);
     let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
-    let listings = Rc::new(Cell::new(0));
-    let source = Box::new(CountingSource(listings.clone()));
+    let calls = Rc::new(SourceCalls::default());
+    let source = Box::new(CountingSource(calls.clone()));
     let follower = spawn_local(follow_entries(gateway.clone(), source, Duration::from_millis(500)));
     let started = Instant::now();
-    while gateway.revision() < REVISION {
+    while gateway.position().revision < REVISION {
         assert!(started.elapsed() < TEST_TIMEOUT, "the host has no entries");
         sleep(Duration::from_millis(10)).await;
     }
     follower.abort();
-    listings.get()
+    calls.listings.get()
 }
 
 /// Guards against a fleet whose hosts all start at once and all read the platform: with 300 hosts
 /// and 3,900 entries that took 2.6 s, during which no host could serve.
 #[test]
 fn new_host_gets_its_first_entries_from_a_relay() {
-    run_local(async { assert_eq!(count_listings(true).await, 0) });
+    run_local(async { assert_eq!(count_listings(2, |_| Some((None, REVISION))).await, 0) });
 }
 
 /// Guards against a new host that depends on a relay: one that has no entries must not keep it from
 /// reading the platform.
 #[test]
 fn new_host_reads_the_platform_if_its_relay_has_no_entries() {
-    run_local(async { assert_eq!(count_listings(false).await, 1) });
+    run_local(async { assert_eq!(count_listings(3, |_| None).await, 1) });
+}
+
+/// Guards against a relay that holds the entries of the era before the platform's return, or is of
+/// a release without eras, and brings its followers back there, or keeps them from what is new.
+#[test]
+fn relay_of_an_older_era_is_not_followed() {
+    run_local(async {
+        let scripts: [RelayScript; 2] = [
+            |number| {
+                Some((Some(if number == 0 { ERA } else { ERA - 1 }), REVISION + number as u64))
+            },
+            |number| Some(((number == 0).then_some(ERA), REVISION + number as u64)),
+        ];
+        for (number, script) in (4..).zip(scripts) {
+            let relay = FakeRelay::start("a", script).await;
+            let addresses = loopback_addresses(number);
+            let gateway = new_gateway(&addresses);
+            let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
+            let calls = Rc::new(SourceCalls::default());
+            let source = Box::new(CountingSource(calls.clone()));
+            let interval = Duration::from_millis(500);
+            let follower = spawn_local(follow_entries(gateway.clone(), source, interval));
+            let started = Instant::now();
+            while calls.watches.get() == 0 {
+                assert!(started.elapsed() < TEST_TIMEOUT, "the host still follows the relay");
+                sleep(Duration::from_millis(10)).await;
+            }
+            assert_eq!(gateway.position(), StorePosition::new(ERA, REVISION));
+            follower.abort();
+        }
+    });
+}
+
+/// Sends a message as a host of a release without eras does; returns the era of the reply and its
+/// body.
+async fn ask_without_era(
+    address: SocketAddr,
+    path: &str,
+    body: &[u8],
+) -> (Option<String>, Vec<u8>) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body).await.unwrap();
+    let mut stream = BufReader::new(stream);
+    let (mut era, mut length) = (None, 0);
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).await.unwrap();
+        let line = line.trim_end().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("entry-era: ") {
+            era = Some(value.to_owned());
+        }
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.parse().unwrap();
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.unwrap();
+    (era, body)
+}
+
+/// Guards against an upgrade during which hosts of both releases do not understand each other: one
+/// of the last release gets changes by revisions alone, and not the same ones again and again.
+#[test]
+fn hosts_of_a_release_without_eras_get_changes() {
+    run_local(async {
+        let addresses = loopback_addresses(6);
+        let gateway = new_gateway(&addresses);
+        let _server = GatewayServer::start(&gateway, &addresses, vec![]).unwrap();
+        let source = Box::new(CountingSource(Rc::default()));
+        let interval = Duration::from_millis(500);
+        let follower = spawn_local(follow_entries(gateway.clone(), source, interval));
+        let started = Instant::now();
+        while gateway.position().is_start() {
+            assert!(started.elapsed() < TEST_TIMEOUT, "the host has no entries");
+            sleep(Duration::from_millis(10)).await;
+        }
+        // The messages of the last release are arrays of these values.
+        type OldReply = (Option<PackedChange>, Option<u64>, Option<u64>);
+        for (after, is_newer) in [(0_u64, true), (REVISION, false), (REVISION + 90, false)] {
+            let request = encode_message(&(after, 0_u64));
+            let (era, reply) = ask_without_era(addresses.peers, "/v1/changes", &request).await;
+            let (change, ..): OldReply = decode_message(&mut &reply[..]).unwrap();
+            assert_eq!((change.is_some(), era), (is_newer, Some(ERA.to_string())), "{after}");
+        }
+        follower.abort();
+    });
 }
--- a/lib/tests/gateway_reports.rs
+++ b/lib/tests/gateway_reports.rs
@@ -18,7 +18,7 @@
     gateway::{
         DemandPart, Gateway, GatewayServer, GatewaySettings, HostReport, InFlightPart,
         InFlightReport, InFlightScope, MemberDigest, MemberRecord, PeerDigest, REPORT_VERSION,
-        RetryAllowance,
+        RetryAllowance, StorePosition,
     },
     names::{CentreName, HostName, ServiceName, TeamName, UpstreamName},
     peer::{decode_message, encode_message, encode_named_message},
@@ -197,7 +197,7 @@
         let digest = PeerDigest {
             sender,
             members: MemberDigest { known: 1, ..MemberDigest::default() },
-            revision: 0,
+            position: StorePosition::default(),
             strikes: vec![],
             clearances: vec![],
             proofs: vec![],
