gateway: an empty list of teams makes no key valid

Callers saw: once a version had taken the last team away, every key was accepted on routes that need one, removed and invented ones alike.

Cause: the decoder read an absent list of tenants as an empty one, and RouteTable took a version without teams for one in which no request needs a key.

Change: RouteTable takes the list of teams as an option. Without a list no route needs a key, as before; with an empty one no key is valid.

--- a/lib/src/gateway/table.rs
+++ b/lib/src/gateway/table.rs
@@ -178,17 +178,19 @@
     /// Routes of each host, longest prefix first.
     routes_by_host: HashMap<Box<str>, Vec<Arc<RouteRecord>>>,
     teams_by_key: HashMap<KeyHash, Arc<TeamRecord>>,
-    has_teams: bool,
+    needs_keys: bool,
     services: HashMap<ServiceName, ServiceRecord>,
     limits: CallerLimits,
 }
 
 impl RouteTable {
     /// Creates the table of one published version.
+    ///
+    /// Without a list of teams no route needs a key; with an empty one no key is valid.
     pub fn new(
         version: u64,
         routes: Vec<RouteRecord>,
-        teams: Vec<TeamRecord>,
+        teams: Option<Vec<TeamRecord>>,
         services: Vec<ServiceRecord>,
         limits: CallerLimits,
     ) -> Self {
@@ -199,14 +201,14 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
         }
-        let has_teams = !teams.is_empty();
+        let needs_keys = teams.is_some();
         let mut teams_by_key = HashMap::new();
-        for team in teams {
+        for team in teams.into_iter().flatten() {
             let team = Arc::new(team);
             teams_by_key.extend(team.keys.iter().map(|it| (*it, team.clone())));
         }
         let services = services.into_iter().map(|it| (it.name.clone(), it)).collect();
-        Self { version, routes_by_host, teams_by_key, has_teams, services, limits }
+        Self { version, routes_by_host, teams_by_key, needs_keys, services, limits }
     }
 
     /// Returns the published version number.
@@ -236,12 +238,12 @@
         routes.iter().find(|it| path.starts_with(&*it.prefix))
     }
 
-    /// Identifies the caller of a route by its key. Without any published team every route is open.
+    /// Identifies the caller of a route by its key. Without a list of teams every route is open.
     pub fn identify(&self, route: &RouteRecord, key: Option<&str>) -> CallerIdentity {
         let team = key.and_then(|it| self.teams_by_key.get(&KeyHash::of(it)));
         match team {
             Some(team) => CallerIdentity::Team(team.clone()),
-            None if route.is_open || !self.has_teams => CallerIdentity::Open,
+            None if route.is_open || !self.needs_keys => CallerIdentity::Open,
             None => CallerIdentity::Denied,
         }
     }
--- a/lib/tests/gateway_requests.rs
+++ b/lib/tests/gateway_requests.rs
@@ -37,18 +37,22 @@
 }
 
 fn table() -> RouteTable {
+    let team = TeamRecord {
+        name: TeamName::new("t"),
+        priority: Some(0),
+        keys: vec![KeyHash::of("k1"), KeyHash::of("k2")],
+    };
+    table_with(Some(vec![team]))
+}
+
+fn table_with(teams: Option<Vec<TeamRecord>>) -> RouteTable {
     let routes = vec![
         route("short", "/a/", &[("x", 1)]),
         route("long", "/a/b/", &[("x", 90), ("y", 10)]),
         route("open", "/open/", &[("x", 1)]),
         route("none", "/none/", &[("x", 0)]),
     ];
-    let team = TeamRecord {
-        name: TeamName::new("t"),
-        priority: Some(0),
-        keys: vec![KeyHash::of("k1"), KeyHash::of("k2")],
-    };
-    RouteTable::new(7, routes, vec![team], vec![], CallerLimits::default())
+    RouteTable::new(7, routes, teams, vec![], CallerLimits::default())
 }
 
 /// Guards against a request that is routed by a shorter prefix or by the prefix of another host.
@@ -75,6 +79,20 @@
     assert!(matches!(table.identify(open, Some("k1")), CallerIdentity::Team(_)));
 }
 
+/// Guards against an empty list of teams that opens every route, as no list does.
+#[test]
+fn without_teams_a_key_is_denied_and_without_their_list_none_is_needed() {
+    for (teams, expected) in [(Some(vec![]), CallerIdentity::Denied), (None, CallerIdentity::Open)]
+    {
+        let table = table_with(teams);
+        let short = table.route("chat.example", "/a/").unwrap();
+        let open = table.route("chat.example", "/open/").unwrap();
+        assert_eq!(table.identify(short, Some("k1")), expected);
+        assert_eq!(table.identify(short, None), expected);
+        assert_eq!(table.identify(open, None), CallerIdentity::Open);
+    }
+}
+
 /// Guards against a split of a route's requests that does not follow the weights of its services.
 #[test]
 fn a_route_is_split_by_weight_and_request() {
--- a/lib/tests/gateway_server.rs
+++ b/lib/tests/gateway_server.rs
@@ -64,7 +64,7 @@
         route_record("/", REQUEST_TIME_LIMIT),
         route_record(LONG_PREFIX, STOP_TIME_LIMIT + REQUEST_TIME_LIMIT),
     ];
-    RouteTable::new(1, routes, vec![], vec![], CallerLimits::default())
+    RouteTable::new(1, routes, None, vec![], CallerLimits::default())
 }
 
 /// A gateway with one upstream, in a thread that ends at shutdown as the process would.
--- a/lib/tests/gateway_support/script.rs
+++ b/lib/tests/gateway_support/script.rs
@@ -207,7 +207,7 @@
             route("/stream/", RetryRule::OnceStream),
             route("/resumable/", RetryRule::ResumableStream),
         ];
-        let table = RouteTable::new(1, routes, vec![], vec![], CallerLimits::default());
+        let table = RouteTable::new(1, routes, None, vec![], CallerLimits::default());
         gateway.apply(FleetChange::Routes(Arc::new(table)));
         let upstreams = (0..).map_while(upstream).enumerate();
         let records = upstreams.map(|(index, (address, centre))| UpstreamRecord {
