gateway: the platform is read between two relays that do not reply

Callers saw: while both relays of a data centre were frozen for 3.5 s, the other hosts there ran requests with a removed key that were sent up to 2.7 s after the acknowledgement; 2 s are allowed.

Cause: a host waited up to 1.4 s for each relay in turn, and read the platform only when both had failed. The times did not depend on the bound of a change, and nothing bounded their sum.

Change: FollowTimes derives the times from the bound. A relay may wait for half of it less the time of a reply, 1 s at most; after a relay that did not reply, another one is asked only if it could fail in the same way within three quarters of the bound, else the platform is read first, without a wait.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -45,7 +45,7 @@
         SourceState,
     },
     fleet::{FleetChange, Gateway, GatewaySettings},
-    follow::follow_entries,
+    follow::{FollowTimes, follow_entries},
     health::{AttemptEnd, UpstreamHealth},
     host_report::{DemandEntry, DemandPart, HostReport, InFlightPart, REPORT_VERSION},
     load_exchange::InFlightReport,
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -1,16 +1,20 @@
 //! Keeps the entries up to date by long polling: at the platform, at a relay of the data centre, or
 //! at a relay of another data centre while neither of these responds.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use rand::seq::IteratorRandom;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{self, sleep, sleep_until};
 
 use super::{
     feed::{EntrySource, SourceError},
     fleet::{FleetChange, Gateway},
     members::MemberRecord,
-    peers::PeerClient,
+    peers::{PeerClient, REPLY_TIMEOUT},
     position::StorePosition,
 };
 
@@ -27,8 +31,11 @@
 /// As [`WATCH_WAIT`], on a host that is a relay for others.
 const RELAY_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Time for which a relay may wait for a change in one request.
-const RELAY_CHANGE_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest time for which a relay may wait for a change in one request.
+const MAX_RELAY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Shortest such time, which bounds the number of requests.
+const MIN_RELAY_WAIT: Duration = Duration::from_millis(100);
 
 /// Time for which a new host waits until it knows another host, before it reads the platform itself.
 const FIRST_PEER_WAIT: Duration = Duration::from_millis(100);
@@ -40,18 +47,50 @@
 /// longest watch and the interval between two watches, with time for a slow call.
 const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2_200);
 
-/// Follows the entries until the process ends.
+/// Times of following, which keep a change within its bound.
 ///
-/// `min_interval` is the shortest interval between the starts of two watches. A watch ends at the
-/// first change, so without it each of several changes in quick succession would cost a call.
+/// A relay may be frozen: it accepts a request and does not reply. Several may be at the same time, so
+/// what counts is the sum of such waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowTimes {
+    /// Shortest interval between the starts of two watches of the platform. A watch ends at the
+    /// first change, so without it each of several changes in quick succession would cost a call. A
+    /// quarter of the bound leaves the rest for the call, and for a platform that responds slowly.
+    pub min_interval: Duration,
+    /// Time for which a relay may wait for a change in one request.
+    pub relay_wait: Duration,
+    /// Age of the known state at which a request to a relay has to have ended.
+    pub max_age: Duration,
+}
+
+impl FollowTimes {
+    /// Returns the times for a change that has to be in force within `config_bound`; a bound below
+    /// 700 ms is not kept while a relay is frozen.
+    pub fn new(config_bound: Duration) -> Self {
+        let relay_wait = (config_bound / 2).saturating_sub(REPLY_TIMEOUT);
+        Self {
+            min_interval: config_bound / 4,
+            relay_wait: relay_wait.clamp(MIN_RELAY_WAIT, MAX_RELAY_WAIT),
+            max_age: config_bound * 3 / 4,
+        }
+    }
+
+    /// Returns whether a relay may be asked for changes of a state that was current at
+    /// `current_at`: if it does not reply, there must be time left to read the platform.
+    pub fn allow_relay(&self, now: Instant, current_at: Instant) -> bool {
+        now + self.relay_wait + REPLY_TIMEOUT <= current_at + self.max_age
+    }
+}
+
+/// Follows the entries until the process ends.
 pub async fn follow_entries(
     gateway: Rc<Gateway>,
     source: Box<dyn EntrySource>,
-    min_interval: Duration,
+    times: FollowTimes,
 ) {
     tokio::join!(
-        follow_source(gateway.clone(), source, min_interval),
-        follow_remote_relay(gateway)
+        follow_source(gateway.clone(), source, times),
+        follow_remote_relay(gateway, times)
     );
 }
 
@@ -60,7 +99,7 @@
 ///
 /// If the relays of a data centre cannot reach the platform, the data centre receives changes this
 /// way without waiting for the next digest from another data centre.
-async fn follow_remote_relay(gateway: Rc<Gateway>) {
+async fn follow_remote_relay(gateway: Rc<Gateway>, times: FollowTimes) {
     let mut source_unavailable = gateway.source_unavailable.subscribe();
     let mut relay: Option<PeerClient> = None;
     loop {
@@ -75,7 +114,7 @@
             continue;
         };
         let client = relay_client(&mut relay, &member);
-        if !gateway.poll_relay(client, &member).await {
+        if !gateway.poll_relay(client, &member, times.relay_wait).await {
             sleep(MIN_BACKOFF).await;
         }
     }
@@ -101,14 +140,16 @@
 /// the platform after they were lost together, none has them until nearly all have. Hosts ask relays
 /// that they rank above themselves, so a chain of new hosts that wait for each other ends at one that
 /// reads the platform.
-async fn follow_source(
-    gateway: Rc<Gateway>,
-    mut source: Box<dyn EntrySource>,
-    min_interval: Duration,
-) {
+///
+/// After a relay that did not reply, the platform is read before another relay is asked, unless that
+/// one can fail in the same way within the bound.
+async fn follow_source(gateway: Rc<Gateway>, mut source: Box<dyn EntrySource>, times: FollowTimes) {
     gateway.wait_for_first_peer().await;
     let mut follower = EntryFollower {
         gateway,
+        times,
+        current_at: None,
+        has_relay_failed: false,
         has_failed: false,
         needs_full_read: true,
         has_asked_for_first: false,
@@ -116,11 +157,14 @@
     let mut relay: Option<PeerClient> = None;
     let mut backoff = MIN_BACKOFF;
     loop {
-        let called = Instant::now();
+        let called = time::Instant::now();
         if let Some(member) = follower.relay() {
             let client = relay_client(&mut relay, &member);
             follower.has_asked_for_first = true;
-            if follower.gateway.poll_relay(client, &member).await {
+            let has_replied = follower.gateway.poll_relay(client, &member, times.relay_wait).await;
+            follower.has_relay_failed = !has_replied;
+            if has_replied {
+                follower.current_at = Some(follower.gateway.now());
                 follower.needs_full_read &= follower.gateway.position().is_start();
                 follower.has_failed = false;
                 follower.gateway.source_unavailable.send_replace(false);
@@ -128,11 +172,13 @@
             continue;
         }
         relay = None;
+        let is_late = follower.is_late();
         match follower.read(&mut *source).await {
             Ok(()) => {
                 backoff = MIN_BACKOFF;
-                if !std::mem::take(&mut follower.has_failed) && !follower.needs_full_read {
-                    sleep_until(called + min_interval).await;
+                let has_failed = std::mem::take(&mut follower.has_failed);
+                if !has_failed && !is_late && !follower.needs_full_read {
+                    sleep_until(called + times.min_interval).await;
                 }
             }
             Err(SourceError::HistoryLost) => {
@@ -155,6 +201,11 @@
 
 struct EntryFollower {
     gateway: Rc<Gateway>,
+    times: FollowTimes,
+    /// When a relay or the platform last told that the known state was current.
+    current_at: Option<Instant>,
+    /// Whether the last request to a relay failed, and the platform was not read since.
+    has_relay_failed: bool,
     /// Whether the last call to the platform failed.
     has_failed: bool,
     /// Whether all entries have to be read, because changes since the known revision are not
@@ -165,11 +216,20 @@
 }
 
 impl EntryFollower {
+    /// Returns whether the platform has to be read after a request to a relay that failed, because
+    /// the time left does not allow another one.
+    fn is_late(&self) -> bool {
+        let now = self.gateway.now();
+        self.has_relay_failed && self.current_at.is_some_and(|it| !self.times.allow_relay(now, it))
+    }
+
     /// Returns the relay to ask; `None` if this host reads the platform itself, as one does that got
-    /// no first entries from a relay.
+    /// no first entries from a relay, or is late while the platform responds.
     fn relay(&self) -> Option<MemberRecord> {
         let now = self.gateway.now();
-        let may_ask = !self.gateway.position().is_start() || !self.has_asked_for_first;
+        let has_entries = !self.gateway.position().is_start();
+        let may_ask =
+            (has_entries || !self.has_asked_for_first) && (self.has_failed || !self.is_late());
         let state = self.gateway.state.borrow();
         state.members.relays(now).first().filter(|_| may_ask).map(|it| (*it).clone())
     }
@@ -187,6 +247,8 @@
             }
         };
         self.needs_full_read = false;
+        self.current_at = Some(self.gateway.now());
+        self.has_relay_failed = false;
         // Applied before the changes: entries that are missing soon after an outage may have
         // expired during it.
         self.gateway.apply(FleetChange::SourceResponded);
@@ -198,9 +260,9 @@
 
     fn watch_wait(&self) -> Duration {
         let now = self.gateway.now();
-        if self.has_failed {
-            // The platform counts as unavailable until its first response, so that must not wait
-            // for a change.
+        if self.has_failed || self.is_late() {
+            // The platform counts as unavailable until its first response, and a late host may learn
+            // that it is unavailable, so neither must wait for a change.
             Duration::ZERO
         } else if self.gateway.state.borrow().members.has_followers(now) {
             RELAY_WATCH_WAIT
@@ -234,9 +296,14 @@
 
     /// Requests changes from a relay. Returns false and starts the relay's backoff if there is no
     /// usable reply, or if the platform's last response to the relay is too old.
-    async fn poll_relay(&self, client: &mut PeerClient, relay: &MemberRecord) -> bool {
+    async fn poll_relay(
+        &self,
+        client: &mut PeerClient,
+        relay: &MemberRecord,
+        wait: Duration,
+    ) -> bool {
         let position = self.position();
-        let reason = match client.changes(position, RELAY_CHANGE_WAIT).await {
+        let reason = match client.changes(position, wait).await {
             Ok(reply) => {
                 let (age, relay_era) = (reply.response_age(), reply.era);
                 let is_recent = age.is_some_and(|it| it < MAX_RESPONSE_AGE);
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -71,7 +71,7 @@
 const REMOTE_PULL_DELAY: Duration = Duration::from_millis(400);
 
 /// Time limit for the reply to a message, in addition to the time that the receiver may wait.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest time for which a request of a peer waits for a change.
 const MAX_CHANGE_WAIT: Duration = Duration::from_secs(5);
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -4,6 +4,7 @@
 
 use std::{
     cell::Cell,
+    future::pending,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -13,9 +14,9 @@
 use snipepond::{
     config::ConfigChange,
     gateway::{
-        ChangesReply, ChangesRequest, EntrySource, EntryUpdate, GatewayServer, MemberDigest,
-        MemberRecord, PackedChange, PeerDigest, SourceError, SourceFuture, StorePosition,
-        follow_entries,
+        ChangesReply, ChangesRequest, EntrySource, EntryUpdate, FollowTimes, GatewayServer,
+        MemberDigest, MemberRecord, PackedChange, PeerDigest, SourceError, SourceFuture,
+        StorePosition, follow_entries,
     },
     names::{CentreName, HostName},
     peer::{decode_message, encode_message},
@@ -35,9 +36,24 @@
 const ERA: u64 = 2;
 const REVISION: u64 = 5;
 
-/// Returns the era and the revision of a relay's entries at its reply with this number; `None` if it
-/// has no entries. A relay without an era is one of a release that has none.
-type RelayScript = fn(usize) -> Option<(Option<u64>, u64)>;
+/// What a relay does with a request for changes.
+#[derive(Clone, Copy, Debug)]
+enum RelayAction {
+    /// Replies from entries of this era and revision. A relay without an era is one of a release
+    /// that has none.
+    Reply(Option<u64>, u64),
+    /// Replies that it has no entries.
+    ReplyEmpty,
+    /// Never replies, as a frozen host.
+    Freeze,
+}
+
+/// Returns what a relay does with the request of this number.
+type RelayScript = fn(usize) -> RelayAction;
+
+fn times() -> FollowTimes {
+    FollowTimes::new(Duration::from_secs(2))
+}
 
 /// Fake platform that rejects every call.
 #[derive(Debug)]
@@ -85,6 +101,8 @@
 /// Fake relay that sends its changes only in reply to requests with a wait.
 struct FakeRelay {
     address: SocketAddr,
+    /// Number of requests for changes that were received so far.
+    requests: Rc<Cell<usize>>,
     /// The longest wait of the requests received so far.
     longest_wait: watch::Receiver<Duration>,
 }
@@ -96,13 +114,16 @@
         let address = listener.local_addr().unwrap();
         let (sender, longest_wait) = watch::channel(Duration::ZERO);
         let sender = Rc::new(sender);
+        let requests = Rc::new(Cell::new(0));
+        let counter = requests.clone();
         spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                spawn_local(serve_peer(stream, address, centre, script, sender.clone()));
+                let (sender, counter) = (sender.clone(), counter.clone());
+                spawn_local(serve_peer(stream, address, centre, script, sender, counter));
             }
         });
-        Self { address, longest_wait }
+        Self { address, requests, longest_wait }
     }
 }
 
@@ -112,6 +133,7 @@
     centre: &str,
     script: RelayScript,
     longest_wait: Rc<watch::Sender<Duration>>,
+    requests: Rc<Cell<usize>>,
 ) {
     let member = |host: &str| MemberRecord {
         host: HostName::new(host),
@@ -122,7 +144,6 @@
         bandwidth: 100,
     };
     let mut stream = BufReader::new(stream);
-    let mut replies = 0;
     while let Some((path, body)) = read_message(&mut stream).await {
         let mut era_header = String::new();
         let reply = if path == "/v1/digest" {
@@ -146,16 +167,19 @@
             let request: ChangesRequest = decode_message(&mut &body[..]).unwrap();
             let wait = Duration::from_millis(request.wait_ms);
             longest_wait.send_modify(|it| *it = wait.max(*it));
-            let entries = script(replies);
-            replies += 1;
-            let (era, revision) = entries.unwrap_or_default();
+            let action = script(requests.replace(requests.get() + 1));
+            let (era, revision) = match action {
+                RelayAction::Reply(era, revision) => (era, revision),
+                RelayAction::ReplyEmpty => (None, 0),
+                RelayAction::Freeze => return pending().await,
+            };
             era_header = era.map(|it| format!("entry-era: {it}\r\n")).unwrap_or_default();
             let change = ConfigChange { base: 0, revision, entries: vec![] };
             let is_new = !wait.is_zero() && request.after.revision < revision;
             encode_message(&ChangesReply {
                 era: era.unwrap_or_default(),
                 change: is_new.then(|| PackedChange::pack(&change)),
-                answered_age_ms: entries.map(|_| 0),
+                answered_age_ms: (revision > 0).then_some(0),
                 regained_age_ms: None,
             })
         };
@@ -193,13 +217,12 @@
 #[test]
 fn a_host_without_a_source_waits_for_changes_at_a_remote_relay() {
     run_local(async {
-        let relay = FakeRelay::start("b", |_| Some((None, REVISION))).await;
+        let relay = FakeRelay::start("b", |_| RelayAction::Reply(None, REVISION)).await;
         let addresses = loopback_addresses(1);
         let gateway = new_gateway(&addresses);
         let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
-        let min_interval = Duration::from_millis(500);
         let follower =
-            spawn_local(follow_entries(gateway.clone(), Box::new(RejectingSource), min_interval));
+            spawn_local(follow_entries(gateway.clone(), Box::new(RejectingSource), times()));
         let started = Instant::now();
         while gateway.position().revision < REVISION {
             assert!(started.elapsed() < TEST_TIMEOUT, "the relay's change was not received");
@@ -219,7 +242,7 @@
     let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
     let calls = Rc::new(SourceCalls::default());
     let source = Box::new(CountingSource(calls.clone()));
-    let follower = spawn_local(follow_entries(gateway.clone(), source, Duration::from_millis(500)));
+    let follower = spawn_local(follow_entries(gateway.clone(), source, times()));
     let started = Instant::now();
     while gateway.position().revision < REVISION {
         assert!(started.elapsed() < TEST_TIMEOUT, "the host has no entries");
@@ -233,14 +256,16 @@
 /// and 3,900 entries that took 2.6 s, during which no host could serve.
 #[test]
 fn new_host_gets_its_first_entries_from_a_relay() {
-    run_local(async { assert_eq!(count_listings(2, |_| Some((None, REVISION))).await, 0) });
+    run_local(async {
+        assert_eq!(count_listings(2, |_| RelayAction::Reply(None, REVISION)).await, 0)
+    });
 }
 
 /// Guards against a new host that depends on a relay: one that has no entries must not keep it from
 /// reading the platform.
 #[test]
 fn new_host_reads_the_platform_if_its_relay_has_no_entries() {
-    run_local(async { assert_eq!(count_listings(3, |_| None).await, 1) });
+    run_local(async { assert_eq!(count_listings(3, |_| RelayAction::ReplyEmpty).await, 1) });
 }
 
 /// Guards against a relay that holds the entries of the era before the platform's return, or is of
@@ -249,10 +274,14 @@
 fn relay_of_an_older_era_is_not_followed() {
     run_local(async {
         let scripts: [RelayScript; 2] = [
-            |number| {
-                Some((Some(if number == 0 { ERA } else { ERA - 1 }), REVISION + number as u64))
+            |number| match number {
+                0 => RelayAction::Reply(Some(ERA), REVISION),
+                _ => RelayAction::Reply(Some(ERA - 1), REVISION + 1),
+            },
+            |number| match number {
+                0 => RelayAction::Reply(Some(ERA), REVISION),
+                _ => RelayAction::Reply(None, REVISION + 1),
             },
-            |number| Some(((number == 0).then_some(ERA), REVISION + number as u64)),
         ];
         for (number, script) in (4..).zip(scripts) {
             let relay = FakeRelay::start("a", script).await;
@@ -261,8 +290,7 @@
             let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
             let calls = Rc::new(SourceCalls::default());
             let source = Box::new(CountingSource(calls.clone()));
-            let interval = Duration::from_millis(500);
-            let follower = spawn_local(follow_entries(gateway.clone(), source, interval));
+            let follower = spawn_local(follow_entries(gateway.clone(), source, times()));
             let started = Instant::now();
             while calls.watches.get() == 0 {
                 assert!(started.elapsed() < TEST_TIMEOUT, "the host still follows the relay");
@@ -315,8 +343,7 @@
         let gateway = new_gateway(&addresses);
         let _server = GatewayServer::start(&gateway, &addresses, vec![]).unwrap();
         let source = Box::new(CountingSource(Rc::default()));
-        let interval = Duration::from_millis(500);
-        let follower = spawn_local(follow_entries(gateway.clone(), source, interval));
+        let follower = spawn_local(follow_entries(gateway.clone(), source, times()));
         let started = Instant::now();
         while gateway.position().is_start() {
             assert!(started.elapsed() < TEST_TIMEOUT, "the host has no entries");
@@ -333,3 +360,76 @@
         follower.abort();
     });
 }
+
+/// Fake platform without changes that notes how many requests a relay had received at its first
+/// watch.
+struct NotingSource {
+    relay_requests: Rc<Cell<usize>>,
+    at_first_watch: Rc<Cell<Option<usize>>>,
+}
+
+impl EntrySource for NotingSource {
+    fn read_all(&mut self) -> SourceFuture<'_> {
+        Box::pin(async { Err(SourceError::Failed("unexpected".into())) })
+    }
+
+    fn watch(&mut self, after: StorePosition, wait: Duration) -> SourceFuture<'_> {
+        let first = self.at_first_watch.get().unwrap_or(self.relay_requests.get());
+        self.at_first_watch.set(Some(first));
+        let StorePosition { era, revision } = after;
+        Box::pin(async move {
+            sleep(wait).await;
+            let change = ConfigChange { base: revision, revision, entries: vec![] };
+            Ok(EntryUpdate { era, change })
+        })
+    }
+}
+
+/// Guards against a change that comes late because both relays of a data centre are frozen: a host
+/// that waited for one of them in vain has no time left to wait for the other, and reads the
+/// platform.
+#[test]
+fn platform_is_read_before_a_second_relay_that_may_be_frozen() {
+    run_local(async {
+        let relay = FakeRelay::start("a", |number| match number {
+            0 => RelayAction::Reply(Some(ERA), REVISION),
+            _ => RelayAction::Freeze,
+        })
+        .await;
+        let addresses = loopback_addresses(7);
+        let gateway = new_gateway(&addresses);
+        let _server = GatewayServer::start(&gateway, &addresses, vec![relay.address]).unwrap();
+        let at_first_watch = Rc::new(Cell::new(None));
+        let source = NotingSource {
+            relay_requests: relay.requests.clone(),
+            at_first_watch: at_first_watch.clone(),
+        };
+        let follower = spawn_local(follow_entries(gateway.clone(), Box::new(source), times()));
+        let started = Instant::now();
+        while at_first_watch.get().is_none() {
+            assert!(started.elapsed() < TEST_TIMEOUT, "the platform was not read");
+            sleep(Duration::from_millis(10)).await;
+        }
+        // One that was answered, and one that was not.
+        assert_eq!(at_first_watch.get(), Some(2));
+        follower.abort();
+    });
+}
+
+/// Guards against waits for relays that do not add up to less than the bound of a change, whichever
+/// it is, and against a second relay that is not asked after a quick failure.
+#[test]
+fn waits_for_frozen_relays_leave_a_quarter_of_the_bound() {
+    let reply_timeout = Duration::from_millis(400);
+    let start = Instant::now();
+    for bound_ms in (700..10_000).step_by(100) {
+        let bound = Duration::from_millis(bound_ms);
+        let times = FollowTimes::new(bound);
+        let mut now = start;
+        while times.allow_relay(now, start) {
+            now += times.relay_wait + reply_timeout;
+        }
+        assert!(now > start && now - start <= bound * 3 / 4, "{bound:?}: {:?}", now - start);
+    }
+    assert!(times().allow_relay(start + Duration::from_millis(100), start));
+}
