gateway: digests of late neighbours do not hide who is ahead

Callers could see: a change took until the relays of the data centre served again, although digests from other data centres told of it.

Cause: a host asks another data centre for a change when it has been behind for 0.4 s. Each digest from a host with the same position ended that time, and a host sends one to a neighbour in every round. With the relays frozen, all neighbours have the same old position.

Change: LagTracker remembers the newest host until this one has caught up, whatever other digests say, also those that others send.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -16,6 +16,7 @@
 mod follow;
 mod health;
 mod host_report;
+mod lag;
 mod load_exchange;
 mod local_demand;
 mod members;
@@ -48,6 +49,7 @@
     follow::{FollowTimes, follow_entries},
     health::{AttemptEnd, UpstreamHealth},
     host_report::{DemandEntry, DemandPart, HostReport, InFlightPart, REPORT_VERSION},
+    lag::{LagTracker, NewerHost},
     load_exchange::InFlightReport,
     members::{MemberChange, MemberDigest, MemberHeartbeat, MemberRecord, MemberTable},
     outcomes::{OutcomeCount, OutcomeLog, OutcomeSlot},
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -19,6 +19,7 @@
     crashes::CrashDetector,
     dialect::WireDialect,
     feed::{EntryDecoder, EntryFeed, SourceState},
+    lag::LagTracker,
     load_exchange::ExchangeState,
     members::{MemberRecord, MemberTable},
     outcomes::OutcomeLog,
@@ -91,6 +92,7 @@
     pub(super) upstreams: UpstreamSet,
     pub(super) budget: RetryBudget,
     pub(super) feed: EntryFeed,
+    pub(super) lag: LagTracker,
     pub(super) members: MemberTable,
     /// Number of hosts over which fleet-wide limits are split.
     pub(super) hosts_sharing_limits: usize,
@@ -158,6 +160,7 @@
             upstreams: UpstreamSet::new(host, centre),
             budget: RetryBudget::new(clock.now(), settings.retries),
             feed: EntryFeed::new(decoder),
+            lag: LagTracker::default(),
             members: MemberTable::new(clock.now(), settings.identity),
             hosts_sharing_limits: INITIAL_HOST_COUNT,
             source_state: SourceState::default(),
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -25,6 +25,7 @@
     feed::{EntryUpdate, FeedOutcome, SourceState},
     fleet::Gateway,
     host_report::HostReport,
+    lag::NewerHost,
     load_exchange::InFlightReport,
     members::{MemberDigest, MemberRecord},
     outcomes::OutcomeSlot,
@@ -65,11 +66,6 @@
 /// centre leads to some hundred strikes.
 const STRIKE_ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time for which hosts of other data centres may have a newer revision before this host requests
-/// their changes, so that a change that the platform or a relay delivers in the meantime is not
-/// sent twice.
-const REMOTE_PULL_DELAY: Duration = Duration::from_millis(400);
-
 /// Time limit for the reply to a message, in addition to the time that the receiver may wait.
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -390,9 +386,9 @@
 }
 
 /// Runs gossip rounds until the process ends, and requests changes from hosts that have a newer
-/// position.
+/// position: at once in this data centre, where traffic costs nothing, and while the platform does
+/// not respond.
 pub(super) async fn run_gossip(gateway: Rc<Gateway>, seeds: Vec<SocketAddr>) {
-    let mut behind_since = None;
     loop {
         let targets = gateway.state.borrow().members.digest_targets(gateway.now(), &seeds);
         for (address, is_local) in targets {
@@ -401,21 +397,17 @@
                 Ok(digest) => {
                     let (host, position) = (digest.sender.host.clone(), digest.position);
                     gateway.merge_digest(digest);
-                    if position <= gateway.position() {
-                        behind_since = None;
-                        continue;
-                    }
-                    let now = gateway.now();
-                    let since = *behind_since.get_or_insert(now);
-                    let is_late = now.saturating_duration_since(since) >= REMOTE_PULL_DELAY;
-                    if is_local || is_late || *gateway.source_unavailable.borrow() {
+                    let is_urgent = is_local || *gateway.source_unavailable.borrow();
+                    if is_urgent && position > gateway.position() {
                         gateway.pull_changes(&mut client, &host).await;
-                        behind_since = None;
                     }
                 }
                 Err(error) => tracing::debug!(%address, %error, "digest_failed"),
             }
         }
+        if let Some(newer) = gateway.take_overdue_host() {
+            gateway.pull_changes(&mut PeerClient::new(newer.address), &newer.host).await;
+        }
         let jitter = rand::rng().random_range(0.8..1.2);
         sleep(DIGEST_INTERVAL.mul_f64(jitter)).await;
     }
@@ -488,6 +480,7 @@
         self.merge_crashes(&digest);
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
+        state.lag.record(now, state.feed.position(), &digest.sender, digest.position);
         let sender = digest.sender.host.clone();
         let incarnation = digest.sender.incarnation;
         for (upstream, count) in state.outcomes.merge_slots(&sender, incarnation, &digest.outcomes)
@@ -523,6 +516,12 @@
         });
     }
 
+    /// Returns a host whose entries have been newer than those of this one for too long.
+    fn take_overdue_host(&self) -> Option<NewerHost> {
+        let state = &mut *self.state.borrow_mut();
+        state.lag.take_overdue(self.now(), state.feed.position())
+    }
+
     /// Requests the missing changes from a host that has a newer position.
     async fn pull_changes(&self, client: &mut PeerClient, host: &HostName) {
         match client.changes(self.position(), Duration::ZERO).await {
--- a/lib/tests/gateway_follow.rs
+++ b/lib/tests/gateway_follow.rs
@@ -3,7 +3,7 @@
 mod gateway_support;
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     future::pending,
     net::SocketAddr,
     rc::Rc,
@@ -42,6 +42,8 @@
     /// Replies from entries of this era and revision. A relay without an era is one of a release
     /// that has none.
     Reply(Option<u64>, u64),
+    /// Replies from entries at the position that its digests announce.
+    ReplyAnnounced,
     /// Replies that it has no entries.
     ReplyEmpty,
     /// Never replies, as a frozen host.
@@ -98,97 +100,152 @@
     }
 }
 
-/// Fake relay that sends its changes only in reply to requests with a wait.
+/// Fake relays of a data centre, at one address.
 struct FakeRelay {
     address: SocketAddr,
     /// Number of requests for changes that were received so far.
     requests: Rc<Cell<usize>>,
+    /// Position that its digests announce.
+    position: Rc<Cell<StorePosition>>,
+    /// Other hosts that its digests name.
+    others: Rc<RefCell<Vec<MemberRecord>>>,
     /// The longest wait of the requests received so far.
     longest_wait: watch::Receiver<Duration>,
 }
 
 impl FakeRelay {
-    /// Starts a relay of data centre `centre`.
+    /// Starts a relay of data centre `centre`. Its digests announce no entries, so that a host cannot
+    /// learn of changes by gossip.
     async fn start(centre: &'static str, script: RelayScript) -> Self {
+        Self::start_announcing(centre, script, StorePosition::default()).await
+    }
+
+    /// Starts a relay whose digests announce `position`, and which sends its changes to requests
+    /// without a wait too.
+    async fn start_announcing(
+        centre: &'static str,
+        script: RelayScript,
+        position: StorePosition,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, longest_wait) = watch::channel(Duration::ZERO);
-        let sender = Rc::new(sender);
-        let requests = Rc::new(Cell::new(0));
-        let counter = requests.clone();
+        let (requests, position) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(position)));
+        let others: Rc<RefCell<Vec<MemberRecord>>> = Rc::default();
+        let peer = FakePeer {
+            address,
+            centre,
+            script,
+            position: position.clone(),
+            others: others.clone(),
+            sender: Rc::new(sender),
+            digests: Rc::default(),
+            counter: requests.clone(),
+        };
         spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                let (sender, counter) = (sender.clone(), counter.clone());
-                spawn_local(serve_peer(stream, address, centre, script, sender, counter));
+                spawn_local(peer.clone().serve(stream));
             }
         });
-        Self { address, requests, longest_wait }
+        Self { address, requests, position, others, longest_wait }
     }
 }
 
-async fn serve_peer(
-    stream: TcpStream,
-    address: SocketAddr,
-    centre: &str,
-    script: RelayScript,
-    longest_wait: Rc<watch::Sender<Duration>>,
-    requests: Rc<Cell<usize>>,
-) {
-    let member = |host: &str| MemberRecord {
-        host: HostName::new(host),
+fn member(centre: &str, number: u32, address: SocketAddr) -> MemberRecord {
+    MemberRecord {
+        host: HostName::new(&format!("relay-{centre}-{number}")),
         centre: CentreName::new(centre),
         address,
         incarnation: 1,
         heartbeat: 1,
         bandwidth: 100,
-    };
-    let mut stream = BufReader::new(stream);
-    while let Some((path, body)) = read_message(&mut stream).await {
-        let mut era_header = String::new();
-        let reply = if path == "/v1/digest" {
-            // Both relays of its data centre have its address.
-            let records = vec![member("relay-2")];
-            // Its digests announce no newer revision, so the host cannot learn of the change by
-            // gossip.
-            let digest = PeerDigest {
-                sender: member("relay-1"),
-                members: MemberDigest { records, ..MemberDigest::default() },
-                position: StorePosition::default(),
-                strikes: vec![],
-                clearances: vec![],
-                proofs: vec![],
-                leaving: vec![],
-                outcomes: vec![],
-                loads: vec![],
-            };
-            encode_message(&digest)
-        } else {
-            let request: ChangesRequest = decode_message(&mut &body[..]).unwrap();
-            let wait = Duration::from_millis(request.wait_ms);
-            longest_wait.send_modify(|it| *it = wait.max(*it));
-            let action = script(requests.replace(requests.get() + 1));
-            let (era, revision) = match action {
-                RelayAction::Reply(era, revision) => (era, revision),
-                RelayAction::ReplyEmpty => (None, 0),
-                RelayAction::Freeze => return pending().await,
+    }
+}
+
+/// One connection of a [`FakeRelay`].
+#[derive(Clone)]
+struct FakePeer {
+    address: SocketAddr,
+    centre: &'static str,
+    script: RelayScript,
+    position: Rc<Cell<StorePosition>>,
+    others: Rc<RefCell<Vec<MemberRecord>>>,
+    sender: Rc<watch::Sender<Duration>>,
+    /// Number of digests that were sent.
+    digests: Rc<Cell<u64>>,
+    counter: Rc<Cell<usize>>,
+}
+
+impl FakePeer {
+    async fn serve(self, stream: TcpStream) {
+        let mut stream = BufReader::new(stream);
+        while let Some((path, body)) = read_message(&mut stream).await {
+            let (era, reply) = if path == "/v1/digest" {
+                self.digest()
+            } else {
+                match self.changes(&body) {
+                    Some(reply) => reply,
+                    None => return pending().await,
+                }
             };
-            era_header = era.map(|it| format!("entry-era: {it}\r\n")).unwrap_or_default();
-            let change = ConfigChange { base: 0, revision, entries: vec![] };
-            let is_new = !wait.is_zero() && request.after.revision < revision;
-            encode_message(&ChangesReply {
-                era: era.unwrap_or_default(),
-                change: is_new.then(|| PackedChange::pack(&change)),
-                answered_age_ms: (revision > 0).then_some(0),
-                regained_age_ms: None,
-            })
+            let era = era.map(|it| format!("entry-era: {it}\r\n")).unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\n{era}content-length: {}\r\n\r\n", reply.len());
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(&reply).await.unwrap();
+            // Limits the rate of requests, as a relay does that has no changes.
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Returns a heartbeat that has not been sent before.
+    fn heartbeat(&self) -> u64 {
+        self.digests.replace(self.digests.get() + 1) + 2
+    }
+
+    fn digest(&self) -> (Option<u64>, Vec<u8>) {
+        // Both relays of its data centre have its address.
+        let member = member(self.centre, 1, self.address);
+        let mut records = vec![self::member(self.centre, 2, self.address)];
+        records.extend(self.others.borrow().iter().cloned());
+        let digest = PeerDigest {
+            sender: MemberRecord { heartbeat: self.heartbeat(), ..member },
+            members: MemberDigest { records, ..MemberDigest::default() },
+            position: self.position.get(),
+            strikes: vec![],
+            clearances: vec![],
+            proofs: vec![],
+            leaving: vec![],
+            outcomes: vec![],
+            loads: vec![],
+        };
+        (Some(self.position.get().era), encode_message(&digest))
+    }
+
+    /// Returns the reply to a request for changes; `None` if there is none.
+    fn changes(&self, body: &[u8]) -> Option<(Option<u64>, Vec<u8>)> {
+        let request: ChangesRequest = decode_message(&mut &body[..]).unwrap();
+        let wait = Duration::from_millis(request.wait_ms);
+        self.sender.send_modify(|it| *it = wait.max(*it));
+        let (era, revision) = match (self.script)(self.counter.replace(self.counter.get() + 1)) {
+            RelayAction::Reply(era, revision) => (era, revision),
+            RelayAction::ReplyAnnounced => {
+                let StorePosition { era, revision } = self.position.get();
+                (Some(era), revision)
+            }
+            RelayAction::ReplyEmpty => (None, 0),
+            RelayAction::Freeze => return None,
+        };
+        let change = ConfigChange { base: 0, revision, entries: vec![] };
+        let has_news = request.after.revision < revision;
+        let is_new = has_news && (!wait.is_zero() || !self.position.get().is_start());
+        let reply = ChangesReply {
+            era: era.unwrap_or_default(),
+            change: is_new.then(|| PackedChange::pack(&change)),
+            answered_age_ms: (revision > 0).then_some(0),
+            regained_age_ms: None,
         };
-        let length = reply.len();
-        let head = format!("HTTP/1.1 200 OK\r\n{era_header}content-length: {length}\r\n\r\n");
-        stream.write_all(head.as_bytes()).await.unwrap();
-        stream.write_all(&reply).await.unwrap();
-        // Limits the rate of requests, as a relay does that has no changes.
-        sleep(Duration::from_millis(20)).await;
+        Some((era, encode_message(&reply)))
     }
 }
 
@@ -433,3 +490,55 @@
     }
     assert!(times().allow_relay(start + Duration::from_millis(100), start));
 }
+
+/// Fake platform that never responds.
+#[derive(Debug)]
+struct HangingSource;
+
+impl EntrySource for HangingSource {
+    fn read_all(&mut self) -> SourceFuture<'_> {
+        Box::pin(pending())
+    }
+
+    fn watch(&mut self, _: StorePosition, _: Duration) -> SourceFuture<'_> {
+        Box::pin(pending())
+    }
+}
+
+/// Guards against a host that hears of a change from another data centre and never requests it,
+/// because the hosts of its own data centre do not have it either.
+#[test]
+fn change_is_requested_elsewhere_while_the_whole_data_centre_is_late() {
+    run_local(async {
+        let known = StorePosition::new(ERA, REVISION);
+        let near = FakeRelay::start_announcing(
+            "a",
+            |number| match number {
+                0 => RelayAction::Reply(Some(ERA), REVISION),
+                _ => RelayAction::Freeze,
+            },
+            known,
+        )
+        .await;
+        let far = |_| RelayAction::ReplyAnnounced;
+        let far = FakeRelay::start_announcing("b", far, known).await;
+        near.others.borrow_mut().push(member("b", 1, far.address));
+        let seeds = vec![near.address];
+        let addresses = loopback_addresses(8);
+        let gateway = new_gateway(&addresses);
+        let _server = GatewayServer::start(&gateway, &addresses, seeds).unwrap();
+        let source = Box::new(HangingSource);
+        let follower = spawn_local(follow_entries(gateway.clone(), source, times()));
+        let started = Instant::now();
+        let newer = StorePosition::new(ERA, REVISION + 1);
+        while gateway.position() < newer {
+            // The change comes when the host has its entries and the relay does not reply any more.
+            if near.requests.get() > 1 {
+                far.position.set(newer);
+            }
+            assert!(started.elapsed() < TEST_TIMEOUT, "still at {:?}", gateway.position());
+            sleep(Duration::from_millis(10)).await;
+        }
+        follower.abort();
+    });
+}
