gateway: the feed keeps what an older copy lacks, for new hosts too

Callers would have seen: a host that starts after the store's return takes over the copy. A key that was removed in the lost seconds works there, and a data centre that was closed in them is served, although all other hosts know better.

Cause: only the state of upstreams remembered what the copy lacks. The feed, from which other hosts get their entries, had the copy alone, and a host that reads the store itself asked nobody.

Change: at the first listing of an era the feed keeps entries of the previous one: a later version of the configuration, closures for 10 s, missing and leaving upstreams for 2.2 s. They have the revision 0, so that whatever the era writes replaces them, and full sets for peers contain them. A new host that is about to read the store asks another host first.

--- a/lib/src/config/entry_log.rs
+++ b/lib/src/config/entry_log.rs
@@ -92,7 +92,7 @@
         let entries = self
             .entry_revisions
             .iter()
-            .filter(|(_, revision)| **revision > base)
+            .filter(|(_, revision)| base == 0 || **revision > base)
             .map(|(key, revision)| EntryChange {
                 key: key.clone(),
                 revision: *revision,
--- a/lib/src/gateway/feed.rs
+++ b/lib/src/gateway/feed.rs
@@ -1,10 +1,12 @@
 //! The entries that the platform publishes, received from the platform itself or from other hosts.
 
 use std::{
+    collections::BTreeMap,
     fmt,
     future::Future,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -63,19 +65,31 @@
     Gap,
 }
 
+/// Time after a change of the era within which upstreams publish their entries again.
+const UPSTREAM_RETENTION: Duration = Duration::from_millis(2_200);
+
+/// Time after a change of the era within which operators close data centres again.
+const CLOSURE_RETENTION: Duration = Duration::from_secs(10);
+
 /// The entries known to one host; their position never goes back.
+///
+/// When the era changes, the platform came back from an older copy. What the copy lacks was not
+/// removed, so the entries of the previous era hold on until they are written again, or the time for
+/// that is over. They have the revision 0, below all of the era, in full sets for peers too.
 #[derive(Debug)]
 pub struct EntryFeed {
     decoder: Rc<dyn EntryDecoder>,
     era: u64,
     /// The entries of `era`; their revisions are comparable with each other only.
     log: EntryLog,
+    /// Keys of entries of the previous era, and the times up to which these hold.
+    kept_until: BTreeMap<Arc<str>, Instant>,
 }
 
 impl EntryFeed {
     /// Creates a feed without entries.
     pub fn new(decoder: Rc<dyn EntryDecoder>) -> Self {
-        Self { decoder, era: 0, log: EntryLog::default() }
+        Self { decoder, era: 0, log: EntryLog::default(), kept_until: BTreeMap::new() }
     }
 
     /// Returns the position up to which all changes are known.
@@ -90,13 +104,13 @@
     }
 
     /// Applies an update, unless it is not newer or leaves a gap.
-    pub fn apply(&mut self, update: &EntryUpdate) -> FeedOutcome {
+    pub fn apply(&mut self, now: Instant, update: &EntryUpdate) -> FeedOutcome {
         let EntryUpdate { era, change } = update;
         if StorePosition::new(*era, change.revision) <= self.position() {
             return FeedOutcome::NotNewer;
         }
         if change.base == 0 {
-            return FeedOutcome::Applied(self.replace(*era, change));
+            return FeedOutcome::Applied(self.replace(now, *era, change));
         }
         if *era != self.era || change.base > self.log.revision() {
             return FeedOutcome::Gap;
@@ -104,19 +118,66 @@
         let is_new = |it: &&EntryChange| it.revision > self.log.entry_revision(&it.key);
         let entries: Vec<EntryChange> = change.entries.iter().filter(is_new).cloned().collect();
         let changes = entries.iter().filter_map(|it| self.decoder.decode(it)).collect();
+        for entry in &entries {
+            self.kept_until.remove(&entry.key);
+        }
         self.log.apply(&ConfigChange { entries, ..*change });
         FeedOutcome::Applied(changes)
     }
 
-    /// Applies a full set of entries: those that it lacks were removed, unless the era has changed.
-    fn replace(&mut self, era: u64, change: &ConfigChange) -> Vec<FleetChange> {
-        let mut changes = Vec::new();
-        if era != self.era && !self.position().is_start() {
-            changes.push(FleetChange::EraStarted);
+    /// Drops the entries of the previous era that were not written again in time; to be called on a
+    /// timer.
+    pub fn expire(&mut self, now: Instant) -> Vec<FleetChange> {
+        let expired: Vec<EntryChange> = self
+            .kept_until
+            .extract_if(.., |_, until| now >= *until)
+            .map(|(key, _)| EntryChange { key, revision: 0, value: None })
+            .collect();
+        for entry in &expired {
+            tracing::warn!(key = %entry.key, era = self.era, "entry_not_republished");
+        }
+        let changes = expired.iter().filter_map(|it| self.decoder.decode(it)).collect();
+        let revision = self.log.revision();
+        if !expired.is_empty() {
+            self.log.apply(&ConfigChange { base: revision, revision, entries: expired });
         }
+        changes
+    }
+
+    /// Applies a full set of entries: those that it lacks were removed, unless they are kept from the
+    /// previous era.
+    fn replace(&mut self, now: Instant, era: u64, change: &ConfigChange) -> Vec<FleetChange> {
+        let mut entries: BTreeMap<Arc<str>, EntryChange> =
+            change.entries.iter().map(|it| (it.key.clone(), it.clone())).collect();
+        let is_other_era = era != self.era;
+        if is_other_era {
+            self.kept_until.clear();
+        }
+        for (key, value) in self.log.values() {
+            let may_be_kept = is_other_era || self.log.entry_revision(key) == 0;
+            let known = EntryChange { key: key.clone(), revision: 0, value: Some(value.clone()) };
+            if may_be_kept && self.is_kept(&known, entries.get(key)) {
+                entries.insert(key.clone(), known);
+            }
+        }
+        let mut changes = Vec::new();
         let (mut upstreams, mut closed) = (Vec::new(), Vec::new());
-        for entry in &change.entries {
-            match self.decoder.decode(entry) {
+        for entry in entries.values() {
+            let decoded = self.decoder.decode(entry);
+            let retention = match &decoded {
+                Some(FleetChange::Upstream(_)) => Some(UPSTREAM_RETENTION),
+                Some(FleetChange::CentreClosed(_)) => Some(CLOSURE_RETENTION),
+                _ => None,
+            };
+            match retention {
+                Some(retention) if entry.revision == 0 => {
+                    self.kept_until.entry(entry.key.clone()).or_insert(now + retention);
+                }
+                _ => {
+                    self.kept_until.remove(&entry.key);
+                }
+            }
+            match decoded {
                 Some(FleetChange::Upstream(record)) => upstreams.push(record),
                 Some(FleetChange::CentreClosed(centre)) => closed.push(centre),
                 Some(routes @ FleetChange::Routes(_)) => changes.push(routes),
@@ -126,9 +187,30 @@
         }
         changes.push(FleetChange::FullListing { upstreams, closed });
         self.era = era;
-        self.log.apply(change);
+        self.log.apply(&ConfigChange { entries: entries.into_values().collect(), ..*change });
         changes
     }
+
+    /// Returns whether a known entry of the previous era holds on beside a listing that lacks it, or
+    /// that has `listed` in its place.
+    fn is_kept(&self, known: &EntryChange, listed: Option<&EntryChange>) -> bool {
+        if listed.is_some_and(|it| it.value == known.value) {
+            return false;
+        }
+        let listed = listed.and_then(|it| self.decoder.decode(it));
+        match (self.decoder.decode(known), listed) {
+            (Some(FleetChange::Routes(known)), Some(FleetChange::Routes(listed))) => {
+                known.version() > listed.version()
+            }
+            // The copy may be from before the upstream announced that it leaves.
+            (Some(FleetChange::Upstream(known)), Some(FleetChange::Upstream(listed))) => {
+                known.incarnation == listed.incarnation && known.is_leaving && !listed.is_leaving
+            }
+            (Some(FleetChange::Routes(_) | FleetChange::Upstream(_)), None) => true,
+            (Some(FleetChange::CentreClosed(_)), None) => true,
+            _ => false,
+        }
+    }
 }
 
 /// When the platform is known to have responded, to this host or to another one that reported it.
--- a/lib/src/gateway/fleet.rs
+++ b/lib/src/gateway/fleet.rs
@@ -71,9 +71,6 @@
     CentreClosed(CentreName),
     /// A data centre takes new requests again.
     CentreOpened(CentreName),
-    /// The platform came back from an older copy of its entries. A listing may lack what was
-    /// published, until it has been written again.
-    EraStarted,
     /// A full listing; what it lacks is no longer published.
     FullListing {
         /// All upstreams.
@@ -229,7 +226,6 @@
                 tracing::info!(%centre, "data_centre_opened");
                 state.upstreams.set_closed(&centre, false);
             }
-            FleetChange::EraStarted => state.upstreams.start_era(now),
             FleetChange::FullListing { upstreams, closed } => {
                 let (count, closed_count) = (upstreams.len(), closed.len());
                 tracing::info!(upstreams = count, closed = closed_count, "fleet_listed");
@@ -339,6 +335,7 @@
     pub fn tick(&self, interval: Duration) {
         let now = self.now();
         self.pauses.record_tick(now);
+        self.expire_entries(now);
         let lost = {
             let state = &mut *self.state.borrow_mut();
             state.upstreams.expire(now);
@@ -357,6 +354,15 @@
         self.metrics.set_response_memory(self.response_buffers.total_bytes() as u64);
     }
 
+    /// Drops entries that the platform lacks since it came back from an older copy.
+    fn expire_entries(&self, now: Instant) {
+        let changes = self.state.borrow_mut().feed.expire(now);
+        if !changes.is_empty() {
+            self.change_cache.clear();
+        }
+        changes.into_iter().for_each(|it| self.apply(it));
+    }
+
     /// Returns the metrics in the text exposition format, or an empty text if rendering fails.
     pub(super) fn metrics_text(&self) -> String {
         self.metrics.render().unwrap_or_else(|error| {
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -145,6 +145,7 @@
 /// one can fail in the same way within the bound.
 async fn follow_source(gateway: Rc<Gateway>, mut source: Box<dyn EntrySource>, times: FollowTimes) {
     gateway.wait_for_first_peer().await;
+    gateway.request_first_entries().await;
     let mut follower = EntryFollower {
         gateway,
         times,
@@ -284,6 +285,28 @@
         }
     }
 
+    /// Requests the entries of another host, of this data centre if possible, if this one is about to
+    /// read the platform.
+    ///
+    /// The platform may have come back from an older copy. What it lacks is known to the hosts that
+    /// ran before, and a listing does not end it at once.
+    async fn request_first_entries(&self) {
+        let member = {
+            let (now, state) = (self.now(), self.state.borrow());
+            let centre = &state.members.local().centre;
+            let is_local = |it: &&MemberRecord| it.centre == *centre;
+            let mut rng = rand::rng();
+            let local = state.members.live(now).filter(is_local).choose(&mut rng);
+            let member = local.or_else(|| state.members.live(now).choose(&mut rng));
+            member.filter(|_| state.members.relays(now).is_empty()).cloned()
+        };
+        if let Some(member) = member
+            && self.position().is_start()
+        {
+            self.pull_changes(&mut PeerClient::new(member.address), &member.host).await;
+        }
+    }
+
     /// Returns a relay of another data centre: the one at address `current` while it may be asked,
     /// else a random one.
     fn select_remote_relay(&self, current: Option<SocketAddr>) -> Option<MemberRecord> {
--- a/lib/src/gateway/packed.rs
+++ b/lib/src/gateway/packed.rs
@@ -86,6 +86,11 @@
 pub(super) struct ChangeCache(RefCell<Vec<CachedChange>>);
 
 impl ChangeCache {
+    /// Drops all changes, because the entries changed at the same position.
+    pub(super) fn clear(&self) {
+        self.0.borrow_mut().clear();
+    }
+
     /// Returns the change from a position to the current one.
     pub(super) fn change_since(&self, feed: &EntryFeed, from: StorePosition) -> PackedChange {
         let to = feed.position();
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -523,7 +523,7 @@
     }
 
     /// Requests the missing changes from a host that has a newer position.
-    async fn pull_changes(&self, client: &mut PeerClient, host: &HostName) {
+    pub(super) async fn pull_changes(&self, client: &mut PeerClient, host: &HostName) {
         match client.changes(self.position(), Duration::ZERO).await {
             Ok(reply) => {
                 self.apply_reply(reply, host);
@@ -556,7 +556,7 @@
     /// to be read.
     pub(super) fn apply_entries(&self, update: &EntryUpdate, from: &str) -> bool {
         let before = self.position();
-        let outcome = self.state.borrow_mut().feed.apply(update);
+        let outcome = self.state.borrow_mut().feed.apply(self.now(), update);
         match outcome {
             FeedOutcome::Applied(changes) => {
                 let StorePosition { era, revision } = self.position();
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -241,11 +241,6 @@
     upstreams: UpstreamIndex,
     /// Data centres that take no new requests.
     closed_centres: HashSet<CentreName>,
-    /// Closed data centres of the previous era, until an entry of the current one says whether they
-    /// are closed; they stay closed up to these times.
-    kept_closures: HashMap<CentreName, Instant>,
-    /// When the platform was seen to have come back from an older copy of its entries.
-    era_started: Option<Instant>,
     /// When the last outage of the platform ended.
     last_platform_recovery: Option<Instant>,
     is_platform_down: bool,
@@ -280,8 +275,6 @@
             centre,
             upstreams: UpstreamIndex::default(),
             closed_centres: HashSet::new(),
-            kept_closures: HashMap::new(),
-            era_started: None,
             last_platform_recovery: None,
             is_platform_down: false,
             withdrawn: Vec::new(),
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -3,9 +3,6 @@
 //! Entries of upstreams are kept on the platform by leases. During an outage of the platform
 //! leases expire although the upstreams run, so entries that are removed together around an
 //! outage stay in use until their upstreams had time to publish them again.
-//!
-//! The platform may also come back from an older copy of its entries. What the copy lacks was not
-//! removed: it holds on until it is published again, or the time for that is over.
 
 use std::{
     collections::HashSet,
@@ -22,10 +19,6 @@
 /// Time after an outage of the platform within which upstreams publish expired entries again.
 const REPUBLISH_TIME: Duration = Duration::from_millis(2_200);
 
-/// Time after a return of the platform from an older copy within which data centres that the copy
-/// lacks are closed again.
-const CLOSURE_RETENTION: Duration = Duration::from_secs(10);
-
 /// Time for which a removed entry is still used. It is far below the time in which a leaving
 /// upstream must receive no more requests, and long enough to learn from another host of an outage
 /// that has just ended.
@@ -129,47 +122,19 @@
     /// Applies a complete listing: upstreams that it lacks are withdrawn.
     pub fn replace_all(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
         let listed: HashSet<UpstreamName> = records.iter().map(|it| it.name.clone()).collect();
-        let published = self.upstreams.values().filter(|it| it.removed_at.is_none());
-        let published = published.map(|it| &it.record.name);
+        let known = self.upstreams.values().map(|it| &it.record.name);
         let missing: Vec<UpstreamName> =
-            published.filter(|it| !listed.contains(*it)).cloned().collect();
-        let republish_end = self.republish_end(now);
-        for mut record in records {
-            // The copy may be from before the upstream announced that it leaves.
-            record.is_leaving |= republish_end.is_some() && self.is_known_to_leave(&record);
+            known.filter(|it| !listed.contains(*it)).cloned().collect();
+        for record in records {
             self.publish(now, record);
         }
         for name in missing {
             self.withdraw(now, &name);
-            if let (Some(end), Some(state)) = (republish_end, self.upstreams.get_mut(&name)) {
-                state.removed_at = state.removed_at.map(|it| it.max(end));
-            }
         }
     }
 
-    /// Keeps what is published now until the platform, which came back from an older copy, had time
-    /// to receive it again.
-    pub fn start_era(&mut self, now: Instant) {
-        self.era_started = Some(now);
-        let closures = self.closed_centres.iter().cloned();
-        self.kept_closures = closures.map(|it| (it, now + CLOSURE_RETENTION)).collect();
-    }
-
-    /// Returns when upstreams have published their entries again after the start of the era; `None`
-    /// if that is past.
-    fn republish_end(&self, now: Instant) -> Option<Instant> {
-        self.era_started.map(|it| it + REPUBLISH_TIME).filter(|it| now < *it)
-    }
-
-    fn is_known_to_leave(&self, record: &UpstreamRecord) -> bool {
-        self.upstreams
-            .get(&record.name)
-            .is_some_and(|it| it.record.incarnation == record.incarnation && it.record.is_leaving)
-    }
-
     /// Sets whether a data centre is closed for new requests.
     pub fn set_closed(&mut self, centre: &CentreName, is_closed: bool) {
-        self.kept_closures.remove(centre);
         if is_closed {
             self.closed_centres.insert(centre.clone());
         } else {
@@ -177,22 +142,9 @@
         }
     }
 
-    /// Replaces the set of data centres that are closed for new requests; those that were closed in
-    /// the previous era stay so for a time.
+    /// Replaces the set of data centres that are closed for new requests.
     pub fn replace_closed(&mut self, centres: impl IntoIterator<Item = CentreName>) {
         self.closed_centres = centres.into_iter().collect();
-        self.kept_closures.retain(|it, _| !self.closed_centres.contains(it));
-        self.closed_centres.extend(self.kept_closures.keys().cloned());
-    }
-
-    /// Opens the data centres whose closure was not published again after a change of the era.
-    fn expire_closures(&mut self, now: Instant) {
-        let expired: Vec<CentreName> =
-            self.kept_closures.extract_if(|_, end| now >= *end).map(|(it, _)| it).collect();
-        for centre in expired {
-            tracing::warn!(%centre, "closure_not_republished");
-            self.closed_centres.remove(&centre);
-        }
     }
 
     /// Records that the platform did not respond to this host.
@@ -210,7 +162,6 @@
     /// have been open to picks; to be called on a timer.
     pub fn expire(&mut self, now: Instant) {
         self.record_open_time(now);
-        self.expire_closures(now);
         let is_expired = |it: &&UpstreamState| {
             it.own_in_flight == 0 && it.removed_at.is_some_and(|at| now >= at + REMOVED_RETENTION)
         };
