gateway: one packed full set for all hosts of another era

After a return of the store all hosts behind a relay ask it from positions of the previous era, which may differ. The relay packed the same full set anew for each of them; now the cache has one for all.

--- a/lib/src/gateway/feed.rs
+++ b/lib/src/gateway/feed.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use super::{fleet::FleetChange, position::StorePosition};
+use super::{fleet::FleetChange, position::StorePosition, upstreams::REPUBLISH_TIME};
 use crate::config::{ConfigChange, EntryChange, EntryLog};
 
 /// Why a read of an [`EntrySource`] failed.
@@ -65,9 +65,6 @@
     Gap,
 }
 
-/// Time after a change of the era within which upstreams publish their entries again.
-const UPSTREAM_RETENTION: Duration = Duration::from_millis(2_200);
-
 /// Time after a change of the era within which operators close data centres again.
 const CLOSURE_RETENTION: Duration = Duration::from_secs(10);
 
@@ -165,7 +162,7 @@
         for entry in entries.values() {
             let decoded = self.decoder.decode(entry);
             let retention = match &decoded {
-                Some(FleetChange::Upstream(_)) => Some(UPSTREAM_RETENTION),
+                Some(FleetChange::Upstream(_)) => Some(REPUBLISH_TIME),
                 Some(FleetChange::CentreClosed(_)) => Some(CLOSURE_RETENTION),
                 _ => None,
             };
--- a/lib/src/gateway/packed.rs
+++ b/lib/src/gateway/packed.rs
@@ -94,6 +94,8 @@
     /// Returns the change from a position to the current one.
     pub(super) fn change_since(&self, feed: &EntryFeed, from: StorePosition) -> PackedChange {
         let to = feed.position();
+        // Hosts of another era get the same full set, wherever they are in it.
+        let from = if from.era == to.era { from } else { StorePosition::default() };
         let mut cached = self.0.borrow_mut();
         if let Some(known) = cached.iter().find(|it| it.from == from && it.to == to) {
             return known.packed.clone();
--- a/lib/src/gateway/upstreams.rs
+++ b/lib/src/gateway/upstreams.rs
@@ -18,6 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub(super) use self::presence::REPUBLISH_TIME;
 pub use self::{
     announcement::MAX_PAUSE,
     in_flight::{HostCounts, InFlightCounts, InFlightScope},
--- a/lib/src/gateway/upstreams/presence.rs
+++ b/lib/src/gateway/upstreams/presence.rs
@@ -16,8 +16,9 @@
     rendezvous,
 };
 
-/// Time after an outage of the platform within which upstreams publish expired entries again.
-const REPUBLISH_TIME: Duration = Duration::from_millis(2_200);
+/// Time after an outage of the platform within which upstreams publish expired entries again, and
+/// those that it lost.
+pub(in crate::gateway) const REPUBLISH_TIME: Duration = Duration::from_millis(2_200);
 
 /// Time for which a removed entry is still used. It is far below the time in which a leaving
 /// upstream must receive no more requests, and long enough to learn from another host of an outage
