gateway: waits for relays count from the start of the process

A host that had its first entries from another one, and found both relays frozen, still waited for one after the other: nothing had told it yet how current they were. The time now counts from the start of following.

FollowTimes is in a module of its own.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod fleet;
 mod follow;
+mod follow_times;
 mod health;
 mod host_report;
 mod lag;
@@ -46,7 +47,8 @@
         SourceState,
     },
     fleet::{FleetChange, Gateway, GatewaySettings},
-    follow::{FollowTimes, follow_entries},
+    follow::follow_entries,
+    follow_times::FollowTimes,
     health::{AttemptEnd, UpstreamHealth},
     host_report::{DemandEntry, DemandPart, HostReport, InFlightPart, REPORT_VERSION},
     lag::{LagTracker, NewerHost},
--- a/lib/src/gateway/follow.rs
+++ b/lib/src/gateway/follow.rs
@@ -13,8 +13,9 @@
 use super::{
     feed::{EntrySource, SourceError},
     fleet::{FleetChange, Gateway},
+    follow_times::FollowTimes,
     members::MemberRecord,
-    peers::{PeerClient, REPLY_TIMEOUT},
+    peers::PeerClient,
     position::StorePosition,
 };
 
@@ -31,12 +32,6 @@
 /// As [`WATCH_WAIT`], on a host that is a relay for others.
 const RELAY_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Longest time for which a relay may wait for a change in one request.
-const MAX_RELAY_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Shortest such time, which bounds the number of requests.
-const MIN_RELAY_WAIT: Duration = Duration::from_millis(100);
-
 /// Time for which a new host waits until it knows another host, before it reads the platform itself.
 const FIRST_PEER_WAIT: Duration = Duration::from_millis(100);
 
@@ -47,41 +42,6 @@
 /// longest watch and the interval between two watches, with time for a slow call.
 const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2_200);
 
-/// Times of following, which keep a change within its bound.
-///
-/// A relay may be frozen: it accepts a request and does not reply. Several may be at the same time, so
-/// what counts is the sum of such waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FollowTimes {
-    /// Shortest interval between the starts of two watches of the platform. A watch ends at the
-    /// first change, so without it each of several changes in quick succession would cost a call. A
-    /// quarter of the bound leaves the rest for the call, and for a platform that responds slowly.
-    pub min_interval: Duration,
-    /// Time for which a relay may wait for a change in one request.
-    pub relay_wait: Duration,
-    /// Age of the known state at which a request to a relay has to have ended.
-    pub max_age: Duration,
-}
-
-impl FollowTimes {
-    /// Returns the times for a change that has to be in force within `config_bound`; a bound below
-    /// 700 ms is not kept while a relay is frozen.
-    pub fn new(config_bound: Duration) -> Self {
-        let relay_wait = (config_bound / 2).saturating_sub(REPLY_TIMEOUT);
-        Self {
-            min_interval: config_bound / 4,
-            relay_wait: relay_wait.clamp(MIN_RELAY_WAIT, MAX_RELAY_WAIT),
-            max_age: config_bound * 3 / 4,
-        }
-    }
-
-    /// Returns whether a relay may be asked for changes of a state that was current at
-    /// `current_at`: if it does not reply, there must be time left to read the platform.
-    pub fn allow_relay(&self, now: Instant, current_at: Instant) -> bool {
-        now + self.relay_wait + REPLY_TIMEOUT <= current_at + self.max_age
-    }
-}
-
 /// Follows the entries until the process ends.
 pub async fn follow_entries(
     gateway: Rc<Gateway>,
@@ -147,9 +107,9 @@
     gateway.wait_for_first_peer().await;
     gateway.request_first_entries().await;
     let mut follower = EntryFollower {
+        current_at: gateway.now(),
         gateway,
         times,
-        current_at: None,
         has_relay_failed: false,
         has_failed: false,
         needs_full_read: true,
@@ -165,7 +125,7 @@
             let has_replied = follower.gateway.poll_relay(client, &member, times.relay_wait).await;
             follower.has_relay_failed = !has_replied;
             if has_replied {
-                follower.current_at = Some(follower.gateway.now());
+                follower.current_at = follower.gateway.now();
                 follower.needs_full_read &= follower.gateway.position().is_start();
                 follower.has_failed = false;
                 follower.gateway.source_unavailable.send_replace(false);
@@ -203,8 +163,9 @@
 struct EntryFollower {
     gateway: Rc<Gateway>,
     times: FollowTimes,
-    /// When a relay or the platform last told that the known state was current.
-    current_at: Option<Instant>,
+    /// When a relay or the platform last told that the known state was current; at first, the start
+    /// of this process.
+    current_at: Instant,
     /// Whether the last request to a relay failed, and the platform was not read since.
     has_relay_failed: bool,
     /// Whether the last call to the platform failed.
@@ -221,7 +182,7 @@
     /// the time left does not allow another one.
     fn is_late(&self) -> bool {
         let now = self.gateway.now();
-        self.has_relay_failed && self.current_at.is_some_and(|it| !self.times.allow_relay(now, it))
+        self.has_relay_failed && !self.times.allow_relay(now, self.current_at)
     }
 
     /// Returns the relay to ask; `None` if this host reads the platform itself, as one does that got
@@ -248,7 +209,7 @@
             }
         };
         self.needs_full_read = false;
-        self.current_at = Some(self.gateway.now());
+        self.current_at = self.gateway.now();
         self.has_relay_failed = false;
         // Applied before the changes: entries that are missing soon after an outage may have
         // expired during it.
