gateway: a first listing is no change of the era

Now a host without entries logs none, and the metric has the era from the first listing.

The full set of EntryFeed is split into merging what is kept and setting how long it holds.

--- a/lib/src/gateway/feed.rs
+++ b/lib/src/gateway/feed.rs
@@ -144,36 +144,15 @@
     /// Applies a full set of entries: those that it lacks were removed, unless they are kept from the
     /// previous era.
     fn replace(&mut self, now: Instant, era: u64, change: &ConfigChange) -> Vec<FleetChange> {
-        let mut entries: BTreeMap<Arc<str>, EntryChange> =
-            change.entries.iter().map(|it| (it.key.clone(), it.clone())).collect();
-        let is_other_era = era != self.era;
-        if is_other_era {
+        if era != self.era {
             self.kept_until.clear();
         }
-        for (key, value) in self.log.values() {
-            let may_be_kept = is_other_era || self.log.entry_revision(key) == 0;
-            let known = EntryChange { key: key.clone(), revision: 0, value: Some(value.clone()) };
-            if may_be_kept && self.is_kept(&known, entries.get(key)) {
-                entries.insert(key.clone(), known);
-            }
-        }
+        let entries = self.merge_kept(era, &change.entries);
         let mut changes = Vec::new();
         let (mut upstreams, mut closed) = (Vec::new(), Vec::new());
         for entry in entries.values() {
             let decoded = self.decoder.decode(entry);
-            let retention = match &decoded {
-                Some(FleetChange::Upstream(_)) => Some(REPUBLISH_TIME),
-                Some(FleetChange::CentreClosed(_)) => Some(CLOSURE_RETENTION),
-                _ => None,
-            };
-            match retention {
-                Some(retention) if entry.revision == 0 => {
-                    self.kept_until.entry(entry.key.clone()).or_insert(now + retention);
-                }
-                _ => {
-                    self.kept_until.remove(&entry.key);
-                }
-            }
+            self.set_expiry(now, entry, decoded.as_ref());
             match decoded {
                 Some(FleetChange::Upstream(record)) => upstreams.push(record),
                 Some(FleetChange::CentreClosed(centre)) => closed.push(centre),
@@ -188,6 +167,36 @@
         changes
     }
 
+    /// Returns the entries of a full set, and the known ones that are kept beside or instead of them.
+    fn merge_kept(&self, era: u64, listed: &[EntryChange]) -> BTreeMap<Arc<str>, EntryChange> {
+        let mut entries: BTreeMap<Arc<str>, EntryChange> =
+            listed.iter().map(|it| (it.key.clone(), it.clone())).collect();
+        for (key, value) in self.log.values() {
+            if era == self.era && self.log.entry_revision(key) != 0 {
+                continue;
+            }
+            let known = EntryChange { key: key.clone(), revision: 0, value: Some(value.clone()) };
+            if self.is_kept(&known, entries.get(key)) {
+                entries.insert(key.clone(), known);
+            }
+        }
+        entries
+    }
+
+    /// Sets how long an entry of the previous era holds; a configuration holds until the next one.
+    fn set_expiry(&mut self, now: Instant, entry: &EntryChange, decoded: Option<&FleetChange>) {
+        let retention = match decoded {
+            Some(FleetChange::Upstream(_)) => REPUBLISH_TIME,
+            Some(FleetChange::CentreClosed(_)) => CLOSURE_RETENTION,
+            _ => return,
+        };
+        if entry.revision == 0 {
+            self.kept_until.entry(entry.key.clone()).or_insert(now + retention);
+        } else {
+            self.kept_until.remove(&entry.key);
+        }
+    }
+
     /// Returns whether a known entry of the previous era holds on beside a listing that lacks it, or
     /// that has `listed` in its place.
     fn is_kept(&self, known: &EntryChange, listed: Option<&EntryChange>) -> bool {
@@ -203,8 +212,8 @@
             (Some(FleetChange::Upstream(known)), Some(FleetChange::Upstream(listed))) => {
                 known.incarnation == listed.incarnation && known.is_leaving && !listed.is_leaving
             }
-            (Some(FleetChange::Routes(_) | FleetChange::Upstream(_)), None) => true,
-            (Some(FleetChange::CentreClosed(_)), None) => true,
+            (Some(FleetChange::Routes(_) | FleetChange::Upstream(_)), None)
+            | (Some(FleetChange::CentreClosed(_)), None) => true,
             _ => false,
         }
     }
--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -561,6 +561,9 @@
             FeedOutcome::Applied(changes) => {
                 let StorePosition { era, revision } = self.position();
                 if era != before.era {
+                    self.metrics.set_store_era(era);
+                }
+                if era != before.era && !before.is_start() {
                     tracing::info!(
                         from,
                         era_before = before.era,
@@ -569,7 +572,6 @@
                         revision,
                         "store_era_changed"
                     );
-                    self.metrics.set_store_era(era);
                 }
                 tracing::info!(
                     from,
