--- a/lib/tests/gateway_reports.rs
+++ b/lib/tests/gateway_reports.rs
@@ -10,7 +10,8 @@
 };
 
 use gateway_support::{
-    EmptyDecoder, HOST_SIZE, RESPONSE_LIMITS, TestDialect, loopback_addresses, run_local,
+    EmptyDecoder, HOST_SIZE, RESPONSE_LIMITS, TestDialect, loopback_addresses, relay::read_message,
+    run_local,
 };
 use serde::{Deserialize, Serialize};
 use snipepond::{
@@ -29,7 +30,7 @@
     telemetry::RouterMetrics,
 };
 use tokio::{
-    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     task::spawn_local,
     time::sleep,
@@ -216,25 +217,6 @@
     }
 }
 
-/// Reads the path and the body of a message; returns `None` once the connection is closed.
-async fn read_message(stream: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
-    let mut lines = Vec::new();
-    loop {
-        let mut line = String::new();
-        stream.read_line(&mut line).await.ok()?;
-        match line.trim_end() {
-            "" if lines.is_empty() => return None,
-            "" => break,
-            line => lines.push(line.to_ascii_lowercase()),
-        }
-    }
-    let path = lines[0].split(' ').nth(1)?.to_owned();
-    let length = lines.iter().find_map(|it| it.strip_prefix("content-length: "));
-    let mut body = vec![0; length.map_or(0, |it| it.parse().unwrap())];
-    stream.read_exact(&mut body).await.ok()?;
-    Some((path, body))
-}
-
 /// Guards against reports of requests in flight that a host of the release before this one cannot
 /// read, and the other way round.
 #[test]
--- a/lib/tests/gateway_support/mod.rs
+++ b/lib/tests/gateway_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 pub mod flood;
+pub mod relay;
 pub mod script;
 
 use std::{net::SocketAddr, process, rc::Rc, time::Duration};
