--- a/lib/src/gateway/peers.rs
+++ b/lib/src/gateway/peers.rs
@@ -584,7 +584,12 @@
                 self.positions.send_replace(self.position());
                 true
             }
-            FeedOutcome::NotNewer => true,
+            FeedOutcome::NotNewer => {
+                if update.era < before.era {
+                    tracing::warn!(from, era = update.era, known = before.era, "older_era_ignored");
+                }
+                true
+            }
             FeedOutcome::Gap => false,
         }
     }
